--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Every target sets up the virtual environment first, so each works on a fresh machine.
+PYTHON ?= python3
+BIN := .venv/bin
+SEED ?= 1
+MINUTES ?= 2
+
+.PHONY: setup demo test lint proto bench soak capacity
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
+		-e packages/springbridge -e packages/springbridge-node \
+		-e packages/springbridge-ctl -e packages/springbridge-standins
+	touch .venv/ready
+
+demo: setup
+	$(BIN)/python -m springbridge_standins.demo
+
+lint: setup
+	$(BIN)/black --quiet --check .
+	$(BIN)/ruff check --quiet .
+
+test: lint
+	$(BIN)/python -m pytest
+
+proto: setup
+	cd packages/springbridge-node && PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc \
+		-I. --python_out=. --grpclib_python_out=. springbridge_node/proto/peer.proto
+
+bench: setup
+	$(BIN)/python -m springbridge_standins.bench
+
+soak: setup
+	$(BIN)/python -m springbridge_standins.soak --seed $(SEED) --minutes $(MINUTES)
+
+capacity: setup
+	$(BIN)/python -m springbridge_standins.capacity
--- /dev/null
+++ b/packages/springbridge-ctl/springbridge_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of springbridge."""
--- /dev/null
+++ b/packages/springbridge-ctl/springbridge_ctl/client.py
@@ -0,0 +1,65 @@
+"""Client of a node's operators' interface."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from returns.result import Failure, Result, Success
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from tornado.httpclient import HTTPClient, HTTPRequest
+
+TOKEN_HEADER = "Springbridge-Operator-Token"
+TIMEOUT_S = 15.0
+
+
+@dataclass(frozen=True)
+class Operator:
+    """Who speaks to which node.
+
+    Attributes:
+      node: IP number:port of a node's callers' interface.
+      token: The operators' token.
+      who: Name that goes into the audit trail.
+    """
+
+    node: str
+    token: str
+    who: str
+
+    def get(self, path: str) -> Result[Any, list[Problem]]:
+        """Return the decoded answer to a read."""
+        return self._fetch(path, None)
+
+    def post(self, path: str, body: object) -> Result[Any, list[Problem]]:
+        """Return the decoded answer to a command."""
+        return self._fetch(path, orjson.dumps(body))
+
+    def _fetch(self, path: str, body: bytes | None) -> Result[Any, list[Problem]]:
+        request = HTTPRequest(
+            f"http://{self.node}{path}",
+            method="GET" if body is None else "POST",
+            body=body,
+            headers={TOKEN_HEADER: self.token},
+            request_timeout=TIMEOUT_S,
+        )
+        client = HTTPClient()
+        try:
+            response = client.fetch(request, raise_error=False)
+            if not response.body:
+                raise ConnectionError(str(response.error))
+            answer = orjson.loads(response.body)
+        except Exception as exc:
+            return Failure([Problem(Code.NODE_UNREACHABLE, type(exc).__name__, self.node)])
+        finally:
+            client.close()
+        if response.code == 200:
+            return Success(answer)
+        return Failure([_read_problem(raw) for raw in answer["errors"]])
+
+
+def _read_problem(raw: dict[str, Any]) -> Problem:
+    """Return a problem as a node describes it."""
+    code = Code(raw["code"])
+    detail = raw["message"].removesuffix(Problem(code).info.advice).rstrip(": ")
+    return Problem(code, detail, "", raw["retry_after_s"])
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/answers.py
@@ -0,0 +1,94 @@
+"""Answers as they grow: one writer, any number of readers, each from its own offset."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from springbridge.problems import Problem
+from springbridge.stream import Chunk
+
+KEEP_ANSWERS_S = 120.0
+KEEP_ANSWERS_CHARS = 4_000_000
+
+
+@dataclass
+class Answer:
+    """The pieces of one answer so far, and how it ended."""
+
+    request_id: str
+    pieces: list[Chunk] = field(default_factory=list)
+    offset: int = 0
+    ended: bool = False
+    problem: Problem | None = None
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def add(self, chunk: Chunk) -> None:
+        """Append the next piece."""
+        self.pieces.append(chunk)
+        self.offset += chunk.tokens
+        self._wake()
+
+    def end(self, problem: Problem | None) -> None:
+        """End the answer, with a problem or whole."""
+        if not self.ended:
+            self.ended = True
+            self.problem = problem
+            self._wake()
+
+    def text(self) -> str:
+        """Return the text so far."""
+        return "".join(chunk.text for chunk in self.pieces)
+
+    async def follow(self, offset: int = 0) -> AsyncIterator[Chunk]:
+        """Yield the pieces from an offset on, until the answer has ended."""
+        position = 0
+        while True:
+            while position < len(self.pieces):
+                chunk = self.pieces[position]
+                position += 1
+                if chunk.offset >= offset:
+                    yield chunk
+            if self.ended:
+                return
+            await self._changed.wait()
+
+    async def whole(self) -> None:
+        """Return when the answer has ended."""
+        while not self.ended:
+            await self._changed.wait()
+
+    def _wake(self) -> None:
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
+
+
+class KeptAnswers:
+    """Answers of requests that are not repeatable, kept for retries of their callers."""
+
+    def __init__(self, clock: Callable[[], float]):
+        """Start with none; the clock is monotonic, in seconds."""
+        self._clock = clock
+        self._answers: OrderedDict[str, tuple[Answer, float]] = OrderedDict()
+
+    def keep(self, answer: Answer) -> None:
+        """Keep an answer from its start on."""
+        self._forget_old()
+        self._answers[answer.request_id] = (answer, self._clock())
+
+    def find(self, request_id: str) -> Answer | None:
+        """Return the answer of a request, or None if it is not kept."""
+        found = self._answers.get(request_id)
+        return found[0] if found is not None else None
+
+    def _forget_old(self) -> None:
+        """Drop ended answers that are old or beyond the size kept, oldest first."""
+        limit_s = self._clock() - KEEP_ANSWERS_S
+        chars = sum(len(piece.text) for one, _ in self._answers.values() for piece in one.pieces)
+        for name, (answer, since_s) in list(self._answers.items()):
+            if since_s > limit_s and chars <= KEEP_ANSWERS_CHARS:
+                return
+            if answer.ended:
+                chars -= len(answer.text())
+                del self._answers[name]
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/config_sync.py
@@ -0,0 +1,138 @@
+"""Keeps the operators' table in force: read from the platform, passed on between peers.
+
+The node reads the version about once a second and then only the changes that it lacks. When a peer
+has a higher version, it asks that peer for the changes. Versions only ever grow.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import orjson
+from returns.result import Failure, Success
+from springbridge.changes import Change, Snapshot, apply, decode_change, encode_change
+from springbridge.freshness import Confirmation, may_serve
+from springbridge.invariants import Invariants
+from springbridge.membership import Membership
+from springbridge.ports import TableStore
+from springbridge.records import Table
+from springbridge.rows import build
+
+from springbridge_node import logs
+from springbridge_node.messages import ConfigDelta, ConfigPull, Message
+
+INVARIANT_VERSION_GROWS = "table version only grows"
+POLL_S = 1.0
+CHANGES_KEPT = 200
+
+
+class ConfigSync:
+    """The operators' table on this node."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        membership: Membership,
+        clock: Callable[[], float],
+        send: Callable[[str, Message], None],
+        invariants: Invariants,
+    ):
+        """Start with an empty table at version 0, under which nothing is served."""
+        self.snapshot = Snapshot(0, {})
+        self.table = Table()
+        self.confirmation = Confirmation()
+        self._store = store
+        self._membership = membership
+        self._clock = clock
+        self._send = send
+        self._invariants = invariants
+        self._recent: list[Change] = []
+        self._pulled_s = -POLL_S
+
+    async def run(self) -> None:
+        """Read the platform's table until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(POLL_S)
+
+    async def refresh(self) -> None:
+        """Read the newest version once and apply what is missing."""
+        asked_s = self._clock()
+        match await self._store.version():
+            case Success(version):
+                self.confirmation.table_out = False
+                if version > self.snapshot.version:
+                    await self._catch_up(version)
+                if version <= self.snapshot.version:
+                    self.confirmation.confirmed(version, asked_s)
+            case Failure(_):
+                self.confirmation.table_out = True
+
+    async def _catch_up(self, version: int) -> None:
+        """Read the changes that are missing, or all rows when there are too many."""
+        missing = version - self.snapshot.version
+        if self.snapshot.version and missing <= CHANGES_KEPT:
+            match await self._store.changes(self.snapshot.version, missing):
+                case Success(changes):
+                    self.apply_changes(changes)
+                    return
+        match await self._store.snapshot():
+            case Success(snapshot):
+                self.put_in_force(snapshot)
+
+    def apply_changes(self, changes: list[Change]) -> None:
+        """Apply changes that follow the version in force; others are left out."""
+        snapshot = self.snapshot
+        for change in changes:
+            if change.version == snapshot.version + 1:
+                snapshot = apply(snapshot, change)
+                self._recent.append(change)
+        self._recent = self._recent[-CHANGES_KEPT:]
+        if snapshot is not self.snapshot:
+            self.put_in_force(snapshot)
+
+    def put_in_force(self, snapshot: Snapshot) -> None:
+        """Put a newer snapshot in force; an older one is left out."""
+        if snapshot.version <= self.snapshot.version:
+            return
+        before = self.table.version
+        self.snapshot = snapshot
+        self.table, problems = build(snapshot.version, snapshot.rows)
+        self._invariants.check(INVARIANT_VERSION_GROWS, self.table.version > before)
+        self.confirmation.confirmed(snapshot.version, -1e9)
+        logs.event("table.in_force", version=snapshot.version, left_out=len(problems))
+
+    def may_serve(self) -> bool:
+        """Return whether this node may serve under the table that it holds."""
+        peers = self._membership.reachable()
+        now_s = self._clock()
+        majority = self._membership.sees_majority()
+        return may_serve(self.confirmation, now_s, majority, peers)
+
+    def compare_with_peers(self) -> None:
+        """Take over peers' confirmations, and ask one of them for changes that are missing."""
+        now_s = self._clock()
+        peers = self._membership.reachable()
+        self.confirmation.learn_from(peers, now_s)
+        ahead = [peer for peer in peers if peer.config_version > self.snapshot.version]
+        if ahead and now_s - self._pulled_s > POLL_S / 4:
+            self._pulled_s = now_s
+            newest = max(ahead, key=lambda peer: peer.config_version)
+            pull = ConfigPull(self._membership.me.incarnation, self.snapshot.version)
+            self._send(newest.incarnation, pull)
+
+    def answer_pull(self, pull: ConfigPull) -> None:
+        """Send a peer the changes after its version, or everything."""
+        if pull.after >= self.snapshot.version:
+            return
+        changes = [change for change in self._recent if change.version > pull.after]
+        if changes and changes[0].version == pull.after + 1:
+            delta = ConfigDelta(tuple(encode_change(change) for change in changes), b"")
+        else:
+            delta = ConfigDelta((), orjson.dumps(self.snapshot))
+        self._send(pull.node, delta)
+
+    def take_delta(self, delta: ConfigDelta) -> None:
+        """Apply what a peer sent."""
+        if delta.snapshot:
+            self.put_in_force(Snapshot(**orjson.loads(delta.snapshot)))
+        self.apply_changes([decode_change(data) for data in delta.changes])
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/editing.py
@@ -0,0 +1,173 @@
+"""Accepts changes of the operators' table and orders to engines, on behalf of an operator."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from returns.result import Failure, Result, Success
+from springbridge.changes import Change, Edit, Snapshot, apply, check_edits
+from springbridge.codes import Code
+from springbridge.membership import Membership
+from springbridge.ports import OrderKind, OrderLease, TableStore
+from springbridge.problems import Problem
+from springbridge.records import Engine
+
+from springbridge_node import logs
+from springbridge_node.config_sync import ConfigSync
+from springbridge_node.engine_http import ModelClient
+
+COMMIT_TRIES = 5
+LEASE_MARGIN_S = 5.0
+
+
+@dataclass(frozen=True)
+class EditRequest:
+    """What an operator asks for.
+
+    Attributes:
+      change_id: Chosen by the operator's command; a repeat with the same id changes nothing more.
+      base_version: The version that the operator looked at.
+      strict: Whether any change since base_version is a conflict, or only one of the same rows.
+    """
+
+    change_id: str
+    who: str
+    base_version: int
+    strict: bool
+    edits: tuple[Edit, ...]
+
+
+class Editor:
+    """Writes accepted changes to the platform's table."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        config: ConfigSync,
+        membership: Membership,
+        announce: Callable[[], None],
+    ):
+        """Keep the ports; announce tells the peers of a new version at once."""
+        self._store = store
+        self._config = config
+        self._membership = membership
+        self._announce = announce
+
+    async def edit(self, request: EditRequest) -> Result[int, list[Problem]]:
+        """Accept or refuse an edit.
+
+        Returns:
+          The version that the edit led to, or all the problems that were found.
+        """
+        if not self._membership.sees_majority():
+            return Failure([Problem(Code.NO_MAJORITY)])
+        for _ in range(COMMIT_TRIES):
+            match await self._try_edit(request):
+                case Success(version):
+                    return Success(version)
+                case Failure(problems) if not _raced(problems):
+                    return Failure(problems)
+        return Failure([Problem(Code.VERSION_CONFLICT, "too many racing edits; try again")])
+
+    async def _try_edit(self, request: EditRequest) -> Result[int, list[Problem]]:
+        """Check the edit against the newest rows and write it."""
+        match await self._store.find_change(request.change_id):
+            case Success(Change() as done):
+                return Success(done.version)
+            case Failure(problem):
+                return Failure([problem])
+        match await self._store.snapshot():
+            case Failure(problem):
+                return Failure([problem])
+            case Success(snapshot):
+                pass
+        if request.strict and snapshot.version != request.base_version:
+            return Failure([_moved_on(request.base_version, snapshot)])
+        match check_edits(snapshot, request.edits):
+            case Failure(problems):
+                return Failure(problems)
+        change = _change(request, snapshot)
+        match await self._store.commit(change):
+            case Failure(problem):
+                return Failure([problem])
+        return await self._accepted(change, snapshot)
+
+    async def _accepted(self, change: Change, before: Snapshot) -> Result[int, list[Problem]]:
+        """Put an accepted change in force here and tell the peers.
+
+        A lost reply may have hidden that the change was accepted at a version further on, so the
+        record that is in the trail is the one that counts.
+        """
+        match await self._store.find_change(change.change_id):
+            case Success(Change() as written):
+                change = written
+        if change.version == before.version + 1:
+            self._config.put_in_force(apply(before, change))
+        else:
+            await self._config.refresh()
+        logs.event("table.accepted", version=change.version, who=change.who)
+        self._announce()
+        return Success(change.version)
+
+
+def _raced(problems: list[Problem]) -> bool:
+    """Return whether only the version moved on, which another try settles."""
+    return [problem.source for problem in problems] == [""] and (
+        problems[0].code is Code.VERSION_CONFLICT and problems[0].detail == "the table moved on"
+    )
+
+
+def _moved_on(base_version: int, snapshot: Snapshot) -> Problem:
+    detail = f"the table is at version {snapshot.version}, your edit is based on {base_version}"
+    return Problem(Code.VERSION_CONFLICT, detail, "table")
+
+
+def _change(request: EditRequest, snapshot: Snapshot) -> Change:
+    """Return the change that an edit leads to after a snapshot."""
+    when = datetime.now(UTC).isoformat(timespec="milliseconds")
+    return Change(snapshot.version + 1, request.change_id, request.who, when, request.edits)
+
+
+class Orders:
+    """Gives orders to engines under a lease with an epoch in the platform's table."""
+
+    def __init__(self, store: TableStore, client: ModelClient, me: str, clock: Callable[[], float]):
+        """Keep the ports and this node's incarnation, the holder of the leases."""
+        self._store = store
+        self._client = client
+        self._me = me
+        self._clock = clock
+
+    async def give(self, engine: Engine, kind: OrderKind, argument: str) -> Result[int, Problem]:
+        """Give an order and return the epoch under which it was taken.
+
+        An engine that checks tokens refuses a lower epoch by itself. For one that does not, the
+        node takes the lease anew just before and gives the order only well inside it, and only
+        orders that may be repeated: a role change is left to the operator.
+        """
+        if not engine.checks_tokens and kind is OrderKind.ROLE:
+            detail = "the engine checks no tokens; change its role by hand"
+            return Failure(Problem(Code.ORDER_REFUSED, detail, engine.name))
+        asked_s = self._clock()
+        match await self._store.take_lease(engine.name, self._me):
+            case Failure(problem):
+                return Failure(problem)
+            case Success(lease):
+                pass
+        margin_s = 0.0 if engine.checks_tokens else LEASE_MARGIN_S
+        if self._clock() - asked_s + margin_s > lease.valid_s:
+            detail = "too little of the lease is left"
+            return Failure(Problem(Code.ORDER_REFUSED, detail, engine.name))
+        return await self._send(engine, kind, argument, lease)
+
+    async def _send(
+        self, engine: Engine, kind: OrderKind, argument: str, lease: OrderLease
+    ) -> Result[int, Problem]:
+        try:
+            taken, word = await self._client.order(engine, kind, argument, lease)
+        except (TimeoutError, OSError) as exc:
+            return Failure(Problem(Code.OUTCOME_UNKNOWN, type(exc).__name__, engine.name))
+        if not taken:
+            return Failure(Problem(Code.ORDER_REFUSED, word, engine.name))
+        logs.event("order.taken", engine=engine.name, order=kind.value, epoch=lease.epoch)
+        return Success(lease.epoch)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/engine_http.py
@@ -0,0 +1,197 @@
+"""Adapters for model engines and plain services, over HTTP.
+
+An engine streams server-sent events whose chunks carry the request id and the offset. It turns a
+job away before it starts with status 429 or 503 and the header ``Engine-Admitted: no``; only that
+answer, or a connection that was refused, proves that the job did not start.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import orjson
+from springbridge.ports import EngineError, Job, NotAdmittedError, OrderKind, OrderLease
+from springbridge.records import Engine
+from springbridge.stream import Chunk
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import HTTPTimeoutError
+
+CONNECT_TIMEOUT_S = 1.0
+LONGEST_ANSWER_S = 4 * 3600.0
+SHORT_TIMEOUT_S = 2.0
+SERVICE_TIMEOUT_S = 60.0
+MAX_CLIENTS = 5000
+MAX_ANSWER_BYTES = 1 << 30
+ADMITTED_HEADER = "Engine-Admitted"
+ID_HEADER = "Request-Id"
+DATA = b"data: "
+DONE = b"[DONE]"
+
+
+def make_client() -> AsyncHTTPClient:
+    """Return the HTTP client that all adapters of a node share."""
+    return AsyncHTTPClient(
+        force_instance=True, max_clients=MAX_CLIENTS, max_body_size=MAX_ANSWER_BYTES
+    )
+
+
+class _Events:
+    """Turns the pieces of an HTTP body into chunks and hands them to one reader."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[list[Chunk] | Exception | None] = asyncio.Queue()
+        self.closed = False
+        self._rest = b""
+
+    def feed(self, data: bytes) -> None:
+        """Take in a piece of the body; raising here makes the client close the connection."""
+        if self.closed:
+            raise ConnectionAbortedError("the reader went away")
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        try:
+            chunks = [_read_event(line) for line in lines if _is_chunk(line)]
+        except (ValueError, KeyError, TypeError) as exc:
+            self.queue.put_nowait(EngineError(f"unreadable event: {type(exc).__name__}"))
+            return
+        if chunks:
+            self.queue.put_nowait(chunks)
+
+
+def _is_chunk(line: bytes) -> bool:
+    return line.startswith(DATA) and line[len(DATA) :] != DONE
+
+
+def _read_event(line: bytes) -> Chunk:
+    raw = orjson.loads(line[len(DATA) :])
+    return Chunk(raw["id"], raw["offset"], raw["tokens"], raw["text"], raw["last"])
+
+
+class ModelClient:
+    """Client of a model engine."""
+
+    def __init__(self, client: AsyncHTTPClient):
+        """Keep the HTTP client."""
+        self._client = client
+
+    def run(self, engine: Engine, job: Job) -> AsyncIterator[Chunk]:
+        """Start a job and yield its chunks."""
+        body = orjson.dumps(
+            {
+                "id": job.request_id,
+                "priority": job.priority,
+                "offset": job.offset,
+                "prefix": job.prefix,
+                "request": orjson.loads(job.body),
+            }
+        )
+        return self._stream(HTTPRequest(_url(engine, "/v1/generate"), method="POST", body=body))
+
+    def resume(self, engine: Engine, request_id: str, offset: int) -> AsyncIterator[Chunk]:
+        """Yield the chunks of a job that the engine already has."""
+        path = f"/v1/streams/{request_id}?offset={offset}"
+        return self._stream(HTTPRequest(_url(engine, path)))
+
+    async def cancel(self, engine: Engine, request_id: str) -> None:
+        """Stop a job; failures are ignored, since the engine may be gone."""
+        url = _url(engine, f"/v1/streams/{request_id}/cancel")
+        request = HTTPRequest(url, method="POST", body=b"", request_timeout=SHORT_TIMEOUT_S)
+        await self._client.fetch(request, raise_error=False)
+
+    async def reported_load(self, engine: Engine) -> float:
+        """Return the engine's load report, which lags."""
+        request = HTTPRequest(_url(engine, "/v1/load"), request_timeout=SHORT_TIMEOUT_S)
+        response = await self._client.fetch(request)
+        return float(orjson.loads(response.body)["load"])
+
+    async def order(
+        self, engine: Engine, kind: OrderKind, argument: str, lease: OrderLease
+    ) -> tuple[bool, str]:
+        """Give an order under a lease and return whether it was taken, and the engine's word."""
+        body = orjson.dumps({"order": kind.value, "argument": argument, "epoch": lease.epoch})
+        request = HTTPRequest(
+            _url(engine, "/v1/orders"), method="POST", body=body, request_timeout=SHORT_TIMEOUT_S
+        )
+        response = await self._client.fetch(request, raise_error=False)
+        return response.code == 200, response.body.decode(errors="replace")
+
+    async def _stream(self, request: HTTPRequest) -> AsyncIterator[Chunk]:
+        """Send a request and yield the chunks of its answer."""
+        events = _Events()
+        request.streaming_callback = events.feed
+        request.connect_timeout = CONNECT_TIMEOUT_S
+        request.request_timeout = LONGEST_ANSWER_S
+        fetch = asyncio.ensure_future(self._client.fetch(request))
+        fetch.add_done_callback(lambda done: events.queue.put_nowait(_failure(done)))
+        try:
+            while True:
+                found = await events.queue.get()
+                if found is None:
+                    return
+                if isinstance(found, Exception):
+                    raise found
+                for chunk in found:
+                    yield chunk
+        finally:
+            events.closed = True
+
+
+class ServiceClient:
+    """Client of a plain service; its whole answer is one chunk."""
+
+    def __init__(self, client: AsyncHTTPClient):
+        """Keep the HTTP client."""
+        self._client = client
+
+    async def run(self, engine: Engine, job: Job) -> AsyncIterator[Chunk]:
+        """Call the service and yield its answer."""
+        request = HTTPRequest(
+            _url(engine, job.path),
+            method="POST",
+            body=job.body,
+            headers={ID_HEADER: job.request_id},
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=SERVICE_TIMEOUT_S,
+        )
+        fetch = asyncio.ensure_future(self._client.fetch(request))
+        await asyncio.wait([fetch])
+        failure = _failure(fetch)
+        if failure is not None:
+            raise failure
+        response = fetch.result()
+        answered = response.headers.get(ID_HEADER, "")
+        yield Chunk(answered, 0, 1, response.body.decode(errors="surrogateescape"), True)
+
+    async def resume(self, engine: Engine, request_id: str, offset: int) -> AsyncIterator[Chunk]:
+        """Fail: a plain service keeps no answers."""
+        raise EngineError("a plain service keeps no answers")
+        yield  # Makes this an asynchronous generator.
+
+    async def cancel(self, engine: Engine, request_id: str) -> None:
+        """Do nothing: a plain service cannot be stopped."""
+
+
+def _url(engine: Engine, path: str) -> str:
+    return f"http://{engine.address}{path}"
+
+
+def _failure(fetch: "asyncio.Future") -> Exception | None:
+    """Return what a finished fetch means for the job, None for success."""
+    if fetch.cancelled():
+        return EngineError("cancelled")
+    exc = fetch.exception()
+    if exc is None:
+        return None
+    if _proves_not_started(exc):
+        return NotAdmittedError(str(exc))
+    return EngineError(f"{type(exc).__name__}: {exc}")
+
+
+def _proves_not_started(exc: BaseException) -> bool:
+    """Return whether a failure proves that the job did not start."""
+    if isinstance(exc, ConnectionRefusedError):
+        return True
+    if isinstance(exc, HTTPTimeoutError):
+        return "connecting" in str(exc) or "queue" in str(exc)
+    if isinstance(exc, HTTPClientError) and exc.response is not None:
+        return exc.response.headers.get(ADMITTED_HEADER) == "no"
+    return False
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/home.py
@@ -0,0 +1,223 @@
+"""Requests that are not repeatable: found, handed over, relayed or run by their home.
+
+See springbridge.binding for the record and docs/design/at-most-once.md for the reasons.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from returns.result import Failure, Result, Success
+from springbridge.binding import Bindings, Record, Stage
+from springbridge.codes import Code
+from springbridge.membership import Membership
+from springbridge.ports import TableStore
+from springbridge.problems import Problem
+from springbridge.records import EngineKind
+from springbridge.request_ids import RequestId
+from springbridge.stream import Chunk, StreamCheck
+
+from springbridge_node.answers import Answer, KeptAnswers
+from springbridge_node.messages import HandOver, HandOverReply, Message
+from springbridge_node.peer_links import open_channel
+from springbridge_node.proto import peer_pb2
+from springbridge_node.proto.peer_grpc import PeerStub
+from springbridge_node.runner import Runner, Work
+
+HOME_PATIENCE_S = 1.0
+RELAY_STALL_S = 10.0
+MOST_MOVES = 3
+UNKNOWN = Problem(Code.OUTCOME_UNKNOWN, "the request's home cannot be asked", retry_after_s=2.0)
+
+
+class Home:
+    """This node as the home of requests, and as one that asks other homes."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        bindings: Bindings,
+        answers: KeptAnswers,
+        runner: Runner,
+        store: TableStore,
+        send: Callable[[str, Message], None],
+        metadata: dict[str, str],
+    ):
+        """Keep the ports.
+
+        Args:
+          metadata: Token and incarnation for calls to peers.
+        """
+        self._membership = membership
+        self._bindings = bindings
+        self._answers = answers
+        self._runner = runner
+        self._store = store
+        self._send = send
+        self._metadata = metadata
+        self._calls: dict[str, asyncio.Future[HandOverReply]] = {}
+        self._numbers = itertools.count(1)
+        self.tasks: set[asyncio.Task] = set()
+
+    def serve(self, work: Work, request_id: RequestId, owner: str) -> Result[Answer, Problem]:
+        """Return the one answer of a request; its work goes on when the caller goes away."""
+        match self._bindings.admit(request_id, owner):
+            case Failure(problem):
+                return Failure(problem)
+            case Success(record):
+                return self._answer(record, work, request_id, owner)
+
+    def _answer(
+        self, record: Record, work: Work, request_id: RequestId, owner: str
+    ) -> Result[Answer, Problem]:
+        """Return the answer of a record, and start its work if nobody has yet."""
+        kept = self._answers.find(request_id.text)
+        if kept is not None and record.stage is not Stage.REFUSED:
+            return Success(kept)
+        if record.stage is Stage.REFUSED:
+            return Failure(Problem(Code.REFUSED_BEFORE))
+        if record.stage is Stage.FINISHED:
+            return Failure(record.problem or Problem(Code.ANSWER_NOT_KEPT))
+        answer = Answer(request_id.text)
+        self._answers.keep(answer)
+        task = asyncio.create_task(self._work(record, work, request_id, owner, answer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return Success(answer)
+
+    async def _work(
+        self, record: Record, work: Work, request_id: RequestId, owner: str, answer: Answer
+    ) -> None:
+        """Find out who is home, then run the request here or relay its answer."""
+        problem: Problem | None = Problem(Code.INTERNAL)
+        try:
+            found = await self._find_home(record, request_id, owner)
+            match found:
+                case Success(home) if home == self._membership.me.incarnation:
+                    await self._runner.run(work, answer)
+                    return
+                case Success(home):
+                    problem = await self._relay(home, work, answer)
+                case Failure(failure):
+                    problem = failure
+                    if failure.code is Code.OUTCOME_UNKNOWN:
+                        problem = await self._ask_engines(work, answer)
+        finally:
+            if not answer.ended:
+                self._bindings.finish(request_id.text, problem)
+                answer.end(problem)
+
+    async def _find_home(
+        self, record: Record, request_id: RequestId, owner: str
+    ) -> Result[str, Problem]:
+        """Return the incarnation that runs or ran the request, this one if it may run it now."""
+        me = self._membership.me.incarnation
+        home = record.moved_to or request_id.home
+        if not home:
+            match await self._store.claim(request_id.text, me):
+                case Failure(problem):
+                    return Failure(problem)
+                case Success(claimed):
+                    home = claimed
+        for _ in range(MOST_MOVES):
+            if home == me:
+                return Success(me)
+            match await self._ask_home(home, request_id, owner):
+                case Failure(problem):
+                    return Failure(problem)
+                case Success(reply):
+                    if reply.stage != Stage.MOVED:
+                        return _home_from(reply, home)
+                    home = reply.moved_to
+        return Failure(UNKNOWN)
+
+    async def _ask_home(
+        self, home: str, request_id: RequestId, owner: str
+    ) -> Result[HandOverReply, Problem]:
+        """Ask a home what became of a request."""
+        if self._membership.find(home) is None:
+            return Failure(UNKNOWN)
+        me = self._membership.me.incarnation
+        call_id = f"{me}/{next(self._numbers)}"
+        call = self._calls[call_id] = asyncio.get_running_loop().create_future()
+        self._send(home, HandOver(call_id, me, home, request_id.text, owner))
+        try:
+            return Success(await asyncio.wait_for(call, HOME_PATIENCE_S))
+        except TimeoutError:
+            return Failure(UNKNOWN)
+        finally:
+            del self._calls[call_id]
+
+    def take_reply(self, reply: HandOverReply) -> None:
+        """Take in a home's answer."""
+        call = self._calls.get(reply.call_id)
+        if call is not None and not call.done():
+            call.set_result(reply)
+
+    def answer_hand_over(self, ask: HandOver, request_id: RequestId) -> None:
+        """Answer a node that holds a retry of a request that this node may be home of."""
+        if ask.home != self._membership.me.incarnation:
+            return
+        match self._bindings.hand_over(request_id, ask.owner, ask.node):
+            case Success(record):
+                reply = HandOverReply(ask.call_id, int(record.stage), record.moved_to, Code.OK)
+            case Failure(problem):
+                reply = HandOverReply(ask.call_id, int(Stage.REFUSED), "", problem.code)
+        self._send(ask.node, reply)
+
+    async def _relay(self, home: str, work: Work, answer: Answer) -> Problem | None:
+        """Relay the answer from its home, and ask the engines if the home breaks off."""
+        member = self._membership.find(home)
+        if member is not None:
+            try:
+                return await self._attach(member.peer_address, home, answer)
+            except (OSError, TimeoutError, GRPCError, StreamTerminatedError, ConnectionError):
+                pass
+        return await self._ask_engines(work, answer)
+
+    async def _attach(self, address: str, home: str, answer: Answer) -> Problem | None:
+        """Follow the answer at its home to its end."""
+        check = StreamCheck(answer.request_id, answer.offset)
+        request = peer_pb2.AttachRequest(
+            home=home, request_id=answer.request_id, offset=answer.offset
+        )
+        async with open_channel(address) as channel:
+            stub = PeerStub(channel)
+            async with stub.Attach.open(metadata=self._metadata) as stream:
+                await stream.send_message(request, end=True)
+                while True:
+                    part = await asyncio.wait_for(stream.recv_message(), RELAY_STALL_S)
+                    if part is None:
+                        raise ConnectionError("the home broke off")
+                    if part.last:
+                        return _end(part)
+                    piece = Chunk(answer.request_id, part.offset, part.tokens, part.text, False)
+                    match check.accept(piece):
+                        case Success(Chunk() as fresh):
+                            answer.add(fresh)
+                        case Failure(problem):
+                            return problem
+
+    async def _ask_engines(self, work: Work, answer: Answer) -> Problem | None:
+        """Look for the request's stream at the engines it may be on; never run it."""
+        for engine in work.engines():
+            if engine.kind is not EngineKind.MODEL:
+                continue
+            if await self._runner.resume(engine, work.request, answer):
+                return None
+        return UNKNOWN
+
+
+def _home_from(reply: HandOverReply, home: str) -> Result[str, Problem]:
+    """Return the home that has the answer, or the problem that its reply stands for."""
+    if reply.stage == Stage.REFUSED:
+        code = reply.code if reply.code is not Code.OK else Code.REFUSED_BEFORE
+        return Failure(Problem(code))
+    return Success(home)
+
+
+def _end(part: peer_pb2.AttachChunk) -> Problem | None:
+    """Return how a relayed answer ended."""
+    code = Code(part.code)
+    return None if code is Code.OK else Problem(code, part.detail)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/limit_gate.py
@@ -0,0 +1,132 @@
+"""Admission by rate and concurrency at an entry node, from leases of the limits' owners."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import contextmanager
+
+from returns.result import Failure, Result, Success
+from springbridge.codes import Code
+from springbridge.hashing import owner
+from springbridge.limits import Lease, LeaseAsk, LimitOwner, NodeLimit
+from springbridge.membership import Membership
+from springbridge.problems import Problem
+from springbridge.records import Share, Table
+
+from springbridge_node.messages import Message
+
+OWNER_PATIENCE_S = 0.25
+IDLE_KEEP_S = 60.0
+
+Key = tuple[str, str]
+
+
+class LimitGate:
+    """Entry node's and owner's side of all limits."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        clock: Callable[[], float],
+        table: Callable[[], Table],
+        send: Callable[[str, Message], None],
+    ):
+        """Start with no lease."""
+        self._membership = membership
+        self._clock = clock
+        self._table = table
+        self._send = send
+        self._owner = LimitOwner(clock)
+        self._limits: dict[Key, NodeLimit] = {}
+        self._answers: dict[Key, asyncio.Future[None]] = {}
+
+    async def start(self, share: Share) -> Result[NodeLimit, Problem]:
+        """Admit one request of a customer and class, or return the limit it ran into.
+
+        The caller has to finish() the limit that it gets.
+        """
+        key = (share.customer, share.request_class)
+        limit = self._limits.setdefault(key, NodeLimit(share))
+        limit.share = share
+        if limit.try_start(self._clock()):
+            return Success(limit)
+        await self._renew(key, limit)
+        if limit.try_start(self._clock()):
+            return Success(limit)
+        code = Code.CONCURRENCY_LIMITED
+        if limit.starts < 1:
+            code = Code.RATE_LIMITED
+        source = f"{share.customer}/{share.request_class}"
+        return Failure(Problem(code, source=source, retry_after_s=max(0.1, limit.retry_after_s)))
+
+    async def _renew(self, key: Key, limit: NodeLimit) -> None:
+        """Ask the owner for a lease, or take the equal part if it does not answer."""
+        answer = self._answers.get(key)
+        if answer is None:
+            answer = self._answers[key] = asyncio.get_running_loop().create_future()
+            answer.add_done_callback(lambda _: self._answers.pop(key, None))
+            self._ask_owner(key, limit)
+        try:
+            await asyncio.wait_for(asyncio.shield(answer), OWNER_PATIENCE_S)
+        except TimeoutError:
+            limit.fall_back(self._clock(), self._nodes())
+            if not answer.done():
+                answer.set_result(None)
+
+    def _ask_owner(self, key: Key, limit: NodeLimit) -> None:
+        holder = self._owner_of(*key)
+        if holder is None:
+            limit.fall_back(self._clock(), self._nodes())
+            self._answers[key].set_result(None)
+            return
+        self._send(holder, limit.ask(self._membership.me.incarnation))
+
+    def answer_ask(self, ask: LeaseAsk) -> None:
+        """Answer a node's ask as the owner of the limit."""
+        share = self._table().shares.get((ask.customer, ask.request_class))
+        if share is not None:
+            self._send(ask.node, self._owner.lease(ask, share, self._nodes()))
+
+    def take_lease(self, lease: Lease) -> None:
+        """Take in the owner's answer."""
+        key = (lease.customer, lease.request_class)
+        limit = self._limits.get(key)
+        if limit is not None:
+            limit.take(lease, self._clock(), self._nodes())
+        answer = self._answers.get(key)
+        if answer is not None and not answer.done():
+            answer.set_result(None)
+
+    def renew_in_use(self) -> None:
+        """Renew the leases of all limits in use, so that their owners keep counting the places."""
+        me = self._membership.me.incarnation
+        for key, limit in self._limits.items():
+            holder = self._owner_of(*key)
+            if limit.in_use and holder is not None:
+                self._send(holder, limit.ask(me))
+
+    def tidy(self) -> None:
+        """Forget limits that other nodes own now and leases that are long over."""
+        me = self._membership.me.incarnation
+        self._owner.keep_only(lambda *key: self._owner_of(*key) == me)
+        limit_s = self._clock() - IDLE_KEEP_S
+        self._limits = {
+            key: limit
+            for key, limit in self._limits.items()
+            if limit.in_use or limit.valid_until_s > limit_s
+        }
+
+    def _owner_of(self, customer: str, request_class: str) -> str | None:
+        key = f"limit/{customer}/{request_class}"
+        return owner(key, self._membership.incarnations())
+
+    def _nodes(self) -> int:
+        return max(1, len(self._membership.live()))
+
+
+@contextmanager
+def finishing(limit: NodeLimit):
+    """Give the place back at the end."""
+    try:
+        yield
+    finally:
+        limit.finish()
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/metrics.py
@@ -0,0 +1,41 @@
+"""Metrics by statsd; docs/OPERATIONS.md lists the names."""
+
+from typing import Protocol
+
+from statsd import StatsClient
+
+PREFIX = "springbridge"
+
+
+class Metrics(Protocol):
+    """What the node counts and times with."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Count an event."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Record a duration in milliseconds."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Record a current value."""
+
+
+class NoMetrics:
+    """Metrics that go nowhere, when no statsd address is set."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Do nothing."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Do nothing."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Do nothing."""
+
+
+def connect(address: str) -> Metrics:
+    """Return metrics that go to a statsd address (UDP), or nowhere if it is empty."""
+    if not address:
+        return NoMetrics()
+    host, _, port = address.rpartition(":")
+    return StatsClient(host, int(port), prefix=PREFIX)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/node.py
@@ -0,0 +1,402 @@
+"""A node: its parts wired together, its tasks, and its planned stop."""
+
+import asyncio
+import random
+import secrets
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from functools import singledispatchmethod
+
+from grpclib.server import Server
+from returns.result import Failure, Success
+from springbridge import request_ids
+from springbridge.baselines import LeastLoadSlots, RoundRobinSlots
+from springbridge.binding import Bindings
+from springbridge.decisions import (
+    Ask,
+    Grant,
+    Hold,
+    Inventory,
+    Preemption,
+    Queued,
+    Refusal,
+    Release,
+    Sample,
+)
+from springbridge.hashing import owner
+from springbridge.invariants import Invariants
+from springbridge.limits import Lease, LeaseAsk
+from springbridge.membership import GOSSIP_INTERVAL_S, Member, Membership
+from springbridge.ports import InstanceList, SlotSource, TableStore
+from springbridge.records import EngineKind
+from springbridge.slots import ROLE_PREFIX, ScheduledSlots
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from springbridge_node import logs, metrics
+from springbridge_node.answers import KeptAnswers
+from springbridge_node.callers_http import (
+    AddressesHandler,
+    ChatHandler,
+    HealthHandler,
+    NotFoundHandler,
+    ReadyHandler,
+    ServiceHandler,
+)
+from springbridge_node.config_sync import ConfigSync
+from springbridge_node.editing import Editor, Orders
+from springbridge_node.engine_http import ModelClient, ServiceClient, make_client
+from springbridge_node.home import Home
+from springbridge_node.limit_gate import LimitGate
+from springbridge_node.load_reports import LoadReports
+from springbridge_node.messages import (
+    ConfigDelta,
+    ConfigPull,
+    Digest,
+    HandOver,
+    HandOverReply,
+    Message,
+)
+from springbridge_node.operators_http import (
+    AuditHandler,
+    OperatorServices,
+    OrderHandler,
+    StatusHandler,
+    TableHandler,
+)
+from springbridge_node.peer_links import NODE_KEY, TOKEN_KEY, PeerLinks
+from springbridge_node.peer_server import PeerService
+from springbridge_node.platform_http import HttpInstanceList, HttpTableStore
+from springbridge_node.runner import Runner
+from springbridge_node.scheduler_host import TICK_S, SchedulerHost
+from springbridge_node.services import Services
+from springbridge_node.settings import Settings, split
+
+LIST_POLL_S = 2.0
+ROLES_POLL_S = 0.1
+RENEW_S = 0.4
+TIDY_S = 5.0
+INVENTORY_S = 1.0
+LEAVE_MARGIN_S = 0.5
+DRAIN_POLL_S = 0.1
+LINGER_S = 1.0
+
+
+class Node:
+    """One node process."""
+
+    def __init__(self, settings: Settings, store: TableStore, listing: InstanceList):
+        """Wire the parts; nothing runs yet.
+
+        Args:
+          store: The platform's table service.
+          listing: The platform's list of instances.
+        """
+        self.settings = settings
+        self.store = store
+        self.listing = listing
+        self.clock = time.monotonic
+        self.incarnation = f"{settings.instance}-{secrets.token_hex(4)}"
+        self.invariants = Invariants(logs.violation, settings.abort_on_violation)
+        self.metrics = metrics.connect(settings.statsd_address)
+        self.membership = Membership(self._myself(), self.clock, random.Random())
+        self.config = ConfigSync(store, self.membership, self.clock, self.send, self.invariants)
+        self.hosts = SchedulerHost(
+            self.incarnation, self.clock, self.invariants, lambda: self.config.table, self.send
+        )
+        self.limits = LimitGate(self.membership, self.clock, lambda: self.config.table, self.send)
+        metadata = {TOKEN_KEY: settings.peer_token, NODE_KEY: self.incarnation}
+        self.links = PeerLinks(metadata, self._link_opened, self._link_broke)
+        self.slots = ScheduledSlots(
+            self.incarnation, self.clock, self._route, self.send, self.invariants, random.Random()
+        )
+        self._wire_requests(metadata)
+        self._roles: dict[str, str | None] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._stopping = asyncio.Event()
+
+    def _wire_requests(self, metadata: dict[str, str]) -> None:
+        """Wire what runs requests and serves operators."""
+        http = make_client()
+        model_client = ModelClient(http)
+        clients = {EngineKind.MODEL: model_client, EngineKind.SERVICE: ServiceClient(http)}
+        bindings = Bindings(self.clock, time.time, self.invariants)
+        answers = KeptAnswers(self.clock)
+        self.load_reports = LoadReports(model_client, lambda: self.config.table)
+        self.runner = Runner(self._slot_source(), clients, bindings, self.clock)
+        self.home = Home(
+            self.membership, bindings, answers, self.runner, self.store, self.send, metadata
+        )
+        self.services = Services(
+            self.settings,
+            self.clock,
+            self.metrics,
+            self.membership,
+            self.config,
+            self.limits,
+            self.runner,
+            self.home,
+        )
+        self.peer_service = PeerService(
+            self.incarnation, self.settings.peer_token, answers, self.take
+        )
+        orders = Orders(self.store, model_client, self.incarnation, self.clock)
+        editor = Editor(self.store, self.config, self.membership, self.announce)
+        self.operator_services = OperatorServices(
+            self.services, self.store, editor, orders, self.hosts, self.links, self.invariants
+        )
+
+    def _myself(self) -> Member:
+        return Member(
+            incarnation=self.incarnation,
+            instance=self.settings.instance,
+            peer_address=self.settings.peer_address,
+            caller_address=self.settings.caller_address,
+            place=self.settings.place,
+        )
+
+    def _slot_source(self) -> SlotSource:
+        """Return the policy that the settings name."""
+        if self.settings.policy == "round-robin":
+            return RoundRobinSlots()
+        if self.settings.policy == "least-load":
+            return LeastLoadSlots(self.load_reports.load)
+        return self.slots
+
+    # Messages.
+
+    def send(self, node: str, message: Message) -> None:
+        """Send a message to an incarnation; it may get lost."""
+        if node == self.incarnation:
+            asyncio.get_running_loop().call_soon(self.take, message)
+            return
+        member = self.membership.find(node)
+        if member is not None:
+            self.links.send(member.peer_address, message)
+
+    def take(self, message: Message) -> None:
+        """Take in a message from a peer or from this node itself."""
+        self._take(message)
+
+    @singledispatchmethod
+    def _take(self, message: object) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: Ask | Hold | Inventory | Release | Sample) -> None:
+        self.hosts.take(message)
+
+    @_take.register
+    def _(self, message: Grant | Queued | Refusal | Preemption) -> None:
+        self.slots.take(message)
+
+    @_take.register
+    def _(self, digest: Digest) -> None:
+        self.membership.merge(digest.members)
+        self.config.compare_with_peers()
+
+    @_take.register
+    def _(self, pull: ConfigPull) -> None:
+        self.config.answer_pull(pull)
+
+    @_take.register
+    def _(self, delta: ConfigDelta) -> None:
+        self.config.take_delta(delta)
+
+    @_take.register
+    def _(self, ask: LeaseAsk) -> None:
+        self.limits.answer_ask(ask)
+
+    @_take.register
+    def _(self, lease: Lease) -> None:
+        self.limits.take_lease(lease)
+
+    @_take.register
+    def _(self, ask: HandOver) -> None:
+        match request_ids.parse(ask.request_id):
+            case Success(request_id):
+                self.home.answer_hand_over(ask, request_id)
+
+    @_take.register
+    def _(self, reply: HandOverReply) -> None:
+        self.home.take_reply(reply)
+
+    def _link_opened(self, address: str) -> None:
+        """Introduce this node to the peer, then repeat what may have been lost."""
+        self._beat()
+        self.links.send(address, Digest(tuple(self.membership.digest())))
+        self.slots.resend()
+
+    def _link_broke(self, address: str) -> None:
+        for member in self.membership.reachable():
+            if member.peer_address == address:
+                self.membership.lost_contact(member.incarnation)
+
+    # Roles.
+
+    def _route(self, engine: str) -> str | None:
+        """Return the incarnation that schedules an engine."""
+        return owner(ROLE_PREFIX + engine, self.membership.incarnations())
+
+    def _check_roles(self) -> None:
+        """Move asks and slots when an engine's scheduler has changed."""
+        roles = {name: self._route(name) for name in self.config.table.engines}
+        if roles != self._roles:
+            self._roles = roles
+            self.slots.resend()
+        heard = {member.incarnation for member in self.membership.reachable()}
+        self.hosts.drop_nodes(lambda node: node not in heard and node != self.incarnation)
+
+    def _send_inventories(self) -> None:
+        for scheduler, ask_ids in self.slots.inventory().items():
+            self.send(scheduler, Inventory(self.incarnation, tuple(ask_ids)))
+
+    def _tidy(self) -> None:
+        """Forget what other nodes own now and members that are long gone."""
+        self.membership.forget_old()
+        self.limits.tidy()
+        self.hosts.keep_only(lambda engine: self._route(engine) == self.incarnation)
+
+    # Membership.
+
+    def _beat(self) -> None:
+        confirmation = self.config.confirmation
+        ago_s = min(1e9, confirmation.ago_s(self.clock()))
+        self.membership.beat(self.config.snapshot.version, ago_s, confirmation.table_out)
+
+    def _gossip(self) -> None:
+        """Send a digest to a few peers."""
+        self._beat()
+        digest = Digest(tuple(self.membership.digest()))
+        for address in self.membership.gossip_targets():
+            self.links.send(address, digest)
+
+    def announce(self) -> None:
+        """Send a digest to all peers at once."""
+        self._beat()
+        digest = Digest(tuple(self.membership.digest()))
+        for member in self.membership.reachable():
+            self.links.send(member.peer_address, digest)
+
+    async def _read_list(self) -> None:
+        """Take in the platform's list; its failures are the platform's outages."""
+        match await self.listing.instances():
+            case Success(listed):
+                addresses = {entry.peer_address for entry in listed if not entry.leaving}
+                self.membership.set_listed(addresses)
+            case Failure(_):
+                pass
+
+    # Life.
+
+    async def run(self) -> None:
+        """Serve until a planned stop has finished."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        logs.start(self.settings.instance, self.incarnation)
+        peer_server = Server([self.peer_service])
+        host, port = split(self.settings.peer_address)
+        await peer_server.start(host, port)
+        caller_server = self._start_callers()
+        self._start_tasks()
+        await self._stopping.wait()
+        await self._drain()
+        caller_server.stop()
+        await self._end_tasks()
+        peer_server.close()
+        await peer_server.wait_closed()
+        logs.event("node.stopped", instance=self.settings.instance)
+
+    def _start_callers(self) -> HTTPServer:
+        """Listen for callers and operators."""
+        node = {"node": self.services}
+        operators = {"services": self.operator_services}
+        application = Application(
+            [
+                (r"/v1/chat/completions", ChatHandler, node),
+                (r"/v1/services/([^/]+)/(.*)", ServiceHandler, node),
+                (r"/v1/addresses", AddressesHandler, node),
+                (r"/health", HealthHandler, node),
+                (r"/ready", ReadyHandler, node),
+                (r"/operator/table", TableHandler, operators),
+                (r"/operator/audit", AuditHandler, operators),
+                (r"/operator/orders", OrderHandler, operators),
+                (r"/operator/status", StatusHandler, operators),
+            ],
+            default_handler_class=NotFoundHandler,
+            default_handler_args=node,
+            log_function=lambda handler: None,
+        )
+        server = HTTPServer(application, max_body_size=self.settings.max_body_bytes)
+        host, port = split(self.settings.caller_address)
+        server.listen(port, host)
+        return server
+
+    def _start_tasks(self) -> None:
+        """Start the node's periodic tasks."""
+        running: list[Awaitable[None]] = [
+            self.config.run(),
+            _every(LIST_POLL_S, self._read_list),
+            _every(GOSSIP_INTERVAL_S, _as_async(self._gossip)),
+            _every(ROLES_POLL_S, _as_async(self._check_roles)),
+            _every(TICK_S, _as_async(self.hosts.tick)),
+            _every(RENEW_S, _as_async(self.limits.renew_in_use)),
+            _every(INVENTORY_S, _as_async(self._send_inventories)),
+            _every(TIDY_S, _as_async(self._tidy)),
+        ]
+        if self.settings.policy == "least-load":
+            running.append(self.load_reports.run())
+        self._tasks = [asyncio.ensure_future(one) for one in running]
+
+    async def _drain(self) -> None:
+        """Leave: tell all peers, take new requests while callers may come, finish what runs."""
+        logs.event("node.leaving", instance=self.settings.instance, running=self.services.running)
+        self.membership.leave()
+        self.announce()
+        await asyncio.sleep(self.settings.keep_addresses_s + LEAVE_MARGIN_S)
+        self.services.refusing = True
+        while self.services.running or self.home.tasks:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await asyncio.sleep(LINGER_S)
+        self.membership.end()
+        digest = Digest((self.membership.me,))
+        for member in self.membership.reachable():
+            self.links.send(member.peer_address, digest)
+        await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.links.close()
+
+
+async def _every(interval_s: float, step: Callable[[], Awaitable[None]]) -> None:
+    """Take a step again and again; a fault in one is logged and does not end the task."""
+    while True:
+        try:
+            await step()
+        except Exception as exc:
+            logs.fault(exc, getattr(step, "__name__", ""))
+        await asyncio.sleep(interval_s)
+
+
+def _as_async(step: Callable[[], None]) -> Callable[[], Awaitable[None]]:
+    """Return a step that does not wait as one that can be awaited."""
+
+    async def stepping() -> None:
+        step()
+
+    stepping.__name__ = step.__name__
+    return stepping
+
+
+def make_node(settings: Settings) -> Node:
+    """Return a node with the platform's adapters."""
+    client = AsyncHTTPClient(force_instance=True, max_clients=50)
+    store = HttpTableStore(settings.table_address, client, time.time)
+    listing = HttpInstanceList(settings.list_address, client)
+    return Node(settings, store, listing)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/operators_http.py
@@ -0,0 +1,183 @@
+"""Operators' interface of a node: the table, its history, orders and the node's state."""
+
+import hmac
+from dataclasses import asdict, dataclass
+
+import orjson
+from returns.result import Failure, Success
+from springbridge.changes import Edit
+from springbridge.codes import Code
+from springbridge.invariants import Invariants
+from springbridge.ports import OrderKind, TableStore
+from springbridge.problems import Problem
+from tornado.web import RequestHandler
+
+from springbridge_node import logs
+from springbridge_node.callers_http import JSON, describe
+from springbridge_node.editing import Editor, EditRequest, Orders
+from springbridge_node.peer_links import PeerLinks
+from springbridge_node.scheduler_host import SchedulerHost
+from springbridge_node.services import Services
+
+TOKEN_HEADER = "Springbridge-Operator-Token"
+AUDIT_LIMIT = 1000
+
+
+@dataclass(frozen=True)
+class OperatorServices:
+    """What the operators' handlers need."""
+
+    node: Services
+    store: TableStore
+    editor: Editor
+    orders: Orders
+    hosts: SchedulerHost
+    links: PeerLinks
+    invariants: Invariants
+
+
+class OperatorHandler(RequestHandler):
+    """What all handlers of operators share: the token, and answers to problems."""
+
+    services: OperatorServices
+
+    def initialize(self, services: OperatorServices) -> None:
+        """Keep the node's parts."""
+        self.services = services
+
+    def prepare(self) -> None:
+        """Refuse whoever does not know the operators' token."""
+        given = self.request.headers.get(TOKEN_HEADER, "")
+        token = self.services.node.settings.operator_token
+        if not hmac.compare_digest(given.encode(), token.encode()):
+            self.refuse([Problem(Code.OPERATOR_UNKNOWN, source=TOKEN_HEADER)])
+
+    def refuse(self, problems: list[Problem]) -> None:
+        """Answer with problems; the first decides the status."""
+        self.set_status(problems[0].info.http_status)
+        self.set_header("Content-Type", JSON)
+        self.finish(orjson.dumps({"errors": [describe(problem) for problem in problems]}))
+
+    def reply(self, body: object) -> None:
+        """Answer with JSON."""
+        self.set_header("Content-Type", JSON)
+        self.finish(orjson.dumps(body))
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answer a fault of this program without a traceback."""
+        self.refuse([Problem(Code.INTERNAL)])
+
+    def log_exception(self, kind, value, trace) -> None:
+        """Log an unexpected exception by its type only."""
+        logs.fault(value, type(self).__name__)
+
+
+class TableHandler(OperatorHandler):
+    """Shows and edits the table."""
+
+    def get(self) -> None:
+        """Answer with the version and rows in force on this node."""
+        self.reply(self.services.node.config.snapshot)
+
+    async def post(self) -> None:
+        """Accept or refuse an edit."""
+        request = read_edit(self.request.body)
+        if isinstance(request, Problem):
+            self.refuse([request])
+            return
+        match await self.services.editor.edit(request):
+            case Success(version):
+                self.reply({"version": version})
+            case Failure(problems):
+                self.refuse(problems)
+
+
+class AuditHandler(OperatorHandler):
+    """Shows the audit trail."""
+
+    async def get(self) -> None:
+        """Answer with the changes after a version, oldest first."""
+        after = self.get_query_argument("after", "0")
+        if not after.isdecimal():
+            self.refuse([Problem(Code.HEADER_MALFORMED, "after takes a version")])
+            return
+        match await self.services.store.changes(int(after), AUDIT_LIMIT):
+            case Success(changes):
+                self.reply({"changes": changes})
+            case Failure(problem):
+                self.refuse([problem])
+
+
+class OrderHandler(OperatorHandler):
+    """Gives an order to an engine."""
+
+    async def post(self) -> None:
+        """Give the order and answer with the epoch under which it was taken."""
+        try:
+            raw = orjson.loads(self.request.body)
+            kind = OrderKind(raw["order"])
+            argument = str(raw["argument"])
+            engine = self.services.node.config.table.engines[raw["engine"]]
+        except (ValueError, KeyError, TypeError):
+            self.refuse([Problem(Code.BODY_MALFORMED, "engine, order and argument are needed")])
+            return
+        match await self.services.orders.give(engine, kind, argument):
+            case Success(epoch):
+                self.reply({"epoch": epoch})
+            case Failure(problem):
+                self.refuse([problem])
+
+
+class StatusHandler(OperatorHandler):
+    """Shows the node's state."""
+
+    def get(self) -> None:
+        """Answer with members, version, schedulers, invariants and counts."""
+        services = self.services
+        node = services.node
+        messages, sent_bytes = services.links.sent()
+        closed = node.closed()
+        self.reply(
+            {
+                "me": asdict(node.membership.me),
+                "serving": closed is None,
+                "closed_code": None if closed is None else int(closed.code),
+                "version": node.config.table.version,
+                "live": sorted(node.membership.incarnations()),
+                "running": node.running,
+                "bound_tasks": len(node.home.tasks),
+                "violations": dict(services.invariants.violations),
+                "checks": dict(services.invariants.checks),
+                "sent_messages": messages,
+                "sent_bytes": sent_bytes,
+                "engines": [
+                    {
+                        "engine": name,
+                        "limit": round(scheduler.concurrency.limit, 2),
+                        "running": len(scheduler.running),
+                        "waiting": len(scheduler.queue),
+                        "suspect": scheduler.health.suspect,
+                    }
+                    for name, scheduler in services.hosts.schedulers.items()
+                ],
+            }
+        )
+
+
+def read_edit(body: bytes) -> EditRequest | Problem:
+    """Return the edit in a body, or BODY_MALFORMED."""
+    try:
+        raw = orjson.loads(body)
+        edits = tuple(Edit(edit["key"], edit["before"], edit["after"]) for edit in raw["edits"])
+        request = EditRequest(
+            str(raw["change_id"]),
+            str(raw["who"]),
+            int(raw["base_version"]),
+            bool(raw["strict"]),
+            edits,
+        )
+    except (ValueError, KeyError, TypeError):
+        return Problem(Code.BODY_MALFORMED, "an edit needs change_id, who, base_version and edits")
+    if not request.change_id or not request.who or not request.edits:
+        return Problem(Code.BODY_MALFORMED, "change_id, who and edits must not be empty")
+    return request
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peer_codec.py
@@ -0,0 +1,76 @@
+"""Between the records and their protobuf messages, which have the same field names."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import fields, is_dataclass
+from functools import cache
+from typing import Any, get_args, get_type_hints
+
+from springbridge_node.messages import Message
+from springbridge_node.proto import peer_pb2
+
+
+def _snake(name: str) -> str:
+    """Return the name of the oneof field for a message type."""
+    return "".join("_" + char.lower() if char.isupper() else char for char in name).lstrip("_")
+
+
+TYPES: dict[str, type] = {_snake(kind.__name__): kind for kind in get_args(Message)}
+FIELD_NAMES: dict[type, str] = {kind: name for name, kind in TYPES.items()}
+
+
+def encode(messages: Iterable[Message]) -> peer_pb2.Envelope:
+    """Return the messages in one envelope."""
+    items = [peer_pb2.Item(**{FIELD_NAMES[type(message)]: _to_pb(message)}) for message in messages]
+    return peer_pb2.Envelope(items=items)
+
+
+def decode(envelope: peer_pb2.Envelope) -> list[Message]:
+    """Return the messages of an envelope, without those of kinds that this node does not know."""
+    found = []
+    for item in envelope.items:
+        name = item.WhichOneof("kind")
+        if name is not None:
+            found.append(_from_pb(TYPES[name], getattr(item, name)))
+    return found
+
+
+def _to_pb(record: Any) -> Any:
+    """Return the protobuf message of a record."""
+    pb_type = getattr(peer_pb2, type(record).__name__)
+    return pb_type(**{name: _plain(getattr(record, name)) for name in _names(type(record))})
+
+
+def _plain(value: Any) -> Any:
+    """Return a field's value as protobuf takes it."""
+    if is_dataclass(value):
+        return _to_pb(value)
+    if isinstance(value, tuple):
+        return [_plain(part) for part in value]
+    return value
+
+
+def _from_pb(kind: type, message: Any) -> Any:
+    """Return the record of a protobuf message."""
+    return kind(**{name: read(getattr(message, name)) for name, read in _readers(kind)})
+
+
+@cache
+def _names(kind: type) -> tuple[str, ...]:
+    return tuple(field.name for field in fields(kind))
+
+
+@cache
+def _readers(kind: type) -> tuple[tuple[str, Callable[[Any], Any]], ...]:
+    """Return for each field how its value is read back."""
+    hints = get_type_hints(kind)
+    return tuple((name, _reader(hints[name])) for name in _names(kind))
+
+
+def _reader(hint: Any) -> Callable[[Any], Any]:
+    parts = get_args(hint)
+    if parts:
+        read = _reader(parts[0])
+        return lambda values: tuple(read(value) for value in values)
+    if is_dataclass(hint):
+        return lambda message: _from_pb(hint, message)
+    return hint
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peer_links.py
@@ -0,0 +1,149 @@
+"""Outgoing streams to peers: one task and one long-lived stream for each peer address.
+
+Messages that wait are sent together in one envelope. A stream that breaks is opened again after a
+pause; what was on the way is lost, and the protocols above repeat what they need.
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+from grpclib.client import Channel
+
+from springbridge_node.messages import Message
+from springbridge_node.peer_codec import encode
+from springbridge_node.proto.peer_grpc import PeerStub
+from springbridge_node.settings import split
+
+QUEUE_LIMIT = 10_000
+RECONNECT_S = 0.2
+IDLE_CLOSE_S = 30.0
+CONNECT_TIMEOUT_S = 1.0
+TOKEN_KEY = "authorization"
+NODE_KEY = "springbridge-node"
+
+
+class PeerLink:
+    """The stream to one peer address."""
+
+    def __init__(self, address: str, metadata: dict[str, str]):
+        """Keep what is needed to open the stream.
+
+        Args:
+          metadata: Token and incarnation that are sent with each call.
+        """
+        self.address = address
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self._metadata = metadata
+        self._queue: deque[Message] = deque(maxlen=QUEUE_LIMIT)
+        self._waiting = asyncio.Event()
+
+    def send(self, message: Message) -> None:
+        """Queue a message; the oldest are dropped when the peer takes none for long."""
+        self._queue.append(message)
+        self._waiting.set()
+
+    async def run(self, on_open: Callable[[], None], on_break: Callable[[], None]) -> None:
+        """Keep the stream open until cancelled or idle for long."""
+        while True:
+            try:
+                await self._talk(on_open)
+            except TimeoutError:
+                return
+            except Exception:
+                on_break()
+                self._queue.clear()
+            await asyncio.sleep(RECONNECT_S * random.uniform(0.5, 1.5))
+
+    async def _talk(self, on_open: Callable[[], None]) -> None:
+        """Open one stream and use it until it breaks."""
+        async with open_channel(self.address) as channel:
+            stub = PeerStub(channel)
+            async with stub.Talk.open(metadata=self._metadata) as stream:
+                await asyncio.wait_for(stream.send_request(), CONNECT_TIMEOUT_S)
+                on_open()
+                ended = asyncio.create_task(stream.recv_message())
+                ended.add_done_callback(lambda _: self._waiting.set())
+                try:
+                    await self._send_all(stream, ended)
+                finally:
+                    ended.cancel()
+
+    async def _send_all(self, stream, ended: asyncio.Task) -> None:
+        """Send what is queued until the peer ends the stream or it breaks."""
+        while not ended.done():
+            await asyncio.wait_for(self._waiting.wait(), IDLE_CLOSE_S)
+            self._waiting.clear()
+            messages = list(self._queue)
+            self._queue.clear()
+            if messages:
+                envelope = encode(messages)
+                self.sent_messages += len(messages)
+                self.sent_bytes += envelope.ByteSize()
+                await stream.send_message(envelope)
+        ended.result()
+        raise ConnectionError("the peer ended the stream")
+
+
+@asynccontextmanager
+async def open_channel(address: str):
+    """Open a channel to a peer and close it at the end."""
+    host, port = split(address)
+    channel = Channel(host, port)
+    try:
+        await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
+        yield channel
+    finally:
+        channel.close()
+
+
+class PeerLinks:
+    """All outgoing streams, opened when first needed."""
+
+    def __init__(
+        self,
+        metadata: dict[str, str],
+        on_open: Callable[[str], None],
+        on_break: Callable[[str], None],
+    ):
+        """Keep what the links need; on_open and on_break get the peer's address."""
+        self.metadata = metadata
+        self._on_open = on_open
+        self._on_break = on_break
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to a peer address."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._open(address)
+        link.send(message)
+
+    def sent(self) -> tuple[int, int]:
+        """Return how many messages and bytes were sent on the links that are open."""
+        links = self._links.values()
+        return sum(link.sent_messages for link in links), sum(link.sent_bytes for link in links)
+
+    async def close(self) -> None:
+        """End all streams."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _open(self, address: str) -> PeerLink:
+        link = PeerLink(address, self.metadata)
+        running = link.run(lambda: self._on_open(address), lambda: self._on_break(address))
+        task = asyncio.create_task(running)
+        task.add_done_callback(lambda _: self._drop(address))
+        self._links[address] = link
+        self._tasks[address] = task
+        return link
+
+    def _drop(self, address: str) -> None:
+        self._links.pop(address, None)
+        self._tasks.pop(address, None)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peer_server.py
@@ -0,0 +1,64 @@
+"""The peers' side of a node: takes in their streams and lets them follow answers."""
+
+import hmac
+from collections.abc import Callable
+
+from grpclib import GRPCError, Status
+from springbridge.codes import Code
+
+from springbridge_node.answers import KeptAnswers
+from springbridge_node.messages import Message
+from springbridge_node.peer_codec import decode
+from springbridge_node.peer_links import TOKEN_KEY
+from springbridge_node.proto import peer_pb2
+from springbridge_node.proto.peer_grpc import PeerBase
+
+
+class PeerService(PeerBase):
+    """Serves the Peer interface of proto/peer.proto."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        token: str,
+        answers: KeptAnswers,
+        take: Callable[[Message], None],
+    ):
+        """Keep the peers' token and where messages go."""
+        self._incarnation = incarnation
+        self._token = token
+        self._answers = answers
+        self._take = take
+
+    async def Talk(self, stream) -> None:  # noqa: N802 - the name is the interface's
+        """Take in a peer's messages until it ends the stream."""
+        self._authenticate(stream)
+        async for envelope in stream:
+            for message in decode(envelope):
+                self._take(message)
+        await stream.send_message(peer_pb2.Ended())
+
+    async def Attach(self, stream) -> None:  # noqa: N802 - the name is the interface's
+        """Send the answer of a request that this node is home of, from an offset on."""
+        self._authenticate(stream)
+        request = await stream.recv_message()
+        answer = self._answers.find(request.request_id)
+        if answer is None or request.home != self._incarnation:
+            code = Code.ANSWER_NOT_KEPT
+            await stream.send_message(peer_pb2.AttachChunk(last=True, code=int(code)))
+            return
+        async for chunk in answer.follow(request.offset):
+            await stream.send_message(
+                peer_pb2.AttachChunk(offset=chunk.offset, tokens=chunk.tokens, text=chunk.text)
+            )
+        problem = answer.problem
+        code = Code.OK if problem is None else problem.code
+        detail = "" if problem is None else problem.detail
+        last = peer_pb2.AttachChunk(offset=answer.offset, last=True, code=int(code), detail=detail)
+        await stream.send_message(last)
+
+    def _authenticate(self, stream) -> None:
+        """End the call unless the caller knows the peers' token."""
+        given = stream.metadata.get(TOKEN_KEY, "")
+        if not hmac.compare_digest(str(given), self._token):
+            raise GRPCError(Status.UNAUTHENTICATED, "unknown peer token")
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/runner.py
@@ -0,0 +1,364 @@
+"""Runs a request to its end: slots, attempts, preemptions, retries and resumption.
+
+Work that may be repeated goes on at another engine from the offset that it reached. Work that may
+not be repeated is sent once; when its stream breaks, only the engine that has it is asked, by id.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from returns.result import Failure, Success
+from springbridge.binding import Bindings
+from springbridge.codes import Code, Fate
+from springbridge.decisions import Outcome, Sample
+from springbridge.ports import (
+    Attempt,
+    EngineClient,
+    EngineError,
+    Job,
+    NotAdmittedError,
+    Slot,
+    SlotSource,
+)
+from springbridge.problems import Problem
+from springbridge.records import Engine, EngineKind, Request
+from springbridge.retry_budget import RetryBudget
+from springbridge.stream import Chunk, StreamCheck
+
+from springbridge_node.answers import Answer
+
+MAX_PREEMPTIONS = 2
+MAX_REFUSED_ATTEMPTS = 4
+STALL_TARGETS = 30
+SHORTEST_STALL_S = 2.0
+SERVICE_STALL_S = 60.0
+WATCH_INTERVAL_S = 0.25
+SAMPLE_INTERVAL_S = 0.5
+RESUME_TRIES = 8
+RESUME_PAUSE_S = 0.25
+PARK_S = 0.25
+
+
+class End(Enum):
+    """How one attempt ended."""
+
+    WHOLE = auto()
+    PREEMPTED = auto()
+    TURNED_AWAY = auto()
+    BROKEN = auto()
+
+
+@dataclass
+class Work:
+    """A request with what it takes to run it.
+
+    Attributes:
+      engines: Returns the engines that the request may use under the table in force.
+      bound: Whether attempts are recorded at this home, as the request is not repeatable.
+      wait_from_s: From when the present wait is counted.
+      started: Whether an engine may have worked on it.
+      avoid: Engines that failed this request.
+    """
+
+    request: Request
+    body: bytes
+    path: str
+    engines: Callable[[], tuple[Engine, ...]]
+    bound: bool
+    wait_from_s: float
+    attempts: int = 0
+    preemptions: int = 0
+    refused_attempts: int = 0
+    started: bool = False
+    avoid: set[str] = field(default_factory=set)
+
+    def job_id(self) -> str:
+        """Return the id of the present attempt: the request's own where there is but one."""
+        if self.bound:
+            return self.request.request_id
+        return f"{self.request.request_id}.{self.attempts}"
+
+
+@dataclass
+class Progress:
+    """What is seen of one attempt."""
+
+    started_s: float
+    first_s: float = 0.0
+    last_s: float = 0.0
+    tokens: int = 0
+    stalled: bool = False
+    preempted: bool = False
+
+    def sample(self, ask_id: str) -> Sample:
+        """Return the latencies so far."""
+        first_token_s = self.first_s - self.started_s if self.tokens else 0.0
+        between_s = (self.last_s - self.first_s) / (self.tokens - 1) if self.tokens > 1 else 0.0
+        return Sample(ask_id, first_token_s, between_s, self.tokens)
+
+
+class Runner:
+    """Runs requests against engines through a slot source."""
+
+    def __init__(
+        self,
+        slots: SlotSource,
+        clients: dict[EngineKind, EngineClient],
+        bindings: Bindings,
+        clock: Callable[[], float],
+    ):
+        """Keep the ports."""
+        self._slots = slots
+        self._clients = clients
+        self._bindings = bindings
+        self._clock = clock
+        self._budget = RetryBudget()
+
+    async def run(self, work: Work, answer: Answer) -> None:
+        """Run a request into its answer; the answer always ends."""
+        self._budget.fresh()
+        problem: Problem | None = Problem(Code.INTERNAL)
+        try:
+            problem = await self._attempts(work, answer)
+        finally:
+            if work.bound:
+                self._bindings.finish(work.request.request_id, problem)
+            answer.end(problem)
+
+    async def _attempts(self, work: Work, answer: Answer) -> Problem | None:
+        """Try until the answer is whole or the request has to be given up."""
+        while True:
+            match await self._slots.acquire(self._attempt_for(work)):
+                case Failure(problem):
+                    if not await self._park(work, problem):
+                        return _after_start(work, problem)
+                    continue
+                case Success(slot):
+                    end = await self._attempt(work, slot, answer)
+            if end is End.WHOLE:
+                return None
+            problem = self._next(work, slot, end)
+            if problem is not None:
+                return problem
+
+    def _attempt_for(self, work: Work) -> Attempt:
+        """Return what to ask a slot for, without engines that failed this request if others are."""
+        engines = work.engines()
+        rest = tuple(engine for engine in engines if engine.name not in work.avoid)
+        resumable = work.request.repeatable and work.preemptions < MAX_PREEMPTIONS
+        return Attempt(work.request, rest or engines, self._wait_left_s(work), resumable)
+
+    def _wait_left_s(self, work: Work) -> float:
+        waited_s = self._clock() - work.wait_from_s
+        return max(0.0, work.request.max_wait_s - waited_s)
+
+    async def _park(self, work: Work, problem: Problem) -> bool:
+        """Keep work that has started, away from all queues, until it may ask again."""
+        if not work.started or not work.request.repeatable:
+            return False
+        if self._wait_left_s(work) <= 0:
+            return False
+        await asyncio.sleep(max(PARK_S, problem.retry_after_s or 0.0))
+        return True
+
+    def _next(self, work: Work, slot: Slot, end: End) -> Problem | None:
+        """Return None to try again, or the problem that ends the request."""
+        if end is End.PREEMPTED:
+            work.preemptions += 1
+            work.wait_from_s = self._clock()
+            return None
+        work.avoid.add(slot.engine.name)
+        if end is End.TURNED_AWAY:
+            work.refused_attempts += 1
+            if work.refused_attempts >= MAX_REFUSED_ATTEMPTS:
+                return _after_start(work, Problem(Code.NO_ENGINE, retry_after_s=1.0))
+            return None
+        if not work.request.repeatable:
+            return Problem(Code.OUTCOME_UNKNOWN, "the engine's stream broke", slot.engine.name)
+        if not self._budget.try_retry():
+            return Problem(Code.ENGINE_FAILED, "no retry left in the budget", slot.engine.name)
+        return None
+
+    async def _attempt(self, work: Work, slot: Slot, answer: Answer) -> End:
+        """Use one slot and give it back."""
+        work.attempts += 1
+        progress = Progress(self._clock())
+        outcome = Outcome.CANCELLED
+        try:
+            end = await self._run_watched(work, slot, answer, progress)
+            outcome = _outcome(end)
+            return end
+        finally:
+            if outcome is not Outcome.DONE and work.request.repeatable:
+                self._cancel_at_engine(work.job_id(), slot.engine)
+            self._slots.release(slot, outcome, progress.sample(slot.ask_id))
+
+    def _cancel_at_engine(self, job_id: str, engine: Engine) -> None:
+        """Stop the engine's work in the background."""
+        client = self._clients[engine.kind]
+        task = asyncio.ensure_future(client.cancel(engine, job_id))
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+    async def _run_watched(self, work: Work, slot: Slot, answer: Answer, progress: Progress) -> End:
+        """Run one attempt, stopped by a preemption or a stall."""
+        pump = asyncio.ensure_future(self._pump(work, slot, answer, progress))
+        watchers = [
+            asyncio.ensure_future(self._watch_preemption(slot, progress, pump)),
+            asyncio.ensure_future(self._watch_stall(work, slot, progress, pump)),
+        ]
+        try:
+            return await pump
+        except asyncio.CancelledError:
+            if progress.preempted:
+                return End.PREEMPTED
+            if progress.stalled:
+                return await self._after_break(work, slot, answer)
+            pump.cancel()
+            raise
+        except NotAdmittedError:
+            if work.bound:
+                self._bindings.undo_dispatch(work.request.request_id)
+            return End.TURNED_AWAY
+        except EngineError:
+            return await self._after_break(work, slot, answer)
+        finally:
+            for watcher in watchers:
+                watcher.cancel()
+
+    async def _watch_preemption(self, slot: Slot, progress: Progress, pump) -> None:
+        await self._slots.preempted(slot)
+        progress.preempted = True
+        pump.cancel()
+
+    async def _watch_stall(self, work: Work, slot: Slot, progress: Progress, pump) -> None:
+        """Report samples now and then, and stop an attempt that brings nothing for long."""
+        stall_s = _stall_s(work.request, slot.engine)
+        reported_s = progress.started_s
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            now_s = self._clock()
+            if now_s - max(progress.started_s, progress.last_s) > stall_s:
+                progress.stalled = True
+                pump.cancel()
+                return
+            if progress.tokens and now_s - reported_s >= SAMPLE_INTERVAL_S:
+                reported_s = now_s
+                self._slots.sample(slot, progress.sample(slot.ask_id))
+
+    async def _pump(self, work: Work, slot: Slot, answer: Answer, progress: Progress) -> End:
+        """Send the job and move its chunks into the answer."""
+        request = work.request
+        if work.bound:
+            match self._bindings.begin_dispatch(request.request_id):
+                case Failure(problem):
+                    raise EngineError(problem.sentence())
+        job = Job(
+            work.job_id(),
+            int(request.request_class.tier),
+            answer.offset,
+            answer.text() if answer.offset else "",
+            work.body,
+            work.path,
+        )
+        client = self._clients[slot.engine.kind]
+        work.started = True
+        try:
+            return await self._read(client.run(slot.engine, job), job.request_id, answer, progress)
+        except NotAdmittedError:
+            work.started = answer.offset > 0 or work.preemptions > 0
+            raise
+
+    async def _read(
+        self,
+        chunks: AsyncIterator[Chunk],
+        job_id: str,
+        answer: Answer,
+        progress: Progress,
+    ) -> End:
+        """Check chunks and append them to the answer."""
+        check = StreamCheck(job_id, answer.offset)
+        async for chunk in chunks:
+            match check.accept(chunk):
+                case Failure(problem):
+                    raise EngineError(problem.sentence())
+                case Success(Chunk() as fresh):
+                    _note(progress, fresh, self._clock())
+                    answer.add(fresh)
+                    if fresh.last:
+                        return End.WHOLE
+        raise EngineError(check.finish().failure().sentence())
+
+    async def _after_break(self, work: Work, slot: Slot, answer: Answer) -> End:
+        """Ask the engine to go on with a stream that broke, where the work may not be repeated."""
+        if work.request.repeatable:
+            return End.BROKEN
+        if await self.resume(slot.engine, work.request, answer):
+            return End.WHOLE
+        return End.BROKEN
+
+    async def resume(self, engine: Engine, request: Request, answer: Answer) -> bool:
+        """Follow a job that an engine has by id; return whether the answer became whole."""
+        client = self._clients[engine.kind]
+        for _ in range(RESUME_TRIES):
+            progress = Progress(self._clock())
+            chunks = client.resume(engine, request.request_id, answer.offset)
+            reading = self._read(chunks, request.request_id, answer, progress)
+            stall_s = _stall_s(request, engine)
+            try:
+                await _with_stall(reading, progress, stall_s, self._clock)
+                return True
+            except NotAdmittedError:
+                return False
+            except (EngineError, TimeoutError):
+                await asyncio.sleep(RESUME_PAUSE_S)
+        return False
+
+
+async def _with_stall(reading, progress: Progress, stall_s: float, clock) -> None:
+    """Await a reading that is stopped when it brings nothing for stall_s."""
+    task = asyncio.ensure_future(reading)
+    while True:
+        done, _ = await asyncio.wait([task], timeout=WATCH_INTERVAL_S)
+        if done:
+            task.result()
+            return
+        if clock() - max(progress.started_s, progress.last_s) > stall_s:
+            task.cancel()
+            raise TimeoutError
+
+
+def _note(progress: Progress, chunk: Chunk, now_s: float) -> None:
+    """Note the arrival of a chunk."""
+    if not progress.tokens:
+        progress.first_s = now_s
+    progress.last_s = now_s
+    progress.tokens += chunk.tokens
+
+
+def _stall_s(request: Request, engine: Engine) -> float:
+    """Return the silence after which an attempt counts as stalled."""
+    if engine.kind is EngineKind.SERVICE:
+        return SERVICE_STALL_S
+    target_s = request.request_class.between_tokens_ms / 1000
+    first_s = request.request_class.first_token_ms / 1000
+    return max(SHORTEST_STALL_S, STALL_TARGETS * target_s, 2 * first_s)
+
+
+def _outcome(end: End) -> Outcome:
+    """Return what the scheduler is told of an attempt."""
+    return {
+        End.WHOLE: Outcome.DONE,
+        End.PREEMPTED: Outcome.CANCELLED,
+        End.TURNED_AWAY: Outcome.ENGINE_REFUSED,
+        End.BROKEN: Outcome.ENGINE_FAILED,
+    }[end]
+
+
+def _after_start(work: Work, problem: Problem) -> Problem:
+    """Return a problem that does not promise NOT_RUN for work that has started."""
+    if work.started and problem.info.fate is Fate.NOT_RUN:
+        detail = f"given up after its start: {problem.code.name}"
+        return Problem(Code.ENGINE_FAILED, detail, retry_after_s=problem.retry_after_s)
+    return problem
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/scheduler_host.py
@@ -0,0 +1,113 @@
+"""The schedulers that run on this node: one for each engine that the node is the owner of."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from springbridge.decisions import Ask, Decision, Hold, Inventory, Release, Sample
+from springbridge.invariants import Invariants
+from springbridge.records import Table
+from springbridge.scheduler import EngineScheduler
+
+TICK_S = 0.05
+
+
+class SchedulerHost:
+    """Takes in what entry nodes ask and sends them the decisions."""
+
+    def __init__(
+        self,
+        me: str,
+        clock: Callable[[], float],
+        invariants: Invariants,
+        table: Callable[[], Table],
+        send: Callable[[str, Decision], None],
+    ):
+        """Start with no scheduler; they are made when first asked."""
+        self._me = me
+        self._clock = clock
+        self._invariants = invariants
+        self._table = table
+        self._send = send
+        self.schedulers: dict[str, EngineScheduler] = {}
+        self._engine_of: dict[str, str] = {}
+
+    def take(self, message: Ask | Hold | Inventory | Release | Sample) -> None:
+        """Take in a message from an entry node."""
+        self._take(message)
+
+    @singledispatchmethod
+    def _take(self, message: object) -> None:
+        raise TypeError(f"unknown message {message!r}")
+
+    @_take.register
+    def _(self, ask: Ask) -> None:
+        scheduler = self._scheduler(ask.engine)
+        if scheduler is not None:
+            self._engine_of[ask.ask_id] = ask.engine
+            self._carry(scheduler.ask(ask))
+
+    @_take.register
+    def _(self, hold: Hold) -> None:
+        scheduler = self._scheduler(hold.ask.engine)
+        if scheduler is not None:
+            self._engine_of[hold.ask.ask_id] = hold.ask.engine
+            scheduler.hold(hold.ask)
+
+    @_take.register
+    def _(self, inventory: Inventory) -> None:
+        for scheduler in self.schedulers.values():
+            self._carry(scheduler.take_inventory(inventory))
+
+    @_take.register
+    def _(self, release: Release) -> None:
+        scheduler = self.schedulers.get(self._engine_of.pop(release.ask_id, ""))
+        if scheduler is not None:
+            self._carry(scheduler.release(release))
+
+    @_take.register
+    def _(self, sample: Sample) -> None:
+        scheduler = self.schedulers.get(self._engine_of.get(sample.ask_id, ""))
+        if scheduler is not None:
+            scheduler.sample(sample)
+
+    def tick(self) -> None:
+        """Let time pass for all schedulers; called every TICK_S."""
+        for scheduler in self.schedulers.values():
+            self._carry(scheduler.tick())
+
+    def drop_nodes(self, gone: Callable[[str], bool]) -> None:
+        """Forget the asks and slots of entry nodes that are gone."""
+        for scheduler in self.schedulers.values():
+            for node in scheduler.nodes():
+                if gone(node):
+                    self._carry(scheduler.drop_node(node))
+
+    def keep_only(self, owned: Callable[[str], bool]) -> None:
+        """Drop idle schedulers of engines that other nodes own now or that the table lost."""
+        for engine, scheduler in list(self.schedulers.items()):
+            idle = not scheduler.running and not len(scheduler.queue)
+            if idle and not owned(engine):
+                del self.schedulers[engine]
+        live = set()
+        for scheduler in self.schedulers.values():
+            live |= scheduler.ask_ids()
+        self._engine_of = {ask: name for ask, name in self._engine_of.items() if ask in live}
+
+    def _scheduler(self, engine: str) -> EngineScheduler | None:
+        """Return the scheduler of an engine of the table."""
+        found = self.schedulers.get(engine)
+        if found is not None:
+            return found
+        record = self._table().engines.get(engine)
+        if record is None:
+            return None
+        found = EngineScheduler(
+            self._me, engine, record.token_capacity, self._clock, self._invariants
+        )
+        self.schedulers[engine] = found
+        return found
+
+    def _carry(self, decisions: list[Decision]) -> None:
+        """Send decisions to their entry nodes."""
+        for decision in decisions:
+            self._send(decision.node, decision)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/services.py
@@ -0,0 +1,62 @@
+"""The parts of a running node, as its HTTP handlers see them."""
+
+from collections.abc import Callable
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from springbridge.codes import Code
+from springbridge.membership import Member, Membership
+from springbridge.problems import Problem
+
+from springbridge_node.config_sync import ConfigSync
+from springbridge_node.home import Home
+from springbridge_node.limit_gate import LimitGate
+from springbridge_node.metrics import Metrics
+from springbridge_node.runner import Runner
+from springbridge_node.settings import Settings
+
+CLOSED_RETRY_S = 0.5
+
+
+@dataclass
+class Services:
+    """The parts of a node.
+
+    Attributes:
+      refusing: Whether new requests are refused, as the node is leaving for long enough.
+      running: Requests that are being answered.
+    """
+
+    settings: Settings
+    clock: Callable[[], float]
+    metrics: Metrics
+    membership: Membership
+    config: ConfigSync
+    limits: LimitGate
+    runner: Runner
+    home: Home
+    refusing: bool = False
+    running: int = 0
+    served: dict[str, int] = field(default_factory=dict)
+
+    def closed(self) -> Problem | None:
+        """Return why new requests are refused, or None."""
+        if self.refusing:
+            return Problem(Code.NODE_LEAVING, retry_after_s=CLOSED_RETRY_S)
+        if not self.config.may_serve():
+            return Problem(Code.CONFIG_NOT_FRESH, retry_after_s=CLOSED_RETRY_S)
+        return None
+
+    def other_live(self) -> list[Member]:
+        """Return the live members without this one."""
+        me = self.membership.me.incarnation
+        return [member for member in self.membership.live() if member.incarnation != me]
+
+    @contextmanager
+    def in_flight(self):
+        """Count a request while it is being answered."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/settings.py
@@ -0,0 +1,68 @@
+"""Settings of a node, checked before it starts."""
+
+import re
+from dataclasses import dataclass
+
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from springbridge.rows import NAME
+
+ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:(\d{1,5})\Z")
+SHORTEST_TOKEN = 16
+POLICIES = ("springbridge", "round-robin", "least-load")
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Settings of a node; docs/SETTINGS.md explains each."""
+
+    instance: str
+    place: str
+    caller_address: str
+    peer_address: str
+    table_address: str
+    list_address: str
+    peer_token: str
+    operator_token: str
+    statsd_address: str
+    policy: str
+    max_body_bytes: int
+    body_timeout_s: float
+    keep_addresses_s: float
+    abort_on_violation: bool
+
+
+def check(settings: Settings) -> list[Problem]:
+    """Return a problem for each setting that cannot be used."""
+    problems = []
+
+    def need(holds: bool, name: str, wanted: str) -> None:
+        if not holds:
+            problems.append(Problem(Code.SETTING_INVALID, f"takes {wanted}", f"--{name}"))
+
+    for name in ("instance", "place"):
+        need(bool(NAME.match(getattr(settings, name))), name, "letters, digits, dot, dash")
+    for name in ("caller_address", "peer_address", "table_address", "list_address"):
+        need(_is_address(getattr(settings, name)), name.replace("_", "-"), "IP number:port")
+    if settings.statsd_address:
+        need(_is_address(settings.statsd_address), "statsd-address", "IP number:port")
+    for name in ("peer_token", "operator_token"):
+        long_enough = len(getattr(settings, name)) >= SHORTEST_TOKEN
+        need(long_enough, name.replace("_", "-"), f"{SHORTEST_TOKEN} characters or more")
+    need(settings.policy in POLICIES, "policy", "one of " + ", ".join(POLICIES))
+    need(settings.max_body_bytes >= 1024, "max-body-bytes", "1024 or more")
+    need(settings.body_timeout_s > 0, "body-timeout-s", "a number above zero")
+    need(settings.keep_addresses_s > 0, "keep-addresses-s", "a number above zero")
+    return problems
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IP number and a port."""
+    match = ADDRESS.match(text)
+    return match is not None and 0 < int(match[1]) < 65536
+
+
+def split(address: str) -> tuple[str, int]:
+    """Return the IP number and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/world.py
@@ -0,0 +1,292 @@
+"""Starts nodes and stand-ins as processes on loopback and stops them, for tests and bench."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import orjson
+from returns.result import Success
+from springbridge import sheet
+from springbridge.changes import Edit
+from springbridge.rows import Cells
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from springbridge_standins.caller import Caller, control, until
+
+PEER_TOKEN = "peer-token-for-tests"
+OPERATOR_TOKEN = "operator-token-for-tests"
+READY_S = 20.0
+STOP_S = 30.0
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+def free_port() -> int:
+    """Return a port on loopback that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def free_address() -> str:
+    """Return an address on loopback that is free now."""
+    return f"127.0.0.1:{free_port()}"
+
+
+@dataclass
+class NodeProcess:
+    """A node process and how it was started."""
+
+    name: str
+    place: str
+    caller_address: str
+    peer_address: str
+    process: asyncio.subprocess.Process
+    frozen: bool = False
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.process.returncode is None
+
+
+@dataclass
+class World:
+    """Processes of one run.
+
+    Attributes:
+      rows: The table's rows, with the addresses that the stand-ins of this run have.
+      logs: Folder with the standard output of each process.
+    """
+
+    rows: dict[str, Cells]
+    logs: Path
+    policy: str
+    platform: str
+    nodes: dict[str, NodeProcess] = field(default_factory=dict)
+    standins: list[asyncio.subprocess.Process] = field(default_factory=list)
+    client: AsyncHTTPClient = field(default_factory=lambda: AsyncHTTPClient(force_instance=True))
+    caller: Caller = field(default_factory=Caller)
+
+    @property
+    def places(self) -> list[str]:
+        """Return the failure domains that the table's engines stand in."""
+        return sorted({cells["place"] for cells in self.engines().values()})
+
+    def engines(self, kind: str = "") -> dict[str, Cells]:
+        """Return the engine rows by name, of one kind or all."""
+        return {
+            key.removeprefix("engine/"): cells
+            for key, cells in self.rows.items()
+            if key.startswith("engine/") and kind in ("", cells["kind"])
+        }
+
+    async def start_node(self, name: str, place: str) -> NodeProcess:
+        """Start a node."""
+        caller_address, peer_address = free_address(), free_address()
+        flags = {
+            "instance": name,
+            "place": place,
+            "caller-address": caller_address,
+            "peer-address": peer_address,
+            "table-address": self.platform,
+            "list-address": self.platform,
+            "peer-token": PEER_TOKEN,
+            "operator-token": OPERATOR_TOKEN,
+            "policy": self.policy,
+        }
+        args = [f"--{flag}={value}" for flag, value in flags.items()]
+        command = ["-m", "springbridge_node", "serve", "--abort-on-violation", *args]
+        process = await self._spawn(name, command)
+        node = NodeProcess(name, place, caller_address, peer_address, process)
+        self.nodes[name] = node
+        await self.publish_list()
+        return node
+
+    async def start_standin(self, kind: str, addresses: list[str]) -> None:
+        """Start one process of stand-ins of a kind."""
+        command = ["-m", "springbridge_standins.serve", kind, *addresses]
+        self.standins.append(await self._spawn(f"{kind}-{addresses[0]}", command))
+
+    async def _spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+        with open(self.logs / f"{name.replace(':', '-')}.log", "ab") as out:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, *command, stdout=out, stderr=out
+            )
+
+    async def publish_list(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Tell the platform's list of instances which nodes there are."""
+        entries = [
+            {"peer_address": node.peer_address, "leaving": node.name in leaving}
+            for node in self.nodes.values()
+            if node.running
+        ]
+        await control(self.client, self.platform, "/instances", {"instances": entries})
+
+    async def import_rows(self) -> int:
+        """Put the run's rows in force through the first node and return the version."""
+        node = next(iter(self.nodes.values()))
+        edits = [Edit(key, None, cells) for key, cells in self.rows.items()]
+        return await self.edit(node, "import", edits)
+
+    async def edit(self, node: NodeProcess, change_id: str, edits: list[Edit]) -> int:
+        """Send an edit to a node and return the version, or minus the first result code."""
+        body = {
+            "change_id": change_id,
+            "who": "world",
+            "base_version": 0,
+            "strict": False,
+            "edits": edits,
+        }
+        request = HTTPRequest(
+            f"http://{node.caller_address}/operator/table",
+            method="POST",
+            body=orjson.dumps(body),
+            headers={"Springbridge-Operator-Token": OPERATOR_TOKEN},
+            request_timeout=20.0,
+        )
+        response = await self.client.fetch(request, raise_error=False)
+        if not response.body:
+            return -1
+        answer = orjson.loads(response.body)
+        return answer["version"] if response.code == 200 else -answer["errors"][0]["code"]
+
+    async def status(self, node: NodeProcess) -> dict:
+        """Return a node's state; empty if it does not answer."""
+        request = HTTPRequest(
+            f"http://{node.caller_address}/operator/status",
+            headers={"Springbridge-Operator-Token": OPERATOR_TOKEN},
+            request_timeout=2.0,
+        )
+        try:
+            response = await self.client.fetch(request)
+        except Exception:
+            return {}
+        return orjson.loads(response.body)
+
+    async def ready(self, nodes: list[NodeProcess], version: int = 0) -> bool:
+        """Wait until nodes serve under a version and see each other."""
+
+        async def all_ready() -> bool:
+            states = [await self.status(node) for node in nodes]
+            return all(
+                state
+                and state["version"] >= version
+                and (version == 0 or state["serving"])
+                and len(state["live"]) >= len(nodes)
+                for state in states
+            )
+
+        return await until(all_ready, READY_S)
+
+    async def stop_node(self, node: NodeProcess) -> int:
+        """Stop a node as planned and return its exit status."""
+        node.process.send_signal(signal.SIGTERM)
+        await self.publish_list(frozenset({node.name}))
+        return await asyncio.wait_for(node.process.wait(), STOP_S)
+
+    def freeze(self, node: NodeProcess) -> None:
+        """Freeze a node."""
+        node.frozen = True
+        node.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self, node: NodeProcess) -> None:
+        """Let a frozen node go on."""
+        node.frozen = False
+        node.process.send_signal(signal.SIGCONT)
+
+    async def kill(self, node: NodeProcess) -> None:
+        """Kill a node."""
+        node.process.kill()
+        await node.process.wait()
+
+    async def fault(self, address: str, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        await control(self.client, address, "/faults", faults)
+
+    async def counters(self, address: str) -> dict:
+        """Return a stand-in's counters."""
+        return await control(self.client, address, "/counters")
+
+    async def close(self) -> None:
+        """End all processes that this world started."""
+        for node in self.nodes.values():
+            if node.running:
+                node.process.kill()
+        for process in self.standins:
+            if process.returncode is None:
+                process.kill()
+        processes = [node.process for node in self.nodes.values()] + self.standins
+        await asyncio.gather(*(process.wait() for process in processes))
+
+
+def load_example(name: str) -> dict[str, Cells]:
+    """Return the rows of an example table."""
+    match sheet.load((EXAMPLES / name).read_text()):
+        case Success(rows):
+            return rows
+    raise ValueError(f"examples/{name} does not load")
+
+
+def with_free_addresses(rows: Mapping[str, Cells]) -> dict[str, Cells]:
+    """Return the rows with a free address for each engine."""
+    return {
+        key: {**cells, "address": free_address()} if key.startswith("engine/") else cells
+        for key, cells in rows.items()
+    }
+
+
+@asynccontextmanager
+async def running_world(example: str, nodes: int, policy: str = "springbridge", ready: bool = True):
+    """Start a world with an example table in force, and end it."""
+    rows = with_free_addresses(load_example(example))
+    with tempfile.TemporaryDirectory() as folder:
+        logs = Path(os.environ.get("SPRINGBRIDGE_WORLD_LOGS", folder))
+        world = World(rows, logs, policy, free_address())
+        try:
+            await _start(world, nodes)
+            if ready:
+                await _put_in_force(world)
+            yield world
+        finally:
+            await world.close()
+
+
+async def _start(world: World, nodes: int) -> None:
+    """Start the stand-ins and nodes."""
+    await world.start_standin("platform", [world.platform])
+    checking, blind = [], []
+    for cells in world.engines("model").values():
+        (checking if cells["checks_tokens"] == "yes" else blind).append(cells["address"])
+    services = [cells["address"] for cells in world.engines("service").values()]
+    for kind, addresses in (("engine", checking), ("blind-engine", blind), ("service", services)):
+        if addresses:
+            await world.start_standin(kind, addresses)
+
+    async def platform_up() -> bool:
+        try:
+            await world.counters(world.platform)
+        except OSError:
+            return False
+        return True
+
+    await until(platform_up, READY_S)
+    for number in range(nodes):
+        place = world.places[number % len(world.places)]
+        await world.start_node(f"node-{number + 1}", place)
+
+
+async def _put_in_force(world: World) -> None:
+    """Import the table and wait until all nodes serve under it."""
+    nodes = list(world.nodes.values())
+    if not await world.ready(nodes):
+        raise RuntimeError("the nodes did not find each other")
+    version = await world.import_rows()
+    if version < 1 or not await world.ready(nodes, version):
+        raise RuntimeError(f"the table did not come into force: {version}")
--- /dev/null
+++ b/packages/springbridge/springbridge/changes.py
@@ -0,0 +1,129 @@
+"""Changes of the operators' table: edits, the audit record and how a version follows another.
+
+An accepted change is one audit record. The same record is the increment from one version to the
+next, so that the trail can never differ from what was applied, and a node that lags by a few
+versions reads a few records instead of the whole table.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from springbridge.rows import Cells, check_key_owners, check_references, parse
+
+
+@dataclass(frozen=True)
+class Edit:
+    """One row before and after a change; None stands for no row."""
+
+    key: str
+    before: Cells | None
+    after: Cells | None
+
+
+@dataclass(frozen=True)
+class Change:
+    """An accepted change, which is also its row in the audit trail.
+
+    Attributes:
+      version: The version that the change leads to.
+      change_id: Chosen by the operator's command; it settles a lost reply.
+      who: Name of the operator.
+      when: Time of the change in UTC, in ISO 8601.
+    """
+
+    version: int
+    change_id: str
+    who: str
+    when: str
+    edits: tuple[Edit, ...]
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All rows of the operators' table at one version."""
+
+    version: int
+    rows: Mapping[str, Cells]
+
+
+def encode_change(change: Change) -> bytes:
+    """Return the change as it is stored and sent."""
+    return orjson.dumps(change)
+
+
+def decode_change(data: bytes) -> Change:
+    """Return the change that encode_change wrote."""
+    raw = orjson.loads(data)
+    edits = tuple(Edit(**edit) for edit in raw.pop("edits"))
+    return Change(edits=edits, **raw)
+
+
+def apply(snapshot: Snapshot, change: Change) -> Snapshot:
+    """Return the snapshot after a change.
+
+    Raises:
+      ValueError: The change does not follow the snapshot's version.
+    """
+    if change.version != snapshot.version + 1:
+        raise ValueError(f"change {change.version} cannot follow version {snapshot.version}")
+    rows = dict(snapshot.rows)
+    for edit in change.edits:
+        if edit.after is None:
+            rows.pop(edit.key, None)
+        else:
+            rows[edit.key] = edit.after
+    return Snapshot(change.version, rows)
+
+
+def check_edits(snapshot: Snapshot, edits: tuple[Edit, ...]) -> Result[Snapshot, list[Problem]]:
+    """Check edits against the snapshot that they are to follow.
+
+    Returns:
+      The rows as they would be, or every problem that was found.
+    """
+    problems = _check_rows(snapshot, edits)
+    change = Change(snapshot.version + 1, "", "", "", edits)
+    after = apply(snapshot, change)
+    problems += check_references(after.rows)
+    problems += check_key_owners(after.rows)
+    if problems:
+        return Failure(problems)
+    return Success(after)
+
+
+def _check_rows(snapshot: Snapshot, edits: tuple[Edit, ...]) -> list[Problem]:
+    """Return a problem for each edit whose row is malformed or was changed by somebody else."""
+    problems = []
+    for edit in edits:
+        found = snapshot.rows.get(edit.key)
+        if found != edit.before:
+            problems.append(_conflict(edit, found))
+        if edit.after is not None:
+            match parse(edit.key, edit.after):
+                case Failure(problem):
+                    problems.append(problem)
+    return problems
+
+
+def _conflict(edit: Edit, found: Cells | None) -> Problem:
+    """Return the problem that shows both sides of a racing edit."""
+    detail = f"the row is now {_show(found)}; your edit expected {_show(edit.before)}"
+    return Problem(Code.VERSION_CONFLICT, detail, edit.key)
+
+
+def _show(cells: Cells | None) -> str:
+    if cells is None:
+        return "(no row)"
+    return ", ".join(f"{column}={text}" for column, text in cells.items())
+
+
+def difference(snapshot: Snapshot, rows: Mapping[str, Cells]) -> tuple[Edit, ...]:
+    """Return the edits that lead from a snapshot to the given rows."""
+    keys = sorted(snapshot.rows.keys() | rows.keys())
+    edits = (Edit(key, snapshot.rows.get(key), rows.get(key)) for key in keys)
+    return tuple(edit for edit in edits if edit.before != edit.after)
--- /dev/null
+++ b/packages/springbridge/springbridge/decisions.py
@@ -0,0 +1,129 @@
+"""Messages between an entry node and the scheduler of an engine.
+
+They carry metadata only: a scheduler may stand in a place that must not see the content.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from springbridge.records import Tier
+
+
+@dataclass(frozen=True)
+class Ask:
+    """An entry node asks for a slot at one engine.
+
+    Attributes:
+      ask_id: Names this ask; unique over all nodes and attempts.
+      node: Incarnation of the entry node.
+      fan: At how many engines the same attempt asks; its expected load is spread over them.
+      max_wait_s: Longest time the ask may still wait.
+      target_s: What is left of the latency target for the first token.
+      first_s: The whole latency target for the first token.
+      between_s: Latency target for the mean time between tokens.
+      primary: Whether this engine was asked first; only there the ask preempts without delay.
+      preemptible: Whether the work may be stopped for a higher tier and run on elsewhere.
+    """
+
+    ask_id: str
+    node: str
+    engine: str
+    request_class: str
+    customer: str
+    tier: Tier
+    weight: float
+    fan: int
+    max_wait_s: float
+    target_s: float
+    first_s: float
+    between_s: float
+    prompt_tokens: int
+    primary: bool
+    preemptible: bool
+
+
+class Outcome(IntEnum):
+    """How a slot was used."""
+
+    UNUSED = 0
+    DONE = 1
+    CANCELLED = 2
+    ENGINE_REFUSED = 3
+    ENGINE_FAILED = 4
+
+
+@dataclass(frozen=True)
+class Sample:
+    """What an entry node sees of a running slot; zero stands for nothing seen yet."""
+
+    ask_id: str
+    first_token_s: float
+    between_tokens_s: float
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Release:
+    """The entry node gives a slot back."""
+
+    ask_id: str
+    outcome: Outcome
+    sample: Sample
+
+
+@dataclass(frozen=True)
+class Hold:
+    """Tells a new scheduler of a slot that the former one gave."""
+
+    ask: Ask
+
+
+@dataclass(frozen=True)
+class Inventory:
+    """All asks and slots that a node has at one scheduler, which drops what is not among them."""
+
+    node: str
+    ask_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Grant:
+    """The scheduler gives a slot; used_share tells how full the engine is now.
+
+    The grant names the node that schedules, so that a slot which is no longer wanted can be given
+    back to it, also if it was frozen and another node has taken its role over.
+    """
+
+    ask_id: str
+    node: str
+    scheduler: str
+    used_share: float
+
+
+@dataclass(frozen=True)
+class Queued:
+    """The ask waits; the entry node had better ask at other engines too."""
+
+    ask_id: str
+    node: str
+    wait_s: float
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """The scheduler does not queue the ask, or gives it up; ask again after retry_after_s."""
+
+    ask_id: str
+    node: str
+    retry_after_s: float
+
+
+@dataclass(frozen=True)
+class Preemption:
+    """The scheduler takes a slot back; the entry node stops the work and asks again."""
+
+    ask_id: str
+    node: str
+
+
+Decision = Grant | Queued | Refusal | Preemption
--- /dev/null
+++ b/packages/springbridge/springbridge/membership.py
@@ -0,0 +1,206 @@
+"""Which nodes are alive: the platform's lagging list as a seed, corrected by what nodes exchange.
+
+Each node sends a digest of what it knows to a few random peers a second, one of them in another
+failure domain (a bounded push gossip; SWIM, Das and others, DSN 2002, is the known reference). A
+member's heartbeat counts up while it runs, so a member whose heartbeat stands still is suspected
+after SUSPECT_S and left out of all choices, whatever the platform's list says. Leaving is final for
+an incarnation and travels ahead of everything else. A frozen node that wakes up sees that its own
+clock jumped and holds back until it has heard from the others again.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+DIGEST_LIMIT = 24
+GOSSIP_INTERVAL_S = 0.3
+GOSSIP_PEERS = 3
+SUSPECT_S = 1.5
+FORGET_S = 60.0
+
+
+class Phase(IntEnum):
+    """Phase of a member; it only ever moves forward."""
+
+    LIVE = 0
+    LEAVING = 1
+    GONE = 2
+
+
+@dataclass(frozen=True)
+class Member:
+    """What is known of one incarnation of a node.
+
+    Attributes:
+      incarnation: Instance name and a random part, new at each start.
+      peer_address: IP number and port for peers.
+      caller_address: IP number and port for callers.
+      heartbeat: Counts up while the node runs.
+      config_version: Version of the operators' table that the node has in force.
+      confirmed_ago_s: How long ago the node, or somebody it heard from, read that version as the
+        newest from the platform's table.
+      table_out: Whether the node cannot reach the platform's table.
+    """
+
+    incarnation: str
+    instance: str
+    peer_address: str
+    caller_address: str
+    place: str
+    heartbeat: int = 0
+    phase: Phase = Phase.LIVE
+    config_version: int = 0
+    confirmed_ago_s: float = 1e9
+    table_out: bool = False
+
+
+@dataclass
+class Known:
+    """A member and when its heartbeat last moved, on this node's clock."""
+
+    member: Member
+    heard_s: float
+
+
+class Membership:
+    """This node's view of all nodes, itself included."""
+
+    def __init__(self, me: Member, clock: Callable[[], float], rng: random.Random):
+        """Start with only this node known."""
+        self.me = me
+        self._clock = clock
+        self._rng = rng
+        self._known: dict[str, Known] = {}
+        self._listed: set[str] = set()
+
+    def beat(self, config_version: int, confirmed_ago_s: float, table_out: bool) -> None:
+        """Count up this node's heartbeat and state what it knows of the configuration."""
+        self.me = replace(
+            self.me,
+            heartbeat=self.me.heartbeat + 1,
+            config_version=config_version,
+            confirmed_ago_s=confirmed_ago_s,
+            table_out=table_out,
+        )
+
+    def leave(self) -> None:
+        """Mark this node as leaving; it stays so until it ends."""
+        self.me = replace(self.me, phase=max(self.me.phase, Phase.LEAVING))
+
+    def end(self) -> None:
+        """Mark this node as gone, for a last message to the others."""
+        self.me = replace(self.me, phase=Phase.GONE, heartbeat=self.me.heartbeat + 1)
+
+    def merge(self, members: Iterable[Member]) -> None:
+        """Take in a digest: the higher heartbeat wins, and phases only move forward."""
+        now_s = self._clock()
+        for member in members:
+            if member.incarnation != self.me.incarnation:
+                self._merge_one(member, now_s)
+
+    def _merge_one(self, member: Member, now_s: float) -> None:
+        known = self._known.get(member.incarnation)
+        if known is None:
+            self._known[member.incarnation] = Known(member, now_s)
+            return
+        phase = max(known.member.phase, member.phase)
+        if member.heartbeat > known.member.heartbeat:
+            known.member = replace(member, phase=phase)
+            known.heard_s = now_s
+        elif phase != known.member.phase:
+            known.member = replace(known.member, phase=phase)
+
+    def set_listed(self, peer_addresses: Iterable[str]) -> None:
+        """Take in the platform's list of peer addresses, without those listed as leaving."""
+        self._listed = set(peer_addresses) - {self.me.peer_address}
+
+    def lost_contact(self, incarnation: str) -> None:
+        """Note that the connection to a member broke: suspect it unless its heartbeat moves on."""
+        known = self._known.get(incarnation)
+        if known is not None:
+            known.heard_s = min(known.heard_s, self._clock() - SUSPECT_S / 2)
+
+    def live(self) -> list[Member]:
+        """Return the members that run and are not leaving, this node included if it is."""
+        found = [known.member for known in self._known.values() if self._is_live(known)]
+        if self.me.phase is Phase.LIVE:
+            found.append(self.me)
+        return found
+
+    def reachable(self) -> list[Member]:
+        """Return the other members that still run, leaving ones included."""
+        return [
+            known.member
+            for known in self._known.values()
+            if known.member.phase is not Phase.GONE and self._is_heard(known)
+        ]
+
+    def find(self, incarnation: str) -> Member | None:
+        """Return a member that is not known to be gone, however long it was silent."""
+        if incarnation == self.me.incarnation:
+            return self.me
+        known = self._known.get(incarnation)
+        if known is None or known.member.phase is Phase.GONE:
+            return None
+        return known.member
+
+    def incarnations(self) -> list[str]:
+        """Return the incarnations of live(), the candidates for roles."""
+        return [member.incarnation for member in self.live()]
+
+    def sees_majority(self) -> bool:
+        """Return whether this node hears from more than half of all that may be running.
+
+        A member counts as possibly running until it is known to be gone or was silent for FORGET_S,
+        and an address on the platform's list counts even if nobody there was ever heard.
+        """
+        possible = {
+            known.member.peer_address
+            for known in self._known.values()
+            if known.member.phase is not Phase.GONE
+        }
+        possible |= self._listed
+        heard = {member.peer_address for member in self.reachable()}
+        return 2 * (len(heard) + 1) > len(possible) + 1
+
+    def digest(self) -> list[Member]:
+        """Return what to send to a peer: this node, leaving members, and a bounded rest."""
+        known = [entry.member for entry in self._known.values()]
+        self._rng.shuffle(known)
+        known.sort(key=lambda member: member.phase is Phase.LIVE)
+        return [self.me, *known[: DIGEST_LIMIT - 1]]
+
+    def gossip_targets(self) -> list[str]:
+        """Return the peer addresses to send the next digest to."""
+        members = self.reachable()
+        targets = self._rng.sample(members, min(GOSSIP_PEERS, len(members)))
+        away = [member for member in members if member.place != self.me.place]
+        if away and all(member.place == self.me.place for member in targets):
+            targets[-1] = self._rng.choice(away)
+        addresses = {member.peer_address for member in targets}
+        return sorted(addresses | self._unheard_addresses())
+
+    def _unheard_addresses(self) -> set[str]:
+        """Return one listed or silent address, so that a lost or new peer is found again."""
+        heard = {member.peer_address for member in self.reachable()}
+        silent = {known.member.peer_address for known in self._known.values()}
+        candidates = sorted((self._listed | silent) - heard - {self.me.peer_address})
+        return {self._rng.choice(candidates)} if candidates else set()
+
+    def forget_old(self) -> None:
+        """Drop members that were silent for long."""
+        limit_s = self._clock() - FORGET_S
+        self._known = {
+            name: known for name, known in self._known.items() if known.heard_s > limit_s
+        }
+
+    def _is_heard(self, known: Known) -> bool:
+        return self._clock() - known.heard_s <= self._suspect_s()
+
+    def _suspect_s(self) -> float:
+        """Return the time to suspicion, longer where a digest cannot hold all members."""
+        return SUSPECT_S * max(1.0, len(self._known) / DIGEST_LIMIT)
+
+    def _is_live(self, known: Known) -> bool:
+        return known.member.phase is Phase.LIVE and self._is_heard(known)
--- /dev/null
+++ b/packages/springbridge/springbridge/ports.py
@@ -0,0 +1,171 @@
+"""Ports: what coordination needs from the outside. The node package holds the adapters."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from returns.result import Result
+
+from springbridge.changes import Change, Snapshot
+from springbridge.decisions import Outcome, Sample
+from springbridge.problems import Problem
+from springbridge.records import Engine, Request
+from springbridge.stream import Chunk
+
+
+@dataclass(frozen=True)
+class Listed:
+    """An entry of the platform's list of instances, which lags."""
+
+    peer_address: str
+    leaving: bool
+
+
+class InstanceList(Protocol):
+    """The platform's lagging list of live and leaving instances."""
+
+    async def instances(self) -> Result[list[Listed], Problem]:
+        """Return the listed instances, or TABLE_UNAVAILABLE."""
+
+
+@dataclass(frozen=True)
+class OrderLease:
+    """The right to give orders to one engine.
+
+    Attributes:
+      epoch: Fencing token; it grows with each change of holder.
+      valid_s: Seconds, counted from before the write, for which the holder may act.
+    """
+
+    engine: str
+    holder: str
+    epoch: int
+    valid_s: float
+
+
+class TableStore(Protocol):
+    """The platform's transactional table service, for what must last or be agreed.
+
+    A write whose reply is lost is settled by reading back before the call returns; if that fails
+    too, the result is EDIT_UNKNOWN or TABLE_UNAVAILABLE as the method says.
+    """
+
+    async def version(self) -> Result[int, Problem]:
+        """Return the newest version of the operators' table."""
+
+    async def snapshot(self) -> Result[Snapshot, Problem]:
+        """Return all rows at the newest version."""
+
+    async def changes(self, after: int, limit: int) -> Result[list[Change], Problem]:
+        """Return the changes that follow a version, oldest first."""
+
+    async def find_change(self, change_id: str) -> Result[Change | None, Problem]:
+        """Return the accepted change with this id, or None."""
+
+    async def commit(self, change: Change) -> Result[None, Problem]:
+        """Write rows, version and audit record in one transaction on the version before."""
+
+    async def claim(self, request_id: str, node: str) -> Result[str, Problem]:
+        """Return the node that has the claim on an id without a home: the first to ask."""
+
+    async def take_lease(self, engine: str, holder: str) -> Result[OrderLease, Problem]:
+        """Take or renew the lease for orders to an engine, or return ORDER_REFUSED."""
+
+
+@dataclass(frozen=True)
+class Job:
+    """One attempt at an engine.
+
+    Attributes:
+      offset: Tokens of the answer that exist already; the engine goes on from there.
+      prefix: Text of those tokens.
+      body: What the caller sent.
+      path: Path below the service, for plain services.
+    """
+
+    request_id: str
+    priority: int
+    offset: int
+    prefix: str
+    body: bytes
+    path: str = ""
+
+
+class EngineClient(Protocol):
+    """One kind of engine or service."""
+
+    def run(self, engine: Engine, job: Job) -> AsyncIterator[Chunk]:
+        """Start a job and yield its chunks.
+
+        Raises:
+          NotAdmittedError: The engine turned the job away before it started.
+          EngineError: Anything else went wrong; the job may have started.
+        """
+
+    def resume(self, engine: Engine, request_id: str, offset: int) -> AsyncIterator[Chunk]:
+        """Yield the chunks of a job that the engine already has, from an offset on.
+
+        Raises:
+          NotAdmittedError: The engine does not know the job.
+          EngineError: The engine cannot be asked.
+        """
+
+    async def cancel(self, engine: Engine, request_id: str) -> None:
+        """Stop a job; failures are ignored."""
+
+
+class NotAdmittedError(Exception):
+    """The engine certainly did not start the job."""
+
+
+class EngineError(Exception):
+    """The job may have started; nothing more will come from this attempt."""
+
+
+class OrderKind(Enum):
+    """Orders that an engine takes from the operators."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+@dataclass(frozen=True)
+class Slot:
+    """The right to send one job to one engine."""
+
+    ask_id: str
+    engine: Engine
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """What a slot is wanted for.
+
+    Attributes:
+      engines: All engines that the request may use.
+      wait_s: Longest time the attempt may wait.
+      resumable: Whether the work may be preempted.
+    """
+
+    request: Request
+    engines: tuple[Engine, ...]
+    wait_s: float
+    resumable: bool
+
+
+class SlotSource(Protocol):
+    """A policy: which engine serves an attempt, and when. There is one implementation a policy."""
+
+    async def acquire(self, attempt: Attempt) -> Result[Slot, Problem]:
+        """Wait for a slot, or return the problem that refuses the attempt."""
+
+    def sample(self, slot: Slot, sample: Sample) -> None:
+        """Report what is seen of a slot in use."""
+
+    def release(self, slot: Slot, outcome: Outcome, sample: Sample) -> None:
+        """Give a slot back."""
+
+    async def preempted(self, slot: Slot) -> None:
+        """Return when the slot has to be given back."""
--- /dev/null
+++ b/packages/springbridge/springbridge/records.py
@@ -0,0 +1,120 @@
+"""The plain records of the domain: what the operators' table holds and what a request is.
+
+All of them are frozen; the functions over them live in the other modules. Times are seconds where
+a name ends in _s and milliseconds where it ends in _ms. Places are names of failure domains.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+
+
+class Tier(IntEnum):
+    """Service tier of a class; a lower number goes first."""
+
+    URGENT = 0
+    STANDARD = 1
+    BULK = 2
+
+
+class EngineKind(Enum):
+    """What stands at an engine's address."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True)
+class RequestClass:
+    """A class of requests as the operators define it.
+
+    Attributes:
+      first_token_ms: Latency target for the first token, from arrival at the entry node.
+      between_tokens_ms: Latency target for the mean time between tokens.
+      max_wait_ms: Longest time a request may wait for an engine before it is given up.
+      repeatable: Whether a request of the class may be run more than once.
+      target: The model or the service that serves the class.
+    """
+
+    name: str
+    tier: Tier
+    target: str
+    first_token_ms: int
+    between_tokens_ms: int
+    max_wait_ms: int
+    places: frozenset[str]
+    repeatable: bool
+
+
+@dataclass(frozen=True)
+class Customer:
+    """A customer, known by the SHA-256 hex digests of its keys."""
+
+    name: str
+    places: frozenset[str]
+    key_hashes: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Share:
+    """Weight and limits of one customer in one class; the limits hold for the sum of all nodes."""
+
+    customer: str
+    request_class: str
+    weight: float
+    rate_per_s: float
+    concurrency: int
+
+
+@dataclass(frozen=True)
+class Engine:
+    """An engine or plain service that requests can be sent to.
+
+    Attributes:
+      address: IP number and port, such as 127.0.0.1:9000.
+      place: Failure domain in which the engine stands.
+      target: The model it has loaded or the service it offers.
+      token_capacity: Tokens of prompt and answer that fit its memory at a time.
+      checks_tokens: Whether it compares the fencing token of an order itself.
+    """
+
+    name: str
+    kind: EngineKind
+    address: str
+    place: str
+    target: str
+    token_capacity: int
+    checks_tokens: bool
+
+
+@dataclass(frozen=True)
+class Table:
+    """The operators' table at one version; the version only ever grows."""
+
+    version: int = 0
+    classes: dict[str, RequestClass] = field(default_factory=dict)
+    customers: dict[str, Customer] = field(default_factory=dict)
+    shares: dict[tuple[str, str], Share] = field(default_factory=dict)
+    engines: dict[str, Engine] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Request:
+    """What coordination knows of a request: never its content.
+
+    Attributes:
+      request_id: Name of the request, given by the caller or by the entry node.
+      max_wait_s: Longest time it may wait, counted from arrival.
+      arrived_s: Arrival at the entry node, on that node's monotonic clock.
+      prompt_tokens: Estimated length of the prompt.
+    """
+
+    request_id: str
+    request_class: RequestClass
+    customer: str
+    weight: float
+    repeatable: bool
+    max_wait_s: float
+    arrived_s: float
+    prompt_tokens: int
+    affinity: str = ""
--- /dev/null
+++ b/packages/springbridge/springbridge/rows.py
@@ -0,0 +1,245 @@
+"""Rows of the operators' table as they are stored and as they are shown in the sheet.
+
+A row has a key such as ``class/claims`` or ``share/findwell/claims`` and cells of plain text. The
+cells are what operators edit, what the audit trail keeps and what the platform's table stores; the
+records of records.py are made from them here and nowhere else.
+"""
+
+import math
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+from returns.result import Failure, Result, Success
+
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from springbridge.records import (
+    Customer,
+    Engine,
+    EngineKind,
+    RequestClass,
+    Share,
+    Table,
+    Tier,
+)
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+DIGEST = re.compile(r"[0-9a-f]{64}\Z")
+ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")
+
+COLUMNS: dict[str, tuple[str, ...]] = {
+    "class": (
+        "tier",
+        "target",
+        "first_token_ms",
+        "between_tokens_ms",
+        "max_wait_ms",
+        "places",
+        "repeatable",
+    ),
+    "customer": ("places", "key_hashes"),
+    "share": ("weight", "rate_per_s", "concurrency"),
+    "engine": ("kind", "address", "place", "target", "token_capacity", "checks_tokens"),
+}
+KEY_PARTS = {"class": 2, "customer": 2, "share": 3, "engine": 2}
+
+Cells = Mapping[str, str]
+
+
+class CellError(Exception):
+    """A cell that does not hold what its column asks for."""
+
+    def __init__(self, column: str, wanted: str):
+        super().__init__(f"column {column} takes {wanted}")
+
+
+def _number(cells: Cells, column: str, low: float, high: float) -> float:
+    """Return the number in a cell, which must lie between low and high."""
+    try:
+        value = float(cells[column])
+    except ValueError:
+        value = math.nan
+    if not low <= value <= high:
+        raise CellError(column, f"a number from {low:g} to {high:g}")
+    return value
+
+
+def _whole(cells: Cells, column: str, low: int, high: int) -> int:
+    """Return the whole number in a cell, which must lie between low and high."""
+    value = _number(cells, column, low, high)
+    if value != int(value):
+        raise CellError(column, f"a whole number from {low} to {high}")
+    return int(value)
+
+
+def _choice(cells: Cells, column: str, choices: Mapping[str, object]) -> object:
+    """Return what a cell's word stands for."""
+    try:
+        return choices[cells[column].strip().lower()]
+    except KeyError:
+        raise CellError(column, "one of " + ", ".join(choices)) from None
+
+
+def _words(cells: Cells, column: str, pattern: re.Pattern[str]) -> tuple[str, ...]:
+    """Return the words of a cell, each of which must match the pattern."""
+    words = tuple(cells[column].split())
+    if not all(pattern.match(word) for word in words):
+        raise CellError(column, "words separated by spaces, each of the form " + pattern.pattern)
+    return words
+
+
+def _word(cells: Cells, column: str, pattern: re.Pattern[str]) -> str:
+    """Return the one word of a cell."""
+    words = _words(cells, column, pattern)
+    if len(words) != 1:
+        raise CellError(column, "one word")
+    return words[0]
+
+
+YES_NO = {"yes": True, "no": False}
+TIERS = {tier.name.lower(): tier for tier in Tier}
+KINDS = {kind.value: kind for kind in EngineKind}
+LONGEST_MS = 24 * 3600 * 1000
+
+
+def _class(parts: list[str], cells: Cells) -> RequestClass:
+    return RequestClass(
+        name=parts[1],
+        tier=_choice(cells, "tier", TIERS),
+        target=_word(cells, "target", NAME),
+        first_token_ms=_whole(cells, "first_token_ms", 1, LONGEST_MS),
+        between_tokens_ms=_whole(cells, "between_tokens_ms", 1, LONGEST_MS),
+        max_wait_ms=_whole(cells, "max_wait_ms", 1, LONGEST_MS),
+        places=frozenset(_words(cells, "places", NAME)),
+        repeatable=_choice(cells, "repeatable", YES_NO),
+    )
+
+
+def _customer(parts: list[str], cells: Cells) -> Customer:
+    return Customer(
+        name=parts[1],
+        places=frozenset(_words(cells, "places", NAME)),
+        key_hashes=_words(cells, "key_hashes", DIGEST),
+    )
+
+
+def _share(parts: list[str], cells: Cells) -> Share:
+    return Share(
+        customer=parts[1],
+        request_class=parts[2],
+        weight=_number(cells, "weight", 0.01, 1e6),
+        rate_per_s=_number(cells, "rate_per_s", 0.01, 1e6),
+        concurrency=_whole(cells, "concurrency", 1, 10**6),
+    )
+
+
+def _engine(parts: list[str], cells: Cells) -> Engine:
+    return Engine(
+        name=parts[1],
+        kind=_choice(cells, "kind", KINDS),
+        address=_word(cells, "address", ADDRESS),
+        place=_word(cells, "place", NAME),
+        target=_word(cells, "target", NAME),
+        token_capacity=_whole(cells, "token_capacity", 1, 10**9),
+        checks_tokens=_choice(cells, "checks_tokens", YES_NO),
+    )
+
+
+Record = RequestClass | Customer | Share | Engine
+PARSERS: dict[str, Callable[[list[str], Cells], Record]] = {
+    "class": _class,
+    "customer": _customer,
+    "share": _share,
+    "engine": _engine,
+}
+
+
+def parse(key: str, cells: Cells) -> Result[Record, Problem]:
+    """Return the record that a row stands for.
+
+    Args:
+      key: The row's key, such as share/findwell/claims.
+      cells: One text per column of the row's kind.
+    Returns:
+      The record, or ROW_MALFORMED with the key as its source.
+    """
+    parts = key.split("/")
+    kind = parts[0]
+    if kind not in COLUMNS or len(parts) != KEY_PARTS[kind]:
+        return _malformed(key, "the key must be class/X, customer/X, share/X/Y or engine/X")
+    if not all(NAME.match(part) for part in parts[1:]):
+        return _malformed(key, "names take letters, digits, dot, dash and underscore")
+    if set(cells) != set(COLUMNS[kind]):
+        return _malformed(key, "the row needs exactly the cells " + ", ".join(COLUMNS[kind]))
+    try:
+        return Success(PARSERS[kind](parts, cells))
+    except CellError as exc:
+        return _malformed(key, str(exc))
+
+
+def _malformed(key: str, detail: str) -> Failure[Problem]:
+    return Failure(Problem(Code.ROW_MALFORMED, detail, key))
+
+
+def build(version: int, rows: Mapping[str, Cells]) -> tuple[Table, list[Problem]]:
+    """Return the table that rows make up, and a problem for each row that had to be left out."""
+    table = Table(version)
+    problems: list[Problem] = []
+    for key, cells in rows.items():
+        match parse(key, cells):
+            case Success(record):
+                _put(table, record)
+            case Failure(problem):
+                problems.append(problem)
+    return index_keys(table), problems
+
+
+def _put(table: Table, record: Record) -> None:
+    """Add a record to a table that is still being built."""
+    match record:
+        case RequestClass():
+            table.classes[record.name] = record
+        case Customer():
+            table.customers[record.name] = record
+        case Share():
+            table.shares[record.customer, record.request_class] = record
+        case Engine():
+            table.engines[record.name] = record
+
+
+def index_keys(table: Table) -> Table:
+    """Return the table with its index from key digest to customer made anew."""
+    keys = {
+        digest: customer.name
+        for customer in table.customers.values()
+        for digest in customer.key_hashes
+    }
+    return replace(table, keys=keys)
+
+
+def check_references(rows: Mapping[str, Cells]) -> list[Problem]:
+    """Return a problem for each share whose customer or class has no row."""
+    problems = []
+    for key in rows:
+        parts = key.split("/")
+        if parts[0] != "share" or len(parts) != KEY_PARTS["share"]:
+            continue
+        for wanted in (f"customer/{parts[1]}", f"class/{parts[2]}"):
+            if wanted not in rows:
+                problems.append(Problem(Code.ROW_MALFORMED, f"there is no row {wanted}", key))
+    return problems
+
+
+def check_key_owners(rows: Mapping[str, Cells]) -> list[Problem]:
+    """Return a problem for each key digest that two customers claim."""
+    owners: dict[str, str] = {}
+    problems = []
+    for key, cells in rows.items():
+        if not key.startswith("customer/"):
+            continue
+        for digest in cells.get("key_hashes", "").split():
+            if owners.setdefault(digest, key) != key:
+                detail = f"a key of this row also belongs to {owners[digest]}"
+                problems.append(Problem(Code.ROW_MALFORMED, detail, key))
+    return problems
--- /dev/null
+++ b/packages/springbridge/springbridge/scheduler.py
@@ -0,0 +1,375 @@
+"""The scheduler of one engine: who gets a slot, who waits, who is refused and who is preempted.
+
+One node schedules an engine, so the order of its queue and the count of its slots are exact
+whatever the lag of load reports. The scheduler sees metadata only. Its methods take the time and
+return decisions, which the node carries to the entry nodes.
+
+The rules, in order:
+  1. A free slot goes to the queue's next ask (fair_queue.py).
+  2. An ask that finds no slot in time for its latency target preempts lower-tier work.
+  3. Before a top-tier ask is refused, all preemptible lower-tier work has been preempted and all
+     waiting lower-tier asks have been refused; INVARIANT_TOP_TIER asserts that.
+  4. Work that may not be preempted never takes the last slot of an engine below the top tier.
+  5. An ask whose predicted wait is longer than it may wait is refused at once.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+
+from springbridge.concurrency import ConcurrencyLimit
+from springbridge.decisions import (
+    Ask,
+    Decision,
+    Grant,
+    Inventory,
+    Outcome,
+    Preemption,
+    Queued,
+    Refusal,
+    Release,
+    Sample,
+)
+from springbridge.engine_health import EngineHealth
+from springbridge.estimates import RunningMean, RunningQuantile
+from springbridge.fair_queue import FairQueue
+from springbridge.invariants import Invariants
+from springbridge.minimum_share import MinimumShare
+from springbridge.records import Tier
+
+INVARIANT_TOP_TIER = "top tier refused last"
+INVARIANT_LAST_SLOT = "last slot stays preemptible"
+INVARIANT_TIER_ORDER = "preemption goes downward"
+
+FIRST_ANSWER_TOKENS = 64.0
+FIRST_SERVICE_S = 1.0
+LONGEST_RETRY_AFTER_S = 60.0
+SHORTEST_RETRY_AFTER_S = 0.1
+PREEMPT_TARGET_SHARE = 0.25
+INVENTORY_LAG_S = 2.0
+
+
+@dataclass
+class Running:
+    """An ask that holds a slot."""
+
+    ask: Ask
+    since_s: float
+    tokens: float
+    stopping: bool = False
+
+    @property
+    def yields(self) -> bool:
+        """Return whether the work may be preempted and has not been told to stop yet."""
+        return self.ask.preemptible and not self.stopping
+
+
+class EngineScheduler:
+    """Queue and slots of one engine."""
+
+    def __init__(
+        self,
+        me: str,
+        engine: str,
+        token_capacity: int,
+        clock: Callable[[], float],
+        invariants: Invariants,
+    ):
+        """Start with an empty queue.
+
+        Args:
+          me: Incarnation of the node that schedules.
+          token_capacity: Tokens of prompt and answer that the engine's memory holds.
+          clock: Monotonic time in seconds.
+        """
+        self._me = me
+        self.engine = engine
+        self.queue = FairQueue()
+        self.running: dict[str, Running] = {}
+        self.concurrency = ConcurrencyLimit()
+        self.health = EngineHealth()
+        self.share = MinimumShare()
+        self._token_capacity = token_capacity
+        self._clock = clock
+        self._invariants = invariants
+        self._answer_tokens: dict[str, RunningQuantile] = {}
+        self._service_s = RunningMean(FIRST_SERVICE_S)
+
+    def ask(self, ask: Ask) -> list[Decision]:
+        """Take in an ask and return what follows from it."""
+        now_s = self._clock()
+        if ask.ask_id in self.running:
+            return [self._grant(ask)]
+        if ask.ask_id in self.queue:
+            return [Queued(ask.ask_id, ask.node, self._predicted_wait_queued_s(ask))]
+        if ask.tier is not Tier.URGENT and self.share.pressed(now_s):
+            return [self._ask_under_pressure(ask, now_s)]
+        self.queue.push(ask, self._tokens(ask), now_s)
+        decisions = list(self._grant_free_slots(now_s))
+        if ask.ask_id in self.queue:
+            decisions += self._place_waiting(ask, now_s)
+        if ask.ask_id in self.queue:
+            decisions.append(Queued(ask.ask_id, ask.node, self._predicted_wait_queued_s(ask)))
+        return decisions
+
+    def hold(self, ask: Ask) -> None:
+        """Take over a slot that the engine's former scheduler gave."""
+        if ask.ask_id not in self.running:
+            self.running[ask.ask_id] = Running(ask, self._clock(), self._tokens(ask))
+
+    def release(self, release: Release) -> list[Decision]:
+        """Take a slot back, learn from how it was used and give it on."""
+        now_s = self._clock()
+        running = self.running.get(release.ask_id)
+        if running is None:
+            return self._withdraw(release.ask_id, now_s)
+        self._learn_latency(running, release.sample, now_s)
+        del self.running[release.ask_id]
+        self.share.release(release.ask_id)
+        self._learn_outcome(running, release, now_s)
+        return list(self._grant_free_slots(now_s))
+
+    def sample(self, sample: Sample) -> None:
+        """Learn from a slot that is still in use."""
+        running = self.running.get(sample.ask_id)
+        if running is not None:
+            self._learn_latency(running, sample, self._clock())
+
+    def drop_node(self, node: str) -> list[Decision]:
+        """Forget the asks and slots of an entry node that is gone."""
+        for ask in [ask for ask in self.queue.waiting() if ask.node == node]:
+            self.queue.discard(ask.ask_id)
+        for running in [run for run in self.running.values() if run.ask.node == node]:
+            del self.running[running.ask.ask_id]
+            self.share.release(running.ask.ask_id)
+        return list(self._grant_free_slots(self._clock()))
+
+    def take_inventory(self, inventory: Inventory) -> list[Decision]:
+        """Drop what a node no longer has here, in case its release was lost on the way."""
+        now_s = self._clock()
+        kept = set(inventory.ask_ids)
+        lost = [
+            ask_id
+            for ask_id, run in self.running.items()
+            if run.ask.node == inventory.node
+            and ask_id not in kept
+            and now_s - run.since_s > INVENTORY_LAG_S
+        ]
+        for ask_id in lost:
+            del self.running[ask_id]
+            self.share.release(ask_id)
+        return list(self._grant_free_slots(now_s))
+
+    def tick(self) -> list[Decision]:
+        """Give up asks whose wait has ended, preempt for late ones, give slots freed by time."""
+        now_s = self._clock()
+        decisions: list[Decision] = list(self._grant_free_slots(now_s))
+        for ask in self.queue.expired(now_s):
+            if ask.ask_id in self.queue:
+                decisions += self._give_up(ask, now_s)
+        for ask in self.queue.late(now_s):
+            preemption = self._preempt_for(ask)
+            if preemption is not None:
+                decisions.append(preemption)
+        return decisions
+
+    def nodes(self) -> set[str]:
+        """Return the entry nodes that have asks or slots here."""
+        asks = [run.ask for run in self.running.values()] + self.queue.waiting()
+        return {ask.node for ask in asks}
+
+    def ask_ids(self) -> set[str]:
+        """Return the ids of all asks and slots."""
+        return set(self.running) | {ask.ask_id for ask in self.queue.waiting()}
+
+    def predicted_wait_s(self, tier: Tier) -> float:
+        """Return how long a new ask of the tier would wait for a slot."""
+        now_s = self._clock()
+        suspended_s = max(0.0, self.health.suspended_until_s - now_s)
+        slots = max(1, self.health.slots(now_s, self.concurrency.slots))
+        stopping = sum(run.stopping for run in self.running.values())
+        free = slots - self._used_slots() + stopping
+        behind = self.queue.load_ahead(tier) + 1 - free
+        return suspended_s + max(0.0, behind) * self._service_s.value / slots
+
+    # Placing an ask that found no free slot.
+
+    def _place_waiting(self, ask: Ask, now_s: float) -> Iterator[Decision]:
+        """Preempt for a waiting ask, or give it up if its wait would be too long."""
+        wait_s = self._predicted_wait_queued_s(ask)
+        too_long = wait_s > ask.max_wait_s
+        misses_target = wait_s > PREEMPT_TARGET_SHARE * ask.target_s
+        if too_long or (misses_target and ask.primary):
+            preemption = self._preempt_for(ask)
+            if preemption is not None:
+                yield preemption
+                return
+        if too_long:
+            yield from self._give_up(ask, now_s)
+
+    def _predicted_wait_queued_s(self, ask: Ask) -> float:
+        """Return the predicted wait of an ask that is already counted in the queue."""
+        return max(0.0, self.predicted_wait_s(ask.tier) - self._service_share_s(ask))
+
+    def _service_share_s(self, ask: Ask) -> float:
+        """Return by how much an ask itself lengthens the predicted wait of its tier."""
+        slots = max(1, self.health.slots(self._clock(), self.concurrency.slots))
+        return self._service_s.value / slots / ask.fan
+
+    def _preempt_for(self, ask: Ask) -> Preemption | None:
+        """Tell the lowest, youngest preemptible work below the ask's tier to stop.
+
+        Slots that are already being given back count for the asks that are ahead.
+        """
+        stopping = sum(run.stopping for run in self.running.values())
+        if stopping >= self.queue.load_ahead(ask.tier):
+            return None
+        victims = [run for run in self.running.values() if run.yields and run.ask.tier > ask.tier]
+        if not victims:
+            return None
+        victim = max(victims, key=lambda run: (run.ask.tier, run.since_s))
+        self._invariants.check(INVARIANT_TIER_ORDER, victim.ask.tier > ask.tier, self.engine)
+        victim.stopping = True
+        return Preemption(victim.ask.ask_id, victim.ask.node)
+
+    def _give_up(self, ask: Ask, now_s: float) -> Iterator[Decision]:
+        """Refuse a waiting ask; for the top tier only after all lower tiers have made way."""
+        if ask.tier is Tier.URGENT:
+            self.share.press(now_s)
+            yield from self._refuse_below(Tier.URGENT)
+            yield from self._preempt_below(Tier.URGENT)
+            self._check_top_tier()
+        yield self._refuse(ask)
+
+    def _refuse_below(self, tier: Tier) -> Iterator[Refusal]:
+        """Refuse all waiting asks of lower tiers, the lowest first."""
+        for lower in self.queue.below(tier):
+            yield self._refuse(lower)
+
+    def _preempt_below(self, tier: Tier) -> Iterator[Preemption]:
+        """Tell all preemptible work of lower tiers to stop."""
+        for run in self.running.values():
+            if run.yields and run.ask.tier > tier:
+                run.stopping = True
+                yield Preemption(run.ask.ask_id, run.ask.node)
+
+    def _refuse(self, ask: Ask) -> Refusal:
+        self.queue.discard(ask.ask_id)
+        return Refusal(ask.ask_id, ask.node, self._retry_after_s(ask.tier))
+
+    def _retry_after_s(self, tier: Tier) -> float:
+        """Return when the queue ahead of a tier will have drained."""
+        wait_s = self.predicted_wait_s(tier)
+        return min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, wait_s))
+
+    def _ask_under_pressure(self, ask: Ask, now_s: float) -> Decision:
+        """Give a lower-tier ask the extra slot or refuse it at once; it may not wait."""
+        suspended = self.health.slots(now_s, self.concurrency.slots) == 0
+        if suspended or not self.share.claim(ask.ask_id, ask.request_class, now_s):
+            return self._refuse(ask)
+        fixed = replace(ask, preemptible=False)
+        self.running[ask.ask_id] = Running(fixed, now_s, self._tokens(ask))
+        return self._grant(ask)
+
+    def _check_top_tier(self) -> None:
+        """Assert that nothing of a lower tier waits or could still be preempted."""
+        waiting = self.queue.below(Tier.URGENT)
+        yielding = [
+            run for run in self.running.values() if run.yields and run.ask.tier > Tier.URGENT
+        ]
+        holds = not waiting and not yielding
+        self._invariants.check(INVARIANT_TOP_TIER, holds, self.engine)
+
+    # Giving slots.
+
+    def _grant_free_slots(self, now_s: float) -> Iterator[Grant]:
+        """Give free slots to the next asks in order, past tiers whose next ask does not fit."""
+        blocked: set[Tier] = set()
+        while self._has_slot(now_s):
+            tier = self._next_tier(blocked)
+            if tier is None:
+                return
+            if self._fits(self.queue.peek(tier)):
+                yield self._start(self.queue.pop(tier), now_s)
+            else:
+                blocked.add(tier)
+
+    def _next_tier(self, blocked: set[Tier]) -> Tier | None:
+        """Return the tier to serve next, leaving out those whose next ask does not fit."""
+        tier = self.queue.next_tier()
+        if tier is None or tier not in blocked:
+            return tier
+        others = (lower for lower in Tier if lower not in blocked and self.queue.peek(lower))
+        return next(others, None)
+
+    def _start(self, ask: Ask, now_s: float) -> Grant:
+        self.running[ask.ask_id] = Running(ask, now_s, self._tokens(ask))
+        if not ask.preemptible and ask.tier is not Tier.URGENT:
+            self._check_last_slot()
+        return self._grant(ask)
+
+    def _grant(self, ask: Ask) -> Grant:
+        used_share = self._used_slots() / self.concurrency.slots
+        return Grant(ask.ask_id, ask.node, self._me, used_share)
+
+    def _check_last_slot(self) -> None:
+        """Assert that work which may not be preempted leaves a slot to the top tier."""
+        holds = self._fixed_below_top() < max(2, self.concurrency.slots)
+        self._invariants.check(INVARIANT_LAST_SLOT, holds, self.engine)
+
+    def _used_slots(self) -> int:
+        """Return the slots in use, without the extra one of the minimum share."""
+        return len(self.running) - (self.share.holder is not None)
+
+    def _has_slot(self, now_s: float) -> bool:
+        return self._used_slots() < self.health.slots(now_s, self.concurrency.slots)
+
+    def _fits(self, ask: Ask) -> bool:
+        """Return whether the ask fits the engine's memory and leaves the last slot."""
+        fixed = not ask.preemptible and ask.tier is not Tier.URGENT
+        if fixed and self._fixed_below_top() + 1 >= max(2, self.concurrency.slots):
+            return False
+        used = sum(run.tokens for run in self.running.values())
+        return not used or used + self._tokens(ask) <= self._token_capacity
+
+    def _fixed_below_top(self) -> int:
+        """Return the slots held by lower-tier work that may not be preempted."""
+        return sum(
+            not run.ask.preemptible and run.ask.tier is not Tier.URGENT
+            for ask_id, run in self.running.items()
+            if ask_id != self.share.holder
+        )
+
+    def _withdraw(self, ask_id: str, now_s: float) -> list[Decision]:
+        """Take back an ask that still waits."""
+        if self.queue.discard(ask_id) is None:
+            return []
+        return list(self._grant_free_slots(now_s))
+
+    # Learning.
+
+    def _tokens(self, ask: Ask) -> float:
+        """Return the tokens that an ask is expected to take up."""
+        return ask.prompt_tokens + self._answer_quantile(ask.request_class).value
+
+    def _answer_quantile(self, request_class: str) -> RunningQuantile:
+        return self._answer_tokens.setdefault(request_class, RunningQuantile(FIRST_ANSWER_TOKENS))
+
+    def _learn_latency(self, running: Running, sample: Sample, now_s: float) -> None:
+        """Adjust the limit to the latencies of one slot."""
+        pressures = []
+        if sample.between_tokens_s:
+            pressures.append(sample.between_tokens_s / running.ask.between_s)
+        if sample.first_token_s and sample.tokens <= 1:
+            pressures.append(sample.first_token_s / running.ask.first_s)
+        if pressures:
+            self.concurrency.learn(now_s, max(pressures), self._used_slots())
+
+    def _learn_outcome(self, running: Running, release: Release, now_s: float) -> None:
+        """Adjust health and estimates to how a slot ended."""
+        if release.outcome in (Outcome.ENGINE_FAILED, Outcome.ENGINE_REFUSED):
+            self.health.failure(now_s)
+        elif release.outcome is Outcome.DONE:
+            self.health.success()
+            self._answer_quantile(running.ask.request_class).add(release.sample.tokens)
+        if release.outcome is not Outcome.UNUSED:
+            self._service_s.add(now_s - running.since_s)
--- /dev/null
+++ b/packages/springbridge/springbridge/slots.py
@@ -0,0 +1,335 @@
+"""The entry node's side of scheduling: ask for slots, take the first grant, give slots back.
+
+An attempt asks one engine first: of two candidates the emptier, as far as their last grants told.
+If that one has no slot at once, all the others are asked too and the first grant is taken (late
+binding; Ousterhout and others, Sparrow, SOSP 2013), so that no request is stranded behind a slow
+engine. A refusal is final only when every engine refused; until then it is asked again there.
+"""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from returns.result import Failure, Result, Success
+
+from springbridge.codes import Code
+from springbridge.decisions import (
+    Ask,
+    Decision,
+    Grant,
+    Hold,
+    Inventory,
+    Outcome,
+    Preemption,
+    Queued,
+    Refusal,
+    Release,
+    Sample,
+)
+from springbridge.hashing import ranking
+from springbridge.invariants import Invariants
+from springbridge.ports import Attempt, Slot
+from springbridge.problems import Problem
+from springbridge.records import Engine, Tier
+
+INVARIANT_ASKED_EVERYWHERE = "top tier asked everywhere before refusal"
+
+FIRST_FAN = 3
+ALL_WHILE_FEW = 12
+PATIENCE_S = 0.15
+ASK_AGAIN_S = 1.0
+EXPIRY_GRACE_S = 0.5
+AFFINITY_BOUND = 0.75
+ROLE_PREFIX = "engine/"
+
+ToScheduler = Ask | Hold | Inventory | Release | Sample
+Send = Callable[[str, ToScheduler], None]
+
+
+@dataclass
+class Pending:
+    """An attempt that waits for its first grant."""
+
+    attempt: Attempt
+    granted: "asyncio.Future[Result[Slot, Problem]]"
+    started_s: float
+    asks: dict[str, Ask] = field(default_factory=dict)
+    asked: set[str] = field(default_factory=set)
+    refusals: dict[str, float] = field(default_factory=dict)
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
+
+
+@dataclass
+class Held:
+    """A slot in use."""
+
+    ask: Ask
+    scheduler: str | None
+    preempted: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class ScheduledSlots:
+    """The slot source that asks the schedulers of the engines."""
+
+    def __init__(
+        self,
+        me: str,
+        clock: Callable[[], float],
+        route: Callable[[str], str | None],
+        send: Send,
+        invariants: Invariants,
+        rng: random.Random,
+    ):
+        """Start with nothing asked.
+
+        Args:
+          me: This node's incarnation.
+          route: Returns the incarnation that schedules an engine, or None.
+          send: Sends a message to an incarnation; lost messages are sent again by resend.
+        """
+        self._me = me
+        self._clock = clock
+        self._route = route
+        self._send = send
+        self._invariants = invariants
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._pending: dict[str, Pending] = {}
+        self._schedulers: dict[str, str | None] = {}
+        self._held: dict[str, Held] = {}
+        self._used_share: dict[str, float] = {}
+
+    async def acquire(self, attempt: Attempt) -> Result[Slot, Problem]:
+        """Wait for the first grant, or return the problem that refuses the attempt."""
+        if not attempt.engines:
+            return Failure(Problem(Code.NO_ENGINE, retry_after_s=ASK_AGAIN_S))
+        loop = asyncio.get_running_loop()
+        pending = Pending(attempt, loop.create_future(), self._clock())
+        self._ask(pending, self._choose_first(attempt), fan=1, primary=True)
+        patience = loop.call_later(PATIENCE_S, self._ask_others, pending)
+        expiry = loop.call_later(attempt.wait_s + EXPIRY_GRACE_S, self._expire, pending)
+        pending.timers += [patience, expiry]
+        try:
+            return await pending.granted
+        except asyncio.CancelledError:
+            self._give_back(pending)
+            raise
+        finally:
+            self._close(pending)
+
+    def sample(self, slot: Slot, sample: Sample) -> None:
+        """Report what is seen of a slot in use."""
+        held = self._held.get(slot.ask_id)
+        if held is not None and held.scheduler is not None:
+            self._send(held.scheduler, sample)
+
+    def release(self, slot: Slot, outcome: Outcome, sample: Sample) -> None:
+        """Give a slot back."""
+        held = self._held.pop(slot.ask_id, None)
+        if held is not None and held.scheduler is not None:
+            self._send(held.scheduler, Release(slot.ask_id, outcome, sample))
+
+    async def preempted(self, slot: Slot) -> None:
+        """Return when the slot's scheduler takes it back."""
+        await self._held[slot.ask_id].preempted.wait()
+
+    def resend(self) -> None:
+        """Repeat asks and slots to schedulers that took over or were reconnected."""
+        for pending in {id(one): one for one in self._pending.values()}.values():
+            for ask in list(pending.asks.values()):
+                self._leave(ask.ask_id, self._schedulers.get(ask.ask_id), ask.engine)
+                self._send_ask(ask)
+        for held in self._held.values():
+            self._leave(held.ask.ask_id, held.scheduler, held.ask.engine)
+            held.scheduler = self._route(held.ask.engine)
+            if held.scheduler is not None:
+                self._send(held.scheduler, Hold(held.ask))
+
+    def inventory(self) -> dict[str, list[str]]:
+        """Return for each scheduler the ids of the asks and slots that this node has there."""
+        found: dict[str, list[str]] = {}
+        for ask_id, scheduler in self._schedulers.items():
+            if scheduler is not None:
+                found.setdefault(scheduler, []).append(ask_id)
+        for ask_id, held in self._held.items():
+            if held.scheduler is not None:
+                found.setdefault(held.scheduler, []).append(ask_id)
+        return found
+
+    def _leave(self, ask_id: str, scheduler: str | None, engine: str) -> None:
+        """Withdraw from a scheduler that another one has taken over from."""
+        if scheduler is not None and scheduler != self._route(engine):
+            self._send_release(ask_id, scheduler)
+
+    def take(self, decision: Decision) -> None:
+        """Take in a decision of a scheduler."""
+        self._take(decision)
+
+    @singledispatchmethod
+    def _take(self, decision: Decision) -> None:
+        raise TypeError(f"unknown decision {decision!r}")
+
+    @_take.register
+    def _(self, grant: Grant) -> None:
+        pending = self._pending.pop(grant.ask_id, None)
+        if pending is None or pending.granted.done():
+            self._return_unused(grant)
+            return
+        ask = pending.asks.pop(grant.ask_id)
+        self._used_share[ask.engine] = grant.used_share
+        self._schedulers.pop(grant.ask_id, None)
+        self._held[grant.ask_id] = Held(ask, grant.scheduler)
+        engine = _engine_named(pending.attempt, ask.engine)
+        pending.granted.set_result(Success(Slot(grant.ask_id, engine)))
+
+    @_take.register
+    def _(self, queued: Queued) -> None:
+        pending = self._pending.get(queued.ask_id)
+        if pending is not None:
+            self._used_share[pending.asks[queued.ask_id].engine] = 1.0
+            self._ask_others(pending)
+
+    @_take.register
+    def _(self, refusal: Refusal) -> None:
+        pending = self._pending.pop(refusal.ask_id, None)
+        if pending is None or pending.granted.done():
+            return
+        ask = pending.asks.pop(refusal.ask_id)
+        self._schedulers.pop(refusal.ask_id, None)
+        pending.refusals[ask.engine] = refusal.retry_after_s
+        self._used_share[ask.engine] = 1.0
+        self._ask_others(pending)
+        if pending.asks:
+            self._ask_again_later(pending, ask)
+        else:
+            self._refuse(pending)
+
+    @_take.register
+    def _(self, preemption: Preemption) -> None:
+        held = self._held.get(preemption.ask_id)
+        if held is not None:
+            held.preempted.set()
+
+    def _return_unused(self, grant: Grant) -> None:
+        """Give back a slot that came too late; the answer to a repeated ask changes nothing."""
+        self._schedulers.pop(grant.ask_id, None)
+        if grant.ask_id not in self._held:
+            self._send_release(grant.ask_id, grant.scheduler)
+
+    def _send_release(self, ask_id: str, scheduler: str) -> None:
+        self._send(scheduler, Release(ask_id, Outcome.UNUSED, Sample(ask_id, 0.0, 0.0, 0)))
+
+    def _choose_first(self, attempt: Attempt) -> Engine:
+        """Return the engine to ask first: by affinity while that one has room, else the emptier."""
+        names = {engine.name: 1.0 for engine in attempt.engines}
+        if attempt.request.affinity:
+            best = ranking(attempt.request.affinity, names)[0]
+            if self._used_share.get(best, 0.0) < AFFINITY_BOUND:
+                return _engine_named(attempt, best)
+        two = self._rng.sample(attempt.engines, min(2, len(attempt.engines)))
+        return min(two, key=lambda engine: self._used_share.get(engine.name, 0.0))
+
+    def _ask_others(self, pending: Pending) -> None:
+        """Ask at the engines that were not asked yet: all while few, else a few at a time."""
+        if pending.granted.done():
+            return
+        rest = [engine for engine in pending.attempt.engines if engine.name not in pending.asked]
+        if len(pending.attempt.engines) > ALL_WHILE_FEW and pending.asks:
+            wanted = max(0, FIRST_FAN - len(pending.asks))
+            rest = self._rng.sample(rest, min(wanted, len(rest)))
+        fan = len(rest) + len(pending.asks)
+        for engine in rest:
+            self._ask(pending, engine, fan, primary=False)
+
+    def _ask(self, pending: Pending, engine: Engine, fan: int, primary: bool) -> None:
+        request = pending.attempt.request
+        request_class = request.request_class
+        now_s = self._clock()
+        waited_s = now_s - pending.started_s
+        first_s = request_class.first_token_ms / 1000
+        target_s = first_s - (now_s - request.arrived_s)
+        ask = Ask(
+            ask_id=f"{self._me}/{next(self._numbers)}",
+            node=self._me,
+            engine=engine.name,
+            request_class=request_class.name,
+            customer=request.customer,
+            tier=request_class.tier,
+            weight=request.weight,
+            fan=fan,
+            max_wait_s=max(0.0, pending.attempt.wait_s - waited_s),
+            target_s=max(0.001, target_s),
+            first_s=first_s,
+            between_s=request_class.between_tokens_ms / 1000,
+            prompt_tokens=request.prompt_tokens,
+            primary=primary,
+            preemptible=pending.attempt.resumable and request_class.tier is not Tier.URGENT,
+        )
+        pending.asked.add(engine.name)
+        pending.asks[ask.ask_id] = ask
+        self._pending[ask.ask_id] = pending
+        self._send_ask(ask)
+
+    def _send_ask(self, ask: Ask) -> None:
+        scheduler = self._route(ask.engine)
+        self._schedulers[ask.ask_id] = scheduler
+        if scheduler is not None:
+            self._send(scheduler, ask)
+
+    def _ask_again_later(self, pending: Pending, ask: Ask) -> None:
+        """Ask again at an engine that refused while others have not."""
+        loop = asyncio.get_running_loop()
+        engine = _engine_named(pending.attempt, ask.engine)
+        again = loop.call_later(ASK_AGAIN_S, self._ask_again, pending, engine)
+        pending.timers.append(again)
+
+    def _ask_again(self, pending: Pending, engine: Engine) -> None:
+        if not pending.granted.done():
+            self._ask(pending, engine, len(pending.asks) + 1, primary=False)
+
+    def _refuse(self, pending: Pending) -> None:
+        """End an attempt that every engine refused."""
+        attempt = pending.attempt
+        if attempt.request.request_class.tier is Tier.URGENT:
+            everywhere = pending.asked >= {engine.name for engine in attempt.engines}
+            self._invariants.check(INVARIANT_ASKED_EVERYWHERE, everywhere)
+        retry_after_s = min(pending.refusals.values())
+        problem = Problem(Code.OVERLOADED, retry_after_s=retry_after_s)
+        pending.granted.set_result(Failure(problem))
+
+    def _expire(self, pending: Pending) -> None:
+        """End an attempt whose schedulers did not answer in time."""
+        if not pending.granted.done():
+            retry_after_s = min(pending.refusals.values(), default=ASK_AGAIN_S)
+            problem = Problem(Code.WAIT_EXPIRED, retry_after_s=retry_after_s)
+            pending.granted.set_result(Failure(problem))
+
+    def _give_back(self, pending: Pending) -> None:
+        """Return a slot that was granted just as the caller went away."""
+        granted = pending.granted
+        if not granted.done() or granted.cancelled():
+            return
+        match granted.result():
+            case Success(slot):
+                self.release(slot, Outcome.UNUSED, Sample(slot.ask_id, 0.0, 0.0, 0))
+
+    def _close(self, pending: Pending) -> None:
+        """Withdraw what is still asked; runs also when the caller went away."""
+        for timer in pending.timers:
+            timer.cancel()
+        for ask_id in pending.asks:
+            self._pending.pop(ask_id, None)
+            scheduler = self._schedulers.pop(ask_id, None)
+            if scheduler is not None:
+                self._send_release(ask_id, scheduler)
+        granted = pending.granted
+        if not granted.done():
+            granted.cancel()
+
+
+def _engine_named(attempt: Attempt, name: str) -> Engine:
+    """Return the attempt's engine of that name."""
+    return next(engine for engine in attempt.engines if engine.name == name)
