--- /dev/null
+++ b/packages/springbridge/springbridge/limits_test.py
@@ -0,0 +1,112 @@
+"""Tests of limits.py: the sum over nodes stays within the stated error."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from springbridge.limits import BURST_S, LEASE_S, OWNER_GRACE_S, LimitOwner, NodeLimit
+from springbridge.records import Share
+
+RATE = 40.0
+PLACES = 12
+SHARE = Share("findwell", "claims", 1.0, RATE, PLACES)
+NODES = ["node-1", "node-2", "node-3", "node-4"]
+
+
+def settle(owner, clock):
+    """Let the owner pass its grace, as after its first seconds."""
+    owner.lease(NodeLimit(SHARE).ask(NODES[0]), SHARE, len(NODES))
+    clock.advance(OWNER_GRACE_S)
+
+
+def start(node, limit, owner, clock):
+    """Try a start as an entry node does: from the lease, else after asking the owner."""
+    if limit.try_start(clock()):
+        return True
+    if owner is None:
+        limit.fall_back(clock(), len(NODES))
+    else:
+        limit.take(owner.lease(limit.ask(node), SHARE, len(NODES)), clock(), len(NODES))
+    return limit.try_start(clock())
+
+
+def offered(owner, clock, seconds, seed=1, hold_s=0.0):
+    """Offer three times the rate at random nodes; return starts and the most at a time."""
+    rng = random.Random(seed)
+    limits = {node: NodeLimit(SHARE) for node in NODES}
+    running = []
+    started = most = 0
+    end_s = clock() + seconds
+    while clock() < end_s:
+        clock.advance(rng.expovariate(3 * RATE))
+        for until_s, limit in [one for one in running if one[0] <= clock()]:
+            limit.finish()
+            running.remove((until_s, limit))
+        node = rng.choice(NODES)
+        if start(node, limits[node], owner, clock):
+            started += 1
+            running.append((clock() + hold_s, limits[node]))
+            most = max(most, len(running))
+    return started, most
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_rate_holds_for_the_sum(clock, seed):
+    owner = LimitOwner(clock)
+    settle(owner, clock)
+    started, _ = offered(owner, clock, 20.0, seed)
+    assert_that(started, LessThan(RATE * (20.0 + BURST_S) + 1))
+    assert_that(started, GreaterThan(RATE * 20.0 * 0.9))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_concurrency_holds_for_the_sum(clock, seed):
+    owner = LimitOwner(clock)
+    settle(owner, clock)
+    _, most = offered(owner, clock, 20.0, seed, hold_s=0.9)
+    assert_that(most, LessThan(PLACES + 1))
+    assert_that(most, GreaterThan(PLACES // 2))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_equal_parts_hold_without_an_owner(clock, seed):
+    started, most = offered(None, clock, 20.0, seed, hold_s=0.1)
+    assert_that(started, LessThan(RATE * (20.0 + BURST_S) + len(NODES) + 1))
+    assert_that(most, LessThan(PLACES + len(NODES)))
+
+
+def test_change_of_owner_stays_within_the_stated_error(clock):
+    first = LimitOwner(clock)
+    settle(first, clock)
+    before, _ = offered(first, clock, 5.0)
+    after, _ = offered(LimitOwner(clock), clock, 5.0)
+    bound = RATE * (10.0 + LEASE_S + 2 * BURST_S) + len(NODES)
+    assert_that(before + after, LessThan(bound))
+
+
+def test_first_request_of_a_new_owner_passes(clock):
+    limit = NodeLimit(SHARE)
+    assert_that(start(NODES[0], limit, LimitOwner(clock), clock), Equals(True))
+
+
+def test_refusal_says_when_to_come_back(clock):
+    owner = LimitOwner(clock)
+    settle(owner, clock)
+    limit = NodeLimit(SHARE)
+    while start(NODES[0], limit, owner, clock):
+        limit.finish()
+    assert_that(limit.retry_after_s, GreaterThan(0.0))
+    assert_that(limit.retry_after_s, LessThan(1 / RATE + 0.001))
+
+
+def test_silent_node_loses_its_places(clock):
+    owner = LimitOwner(clock)
+    settle(owner, clock)
+    gone, other = NodeLimit(SHARE), NodeLimit(SHARE)
+    for _ in range(PLACES):
+        start(NODES[0], gone, owner, clock)
+    assert_that(start(NODES[1], other, owner, clock), Equals(False))
+    clock.advance(LEASE_S + 0.1)
+    assert_that(start(NODES[1], other, owner, clock), Equals(True))
--- /dev/null
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -0,0 +1,180 @@
+"""Tests of membership.py and freshness.py: who is alive, and who may serve."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength, LessThan, Not
+
+from springbridge.freshness import STALE_S, Confirmation, may_serve
+from springbridge.membership import (
+    DIGEST_LIMIT,
+    FORGET_S,
+    GOSSIP_INTERVAL_S,
+    SUSPECT_S,
+    Member,
+    Membership,
+    Phase,
+)
+
+
+def member(name, place="perth-a", **fields):
+    return Member(name, name, f"{name}:1", f"{name}:2", place, **fields)
+
+
+@pytest.fixture
+def make_view(clock):
+    """Return a function that makes the view of one node."""
+
+    def make(name, place="perth-a", seed=1):
+        return Membership(member(name, place), clock, random.Random(seed))
+
+    return make
+
+
+def gossip(views, rounds, clock, cut=lambda sender, receiver: False):
+    """Let nodes exchange digests for some rounds."""
+    by_address = {view.me.peer_address: view for view in views}
+    for _ in range(rounds):
+        clock.advance(GOSSIP_INTERVAL_S)
+        for view in views:
+            view.beat(view.me.config_version, 0.0, False)
+            for address in view.gossip_targets():
+                peer = by_address.get(address)
+                if peer is not None and not cut(view, peer):
+                    peer.merge(view.digest())
+
+
+def listed_views(make_view, count):
+    views = [make_view(f"n{number}", f"perth-{number % 3}", number) for number in range(count)]
+    for view in views:
+        view.set_listed(other.me.peer_address for other in views)
+    return views
+
+
+def test_nodes_find_each_other_from_the_list(make_view, clock):
+    views = listed_views(make_view, 8)
+    gossip(views, 6, clock)
+    for view in views:
+        assert_that(view.live(), HasLength(8))
+
+
+def test_silent_node_is_left_out_whatever_the_list_says(make_view, clock):
+    views = listed_views(make_view, 8)
+    gossip(views, 6, clock)
+    gossip(views[1:], int(SUSPECT_S / GOSSIP_INTERVAL_S) + 6, clock)
+    for view in views[1:]:
+        assert_that(view.incarnations(), Not(Contains("n0")))
+
+
+def test_frozen_node_that_wakes_up_trusts_nobody_at_first(make_view, clock):
+    views = listed_views(make_view, 4)
+    gossip(views, 6, clock)
+    clock.advance(SUSPECT_S + 1)
+    assert_that(views[0].incarnations(), Equals(["n0"]))
+    assert_that(views[0].sees_majority(), Equals(False))
+
+
+def test_leaving_is_final_and_spreads(make_view, clock):
+    views = listed_views(make_view, 8)
+    gossip(views, 6, clock)
+    views[0].leave()
+    gossip(views, 5, clock)
+    for view in views[1:]:
+        assert_that(view.incarnations(), Not(Contains("n0")))
+    views[1].merge([replace(member("n0"), heartbeat=10**6)])
+    assert_that(views[1].incarnations(), Not(Contains("n0")))
+
+
+def test_older_news_changes_nothing(make_view, clock):
+    view = make_view("me")
+    view.merge([member("n1", heartbeat=5, config_version=3)])
+    view.merge([member("n1", heartbeat=4, config_version=2)])
+    assert_that(view.find("n1").config_version, Equals(3))
+
+
+def test_majority_counts_silent_and_unheard_nodes(make_view, clock):
+    view = make_view("me")
+    view.set_listed(["a:1", "b:1", "c:1", "d:1"])
+    view.merge([member("a", heartbeat=1)])
+    assert_that(view.sees_majority(), Equals(False))
+    view.merge([member("b", heartbeat=1)])
+    assert_that(view.sees_majority(), Equals(True))
+
+
+def test_gone_member_no_longer_counts(make_view, clock):
+    view = make_view("me")
+    view.merge([member(name, heartbeat=1, phase=Phase.GONE) for name in "abc"])
+    assert_that(view.sees_majority(), Equals(True))
+
+
+def test_members_are_forgotten_after_long_silence(make_view, clock):
+    view = make_view("me")
+    view.merge([member("a", heartbeat=1)])
+    clock.advance(FORGET_S + 1)
+    view.forget_old()
+    assert_that(view.find("a"), Equals(None))
+
+
+def test_digest_is_bounded(make_view, clock):
+    view = make_view("me")
+    view.merge(member(f"n{number}", heartbeat=1) for number in range(400))
+    assert_that(len(view.digest()), LessThan(DIGEST_LIMIT + 1))
+
+
+@pytest.fixture
+def fresh(clock):
+    """Return a confirmation of version 7 at the present time."""
+    confirmation = Confirmation()
+    confirmation.confirmed(7, clock())
+    confirmation.table_out = False
+    return confirmation
+
+
+PEER = member("peer", config_version=7, heartbeat=1)
+CASES = [
+    # silence since the last confirmation, table out here, majority, peers' table out, may serve
+    ("fresh", 0.0, False, True, False, True),
+    ("slow table", STALE_S - 0.1, True, True, False, True),
+    ("table out for all", 60.0, True, True, True, True),
+    ("only this node cut off from the table", 60.0, True, True, False, False),
+    ("cut off with a minority", 60.0, True, False, True, False),
+    ("table answers but reads fail to confirm", 60.0, False, True, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "out", "majority", "peers_out", "serves"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_who_may_serve(fresh, clock, silence_s, out, majority, peers_out, serves):
+    fresh.table_out = out
+    peers = [replace(PEER, table_out=peers_out)]
+    clock.advance(silence_s)
+    assert_that(may_serve(fresh, clock(), majority, peers), Equals(serves))
+
+
+def test_nobody_serves_without_a_table(clock):
+    assert_that(may_serve(Confirmation(), clock(), True, []), Equals(False))
+
+
+def test_node_that_knows_of_a_newer_version_stops_serving(fresh, clock):
+    fresh.table_out = True
+    ahead = [replace(PEER, config_version=8, table_out=True)]
+    clock.advance(STALE_S + 0.1)
+    assert_that(may_serve(fresh, clock(), True, ahead), Equals(False))
+
+
+def test_confirmation_comes_through_peers(fresh, clock):
+    fresh.table_out = True
+    clock.advance(10.0)
+    fresh.learn_from([replace(PEER, confirmed_ago_s=0.5)], clock())
+    assert_that(may_serve(fresh, clock(), True, [PEER]), Equals(True))
+
+
+def test_confirmation_of_an_older_version_does_not_count(fresh, clock):
+    clock.advance(10.0)
+    fresh.learn_from([replace(PEER, config_version=6, confirmed_ago_s=0.0)], clock())
+    assert_that(may_serve(fresh, clock(), True, [PEER]), Equals(False))
--- /dev/null
+++ b/packages/springbridge/springbridge/sheet_test.py
@@ -0,0 +1,148 @@
+"""Tests of rows.py, sheet.py, changes.py and placement.py: the operators' table."""
+
+from pathlib import Path
+
+import pytest
+from returns.result import Failure, Success
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength, Is
+
+from springbridge import sheet
+from springbridge.changes import (
+    Change,
+    Edit,
+    Snapshot,
+    apply,
+    check_edits,
+    decode_change,
+    difference,
+    encode_change,
+)
+from springbridge.codes import Code
+from springbridge.placement import allowed_engines, allowed_places
+from springbridge.rows import build
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+EXAMPLE_NAMES = ["findwell.csv", "archive.csv"]
+
+
+@pytest.fixture
+def rows():
+    """Return the rows of an example table."""
+    return sheet.load((EXAMPLES / "findwell.csv").read_text()).unwrap()
+
+
+@pytest.fixture
+def snapshot(rows):
+    """Return an example table at version 3."""
+    return Snapshot(3, rows)
+
+
+@pytest.mark.parametrize("name", EXAMPLE_NAMES)
+def test_examples_load_and_come_back_unchanged(name):
+    text = (EXAMPLES / name).read_text()
+    assert_that(sheet.export(sheet.load(text).unwrap()), Equals(text))
+
+
+@pytest.mark.parametrize("name", EXAMPLE_NAMES)
+def test_examples_make_whole_tables(name):
+    loaded = sheet.load((EXAMPLES / name).read_text()).unwrap()
+    table, problems = build(1, loaded)
+    assert_that(problems, Equals([]))
+    assert_that(len(table.shares), Equals(len(table.classes) * len(table.customers)))
+
+
+BAD_CELLS = [
+    ("class/claim-answers", "tier", "first"),
+    ("class/claim-answers", "first_token_ms", "soon"),
+    ("class/claim-answers", "first_token_ms", "0"),
+    ("class/claim-answers", "first_token_ms", "1.5"),
+    ("class/claim-answers", "repeatable", "maybe"),
+    ("class/claim-answers", "places", "perth a/b"),
+    ("share/swan/claim-answers", "weight", "0"),
+    ("share/swan/claim-answers", "weight", "nan"),
+    ("share/swan/claim-answers", "concurrency", "-1"),
+    ("engine/matching-1", "address", "localhost:80"),
+    ("engine/matching-1", "kind", "router"),
+    ("customer/swan", "key_hashes", "secret"),
+]
+
+
+@pytest.mark.parametrize(("key", "column", "text"), BAD_CELLS)
+def test_bad_cell_is_named_and_nothing_is_taken(rows, key, column, text):
+    rows[key] = {**rows[key], column: text}
+    problems = sheet.load(sheet.export(rows)).failure()
+    assert_that(problems[0].code, Is(Code.ROW_MALFORMED))
+    assert_that(problems[0].sentence(), Contains(column))
+    assert_that(problems[0].source, Contains("line"))
+
+
+BAD_SHEETS = {
+    "wrong header": lambda text: text.replace("tier", "level", 1),
+    "short line": lambda text: text + "class/x,urgent\n",
+    "long line": lambda text: text + text.splitlines()[1] + ",more\n",
+    "row twice": lambda text: text + text.splitlines()[1] + "\n",
+    "unknown kind": lambda text: text + "zone/x" + "," * (len(sheet.HEADER) - 1) + "\n",
+    "share without customer": lambda text: text.replace("customer/swan,", "customer/swam,"),
+    "empty": lambda text: "",
+}
+
+
+@pytest.mark.parametrize("spoil", BAD_SHEETS.values(), ids=BAD_SHEETS)
+def test_malformed_sheet_is_refused_whole(rows, spoil):
+    result = sheet.load(spoil(sheet.export(rows)))
+    assert_that(isinstance(result, Failure), Is(True))
+    assert_that({problem.code for problem in result.failure()}, Equals({Code.ROW_MALFORMED}))
+
+
+def test_racing_edit_of_the_same_row_shows_both_sides(snapshot):
+    key = "share/swan/claim-answers"
+    mine = Edit(key, {**snapshot.rows[key], "weight": "9"}, {**snapshot.rows[key], "weight": "5"})
+    problem = check_edits(snapshot, (mine,)).failure()[0]
+    assert_that(problem.code, Is(Code.VERSION_CONFLICT))
+    assert_that(problem.detail, Contains("weight=1"))
+    assert_that(problem.detail, Contains("weight=9"))
+
+
+def test_key_of_two_customers_is_refused(snapshot):
+    key = "customer/swan"
+    stolen = {**snapshot.rows[key], "key_hashes": snapshot.rows["customer/stirling"]["key_hashes"]}
+    problems = check_edits(snapshot, (Edit(key, snapshot.rows[key], stolen),)).failure()
+    assert_that(problems, HasLength(1))
+
+
+def test_change_follows_its_version_only(snapshot):
+    with pytest.raises(ValueError, match="cannot follow"):
+        apply(snapshot, Change(5, "id", "who", "when", ()))
+
+
+def test_change_survives_its_encoding(snapshot):
+    edits = (Edit("a", None, {"x": "1"}), Edit("b", {"y": "2"}, None))
+    change = Change(4, "id", "who", "when", edits)
+    assert_that(decode_change(encode_change(change)), Equals(change))
+
+
+def test_difference_leads_from_one_table_to_the_other(snapshot, rows):
+    after = {**rows, "class/new": rows["class/claim-answers"]}
+    del after["engine/matching-1"]
+    change = Change(4, "id", "who", "when", difference(snapshot, after))
+    assert_that(change.edits, HasLength(2))
+    assert_that(apply(snapshot, change).rows, Equals(after))
+
+
+def test_places_are_the_intersection(rows):
+    rows["customer/swan"] = {**rows["customer/swan"], "places": "perth-a elsewhere"}
+    table, _ = build(1, rows)
+    claims, swan = table.classes["claim-answers"], table.customers["swan"]
+    places = allowed_places(claims, swan).unwrap()
+    names = [engine.name for engine in allowed_engines(table, claims, places)]
+    assert_that(places, Equals(frozenset({"perth-a"})))
+    assert_that(names, Equals(["matching-1", "matching-4"]))
+
+
+def test_no_common_place_is_refused(rows):
+    rows["customer/swan"] = {**rows["customer/swan"], "places": "elsewhere"}
+    table, _ = build(1, rows)
+    result = allowed_places(table.classes["claim-answers"], table.customers["swan"])
+    assert_that(isinstance(result, Success), Is(False))
+    assert_that(result.failure().code, Is(Code.NO_ALLOWED_PLACE))
