--- a/packages/springbridge-node/springbridge_node/engine_http.py
+++ b/packages/springbridge-node/springbridge_node/engine_http.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import orjson
@@ -13,6 +14,7 @@
 from springbridge.records import Engine
 from springbridge.stream import Chunk
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.netutil import Resolver
 from tornado.simple_httpclient import HTTPTimeoutError
 
 CONNECT_TIMEOUT_S = 1.0
@@ -27,10 +29,23 @@
 DONE = b"[DONE]"
 
 
+class NumericResolver(Resolver):
+    """Resolves IP numbers only, without the thread that a look-up by name takes."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, tuple[str, int]]]:
+        """Return the address as it is."""
+        return [(socket.AF_INET, (host, port))]
+
+
 def make_client() -> AsyncHTTPClient:
     """Return the HTTP client that all adapters of a node share."""
     return AsyncHTTPClient(
-        force_instance=True, max_clients=MAX_CLIENTS, max_body_size=MAX_ANSWER_BYTES
+        force_instance=True,
+        max_clients=MAX_CLIENTS,
+        max_body_size=MAX_ANSWER_BYTES,
+        resolver=NumericResolver(),
     )
 
 
--- a/packages/springbridge-node/springbridge_node/node.py
+++ b/packages/springbridge-node/springbridge_node/node.py
@@ -1,6 +1,7 @@
 """A node: its parts wired together, its tasks, and its planned stop."""
 
 import asyncio
+import itertools
 import random
 import secrets
 import signal
@@ -31,7 +32,6 @@
 from springbridge.ports import InstanceList, SlotSource, TableStore
 from springbridge.records import EngineKind
 from springbridge.slots import ROLE_PREFIX, ScheduledSlots
-from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -75,10 +75,10 @@
 from springbridge_node.settings import Settings, split
 
 LIST_POLL_S = 2.0
-ROLES_POLL_S = 0.1
-RENEW_S = 0.4
-TIDY_S = 5.0
-INVENTORY_S = 1.0
+RENEW_TICKS = int(0.4 / TICK_S)
+GOSSIP_TICKS = int(GOSSIP_INTERVAL_S / TICK_S)
+INVENTORY_TICKS = int(1.0 / TICK_S)
+TIDY_TICKS = int(5.0 / TICK_S)
 LEAVE_MARGIN_S = 0.5
 DRAIN_POLL_S = 0.1
 LINGER_S = 1.0
@@ -114,6 +114,7 @@
         )
         self._wire_requests(metadata)
         self._roles: dict[str, str | None] = {}
+        self._roles_from: tuple[int, tuple[str, ...]] = (0, ())
         self._tasks: list[asyncio.Task] = []
         self._stopping = asyncio.Event()
 
@@ -237,15 +238,23 @@
     # Roles.
 
     def _route(self, engine: str) -> str | None:
-        """Return the incarnation that schedules an engine."""
-        return owner(ROLE_PREFIX + engine, self.membership.incarnations())
+        """Return the incarnation that schedules an engine, as of the last look at the members."""
+        return self._roles.get(engine)
 
     def _check_roles(self) -> None:
         """Move asks and slots when an engine's scheduler has changed."""
-        roles = {name: self._route(name) for name in self.config.table.engines}
+        live = tuple(sorted(self.membership.incarnations()))
+        if (self.config.table.version, live) == self._roles_from:
+            return
+        self._roles_from = (self.config.table.version, live)
+        engines = self.config.table.engines
+        roles = {name: owner(ROLE_PREFIX + name, live) for name in engines}
         if roles != self._roles:
             self._roles = roles
             self.slots.resend()
+
+    def _drop_silent(self) -> None:
+        """Forget what entry nodes that went silent have at the schedulers here."""
         heard = {member.incarnation for member in self.membership.reachable()}
         self.hosts.drop_nodes(lambda node: node not in heard and node != self.incarnation)
 
@@ -340,17 +349,29 @@
         running: list[Awaitable[None]] = [
             self.config.run(),
             _every(LIST_POLL_S, self._read_list),
-            _every(GOSSIP_INTERVAL_S, _as_async(self._gossip)),
-            _every(ROLES_POLL_S, _as_async(self._check_roles)),
-            _every(TICK_S, _as_async(self.hosts.tick)),
-            _every(RENEW_S, _as_async(self.limits.renew_in_use)),
-            _every(INVENTORY_S, _as_async(self._send_inventories)),
-            _every(TIDY_S, _as_async(self._tidy)),
+            self._keep_house(),
         ]
         if self.settings.policy == "least-load":
             running.append(self.load_reports.run())
         self._tasks = [asyncio.ensure_future(one) for one in running]
 
+    async def _keep_house(self) -> None:
+        """Do what is due now and then, all from one timer, since each wake-up costs time."""
+        steps = {
+            self._check_roles: 1,
+            self.hosts.tick: 1,
+            self.limits.renew_in_use: RENEW_TICKS,
+            self._gossip: GOSSIP_TICKS,
+            self._drop_silent: GOSSIP_TICKS,
+            self._send_inventories: INVENTORY_TICKS,
+            self._tidy: TIDY_TICKS,
+        }
+        for tick in itertools.count():
+            for step, every in steps.items():
+                if tick % every == 0:
+                    _guarded(step)
+            await asyncio.sleep(TICK_S)
+
     async def _drain(self) -> None:
         """Leave: tell all peers, take new requests while callers may come, finish what runs."""
         logs.event("node.leaving", instance=self.settings.instance, running=self.services.running)
@@ -384,19 +405,17 @@
         await asyncio.sleep(interval_s)
 
 
-def _as_async(step: Callable[[], None]) -> Callable[[], Awaitable[None]]:
-    """Return a step that does not wait as one that can be awaited."""
-
-    async def stepping() -> None:
+def _guarded(step: Callable[[], None]) -> None:
+    """Take one step; a fault in it is logged and does not end the others."""
+    try:
         step()
-
-    stepping.__name__ = step.__name__
-    return stepping
+    except Exception as exc:
+        logs.fault(exc, step.__name__)
 
 
 def make_node(settings: Settings) -> Node:
     """Return a node with the platform's adapters."""
-    client = AsyncHTTPClient(force_instance=True, max_clients=50)
+    client = make_client()
     store = HttpTableStore(settings.table_address, client, time.time)
     listing = HttpInstanceList(settings.list_address, client)
     return Node(settings, store, listing)
--- a/packages/springbridge-node/springbridge_node/operators_http.py
+++ b/packages/springbridge-node/springbridge_node/operators_http.py
@@ -153,7 +153,9 @@
                 "engines": [
                     {
                         "engine": name,
-                        "limit": round(scheduler.concurrency.limit, 2),
+                        "limits": [
+                            round(limit.limit, 2) for limit in scheduler.limits.tiers.values()
+                        ],
                         "running": len(scheduler.running),
                         "waiting": len(scheduler.queue),
                         "suspect": scheduler.health.suspect,
--- a/packages/springbridge-node/springbridge_node/runner.py
+++ b/packages/springbridge-node/springbridge_node/runner.py
@@ -87,15 +87,25 @@
 
     started_s: float
     first_s: float = 0.0
+    first_tokens: int = 0
     last_s: float = 0.0
     tokens: int = 0
+    sampled_s: float = 0.0
+    sampled_tokens: int = 0
     stalled: bool = False
     preempted: bool = False
 
     def sample(self, ask_id: str) -> Sample:
-        """Return the latencies so far."""
-        first_token_s = self.first_s - self.started_s if self.tokens else 0.0
-        between_s = (self.last_s - self.first_s) / (self.tokens - 1) if self.tokens > 1 else 0.0
+        """Return the latencies since the last sample."""
+        first_token_s = 0.0
+        if self.tokens and not self.sampled_s:
+            first_token_s = self.first_s - self.started_s
+            self.sampled_s = self.first_s
+            self.sampled_tokens = self.first_tokens
+        fresh = self.tokens - self.sampled_tokens
+        between_s = (self.last_s - self.sampled_s) / fresh if fresh else 0.0
+        self.sampled_s = self.last_s
+        self.sampled_tokens = self.tokens
         return Sample(ask_id, first_token_s, between_s, self.tokens)
 
 
@@ -333,6 +343,7 @@
     """Note the arrival of a chunk."""
     if not progress.tokens:
         progress.first_s = now_s
+        progress.first_tokens = chunk.tokens
     progress.last_s = now_s
     progress.tokens += chunk.tokens
 
--- a/packages/springbridge-node/springbridge_node/scheduler_host.py
+++ b/packages/springbridge-node/springbridge_node/scheduler_host.py
@@ -8,7 +8,7 @@
 from springbridge.records import Table
 from springbridge.scheduler import EngineScheduler
 
-TICK_S = 0.05
+TICK_S = 0.1
 
 
 class SchedulerHost:
--- a/packages/springbridge/springbridge/decisions.py
+++ b/packages/springbridge/springbridge/decisions.py
@@ -54,7 +54,13 @@
 
 @dataclass(frozen=True)
 class Sample:
-    """What an entry node sees of a running slot; zero stands for nothing seen yet."""
+    """What an entry node saw of a slot since its last sample; zero stands for nothing new.
+
+    Attributes:
+      first_token_s: Time to the first token, in the sample that first knows it.
+      between_tokens_s: Mean time between tokens since the last sample.
+      tokens: Tokens since the start.
+    """
 
     ask_id: str
     first_token_s: float
--- a/packages/springbridge/springbridge/fair_queue.py
+++ b/packages/springbridge/springbridge/fair_queue.py
@@ -141,6 +141,11 @@
         """Return the asks whose wait has ended."""
         return [entry.ask for entry in self._entries.values() if entry.expires_s <= now_s]
 
+    def is_late(self, tier: Tier, now_s: float) -> bool:
+        """Return whether the next ask of a tier used up LATE_TARGET_SHARE of its target."""
+        entry = self._tiers[tier].peek()
+        return entry is not None and entry.late_s <= now_s
+
     def late(self, now_s: float) -> list[Ask]:
         """Return the asks that used up LATE_TARGET_SHARE of their latency target, urgent first."""
         asks = [entry.ask for entry in self._entries.values() if entry.late_s <= now_s]
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -14,9 +14,9 @@
 from enum import IntEnum
 
 DIGEST_LIMIT = 24
-GOSSIP_INTERVAL_S = 0.3
-GOSSIP_PEERS = 3
-SUSPECT_S = 1.5
+GOSSIP_INTERVAL_S = 0.5
+GOSSIP_PEERS = 2
+SUSPECT_S = 2.5
 FORGET_S = 60.0
 
 
--- a/packages/springbridge/springbridge/scheduler.py
+++ b/packages/springbridge/springbridge/scheduler.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
-from springbridge.concurrency import ConcurrencyLimit
+from springbridge.concurrency import LATE_LIMIT, EngineLimits
 from springbridge.decisions import (
     Ask,
     Decision,
@@ -85,7 +85,7 @@
         self.engine = engine
         self.queue = FairQueue()
         self.running: dict[str, Running] = {}
-        self.concurrency = ConcurrencyLimit()
+        self.limits = EngineLimits()
         self.health = EngineHealth()
         self.share = MinimumShare()
         self._token_capacity = token_capacity
@@ -97,6 +97,7 @@
     def ask(self, ask: Ask) -> list[Decision]:
         """Take in an ask and return what follows from it."""
         now_s = self._clock()
+        self.limits.know_target(ask.tier, ask.request_class, ask.between_s)
         if ask.ask_id in self.running:
             return [self._grant(ask)]
         if ask.ask_id in self.queue:
@@ -185,7 +186,7 @@
         """Return how long a new ask of the tier would wait for a slot."""
         now_s = self._clock()
         suspended_s = max(0.0, self.health.suspended_until_s - now_s)
-        slots = max(1, self.health.slots(now_s, self.concurrency.slots))
+        slots = max(1, self._slots(tier, now_s))
         stopping = sum(run.stopping for run in self.running.values())
         free = slots - self._used_slots() + stopping
         behind = self.queue.load_ahead(tier) + 1 - free
@@ -198,7 +199,7 @@
         wait_s = self._predicted_wait_queued_s(ask)
         too_long = wait_s > ask.max_wait_s
         misses_target = wait_s > PREEMPT_TARGET_SHARE * ask.target_s
-        if too_long or (misses_target and ask.primary):
+        if too_long or (misses_target and ask.primary and self._one_short(ask.tier, now_s)):
             preemption = self._preempt_for(ask)
             if preemption is not None:
                 yield preemption
@@ -206,13 +207,18 @@
         if too_long:
             yield from self._give_up(ask, now_s)
 
+    def _one_short(self, tier: Tier, now_s: float) -> bool:
+        """Return whether one slot less in use would make room for the tier."""
+        stopping = sum(run.stopping for run in self.running.values())
+        return self._used_slots() - stopping <= self._slots(tier, now_s)
+
     def _predicted_wait_queued_s(self, ask: Ask) -> float:
         """Return the predicted wait of an ask that is already counted in the queue."""
         return max(0.0, self.predicted_wait_s(ask.tier) - self._service_share_s(ask))
 
     def _service_share_s(self, ask: Ask) -> float:
         """Return by how much an ask itself lengthens the predicted wait of its tier."""
-        slots = max(1, self.health.slots(self._clock(), self.concurrency.slots))
+        slots = max(1, self._slots(ask.tier, self._clock()))
         return self._service_s.value / slots / ask.fan
 
     def _preempt_for(self, ask: Ask) -> Preemption | None:
@@ -263,7 +269,7 @@
 
     def _ask_under_pressure(self, ask: Ask, now_s: float) -> Decision:
         """Give a lower-tier ask the extra slot or refuse it at once; it may not wait."""
-        suspended = self.health.slots(now_s, self.concurrency.slots) == 0
+        suspended = self._slots(ask.tier, now_s) == 0
         if suspended or not self.share.claim(ask.ask_id, ask.request_class, now_s):
             return self._refuse(ask)
         fixed = replace(ask, preemptible=False)
@@ -284,9 +290,9 @@
     def _grant_free_slots(self, now_s: float) -> Iterator[Grant]:
         """Give free slots to the next asks in order, past tiers whose next ask does not fit."""
         blocked: set[Tier] = set()
-        while self._has_slot(now_s):
+        while True:
             tier = self._next_tier(blocked)
-            if tier is None:
+            if tier is None or not self._has_slot(tier, now_s):
                 return
             if self._fits(self.queue.peek(tier)):
                 yield self._start(self.queue.pop(tier), now_s)
@@ -308,25 +314,41 @@
         return self._grant(ask)
 
     def _grant(self, ask: Ask) -> Grant:
-        used_share = self._used_slots() / self.concurrency.slots
+        used_share = self._used_slots() / max(1, self._slots(ask.tier, self._clock()))
         return Grant(ask.ask_id, ask.node, self._me, used_share)
 
     def _check_last_slot(self) -> None:
         """Assert that work which may not be preempted leaves a slot to the top tier."""
-        holds = self._fixed_below_top() < max(2, self.concurrency.slots)
+        holds = self._fixed_below_top() < self._slots_beside_fixed()
         self._invariants.check(INVARIANT_LAST_SLOT, holds, self.engine)
 
     def _used_slots(self) -> int:
         """Return the slots in use, without the extra one of the minimum share."""
         return len(self.running) - (self.share.holder is not None)
 
-    def _has_slot(self, now_s: float) -> bool:
-        return self._used_slots() < self.health.slots(now_s, self.concurrency.slots)
+    def _slots(self, tier: Tier, now_s: float) -> int:
+        """Return how many slots there are for a tier beside the tiers that run now.
+
+        An engine too slow for a tier has none for it, until an ask has waited so long that late is
+        better than never.
+        """
+        present = {run.ask.tier for run in self.running.values()}
+        slots = self.limits.slots(now_s, present | {tier})
+        if self.queue.is_late(tier, now_s):
+            slots = max(int(LATE_LIMIT), slots)
+        return self.health.slots(now_s, slots)
+
+    def _slots_beside_fixed(self) -> int:
+        """Return the slots of which work that may not be preempted has to leave one."""
+        return max(2, self.limits.slots(self._clock(), set(Tier)))
+
+    def _has_slot(self, tier: Tier, now_s: float) -> bool:
+        return self._used_slots() < self._slots(tier, now_s)
 
     def _fits(self, ask: Ask) -> bool:
         """Return whether the ask fits the engine's memory and leaves the last slot."""
         fixed = not ask.preemptible and ask.tier is not Tier.URGENT
-        if fixed and self._fixed_below_top() + 1 >= max(2, self.concurrency.slots):
+        if fixed and self._fixed_below_top() + 1 >= self._slots_beside_fixed():
             return False
         used = sum(run.tokens for run in self.running.values())
         return not used or used + self._tokens(ask) <= self._token_capacity
@@ -355,14 +377,13 @@
         return self._answer_tokens.setdefault(request_class, RunningQuantile(FIRST_ANSWER_TOKENS))
 
     def _learn_latency(self, running: Running, sample: Sample, now_s: float) -> None:
-        """Adjust the limit to the latencies of one slot."""
-        pressures = []
+        """Adjust the limits to the latencies of one slot."""
+        in_flight = self._used_slots()
         if sample.between_tokens_s:
-            pressures.append(sample.between_tokens_s / running.ask.between_s)
-        if sample.first_token_s and sample.tokens <= 1:
-            pressures.append(sample.first_token_s / running.ask.first_s)
-        if pressures:
-            self.concurrency.learn(now_s, max(pressures), self._used_slots())
+            self.limits.learn_between(now_s, sample.between_tokens_s, in_flight)
+        if sample.first_token_s:
+            pressure = sample.first_token_s / running.ask.first_s
+            self.limits.learn_first(now_s, running.ask.tier, pressure, in_flight)
 
     def _learn_outcome(self, running: Running, release: Release, now_s: float) -> None:
         """Adjust health and estimates to how a slot ended."""
--- a/packages/springbridge/springbridge/slots.py
+++ b/packages/springbridge/springbridge/slots.py
@@ -100,7 +100,7 @@
         self._pending: dict[str, Pending] = {}
         self._schedulers: dict[str, str | None] = {}
         self._held: dict[str, Held] = {}
-        self._used_share: dict[str, float] = {}
+        self._used_share: dict[tuple[str, Tier], float] = {}
 
     async def acquire(self, attempt: Attempt) -> Result[Slot, Problem]:
         """Wait for the first grant, or return the problem that refuses the attempt."""
@@ -179,7 +179,7 @@
             self._return_unused(grant)
             return
         ask = pending.asks.pop(grant.ask_id)
-        self._used_share[ask.engine] = grant.used_share
+        self._used_share[ask.engine, ask.tier] = grant.used_share
         self._schedulers.pop(grant.ask_id, None)
         self._held[grant.ask_id] = Held(ask, grant.scheduler)
         engine = _engine_named(pending.attempt, ask.engine)
@@ -189,7 +189,8 @@
     def _(self, queued: Queued) -> None:
         pending = self._pending.get(queued.ask_id)
         if pending is not None:
-            self._used_share[pending.asks[queued.ask_id].engine] = 1.0
+            ask = pending.asks[queued.ask_id]
+            self._used_share[ask.engine, ask.tier] = 1.0
             self._ask_others(pending)
 
     @_take.register
@@ -200,7 +201,7 @@
         ask = pending.asks.pop(refusal.ask_id)
         self._schedulers.pop(refusal.ask_id, None)
         pending.refusals[ask.engine] = refusal.retry_after_s
-        self._used_share[ask.engine] = 1.0
+        self._used_share[ask.engine, ask.tier] = 1.0
         self._ask_others(pending)
         if pending.asks:
             self._ask_again_later(pending, ask)
@@ -224,13 +225,14 @@
 
     def _choose_first(self, attempt: Attempt) -> Engine:
         """Return the engine to ask first: by affinity while that one has room, else the emptier."""
+        tier = attempt.request.request_class.tier
         names = {engine.name: 1.0 for engine in attempt.engines}
         if attempt.request.affinity:
             best = ranking(attempt.request.affinity, names)[0]
-            if self._used_share.get(best, 0.0) < AFFINITY_BOUND:
+            if self._used_share.get((best, tier), 0.0) < AFFINITY_BOUND:
                 return _engine_named(attempt, best)
         two = self._rng.sample(attempt.engines, min(2, len(attempt.engines)))
-        return min(two, key=lambda engine: self._used_share.get(engine.name, 0.0))
+        return min(two, key=lambda engine: self._used_share.get((engine.name, tier), 0.0))
 
     def _ask_others(self, pending: Pending) -> None:
         """Ask at the engines that were not asked yet: all while few, else a few at a time."""
