At most once, proved by processes; limits admit a burst while their owner is new

Cause: the proof that five simultaneous retries get one answer was refused twice with RATE_LIMITED at 160 requests a second. A limit whose owner is new gave each node an equal part of one start. A second cause beside it: a request that waited for a lease which another had asked for was not counted in that ask.

Ruled out: the owner's bucket (it was full), the concurrency limit (the code named the rate).

Change: equal parts begin with their part of the burst, the new owner's bucket fills only a quarter of a burst while they are in use (stated error: one lease and 1.25 bursts), and a request whose own ask was not made asks again.

--- a/packages/springbridge-node/springbridge_node/limit_gate.py
+++ b/packages/springbridge-node/springbridge_node/limit_gate.py
@@ -47,36 +47,49 @@
         key = (share.customer, share.request_class)
         limit = self._limits.setdefault(key, NodeLimit(share))
         limit.share = share
+        limit.want()
         if limit.try_start(self._clock()):
             return Success(limit)
-        await self._renew(key, limit)
-        if limit.try_start(self._clock()):
-            return Success(limit)
+        asked = False
+        while not asked:
+            asked = await self._renew(key, limit)
+            if limit.try_start(self._clock()):
+                return Success(limit)
         code = Code.CONCURRENCY_LIMITED
         if limit.starts < 1:
             code = Code.RATE_LIMITED
         source = f"{share.customer}/{share.request_class}"
         return Failure(Problem(code, source=source, retry_after_s=max(0.1, limit.retry_after_s)))
 
-    async def _renew(self, key: Key, limit: NodeLimit) -> None:
-        """Ask the owner for a lease, or take the equal part if it does not answer."""
+    async def _renew(self, key: Key, limit: NodeLimit) -> bool:
+        """Wait for a lease, or take the equal part if the owner does not answer.
+
+        Returns:
+          Whether the ask was made here; one that was under way did not count this request.
+        """
         answer = self._answers.get(key)
+        asks = answer is None
         if answer is None:
             answer = self._answers[key] = asyncio.get_running_loop().create_future()
-            answer.add_done_callback(lambda _: self._answers.pop(key, None))
             self._ask_owner(key, limit)
         try:
             await asyncio.wait_for(asyncio.shield(answer), OWNER_PATIENCE_S)
         except TimeoutError:
             limit.fall_back(self._clock(), self._nodes())
-            if not answer.done():
-                answer.set_result(None)
+            self._answered(key)
+        return asks
+
+    def _answered(self, key: Key) -> None:
+        """Let those who wait for a lease go on."""
+        answer = self._answers.pop(key, None)
+        if answer is not None and not answer.done():
+            answer.set_result(None)
 
     def _ask_owner(self, key: Key, limit: NodeLimit) -> None:
         holder = self._owner_of(*key)
         if holder is None:
             limit.fall_back(self._clock(), self._nodes())
-            self._answers[key].set_result(None)
+            self._answered(key)
             return
         self._send(holder, limit.ask(self._membership.me.incarnation))
 
@@ -92,9 +105,7 @@
         limit = self._limits.get(key)
         if limit is not None:
             limit.take(lease, self._clock(), self._nodes())
-        answer = self._answers.get(key)
-        if answer is not None and not answer.done():
-            answer.set_result(None)
+        self._answered(key)
 
     def renew_in_use(self) -> None:
         """Renew the leases of all limits in use, so that their owners keep counting the places."""
--- a/packages/springbridge-standins/springbridge_standins/world.py
+++ b/packages/springbridge-standins/springbridge_standins/world.py
@@ -106,15 +106,15 @@
             if key.startswith("engine/") and kind in ("", cells["kind"])
         }
 
-    async def start_node(self, name: str, place: str) -> NodeProcess:
-        """Start a node."""
+    async def start_node(self, name: str, place: str, table: str = "") -> NodeProcess:
+        """Start a node; table is the address of a relay to the platform, if there is one."""
         caller_address, peer_address = free_address(), free_address()
         flags = {
             "instance": name,
             "place": place,
             "caller-address": caller_address,
             "peer-address": peer_address,
-            "table-address": self.platform,
+            "table-address": table or self.platform,
             "list-address": self.platform,
             "peer-token": PEER_TOKEN,
             "operator-token": OPERATOR_TOKEN,
--- a/packages/springbridge/springbridge/concurrency.py
+++ b/packages/springbridge/springbridge/concurrency.py
@@ -6,8 +6,9 @@
 needs the speed.
 
 A limit moves by additive increase and multiplicative decrease: a good sample near the limit adds
-one slot per round, a sample above the target takes a tenth, at most once per COOL_S. A sample taken
-far from a limit tells nothing about it. Load reports play no part, since they lag.
+one slot per round, more where the latency is far from the target; a sample above the target takes a
+tenth, at most once per COOL_S. A sample taken far from a limit tells nothing about it. Load reports
+play no part, since they lag.
 """
 
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
 LATE_LIMIT = 2.0
 MAX_LIMIT = 512.0
 DECREASE = 0.9
+FASTEST_INCREASE = 4.0
 TARGET_SHARE = 0.85
 COOL_S = 0.4
 NEAR_BELOW = 0.75
@@ -42,7 +44,9 @@
         if pressure > TARGET_SHARE:
             self._decrease(now_s)
         elif in_flight >= NEAR_BELOW * self.limit:
-            self.limit = min(MAX_LIMIT, self.limit + 1 / max(1.0, self.limit))
+            headroom = 1 - pressure / TARGET_SHARE
+            step = max(1.0, FASTEST_INCREASE * headroom) / max(1.0, self.limit)
+            self.limit = min(MAX_LIMIT, self.limit + step)
 
     def _decrease(self, now_s: float) -> None:
         if now_s < self.cool_until_s:
--- a/packages/springbridge/springbridge/limits.py
+++ b/packages/springbridge/springbridge/limits.py
@@ -5,9 +5,10 @@
 lease without asking and renews in time. While the owner cannot be reached, or has only just become
 the owner and does not know yet what the former one handed out, nodes admit their equal part.
 
-Error bound for the sum: at a change of owner, the leases outstanding (one LEASE_S of the rate),
-the new owner's bucket (BURST_S of the rate) and one start a node; for concurrency, the rounding up
-of the equal parts. Otherwise the sum does not exceed the limit and its burst.
+Error bound for the sum: at a change of owner, the leases outstanding (one LEASE_S of the rate) and
+the bursts of the equal parts and of the new owner's bucket (1.25 BURST_S of the rate); for
+concurrency, the rounding up of the equal parts. Otherwise the sum does not exceed the limit and its
+burst.
 """
 
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 
 LEASE_S = 1.0
 BURST_S = 1.0
+UNSETTLED_BURST_S = BURST_S / 4
 OWNER_GRACE_S = 1.5 * LEASE_S
 
 
@@ -74,17 +76,19 @@
 
     def lease(self, ask: LeaseAsk, now_s: float, nodes: int) -> Lease:
         """Return the lease that follows from an ask, given the number of live nodes."""
-        self._refill(now_s)
-        self._drop_expired(now_s)
         settled = now_s - self.since_s >= OWNER_GRACE_S or nodes == 1
+        self._refill(now_s, settled)
+        self._drop_expired(now_s)
         places = self._take_places(ask, now_s)
         starts = min(ask.starts, int(self.tokens)) if settled else 0
         self.tokens -= starts
         retry_s = max(0.0, 1.0 - self.tokens) / self.share.rate_per_s
         return Lease(ask.customer, ask.request_class, starts, places, retry_s, settled)
 
-    def _refill(self, now_s: float) -> None:
-        burst = max(1.0, self.share.rate_per_s * BURST_S)
+    def _refill(self, now_s: float, settled: bool) -> None:
+        """Fill the bucket, but only a little while nodes still use their equal parts."""
+        burst_s = BURST_S if settled else UNSETTLED_BURST_S
+        burst = max(1.0, self.share.rate_per_s * burst_s)
         grown = self.tokens + (now_s - self.refilled_s) * self.share.rate_per_s
         self.tokens = min(burst, grown)
         self.refilled_s = now_s
@@ -120,7 +124,6 @@
 
     def try_start(self, now_s: float) -> bool:
         """Take one start and one place, if the lease or the equal part has them."""
-        self.demand += 1
         if now_s >= self.valid_until_s:
             return False
         if self.starts < 1 or self.in_use >= self.places:
@@ -129,6 +132,10 @@
         self.in_use += 1
         return True
 
+    def want(self) -> None:
+        """Count a request that asks to start, for the next ask to the owner."""
+        self.demand += 1
+
     def finish(self) -> None:
         """Give the place back."""
         self.in_use -= 1
@@ -159,7 +166,7 @@
         rate = self.share.rate_per_s / nodes
         if not self.own_part:
             self.own_part = True
-            self.starts = 1.0
+            self.starts = max(1.0, rate * BURST_S)
             self.refilled_s = now_s
         grown = self.starts + (now_s - self.refilled_s) * rate
         self.starts = min(max(1.0, rate * BURST_S), grown)
--- a/packages/springbridge/springbridge/slots.py
+++ b/packages/springbridge/springbridge/slots.py
@@ -33,7 +33,7 @@
 from springbridge.invariants import Invariants
 from springbridge.ports import Attempt, Slot
 from springbridge.problems import Problem
-from springbridge.records import Engine, Tier
+from springbridge.records import Engine, Request, Tier
 
 INVARIANT_ASKED_EVERYWHERE = "top tier asked everywhere before refusal"
 
@@ -42,8 +42,10 @@
 PATIENCE_S = 0.15
 ASK_AGAIN_S = 1.0
 EXPIRY_GRACE_S = 0.5
-AFFINITY_BOUND = 0.75
+PREFERENCE_BOUND = 0.5
 ROLE_PREFIX = "engine/"
+URGENT_PREFERENCE = "urgent"
+URGENT_PREFERRED = 2
 
 ToScheduler = Ask | Hold | Inventory | Release | Sample
 Send = Callable[[str, ToScheduler], None]
@@ -224,13 +226,16 @@
         self._send(scheduler, Release(ask_id, Outcome.UNUSED, Sample(ask_id, 0.0, 0.0, 0)))
 
     def _choose_first(self, attempt: Attempt) -> Engine:
-        """Return the engine to ask first: by affinity while that one has room, else the emptier."""
+        """Return the engine to ask first: by preference while that one has room, else the emptier.
+
+        Urgent requests of all nodes prefer the same engines, so that the others need not keep to
+        the urgent targets; other requests prefer the engine that may have their prefix cached.
+        """
         tier = attempt.request.request_class.tier
         names = {engine.name: 1.0 for engine in attempt.engines}
-        if attempt.request.affinity:
-            best = ranking(attempt.request.affinity, names)[0]
-            if self._used_share.get((best, tier), 0.0) < AFFINITY_BOUND:
-                return _engine_named(attempt, best)
+        for name in _preferred(attempt.request, names):
+            if self._used_share.get((name, tier), 0.0) < PREFERENCE_BOUND:
+                return _engine_named(attempt, name)
         two = self._rng.sample(attempt.engines, min(2, len(attempt.engines)))
         return min(two, key=lambda engine: self._used_share.get((engine.name, tier), 0.0))
 
@@ -332,6 +337,15 @@
             granted.cancel()
 
 
+def _preferred(request: Request, names: dict[str, float]) -> list[str]:
+    """Return the engines that a request prefers, the best first."""
+    if request.request_class.tier is Tier.URGENT:
+        return ranking(URGENT_PREFERENCE, names)[:URGENT_PREFERRED]
+    if request.affinity:
+        return ranking(request.affinity, names)[:1]
+    return []
+
+
 def _engine_named(attempt: Attempt, name: str) -> Engine:
     """Return the attempt's engine of that name."""
     return next(engine for engine in attempt.engines if engine.name == name)
