Configuration and callers' contract, proved by processes; refusals of unread bodies reach the sender

Cause: a body over the limit was answered and the connection closed while the sender still wrote, so the sender saw a reset in place of code 106 (the test got ECONNRESET). Ruled out: the engine's or the client's limits (the answer was written, then lost by the reset). Change: the answer is written at once, what still comes of the body is discarded for two seconds, then the connection is closed.

--- a/packages/springbridge-node/springbridge_node/callers_http.py
+++ b/packages/springbridge-node/springbridge_node/callers_http.py
@@ -25,8 +25,7 @@
 from springbridge_node.services import Services
 
 CHARS_PER_TOKEN = 4
-LEAVING_RETRY_S = 0.5
-NOT_FRESH_RETRY_S = 1.0
+DISCARD_S = 2.0
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
 
@@ -50,6 +49,10 @@
 
     def refuse(self, problem: Problem) -> None:
         """Answer with a problem, at once."""
+        self.finish(self.prepare_refusal(problem))
+
+    def prepare_refusal(self, problem: Problem) -> bytes:
+        """Set status and headers for a problem and return the body."""
         self.node.metrics.incr(f"answers.{problem.code.name}")
         self.set_status(problem.info.http_status)
         self.set_header("Content-Type", JSON)
@@ -58,7 +61,7 @@
         body: dict[str, object] = {"error": describe(problem)}
         if problem.code in (Code.NODE_LEAVING, Code.WRONG_PLACE, Code.CONFIG_NOT_FRESH):
             body["addresses"] = [member.caller_address for member in self.node.other_live()]
-        self.finish(orjson.dumps(body))
+        return orjson.dumps(body)
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answer a fault of this program, or a path that does not exist, without a traceback."""
@@ -152,9 +155,9 @@
 
     def prepare(self) -> None:
         """Refuse what need not be read, and give the sender a time for the rest."""
-        self.request.connection.set_max_body_size(self.node.settings.max_body_bytes)
         self.arrived_s = self.node.clock()
         self.body = bytearray()
+        self.refused = False
         self.task: asyncio.Task | None = None
         self.repeatable = False
         self.admitted: Admitted | None = None
@@ -188,19 +191,31 @@
         return None
 
     def _refuse_unread(self, problem: Problem) -> None:
-        """Answer and close, since the rest of the body is not wanted."""
+        """Answer at once, discard what still comes of the body for a moment, then close.
+
+        Closing at once would reset the connection under a sender that has not read the answer.
+        """
         self._timer.cancel()
+        self.refused = True
         self.set_header("Connection", "close")
-        self.refuse(problem)
+        body = self.prepare_refusal(problem)
+        self.set_header("Content-Length", str(len(body)))
+        self.write(body)
+        self.flush()
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self._end_refusal)
+
+    def _end_refusal(self) -> None:
+        if not self._finished:
+            self.finish()
 
     def _too_slow(self) -> None:
         """Refuse a sender that does not finish its body in time."""
-        if not self._finished:
+        if not self.refused:
             self._refuse_unread(Problem(Code.SENDER_TOO_SLOW))
 
     def data_received(self, chunk: bytes) -> None:
         """Take in a piece of the body."""
-        if self._finished:
+        if self.refused:
             return
         self.body += chunk
         if len(self.body) > self.node.settings.max_body_bytes:
@@ -215,7 +230,8 @@
     async def post(self, *path: str) -> None:
         """Run the request."""
         self._timer.cancel()
-        if self._finished or self.admitted is None:
+        if self.refused or self.admitted is None:
+            self._end_refusal()
             return
         match await self.node.limits.start(self.admitted.share):
             case Failure(problem):
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/configuration_test.py
@@ -0,0 +1,192 @@
+"""Proofs by processes: an accepted change is in force everywhere and never falls back."""
+
+import asyncio
+
+import orjson
+import pytest
+from springbridge.changes import Edit
+from springbridge.codes import Code
+from springbridge_standins.caller import until
+from springbridge_standins.relay import running_relay
+from springbridge_standins.world import OPERATOR_TOKEN, free_address
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is
+from tornado.httpclient import HTTPRequest
+
+from springbridge_node.conftest import call_of
+
+ROW = "share/perth-airport/claim-answers"
+OTHER_ROW = "share/swan/claim-answers"
+
+
+async def audit(world):
+    """Return the audit trail."""
+    node = next(node for node in world.nodes.values() if node.running)
+    url = f"http://{node.caller_address}/operator/audit"
+    request = HTTPRequest(url, headers={"Springbridge-Operator-Token": OPERATOR_TOKEN})
+    response = await world.client.fetch(request)
+    return orjson.loads(response.body)["changes"]
+
+
+def weight_edit(world, row, before, after):
+    cells = world.rows[row]
+    return Edit(row, {**cells, "weight": before}, {**cells, "weight": after})
+
+
+async def serves(world, name):
+    """Return the code with which a node answers a request."""
+    node = world.nodes[name]
+    call = call_of("item-descriptions", 8)
+    return (await world.caller.send(node.caller_address, call)).code
+
+
+async def becomes(world, name, code):
+    """Wait until a node answers with a code."""
+
+    async def does():
+        return await serves(world, name) is code
+
+    return await until(does, 30.0, 0.2)
+
+
+def test_racing_operators(run, world):
+    """Many edits of two rows through three nodes at once: one row of audit for each accepted."""
+
+    async def scenario():
+        nodes = list(world.nodes.values())
+        edits = [
+            (row, f"race-{row[6]}-{number}", nodes[number % 3])
+            for number in range(6)
+            for row in (ROW, OTHER_ROW)
+        ]
+        before = {row: world.rows[row]["weight"] for row in (ROW, OTHER_ROW)}
+        results = await asyncio.gather(
+            *(
+                world.edit(node, name, [weight_edit(world, row, before[row], f"{2 + index}")])
+                for index, (row, name, node) in enumerate(edits)
+            )
+        )
+        accepted = [version for version in results if version > 0]
+        refused = {Code(-version) for version in results if version < 0}
+        trail = await audit(world)
+        assert_that(len(accepted), Equals(2))
+        assert_that(refused, Equals({Code.VERSION_CONFLICT}))
+        assert_that([change["version"] for change in trail], Equals([1, 2, 3]))
+        assert_that(await world.ready(nodes, 3), Is(True))
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("fault", ["lose_replies", "late_writes"])
+def test_write_applied_but_reply_lost(run, world, fault):
+    """The change is settled by reading back: accepted once, with one row of audit."""
+
+    async def scenario():
+        await world.fault(world.platform, **{fault: 1})
+        edit = weight_edit(world, ROW, world.rows[ROW]["weight"], "5")
+        node = world.nodes["node-1"]
+        version = await world.edit(node, "lost", [edit])
+        if version < 0:
+            assert_that(Code(-version), Is(Code.EDIT_UNKNOWN))
+
+            async def settled():
+                return await world.edit(node, "lost", [edit]) == 2
+
+            assert_that(await until(settled, 20.0), Is(True))
+        again = await world.edit(world.nodes["node-2"], "lost", [edit])
+        trail = await audit(world)
+        assert_that(again, Equals(2))
+        assert_that([change["change_id"] for change in trail], Equals(["import", "lost"]))
+        assert_that(trail[1]["who"], Equals("world"))
+        assert_that(trail[1]["edits"][0]["after"]["weight"], Equals("5"))
+
+    run(scenario())
+
+
+def test_table_out_for_all(run, world):
+    """All nodes go on, no change is accepted, and a new node gets the table from its peers."""
+
+    async def scenario():
+        await world.fault(world.platform, out=True)
+        edit = weight_edit(world, ROW, world.rows[ROW]["weight"], "5")
+        refused = await world.edit(world.nodes["node-1"], "in-outage", [edit])
+        await asyncio.sleep(5.0)
+        await world.start_node("node-4", "perth-a")
+        assert_that(await becomes(world, "node-4", Code.OK), Is(True))
+        codes = [await serves(world, name) for name in world.nodes]
+        assert_that(refused < 0, Is(True))
+        assert_that(codes, Equals([Code.OK] * 4))
+        await world.fault(world.platform, out=False)
+        state = await world.status(world.nodes["node-4"])
+        assert_that(state["version"], Equals(1))
+
+    run(scenario())
+
+
+def test_node_cut_off_from_the_table_learns_from_its_peers(run, world):
+    async def scenario():
+        address = free_address()
+        async with running_relay(address, world.platform) as relay:
+            node = await world.start_node("node-4", "perth-a", table=address)
+            assert_that(await becomes(world, "node-4", Code.OK), Is(True))
+            relay.cut()
+            edit = weight_edit(world, ROW, world.rows[ROW]["weight"], "5")
+            version = await world.edit(world.nodes["node-1"], "past-the-cut", [edit])
+            assert_that(version, Equals(2))
+            assert_that(await world.ready([node], version), Is(True))
+            await asyncio.sleep(4.0)
+            assert_that(await serves(world, "node-4"), Is(Code.OK))
+
+    run(scenario())
+
+
+def test_node_cut_off_from_table_and_peers_stops_serving(run, world):
+    """With every peer frozen and the table cut, freshness can be confirmed with nobody."""
+
+    async def scenario():
+        address = free_address()
+        async with running_relay(address, world.platform) as relay:
+            await world.start_node("node-4", "perth-a", table=address)
+            assert_that(await becomes(world, "node-4", Code.OK), Is(True))
+            relay.cut()
+            others = [node for name, node in world.nodes.items() if name != "node-4"]
+            for node in others:
+                world.freeze(node)
+            assert_that(await becomes(world, "node-4", Code.CONFIG_NOT_FRESH), Is(True))
+            for node in others:
+                world.thaw(node)
+            relay.mend()
+            assert_that(await becomes(world, "node-4", Code.OK), Is(True))
+
+    run(scenario())
+
+
+def test_frozen_node_does_not_serve_an_old_version_on_waking(run, world):
+    async def scenario():
+        node = world.nodes["node-3"]
+        world.freeze(node)
+        edit = weight_edit(world, ROW, world.rows[ROW]["weight"], "5")
+        version = await world.edit(world.nodes["node-1"], "while-frozen", [edit])
+        await asyncio.sleep(4.0)
+        world.thaw(node)
+        code = await serves(world, "node-3")
+        state = await world.status(node)
+        served_old = code is Code.OK and state["version"] < version
+        assert_that(served_old, Is(False))
+        assert_that(await world.ready([node], version), Is(True))
+
+    run(scenario())
+
+
+def test_version_survives_the_restart_of_all_nodes(run, world):
+    async def scenario():
+        edit = weight_edit(world, ROW, world.rows[ROW]["weight"], "5")
+        version = await world.edit(world.nodes["node-1"], "before-restart", [edit])
+        for node in list(world.nodes.values()):
+            await world.kill(node)
+        world.nodes.clear()
+        nodes = [await world.start_node(f"new-{n}", "perth-a") for n in range(3)]
+        assert_that(version, GreaterThan(1))
+        assert_that(await world.ready(nodes, version), Is(True))
+
+    run(scenario())
--- a/packages/springbridge-node/springbridge_node/node.py
+++ b/packages/springbridge-node/springbridge_node/node.py
@@ -82,6 +82,7 @@
 LEAVE_MARGIN_S = 0.5
 DRAIN_POLL_S = 0.1
 LINGER_S = 1.0
+LARGEST_DISCARDED_BYTES = 1 << 30
 
 
 class Node:
@@ -339,7 +340,7 @@
             default_handler_args=node,
             log_function=lambda handler: None,
         )
-        server = HTTPServer(application, max_body_size=self.settings.max_body_bytes)
+        server = HTTPServer(application, max_body_size=LARGEST_DISCARDED_BYTES)
         host, port = split(self.settings.caller_address)
         server.listen(port, host)
         return server
