--- /dev/null
+++ b/examples/embedding.py
@@ -0,0 +1,98 @@
+"""Embeds the library without the daemon: membership, scheduling and limits in one small program.
+
+Three nodes find each other, agree without a message on who schedules an engine, and admit requests
+under a limit that holds for their sum. The messages are plain records, so any transport can carry
+them; here they are handed over directly.
+"""
+
+import random
+
+from springbridge.decisions import Ask, Grant
+from springbridge.hashing import owner
+from springbridge.invariants import Invariants
+from springbridge.limits import LimitOwner, NodeLimit
+from springbridge.membership import Member, Membership
+from springbridge.records import Share, Tier
+from springbridge.scheduler import EngineScheduler
+
+NAMES = ["alpha", "beta", "gamma"]
+SHARE = Share("library", "questions", weight=1.0, rate_per_s=10.0, concurrency=4)
+
+
+class Clock:
+    """A clock that the example moves by hand."""
+
+    now_s = 0.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+
+def meet(clock: Clock) -> list[Membership]:
+    """Let three nodes exchange what they know."""
+    views = []
+    for name in NAMES:
+        me = Member(name, name, f"{name}:1", f"{name}:2", "place-a")
+        views.append(Membership(me, clock, random.Random(1)))
+    for view in views:
+        view.beat(config_version=1, confirmed_ago_s=0.0, table_out=False)
+    for view in views:
+        view.merge(other.me for other in views)
+    return views
+
+
+def schedule(clock: Clock, scheduler_node: str) -> list[str]:
+    """Ask for three slots and return the asks that were granted at once."""
+    scheduler = EngineScheduler(scheduler_node, "engine-1", 10_000, clock, Invariants())
+    granted = []
+    for number in range(3):
+        ask = Ask(
+            ask_id=f"ask-{number}",
+            node="alpha",
+            engine="engine-1",
+            request_class="questions",
+            customer="library",
+            tier=Tier.URGENT,
+            weight=1.0,
+            fan=1,
+            max_wait_s=5.0,
+            target_s=1.0,
+            first_s=1.0,
+            between_s=0.065,
+            prompt_tokens=100,
+            primary=True,
+            preemptible=False,
+        )
+        decisions = scheduler.ask(ask)
+        granted += [decision.ask_id for decision in decisions if isinstance(decision, Grant)]
+    return granted
+
+
+def admit(clock: Clock, count: int) -> int:
+    """Offer some requests at one node and return how many the limit admits."""
+    limits, limit = LimitOwner(clock), NodeLimit(SHARE)
+    admitted = 0
+    for _ in range(count):
+        limit.want()
+        if not limit.try_start(clock()):
+            limit.take(limits.lease(limit.ask("alpha"), SHARE, nodes=1), clock(), nodes=1)
+            if not limit.try_start(clock()):
+                continue
+        admitted += 1
+    return admitted
+
+
+def main() -> None:
+    """Run the example."""
+    clock = Clock()
+    views = meet(clock)
+    owners = {owner("engine/engine-1", view.incarnations()) for view in views}
+    print("scheduler of engine-1, as each node works it out:", owners)
+    print("granted at once:", schedule(clock, owners.pop()))
+    clock.now_s += 1.0
+    print("admitted of 10 at a time:", admit(clock, 10))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/springbridge-node/springbridge_node/admission.py
+++ b/packages/springbridge-node/springbridge_node/admission.py
@@ -70,12 +70,8 @@
     return Success((request_class, share))
 
 
-def admit(table: Table, place: str, headers: Mapping[str, str]) -> Result[Admitted, Problem]:
-    """Check a request's headers.
-
-    Args:
-      place: Failure domain of this node, which must be one that may handle the data.
-    """
+def admit(table: Table, headers: Mapping[str, str]) -> Result[Admitted, Problem]:
+    """Check a request's headers; whether this node's place is allowed is for the caller."""
     match identify(table, headers):
         case Failure(problem):
             return Failure(problem)
@@ -89,8 +85,6 @@
     match allowed_places(request_class, customer):
         case Failure(problem):
             return Failure(problem)
-        case Success(places) if place not in places:
-            return Failure(Problem(Code.WRONG_PLACE, source=place))
         case Success(places):
             pass
     return _read_options(headers, customer, request_class, share, places)
--- a/packages/springbridge-node/springbridge_node/callers_http.py
+++ b/packages/springbridge-node/springbridge_node/callers_http.py
@@ -166,25 +166,38 @@
         )
         problem = self._problem_before_body()
         if problem is not None:
-            self._refuse_unread(problem)
+            self._refuse_unread(self.promised(problem))
 
     def _problem_before_body(self) -> Problem | None:
         """Return why the request is refused unread, if it is."""
-        closed = self.node.closed()
-        if closed is not None:
-            return closed
         if self.request.method != "POST":
             return Problem(Code.UNKNOWN_PATH, "use POST", self.request.path[:100])
         length = self.request.headers.get("Content-Length", "0")
         if length.isdecimal() and int(length) > self.node.settings.max_body_bytes:
             limit = self.node.settings.max_body_bytes
             return Problem(Code.BODY_TOO_LARGE, f"at most {limit} bytes")
-        match admit(self.node.config.table, self.node.settings.place, self.request.headers):
+        match admit(self.node.config.table, self.request.headers):
+            case Failure(problem) if self.node.config.table.version == 0:
+                return self.node.closed() or problem
             case Failure(problem):
                 return problem
             case Success(admitted):
                 self.admitted = admitted
-        return self._wrong_kind(admitted)
+        return self._wrong_place(admitted) or self._wrong_kind(admitted) or self.node.closed()
+
+    def _wrong_place(self, admitted: Admitted) -> Problem | None:
+        """Return a problem where this node stands in a place that may not handle the data."""
+        place = self.node.settings.place
+        if place in admitted.places:
+            return None
+        return Problem(Code.WRONG_PLACE, source=place)
+
+    def promised(self, problem: Problem) -> Problem:
+        """Return what may be told of a request that is refused without being run here."""
+        if self.admitted is None:
+            return problem
+        owner = self.admitted.owner
+        return self.node.home.promised(self.admitted.request_id, owner, problem)
 
     def _wrong_kind(self, admitted: Admitted) -> Problem | None:
         """Return a problem where the class is for another kind of target."""
@@ -211,7 +224,7 @@
     def _too_slow(self) -> None:
         """Refuse a sender that does not finish its body in time."""
         if not self.refused:
-            self._refuse_unread(Problem(Code.SENDER_TOO_SLOW))
+            self._refuse_unread(self.promised(Problem(Code.SENDER_TOO_SLOW)))
 
     def data_received(self, chunk: bytes) -> None:
         """Take in a piece of the body."""
@@ -219,7 +232,7 @@
             return
         self.body += chunk
         if len(self.body) > self.node.settings.max_body_bytes:
-            self._refuse_unread(Problem(Code.BODY_TOO_LARGE))
+            self._refuse_unread(self.promised(Problem(Code.BODY_TOO_LARGE)))
 
     def on_connection_close(self) -> None:
         """Stop work whose caller is gone, if it may be repeated."""
@@ -235,7 +248,7 @@
             return
         match await self.node.limits.start(self.admitted.share):
             case Failure(problem):
-                self.refuse(problem)
+                self.refuse(self.promised(problem))
             case Success(limit):
                 with finishing(limit), self.node.in_flight():
                     await self._run(self.admitted)
@@ -268,7 +281,8 @@
                 case Success(answer):
                     return answer
         answer = Answer(request_id.text)
-        self.task = asyncio.create_task(self.node.runner.run(work, answer))
+        running = self.node.home.run_repeatable(work, request_id, admitted.owner, answer)
+        self.task = asyncio.create_task(running)
         return answer
 
     def _own_id(self) -> RequestId:
@@ -306,7 +320,7 @@
     async def _run(self, admitted: Admitted) -> None:
         call = read_chat(bytes(self.body))
         if isinstance(call, Problem):
-            self.refuse(call)
+            self.refuse(self.promised(call))
             return
         answer = self.start(admitted, call.prompt_tokens, "")
         if isinstance(answer, Problem):
--- a/packages/springbridge-node/springbridge_node/config_sync.py
+++ b/packages/springbridge-node/springbridge_node/config_sync.py
@@ -15,7 +15,7 @@
 from springbridge.membership import Membership
 from springbridge.ports import TableStore
 from springbridge.records import Table
-from springbridge.rows import build
+from springbridge.rows import build, updated
 
 from springbridge_node import logs
 from springbridge_node.messages import ConfigDelta, ConfigPull, Message
@@ -23,6 +23,7 @@
 INVARIANT_VERSION_GROWS = "table version only grows"
 POLL_S = 1.0
 CHANGES_KEPT = 200
+NEVER_S = -1e9
 
 
 class ConfigSync:
@@ -77,29 +78,34 @@
                     return
         match await self._store.snapshot():
             case Success(snapshot):
-                self.put_in_force(snapshot)
+                self.put_snapshot(snapshot)
 
     def apply_changes(self, changes: list[Change]) -> None:
         """Apply changes that follow the version in force; others are left out."""
-        snapshot = self.snapshot
         for change in changes:
-            if change.version == snapshot.version + 1:
-                snapshot = apply(snapshot, change)
+            if change.version == self.snapshot.version + 1:
+                rows = {edit.key: edit.after for edit in change.edits}
+                table = updated(self.table, change.version, rows)
+                self._put_in_force(apply(self.snapshot, change), table)
                 self._recent.append(change)
         self._recent = self._recent[-CHANGES_KEPT:]
-        if snapshot is not self.snapshot:
-            self.put_in_force(snapshot)
 
-    def put_in_force(self, snapshot: Snapshot) -> None:
+    def put_snapshot(self, snapshot: Snapshot) -> None:
         """Put a newer snapshot in force; an older one is left out."""
-        if snapshot.version <= self.snapshot.version:
-            return
-        before = self.table.version
+        if snapshot.version > self.snapshot.version:
+            table, problems = build(snapshot.version, snapshot.rows)
+            self._put_in_force(snapshot, table)
+            for problem in problems:
+                logs.event("table.row_left_out", row=problem.source)
+
+    def _put_in_force(self, snapshot: Snapshot, table: Table) -> None:
+        """Put a newer table in force."""
+        newer = table.version > self.table.version
+        self._invariants.check(INVARIANT_VERSION_GROWS, newer)
         self.snapshot = snapshot
-        self.table, problems = build(snapshot.version, snapshot.rows)
-        self._invariants.check(INVARIANT_VERSION_GROWS, self.table.version > before)
-        self.confirmation.confirmed(snapshot.version, -1e9)
-        logs.event("table.in_force", version=snapshot.version, left_out=len(problems))
+        self.table = table
+        self.confirmation.confirmed(snapshot.version, NEVER_S)
+        logs.event("table.in_force", version=snapshot.version)
 
     def may_serve(self) -> bool:
         """Return whether this node may serve under the table that it holds."""
@@ -134,5 +140,5 @@
     def take_delta(self, delta: ConfigDelta) -> None:
         """Apply what a peer sent."""
         if delta.snapshot:
-            self.put_in_force(Snapshot(**orjson.loads(delta.snapshot)))
+            self.put_snapshot(Snapshot(**orjson.loads(delta.snapshot)))
         self.apply_changes([decode_change(data) for data in delta.changes])
--- a/packages/springbridge-node/springbridge_node/editing.py
+++ b/packages/springbridge-node/springbridge_node/editing.py
@@ -5,7 +5,7 @@
 from datetime import UTC, datetime
 
 from returns.result import Failure, Result, Success
-from springbridge.changes import Change, Edit, Snapshot, apply, check_edits
+from springbridge.changes import Change, Edit, Snapshot, check_edits
 from springbridge.codes import Code
 from springbridge.membership import Membership
 from springbridge.ports import OrderKind, OrderLease, TableStore
@@ -18,6 +18,7 @@
 
 COMMIT_TRIES = 5
 LEASE_MARGIN_S = 5.0
+OUTAGE_RETRY_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -76,11 +77,10 @@
                 return Success(done.version)
             case Failure(problem):
                 return Failure([problem])
-        match await self._store.snapshot():
-            case Failure(problem):
-                return Failure([problem])
-            case Success(snapshot):
-                pass
+        await self._config.refresh()
+        if self._config.confirmation.table_out:
+            return Failure([Problem(Code.TABLE_UNAVAILABLE, retry_after_s=OUTAGE_RETRY_S)])
+        snapshot = self._config.snapshot
         if request.strict and snapshot.version != request.base_version:
             return Failure([_moved_on(request.base_version, snapshot)])
         match check_edits(snapshot, request.edits):
@@ -102,7 +102,7 @@
             case Success(Change() as written):
                 change = written
         if change.version == before.version + 1:
-            self._config.put_in_force(apply(before, change))
+            self._config.apply_changes([change])
         else:
             await self._config.refresh()
         logs.event("table.accepted", version=change.version, who=change.who)
--- a/packages/springbridge-node/springbridge_node/home.py
+++ b/packages/springbridge-node/springbridge_node/home.py
@@ -60,6 +60,19 @@
         self._numbers = itertools.count(1)
         self.tasks: set[asyncio.Task] = set()
 
+    def promised(self, request_id: RequestId | None, owner: str, problem: Problem) -> Problem:
+        """Return the problem with which a request may be refused without being run here.
+
+        Only the home of an id can promise that the request was not run, and it then keeps the
+        promise by refusing the id for ever. Any other node says that it does not know.
+        """
+        if request_id is None or not problem.not_run:
+            return problem
+        at_home = request_id.home == self._membership.me.incarnation
+        if at_home and self._bindings.refuse(request_id, owner):
+            return problem
+        return unknown_because(problem)
+
     def serve(self, work: Work, request_id: RequestId, owner: str) -> Result[Answer, Problem]:
         """Return the one answer of a request; its work goes on when the caller goes away."""
         match self._bindings.admit(request_id, owner):
@@ -79,6 +92,7 @@
             return Failure(Problem(Code.REFUSED_BEFORE))
         if record.stage is Stage.FINISHED:
             return Failure(record.problem or Problem(Code.ANSWER_NOT_KEPT))
+        record.fresh = False
         answer = Answer(request_id.text)
         self._answers.keep(answer)
         task = asyncio.create_task(self._work(record, work, request_id, owner, answer))
@@ -108,6 +122,24 @@
                 self._bindings.finish(request_id.text, problem)
                 answer.end(problem)
 
+    async def run_repeatable(
+        self, work: Work, request_id: RequestId, owner: str, answer: Answer
+    ) -> None:
+        """Run a repeatable request whose caller named it; the id is for its promises only."""
+        if request_id.home != self._membership.me.incarnation:
+            await self._runner.run(work, answer, unknown_because)
+            return
+        match self._bindings.open_repeatable(request_id, owner):
+            case Failure(problem):
+                answer.end(problem)
+                return
+
+        def settled(problem: Problem | None) -> Problem | None:
+            stands = self._bindings.close_repeatable(request_id.text, problem)
+            return problem if stands else unknown_because(problem)
+
+        await self._runner.run(work, answer, settled)
+
     async def _find_home(
         self, record: Record, request_id: RequestId, owner: str
     ) -> Result[str, Problem]:
@@ -117,7 +149,9 @@
         if not home:
             match await self._store.claim(request_id.text, me):
                 case Failure(problem):
-                    return Failure(problem)
+                    detail = "the table, which tells who runs it, does not answer"
+                    unknown = Problem(Code.OUTCOME_UNKNOWN, detail, "", problem.retry_after_s)
+                    return Failure(unknown)
                 case Success(claimed):
                     home = claimed
         for _ in range(MOST_MOVES):
@@ -209,6 +243,14 @@
         return UNKNOWN
 
 
+def unknown_because(problem: Problem | None) -> Problem | None:
+    """Return what a node tells that cannot say whether a request it refused has run."""
+    if problem is None or not problem.not_run:
+        return problem
+    detail = f"refused here ({problem.code.name}), and it may have run under this id"
+    return Problem(Code.OUTCOME_UNKNOWN, detail, "", problem.retry_after_s)
+
+
 def _home_from(reply: HandOverReply, home: str) -> Result[str, Problem]:
     """Return the home that has the answer, or the problem that its reply stands for."""
     if reply.stage == Stage.REFUSED:
--- a/packages/springbridge-node/springbridge_node/logs.py
+++ b/packages/springbridge-node/springbridge_node/logs.py
@@ -1,5 +1,6 @@
 """Structured logs on standard output by eliot; never a prompt or an answer."""
 
+import logging
 import sys
 import traceback
 from pathlib import Path
@@ -8,9 +9,19 @@
 from springbridge.codes import Code
 
 
+class LibraryHandler(logging.Handler):
+    """Logs what libraries report by logger, level and kind, never by text."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one report."""
+        kind = record.exc_info[0].__name__ if record.exc_info and record.exc_info[0] else ""
+        event("library", logger=record.name, level=record.levelname, kind=kind)
+
+
 def start(instance: str, incarnation: str) -> None:
     """Send all log messages to standard output as JSON lines."""
     to_file(sys.stdout)
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
     event("node.start", instance=instance, incarnation=incarnation)
 
 
--- a/packages/springbridge-node/springbridge_node/runner.py
+++ b/packages/springbridge-node/springbridge_node/runner.py
@@ -126,8 +126,17 @@
         self._clock = clock
         self._budget = RetryBudget()
 
-    async def run(self, work: Work, answer: Answer) -> None:
-        """Run a request into its answer; the answer always ends."""
+    async def run(
+        self,
+        work: Work,
+        answer: Answer,
+        settle: Callable[[Problem | None], Problem | None] = lambda problem: problem,
+    ) -> None:
+        """Run a request into its answer; the answer always ends.
+
+        Args:
+          settle: Returns what may be told of the problem with which the request ended.
+        """
         self._budget.fresh()
         problem: Problem | None = Problem(Code.INTERNAL)
         try:
@@ -135,7 +144,7 @@
         finally:
             if work.bound:
                 self._bindings.finish(work.request.request_id, problem)
-            answer.end(problem)
+            answer.end(settle(problem))
 
     async def _attempts(self, work: Work, answer: Answer) -> Problem | None:
         """Try until the answer is whole or the request has to be given up."""
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/mutants.py
@@ -0,0 +1,279 @@
+"""Shows that proofs fail without their mechanism: ``make mutants``.
+
+Each mutant is a copy of the packages with one mechanism taken out; the named test has to fail
+there. Nothing in the checkout is changed.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+ROOT = Path(__file__).parents[3]
+LIBRARY = "packages/springbridge/springbridge"
+NODE = "packages/springbridge-node/springbridge_node"
+TIMEOUT_S = 300.0
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One mechanism taken out.
+
+    Attributes:
+      name: The mechanism.
+      module: File that holds it.
+      old: Text that is replaced.
+      new: What takes its place.
+      tests: File and name of the tests that have to fail.
+    """
+
+    name: str
+    module: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTANTS = (
+    Mutant(
+        "check before dispatch",
+        f"{LIBRARY}/binding.py",
+        "if record.stage is not Stage.WAITING:\n            return Failure(record.problem",
+        "if False:\n            return Failure(record.problem",
+        f"{LIBRARY}/binding_test.py::test_dispatch_happens_once",
+    ),
+    Mutant(
+        "one home for a request",
+        f"{NODE}/home.py",
+        "        home = record.moved_to or request_id.home\n",
+        "        home = me\n",
+        f"{NODE}/at_most_once_test.py::test_two_nodes_at_the_same_time",
+    ),
+    Mutant(
+        "no second sending of what is not repeatable",
+        f"{NODE}/runner.py",
+        "if not work.request.repeatable:\n            return Problem(Code.OUTCOME_UNKNOWN",
+        "if False:\n            return Problem(Code.OUTCOME_UNKNOWN",
+        f"{NODE}/at_most_once_test.py::test_service_reply_lost",
+    ),
+    Mutant(
+        "resume by id after the home is lost",
+        f"{NODE}/home.py",
+        "if engine.kind is not EngineKind.MODEL:",
+        "if True:",
+        f"{NODE}/at_most_once_test.py::test_home_lost_during_a_model_request",
+    ),
+    Mutant(
+        "only the home promises not run",
+        f"{NODE}/home.py",
+        "        return unknown_because(problem)\n\n    def serve",
+        "        return problem\n\n    def serve",
+        f"{NODE}/at_most_once_test.py::test_node_that_refuses_a_retry_does_not_say_that_it_was_not_run",
+    ),
+    Mutant(
+        "a refused id stays refused",
+        f"{NODE}/home.py",
+        "if at_home and self._bindings.refuse(request_id, owner):",
+        "if at_home:",
+        f"{NODE}/at_most_once_test.py::test_id_refused_by_a_limit_stays_refused",
+    ),
+    Mutant(
+        "chunks checked by id and offset",
+        f"{LIBRARY}/stream.py",
+        "        if chunk.offset != self.offset:",
+        "        if False:",
+        f"{NODE}/callers_test.py::test_spoiled_streams_never_make_a_success_that_is_not_whole",
+    ),
+    Mutant(
+        "end marker needed",
+        f"{LIBRARY}/stream.py",
+        "        if self.ended:\n            return Success(None)",
+        "        if True:\n            return Success(None)",
+        f"{LIBRARY}/binding_test.py::test_only_whole_answers_pass",
+    ),
+    Mutant(
+        "lower tiers refused before the top tier",
+        f"{LIBRARY}/scheduler.py",
+        "            yield from self._refuse_below(Tier.URGENT)\n",
+        "",
+        f"{LIBRARY}/scheduler_test.py::test_lower_tiers_make_way_before_the_top_tier_is_refused",
+    ),
+    Mutant(
+        "preemption",
+        f"{LIBRARY}/scheduler.py",
+        "        if not victims:\n            return None",
+        "        if True:\n            return None",
+        f"{LIBRARY}/scheduler_test.py::test_urgent_ask_preempts_the_lowest_tier",
+    ),
+    Mutant(
+        "minimum share of grants",
+        f"{LIBRARY}/fair_queue.py",
+        "MIN_SHARE_GRANTS = 20",
+        "MIN_SHARE_GRANTS = 10**4",
+        f"{LIBRARY}/fair_queue_test.py::test_higher_tier_goes_first_but_for_the_minimum_share",
+    ),
+    Mutant(
+        "extra slot under top-tier overload",
+        f"{LIBRARY}/minimum_share.py",
+        "        self.holder = ask_id\n",
+        "        return False\n",
+        f"{LIBRARY}/scheduler_test.py::test_extra_slot_goes_to_the_class_that_lacked_it_longest",
+    ),
+    Mutant(
+        "last slot stays preemptible",
+        f"{LIBRARY}/scheduler.py",
+        "if fixed and self._fixed_below_top() + 1",
+        "if False and self._fixed_below_top() + 1",
+        f"{LIBRARY}/scheduler_test.py::test_fixed_lower_work_leaves_the_last_slot",
+    ),
+    Mutant(
+        "limit learnt per tier",
+        f"{LIBRARY}/concurrency.py",
+        "        return min(self.tiers[tier].slots(now_s) for tier in tiers)",
+        "        return min(limit.slots(now_s) for limit in self.tiers.values())",
+        f"{LIBRARY}/scheduler_test.py::test_engine_without_urgent_streams_fills_up_to_looser_targets",
+    ),
+    Mutant(
+        "failing engines suspended",
+        f"{LIBRARY}/engine_health.py",
+        "        if now_s < self.suspended_until_s:\n            return 0",
+        "        if False:\n            return 0",
+        f"{LIBRARY}/scheduler_test.py::test_failing_engine_is_suspended_and_probed_back",
+    ),
+    Mutant(
+        "inventories",
+        f"{LIBRARY}/scheduler.py",
+        "            and ask_id not in kept",
+        "            and False",
+        f"{LIBRARY}/scheduler_test.py::test_lost_release_is_found_by_the_inventory",
+    ),
+    Mutant(
+        "rate counted by the owner",
+        f"{LIBRARY}/limits.py",
+        "        self.tokens -= starts\n",
+        "",
+        f"{LIBRARY}/limits_test.py::test_rate_holds_for_the_sum",
+    ),
+    Mutant(
+        "places counted by the owner",
+        f"{LIBRARY}/limits.py",
+        "        free = max(0, self.share.concurrency - others)",
+        "        free = self.share.concurrency",
+        f"{LIBRARY}/limits_test.py::test_concurrency_holds_for_the_sum",
+    ),
+    Mutant(
+        "places as an intersection",
+        f"{LIBRARY}/placement.py",
+        "request_class.places & customer.places",
+        "request_class.places | customer.places",
+        f"{LIBRARY}/sheet_test.py::test_places_are_the_intersection",
+    ),
+    Mutant(
+        "freshness before serving",
+        f"{NODE}/config_sync.py",
+        "        return may_serve(self.confirmation, now_s, majority, peers)",
+        "        return self.confirmation.version > 0",
+        f"{NODE}/configuration_test.py::test_node_cut_off_from_table_and_peers_stops_serving",
+    ),
+    Mutant(
+        "lost replies settled by reading back",
+        f"{NODE}/platform_http.py",
+        "                return await self._settle(change)",
+        "                return Failure(Problem(Code.TABLE_UNAVAILABLE))",
+        f"{NODE}/platform_test.py::test_commit_under_faults",
+    ),
+    Mutant(
+        "change id decides a repeat",
+        f"{NODE}/editing.py",
+        "            case Success(Change() as done):\n                return Success(done.version)",
+        "            case Success(0):\n                return Success(0)",
+        f"{NODE}/configuration_test.py::test_write_applied_but_reply_lost",
+    ),
+    Mutant(
+        "leaving is final",
+        f"{LIBRARY}/membership.py",
+        "            known.member = replace(member, phase=phase)",
+        "            known.member = member",
+        f"{LIBRARY}/membership_test.py::test_leaving_is_final_and_spreads",
+    ),
+    Mutant(
+        "silent nodes left out",
+        f"{LIBRARY}/membership.py",
+        "        return known.member.phase is Phase.LIVE and self._is_heard(known)",
+        "        return known.member.phase is Phase.LIVE",
+        f"{LIBRARY}/membership_test.py::test_silent_node_is_left_out_whatever_the_list_says",
+    ),
+    Mutant(
+        "a planned stop waits for what runs",
+        f"{NODE}/node.py",
+        "        while self.services.running or self.home.tasks:",
+        "        while False:",
+        f"{NODE}/callers_test.py::test_planned_stop_cuts_off_nothing",
+    ),
+    Mutant(
+        "work of callers that are gone is cancelled",
+        f"{NODE}/callers_http.py",
+        "            self.task.cancel()",
+        "            pass",
+        f"{NODE}/callers_test.py::test_caller_gone_stops_the_engine",
+    ),
+    Mutant(
+        "own clock before an order",
+        f"{NODE}/editing.py",
+        "margin_s = 0.0 if engine.checks_tokens else LEASE_MARGIN_S",
+        "margin_s = -1e9",
+        f"{NODE}/platform_test.py::test_engine_that_does_not_check_gets_no_order_after_a_pause",
+    ),
+)
+
+
+def fails(mutant: Mutant, folder: Path) -> bool:
+    """Return whether the mutant's tests fail in a copy of the packages."""
+    copy = folder / "copy"
+    shutil.copytree(ROOT / "packages", copy / "packages")
+    for name in ("docs", "examples", "pyproject.toml"):
+        source = ROOT / name
+        (shutil.copytree if source.is_dir() else shutil.copy)(source, copy / name)
+    module = copy / mutant.module
+    text = module.read_text()
+    if text.count(mutant.old) != 1:
+        raise ValueError(
+            f"{mutant.name}: the text to replace stands {text.count(mutant.old)} times"
+        )
+    module.write_text(text.replace(mutant.old, mutant.new))
+    paths = [str(path) for path in (copy / "packages").iterdir()]
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
+    command = [sys.executable, "-m", "pytest", "-x", "-q", mutant.tests]
+    result = subprocess.run(
+        command, cwd=copy, env=environment, capture_output=True, timeout=TIMEOUT_S
+    )
+    shutil.rmtree(copy)
+    if result.returncode not in (0, 1):
+        raise RuntimeError(result.stdout.decode()[-500:])
+    return result.returncode == 1
+
+
+def main(
+    only: Annotated[str, typer.Option(help="Only mutants with this text in their name.")] = "",
+) -> None:
+    """Run the tests of all mutants; exit 1 if one of them passes."""
+    survivors = 0
+    for mutant in MUTANTS:
+        if only not in mutant.name:
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            failed = fails(mutant, Path(folder))
+        survivors += not failed
+        print(f"{'fails' if failed else 'PASSES'} without: {mutant.name}", flush=True)
+    print(f"{survivors} proofs do not depend on their mechanism")
+    sys.exit(1 if survivors else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/soak.py
@@ -0,0 +1,367 @@
+"""The long randomised run: ``make soak SEED=n MINUTES=m``.
+
+Nodes and stand-ins run as processes under mixed load while faults are drawn at random, up to two at
+a time. Invariants are asserted inside the nodes, which stop at a violation; after the run this
+program checks what only the whole shows. It prints seed, faults and verdict and exits 1 on any
+violation.
+"""
+
+import asyncio
+import random
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Annotated
+
+import typer
+from springbridge.changes import Edit
+from springbridge.codes import Code
+from springbridge.invariants import ABORT_STATUS
+
+from springbridge_standins.load import Load, customers_of, fleet_streams
+from springbridge_standins.relay import Relay, running_relay
+from springbridge_standins.world import (
+    NO_REPLY,
+    NodeProcess,
+    World,
+    free_address,
+    running_world,
+)
+
+NODES = 4
+LOAD_SCALE = 0.6
+RESENDS = 8
+SETTLE_S = 10.0
+DRAIN_S = 150.0
+WATCH_S = 0.3
+QUIET_S = (0.5, 3.0)
+FAULT_S = (1.0, 6.0)
+EDIT_PAUSE_S = 2.0
+MOST_LISTED = 10
+
+
+@dataclass
+class Soak:
+    """A running soak.
+
+    Attributes:
+      versions: Highest version seen of each incarnation.
+      findings: Violations, in words.
+    """
+
+    world: World
+    rng: random.Random
+    relays: dict[str, Relay]
+    stack: AsyncExitStack
+    started: int = NODES
+    edits: int = 0
+    accepted: list[int] = field(default_factory=list)
+    unknown: set[str] = field(default_factory=set)
+    versions: dict[str, int] = field(default_factory=dict)
+    drawn: Counter[str] = field(default_factory=Counter)
+    findings: list[str] = field(default_factory=list)
+    busy: set[str] = field(default_factory=set)
+
+    def pick_node(self) -> NodeProcess | None:
+        """Return a node that no other fault has in hand, so long as three others run."""
+        free = [
+            node
+            for node in self.world.nodes.values()
+            if node.running and not node.frozen and node.name not in self.busy
+        ]
+        return self.rng.choice(free) if len(free) >= NODES - 1 else None
+
+    async def add_node(self) -> NodeProcess:
+        """Start a node behind a relay of its own to the platform."""
+        self.started += 1
+        name = f"node-{self.started}"
+        address = free_address()
+        relay = running_relay(address, self.world.platform)
+        self.relays[name] = await self.stack.enter_async_context(relay)
+        place = self.rng.choice(self.world.places)
+        return await self.world.start_node(name, place, table=address)
+
+
+Fault = Callable[[Soak, float], Awaitable[None]]
+
+
+async def kill(soak: Soak, seconds: float) -> None:
+    """Kill a node and replace it after a while."""
+    node = soak.pick_node()
+    if node is not None:
+        await soak.world.kill(node)
+        await asyncio.sleep(seconds)
+        await soak.add_node()
+
+
+async def freeze(soak: Soak, seconds: float) -> None:
+    """Freeze a node and let it go on."""
+    node = soak.pick_node()
+    if node is not None:
+        soak.world.freeze(node)
+        await asyncio.sleep(seconds)
+        soak.world.thaw(node)
+
+
+async def replace(soak: Soak, seconds: float) -> None:
+    """Stop a node as planned while its replacement is there already."""
+    node = soak.pick_node()
+    if node is None:
+        return
+    soak.busy.add(node.name)
+    await soak.add_node()
+    await asyncio.sleep(seconds)
+    node.process.terminate()
+    status = await node.process.wait()
+    if status != 0:
+        soak.findings.append(f"{node.name} ended with status {status} after a planned stop")
+
+
+async def cut_from_table(soak: Soak, seconds: float) -> None:
+    """Cut one node off from the platform."""
+    node = soak.pick_node()
+    relay = soak.relays.get(node.name) if node is not None else None
+    if relay is not None:
+        relay.cut()
+        await asyncio.sleep(seconds)
+        relay.mend()
+
+
+async def table_out(soak: Soak, seconds: float) -> None:
+    """Take the platform's table away from everybody."""
+    await soak.world.fault(soak.world.platform, out=True)
+    await asyncio.sleep(2 * seconds)
+    await soak.world.fault(soak.world.platform, out=False)
+
+
+async def table_slow(soak: Soak, seconds: float) -> None:
+    """Slow the platform's table down."""
+    await soak.world.fault(soak.world.platform, slow_s=0.5)
+    await asyncio.sleep(seconds)
+    await soak.world.fault(soak.world.platform, slow_s=0.0)
+
+
+async def lost_replies(soak: Soak, seconds: float) -> None:
+    """Lose the replies of the next writes."""
+    await soak.world.fault(soak.world.platform, lose_replies=2)
+    await asyncio.sleep(seconds)
+
+
+async def late_write(soak: Soak, seconds: float) -> None:
+    """Let the next write take effect after its writer has given up."""
+    await soak.world.fault(soak.world.platform, late_writes=1)
+    await asyncio.sleep(seconds)
+
+
+async def _engine_fault(soak: Soak, seconds: float, on: dict, off: dict) -> None:
+    cells = soak.rng.choice(list(soak.world.engines("model").values()))
+    try:
+        await soak.world.fault(cells["address"], **on)
+        await asyncio.sleep(seconds)
+        await soak.world.fault(cells["address"], **off)
+    except OSError:
+        return
+
+
+async def slow_engine(soak: Soak, seconds: float) -> None:
+    """Slow an engine to a fifth."""
+    await _engine_fault(soak, seconds, {"slow": 5.0}, {"slow": 1.0})
+
+
+async def frozen_engine(soak: Soak, seconds: float) -> None:
+    """Freeze an engine."""
+    await _engine_fault(soak, seconds, {"frozen": True}, {"frozen": False})
+
+
+async def refusing_engine(soak: Soak, seconds: float) -> None:
+    """Let an engine turn everything away."""
+    await _engine_fault(soak, seconds, {"refuse": True}, {"refuse": False})
+
+
+async def garbling_engine(soak: Soak, seconds: float) -> None:
+    """Let an engine spoil its streams."""
+    kind = soak.rng.choice(["gap", "foreign", "repeat", "cut"])
+    await _engine_fault(soak, seconds, {"garble": kind}, {"garble": ""})
+
+
+async def crashed_engine(soak: Soak, seconds: float) -> None:
+    """Crash an engine, which comes back empty."""
+    await _engine_fault(soak, seconds + 1.0, {"crash": seconds}, {})
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill,
+    freeze,
+    replace,
+    cut_from_table,
+    table_out,
+    table_slow,
+    lost_replies,
+    late_write,
+    slow_engine,
+    frozen_engine,
+    refusing_engine,
+    garbling_engine,
+    crashed_engine,
+)
+
+
+async def draw_faults(soak: Soak, end_s: float) -> None:
+    """Draw one fault after another until the time is over; two of these run side by side."""
+    while monotonic() < end_s:
+        await asyncio.sleep(soak.rng.uniform(*QUIET_S))
+        fault = soak.rng.choice(FAULTS)
+        soak.drawn[fault.__name__] += 1
+        await fault(soak, soak.rng.uniform(*FAULT_S))
+
+
+async def race_edits(soak: Soak, end_s: float) -> None:
+    """Let two operators edit the same few rows through any nodes."""
+    rows = [key for key in sorted(soak.world.rows) if key.startswith("share/")][:3]
+    known = {row: dict(soak.world.rows[row]) for row in rows}
+    while monotonic() < end_s:
+        await asyncio.sleep(soak.rng.uniform(0.2, EDIT_PAUSE_S))
+        nodes = [node for node in soak.world.nodes.values() if node.running and not node.frozen]
+        row = soak.rng.choice(rows)
+        after = {**known[row], "weight": f"{soak.rng.randrange(1, 90) / 10}"}
+        soak.edits += 1
+        change_id = f"edit-{soak.edits}"
+        edit = Edit(row, known[row], after)
+        version = await soak.world.edit(soak.rng.choice(nodes), change_id, [edit])
+        if version > 0:
+            soak.accepted.append(version)
+            known[row] = after
+        elif -version == Code.EDIT_UNKNOWN or version == NO_REPLY:
+            soak.unknown.add(change_id)
+        if version < 0:
+            await _look_again(soak, known, rows)
+
+
+async def _look_again(soak: Soak, known: dict, rows: list[str]) -> None:
+    """Read the rows anew, as an operator does after a conflict."""
+    for node in soak.world.nodes.values():
+        if node.running and not node.frozen:
+            found = await soak.world.table(node)
+            if found:
+                known.update({row: found["rows"][row] for row in rows})
+                return
+
+
+async def watch(soak: Soak) -> None:
+    """Follow the versions in force and the invariants of all nodes."""
+    while True:
+        await asyncio.sleep(WATCH_S)
+        for node in list(soak.world.nodes.values()):
+            if not node.running or node.frozen:
+                continue
+            state = await soak.world.status(node)
+            if state:
+                _check_state(soak, state)
+
+
+def _check_state(soak: Soak, state: dict) -> None:
+    name = state["me"]["incarnation"]
+    before = soak.versions.get(name, 0)
+    if state["version"] < before:
+        soak.findings.append(f"{name} fell from version {before} to {state['version']}")
+    soak.versions[name] = max(before, state["version"])
+    for invariant, count in state["violations"].items():
+        soak.findings.append(f"{name} violated '{invariant}' {count} times")
+
+
+async def judge(soak: Soak, load: Load) -> None:
+    """Check what only the whole run shows."""
+    executions = Counter()
+    for cells in soak.world.engines().values():
+        executions.update((await soak.world.counters(cells["address"]))["started"])
+    fixed = {
+        key.removeprefix("class/")
+        for key, cells in soak.world.rows.items()
+        if key.startswith("class/") and cells["repeatable"] == "no"
+    }
+    for record in load.records:
+        for request_id, fate in record.told.items():
+            count = executions[request_id]
+            if record.request_class in fixed and count > 1:
+                soak.findings.append(f"{request_id} ran {count} times")
+            if record.request_class in fixed and fate == "not run" and count:
+                soak.findings.append(f"{request_id} was told not run and ran")
+        if record.reply.code is None:
+            soak.findings.append(f"{record.request_class} {record.request_id} has no ending")
+        if record.reply.code is Code.OK and not record.reply.whole:
+            soak.findings.append(f"{record.request_id} succeeded and is not whole")
+    await _judge_trail(soak)
+    for node in soak.world.nodes.values():
+        if node.process.returncode == ABORT_STATUS:
+            soak.findings.append(f"{node.name} stopped at a violated invariant")
+
+
+def _judge_progress(soak: Soak, load: Load) -> None:
+    """Check that every class got answers."""
+    served = Counter(record.request_class for record in load.records if record.reply.whole)
+    for name in {record.request_class for record in load.records}:
+        if not served[name]:
+            soak.findings.append(f"class {name} got no answer")
+
+
+async def _judge_trail(soak: Soak) -> None:
+    """Check that the trail has exactly one row for each accepted change, in order."""
+    node = next(node for node in soak.world.nodes.values() if node.running)
+    trail = await soak.world.audit(node)
+    versions = [change["version"] for change in trail]
+    names = [change["change_id"] for change in trail]
+    if versions != list(range(1, len(trail) + 1)):
+        soak.findings.append("the trail's versions do not follow each other")
+    if len(set(names)) != len(names):
+        soak.findings.append("a change stands twice in the trail")
+    if not set(soak.accepted) <= set(versions):
+        soak.findings.append("an accepted change is missing from the trail")
+    strays = len(trail) - 1 - len(soak.accepted) - len(soak.unknown & set(names))
+    if strays:
+        soak.findings.append(f"{strays} rows of the trail belong to no accepted change")
+
+
+async def soak_run(seed: int, seconds: float, progress: bool = True) -> Soak:
+    """Run a soak and judge it; a short one leaves the progress of the classes out."""
+    async with running_world("findwell.csv", NODES) as world, AsyncExitStack() as stack:
+        soak = Soak(world, random.Random(seed), {}, stack)
+        load = Load(world, customers_of(world), random.Random(seed + 1), resends=RESENDS)
+        watcher = asyncio.create_task(watch(soak))
+        end_s = monotonic() + seconds
+        await asyncio.gather(
+            load.run(fleet_streams("findwell.csv", LOAD_SCALE), seconds),
+            draw_faults(soak, end_s),
+            draw_faults(soak, end_s),
+            race_edits(soak, end_s),
+            race_edits(soak, end_s),
+        )
+        await asyncio.sleep(SETTLE_S)
+        await load.finish(DRAIN_S)
+        watcher.cancel()
+        await judge(soak, load)
+        if progress:
+            _judge_progress(soak, load)
+        codes = Counter(str(record.reply.code) for record in load.records)
+        print(f"requests {len(load.records)}, codes {dict(codes)}")
+        print(f"edits {soak.edits}, accepted {len(soak.accepted)}, unknown {len(soak.unknown)}")
+        return soak
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of faults and load.")] = 1,
+    minutes: Annotated[float, typer.Option(help="Length of the run in minutes.")] = 2.0,
+) -> None:
+    """Run the soak and exit 1 on any violation."""
+    soak = asyncio.run(soak_run(seed, 60 * minutes))
+    print(f"seed {seed}, faults {dict(soak.drawn)}")
+    for finding in soak.findings[:MOST_LISTED]:
+        print(f"VIOLATION {finding}")
+    print(f"verdict: {len(soak.findings)} violations")
+    sys.exit(1 if soak.findings else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/soak_test.py
@@ -0,0 +1,17 @@
+"""A short soak with a fixed seed; its verdict counts what must never happen, not how fast."""
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge_standins.soak import soak_run
+
+SECONDS = 15.0
+
+
+@pytest.mark.parametrize("seed", [7])
+def test_short_soak_finds_no_violation(seed):
+    soak = asyncio.run(soak_run(seed, SECONDS, progress=False))
+    assert_that(soak.findings, Equals([]))
--- a/packages/springbridge-standins/springbridge_standins/world.py
+++ b/packages/springbridge-standins/springbridge_standins/world.py
@@ -17,7 +17,7 @@
 from springbridge import sheet
 from springbridge.changes import Edit
 from springbridge.rows import Cells
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from springbridge_standins.caller import Caller, control, until
 
@@ -25,6 +25,7 @@
 OPERATOR_TOKEN = "operator-token-for-tests"
 READY_S = 20.0
 STOP_S = 30.0
+NO_REPLY = -1
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 PORTS_PER_PROCESS = 200
@@ -155,7 +156,11 @@
         return await self.edit(node, "import", edits)
 
     async def edit(self, node: NodeProcess, change_id: str, edits: list[Edit]) -> int:
-        """Send an edit to a node and return the version, or minus the first result code."""
+        """Send an edit to a node.
+
+        Returns:
+          The version, minus the first result code, or NO_REPLY.
+        """
         body = {
             "change_id": change_id,
             "who": "world",
@@ -170,16 +175,30 @@
             headers={"Springbridge-Operator-Token": OPERATOR_TOKEN},
             request_timeout=20.0,
         )
-        response = await self.client.fetch(request, raise_error=False)
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+        except (OSError, HTTPClientError):
+            return NO_REPLY
         if not response.body:
-            return -1
+            return NO_REPLY
         answer = orjson.loads(response.body)
         return answer["version"] if response.code == 200 else -answer["errors"][0]["code"]
 
     async def status(self, node: NodeProcess) -> dict:
         """Return a node's state; empty if it does not answer."""
+        return await self._read(node, "/operator/status")
+
+    async def table(self, node: NodeProcess) -> dict:
+        """Return the table that a node has in force; empty if it does not answer."""
+        return await self._read(node, "/operator/table")
+
+    async def audit(self, node: NodeProcess) -> list[dict]:
+        """Return the audit trail."""
+        return (await self._read(node, "/operator/audit")).get("changes", [])
+
+    async def _read(self, node: NodeProcess, path: str) -> dict:
         request = HTTPRequest(
-            f"http://{node.caller_address}/operator/status",
+            f"http://{node.caller_address}{path}",
             headers={"Springbridge-Operator-Token": OPERATOR_TOKEN},
             request_timeout=2.0,
         )
--- a/packages/springbridge/springbridge/binding.py
+++ b/packages/springbridge/springbridge/binding.py
@@ -44,6 +44,8 @@
       moved_to: Incarnation of the node that became home instead, in stage MOVED.
       dispatches: Attempts that may have reached an engine and were not turned away by it.
       problem: The final problem, where the request ended with one.
+      fresh: Whether nobody has begun to work on the request.
+      running: Attempts of a repeatable request that are under way.
     """
 
     owner: str
@@ -52,6 +54,8 @@
     moved_to: str = ""
     dispatches: int = 0
     problem: Problem | None = None
+    fresh: bool = True
+    running: int = 0
 
 
 class Bindings:
@@ -137,6 +141,48 @@
         else:
             record.stage = Stage.FINISHED
 
+    def refuse(self, request_id: RequestId, owner: str) -> bool:
+        """Record that a request is refused for ever; return whether that can be promised.
+
+        It cannot where the request is under way here or has ended in another way.
+        """
+        match self.admit(request_id, owner):
+            case Success(record) if record.stage is Stage.REFUSED:
+                return True
+            case Success(record) if record.stage is Stage.WAITING and record.fresh:
+                record.stage = Stage.REFUSED
+                record.fresh = False
+                return True
+        return False
+
+    def open_repeatable(self, request_id: RequestId, owner: str) -> Result[None, Problem]:
+        """Record that a repeatable request starts here; one that was refused stays refused."""
+        match self.admit(request_id, owner):
+            case Failure(problem):
+                return Failure(problem)
+            case Success(record):
+                if record.stage is Stage.REFUSED:
+                    return Failure(Problem(Code.REFUSED_BEFORE))
+                record.fresh = False
+                record.running += 1
+                return Success(None)
+
+    def close_repeatable(self, request_id: str, problem: Problem | None) -> bool:
+        """Record how a repeatable request ended; return whether its problem stands as it is.
+
+        "Not run" does not stand where another attempt under the same id has run or still may.
+        """
+        record = self._records[request_id]
+        record.running -= 1
+        self._touch(request_id, record)
+        if problem is None or not problem.not_run:
+            record.stage = Stage.FINISHED
+            return True
+        if record.running or record.stage is Stage.FINISHED:
+            return False
+        record.stage = Stage.REFUSED
+        return True
+
     def _add(self, request_id: str, owner: str, stage: Stage) -> Record:
         record = Record(owner, stage, self._clock())
         self._records[request_id] = record
@@ -156,7 +202,7 @@
             name, record = next(iter(self._records.items()))
             if record.touched_s > limit_s:
                 return
-            if record.stage in (Stage.WAITING, Stage.DISPATCHED):
+            if record.running or record.stage in (Stage.WAITING, Stage.DISPATCHED):
                 self._touch(name, record)
             else:
                 del self._records[name]
--- a/packages/springbridge/springbridge/binding_test.py
+++ b/packages/springbridge/springbridge/binding_test.py
@@ -165,3 +165,37 @@
             case Failure(_):
                 break
     assert_that(text, Equals([2 * number for number in range(len(text))]))
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_not_run_is_promised_only_where_it_is_true_and_stays_true(bindings, seed):
+    """Runs, refusals and repeats of one id in random order, for a repeatable request."""
+    rng = random.Random(seed)
+    one = request_id()
+    promised = False
+    open_runs = 0
+    began = 0
+    for _ in range(60):
+        event = rng.randrange(3)
+        if event == 0 and isinstance(bindings.open_repeatable(one, "c"), Success):
+            assert_that(promised, Is(False))
+            open_runs += 1
+        elif event == 1 and open_runs:
+            ran = rng.random() < 0.5
+            began += ran
+            open_runs -= 1
+            stands = bindings.close_repeatable(one.text, None if ran else REFUSED)
+            if not ran and stands:
+                promised = True
+        elif event == 2 and bindings.refuse(one, "c"):
+            promised = True
+        if promised:
+            assert_that((began, open_runs), Equals((0, 0)))
+
+
+def test_refusal_of_a_request_under_way_cannot_be_promised(bindings):
+    one = request_id()
+    bindings.admit(one, "c").unwrap().fresh = False
+    assert_that(bindings.refuse(one, "c"), Is(False))
+    assert_that(bindings.begin_dispatch(one.text), IsInstance(Success))
+    assert_that(bindings.refuse(one, "c"), Is(False))
--- a/packages/springbridge/springbridge/limits.py
+++ b/packages/springbridge/springbridge/limits.py
@@ -71,8 +71,9 @@
 
     @classmethod
     def from_share(cls, share: Share, now_s: float) -> "OwnedLimit":
-        """Start an owned limit with an empty bucket, as the former owner may have spent it."""
-        return cls(share, 0.0, now_s, now_s)
+        """Start an owned limit with little in its bucket, as the former owner may have spent it."""
+        tokens = max(1.0, share.rate_per_s * UNSETTLED_BURST_S)
+        return cls(share, tokens, now_s, now_s)
 
     def lease(self, ask: LeaseAsk, now_s: float, nodes: int) -> Lease:
         """Return the lease that follows from an ask, given the number of live nodes."""
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -73,6 +73,7 @@
         self._rng = rng
         self._known: dict[str, Known] = {}
         self._listed: set[str] = set()
+        self._list_was_read = False
 
     def beat(self, config_version: int, confirmed_ago_s: float, table_out: bool) -> None:
         """Count up this node's heartbeat and state what it knows of the configuration."""
@@ -113,6 +114,7 @@
 
     def set_listed(self, peer_addresses: Iterable[str]) -> None:
         """Take in the platform's list of peer addresses, without those listed as leaving."""
+        self._list_was_read = True
         self._listed = set(peer_addresses) - {self.me.peer_address}
 
     def lost_contact(self, incarnation: str) -> None:
@@ -152,16 +154,13 @@
     def sees_majority(self) -> bool:
         """Return whether this node hears from more than half of all that may be running.
 
-        A member counts as possibly running until it is known to be gone or was silent for FORGET_S,
-        and an address on the platform's list counts even if nobody there was ever heard.
+        All on the platform's list count, heard or not. A silent member that the list does not name
+        has ended; while no list was read, it counts until it was silent for FORGET_S.
         """
-        possible = {
-            known.member.peer_address
-            for known in self._known.values()
-            if known.member.phase is not Phase.GONE
-        }
-        possible |= self._listed
         heard = {member.peer_address for member in self.reachable()}
+        possible = heard | self._listed
+        if not self._list_was_read:
+            possible |= self._silent_addresses()
         return 2 * (len(heard) + 1) > len(possible) + 1
 
     def digest(self) -> list[Member]:
@@ -195,6 +194,14 @@
             name: known for name, known in self._known.items() if known.heard_s > limit_s
         }
 
+    def _silent_addresses(self) -> set[str]:
+        """Return the addresses of members that were heard once and are not known to be gone."""
+        return {
+            known.member.peer_address
+            for known in self._known.values()
+            if known.member.phase is not Phase.GONE and not self._is_heard(known)
+        }
+
     def _is_heard(self, known: Known) -> bool:
         return self._clock() - known.heard_s <= self._suspect_s()
 
--- a/packages/springbridge/springbridge/membership_test.py
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -103,6 +103,17 @@
     assert_that(view.sees_majority(), Equals(True))
 
 
+def test_silent_member_counts_until_the_list_drops_it(make_view, clock):
+    view = make_view("me")
+    view.merge([member("a", heartbeat=1)])
+    clock.advance(SUSPECT_S + 1)
+    assert_that(view.sees_majority(), Equals(False))
+    view.set_listed(["a:1"])
+    assert_that(view.sees_majority(), Equals(False))
+    view.set_listed([])
+    assert_that(view.sees_majority(), Equals(True))
+
+
 def test_gone_member_no_longer_counts(make_view, clock):
     view = make_view("me")
     view.merge([member(name, heartbeat=1, phase=Phase.GONE) for name in "abc"])
--- a/packages/springbridge/springbridge/rows.py
+++ b/packages/springbridge/springbridge/rows.py
@@ -208,6 +208,40 @@
             table.engines[record.name] = record
 
 
+def updated(table: Table, version: int, rows: Mapping[str, Cells | None]) -> Table:
+    """Return the table after some rows were changed; None stands for a row that was removed.
+
+    The cost is that of the changed rows and of copying the mappings, not of reading all rows.
+    """
+    after = Table(
+        version,
+        dict(table.classes),
+        dict(table.customers),
+        dict(table.shares),
+        dict(table.engines),
+        dict(table.keys),
+    )
+    for key, cells in rows.items():
+        _remove(after, key)
+        if cells is not None:
+            parse(key, cells).map(lambda record: _put(after, record))
+    if any(key.startswith("customer/") for key in rows):
+        return index_keys(after)
+    return after
+
+
+def _remove(table: Table, key: str) -> None:
+    """Take a row's record out of a table that is being built."""
+    kind, *names = key.split("/")
+    holders = {
+        "class": table.classes,
+        "customer": table.customers,
+        "share": table.shares,
+        "engine": table.engines,
+    }
+    holders[kind].pop(tuple(names) if kind == "share" else names[0], None)
+
+
 def index_keys(table: Table) -> Table:
     """Return the table with its index from key digest to customer made anew."""
     keys = {
--- a/packages/springbridge/springbridge/sheet_test.py
+++ b/packages/springbridge/springbridge/sheet_test.py
@@ -1,5 +1,6 @@
 """Tests of rows.py, sheet.py, changes.py and placement.py: the operators' table."""
 
+import random
 from pathlib import Path
 
 import pytest
@@ -20,7 +21,7 @@
 )
 from springbridge.codes import Code
 from springbridge.placement import allowed_engines, allowed_places
-from springbridge.rows import build
+from springbridge.rows import build, updated
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 EXAMPLE_NAMES = ["findwell.csv", "archive.csv"]
@@ -130,6 +131,25 @@
     assert_that(apply(snapshot, change).rows, Equals(after))
 
 
+def test_updating_equals_building_anew(snapshot):
+    """A table kept up to date by changes is the one that its rows would make from scratch."""
+    rng = random.Random(3)
+    rows = dict(snapshot.rows)
+    table, _ = build(3, rows)
+    for version in range(4, 60):
+        key = rng.choice(sorted(rows))
+        if rng.random() < 0.3:
+            changed = {key: None}
+            rows.pop(key)
+        else:
+            other = rng.choice([one for one in sorted(rows) if one[:5] == key[:5]])
+            cells = {**rows[other], "key_hashes": f"{version:064x}"}
+            changed = {key: {name: cells[name] for name in rows[key]}}
+            rows.update(changed)
+        table = updated(table, version, changed)
+        assert_that(table, Equals(build(version, rows)[0]))
+
+
 def test_places_are_the_intersection(rows):
     rows["customer/swan"] = {**rows["customer/swan"], "places": "perth-a elsewhere"}
     table, _ = build(1, rows)
