--- a/packages/springbridge-node/springbridge_node/home.py
+++ b/packages/springbridge-node/springbridge_node/home.py
@@ -177,7 +177,8 @@
         call = self._calls[call_id] = asyncio.get_running_loop().create_future()
         self._send(home, HandOver(call_id, me, home, request_id.text, owner))
         try:
-            return Success(await asyncio.wait_for(call, HOME_PATIENCE_S))
+            async with asyncio.timeout(HOME_PATIENCE_S):
+                return Success(await call)
         except TimeoutError:
             return Failure(UNKNOWN)
         finally:
@@ -221,7 +222,8 @@
             async with stub.Attach.open(metadata=self._metadata) as stream:
                 await stream.send_message(request, end=True)
                 while True:
-                    part = await asyncio.wait_for(stream.recv_message(), RELAY_STALL_S)
+                    async with asyncio.timeout(RELAY_STALL_S):
+                        part = await stream.recv_message()
                     if part is None:
                         raise ConnectionError("the home broke off")
                     if part.last:
--- a/packages/springbridge-node/springbridge_node/limit_gate.py
+++ b/packages/springbridge-node/springbridge_node/limit_gate.py
@@ -73,7 +73,8 @@
             answer = self._answers[key] = asyncio.get_running_loop().create_future()
             self._ask_owner(key, limit)
         try:
-            await asyncio.wait_for(asyncio.shield(answer), OWNER_PATIENCE_S)
+            async with asyncio.timeout(OWNER_PATIENCE_S):
+                await asyncio.shield(answer)
         except TimeoutError:
             limit.fall_back(self._clock(), self._nodes())
             self._answered(key)
--- a/packages/springbridge-node/springbridge_node/peer_links.py
+++ b/packages/springbridge-node/springbridge_node/peer_links.py
@@ -2,6 +2,9 @@
 
 Messages that wait are sent together in one envelope. A stream that breaks is opened again after a
 pause; what was on the way is lost, and the protocols above repeat what they need.
+
+Waits are bounded by asyncio.timeout: before Python 3.12 asyncio.wait_for can lose a cancellation
+that comes just as the awaited thing ends; a link that misses it would keep a node from stopping.
 """
 
 import asyncio
@@ -63,7 +66,8 @@
         async with open_channel(self.address) as channel:
             stub = PeerStub(channel)
             async with stub.Talk.open(metadata=self._metadata) as stream:
-                await asyncio.wait_for(stream.send_request(), CONNECT_TIMEOUT_S)
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_request()
                 on_open()
                 ended = asyncio.create_task(stream.recv_message())
                 ended.add_done_callback(lambda _: self._waiting.set())
@@ -75,7 +79,8 @@
     async def _send_all(self, stream, ended: asyncio.Task) -> None:
         """Send what is queued until the peer ends the stream or it breaks."""
         while not ended.done():
-            await asyncio.wait_for(self._waiting.wait(), IDLE_CLOSE_S)
+            async with asyncio.timeout(IDLE_CLOSE_S):
+                await self._waiting.wait()
             self._waiting.clear()
             messages = list(self._queue)
             self._queue.clear()
@@ -94,7 +99,8 @@
     host, port = split(address)
     channel = Channel(host, port)
     try:
-        await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await channel.__connect__()
         yield channel
     finally:
         channel.close()
--- a/packages/springbridge/springbridge/baselines.py
+++ b/packages/springbridge/springbridge/baselines.py
@@ -32,7 +32,8 @@
         engine = self._pick(attempt)
         free = self._free.setdefault(engine.name, asyncio.Semaphore(SLOTS_PER_ENGINE))
         try:
-            await asyncio.wait_for(free.acquire(), attempt.wait_s)
+            async with asyncio.timeout(attempt.wait_s):
+                await free.acquire()
         except TimeoutError:
             return Failure(Problem(Code.WAIT_EXPIRED, retry_after_s=1.0))
         return Success(Slot(str(next(self._numbers)), engine))
