--- a/packages/springbridge-node/springbridge_node/config_sync.py
+++ b/packages/springbridge-node/springbridge_node/config_sync.py
@@ -24,6 +24,7 @@
 POLL_S = 1.0
 CHANGES_KEPT = 200
 NEVER_S = -1e9
+DECISION_S = 0.1
 
 
 class ConfigSync:
@@ -48,6 +49,8 @@
         self._invariants = invariants
         self._recent: list[Change] = []
         self._pulled_s = -POLL_S
+        self._decided_s = -POLL_S
+        self._decision = False
 
     async def run(self) -> None:
         """Read the platform's table until cancelled."""
@@ -108,11 +111,18 @@
         logs.event("table.in_force", version=snapshot.version)
 
     def may_serve(self) -> bool:
-        """Return whether this node may serve under the table that it holds."""
-        peers = self._membership.reachable()
+        """Return whether this node may serve under the table that it holds.
+
+        A decision stands for DECISION_S, since looking at all members for each request would take
+        longer than the request. A node that was frozen decides anew, as its clock went on.
+        """
         now_s = self._clock()
-        majority = self._membership.sees_majority()
-        return may_serve(self.confirmation, now_s, majority, peers)
+        if now_s - self._decided_s > DECISION_S:
+            peers = self._membership.reachable()
+            majority = self._membership.sees_majority()
+            self._decision = may_serve(self.confirmation, now_s, majority, peers)
+            self._decided_s = now_s
+        return self._decision
 
     def compare_with_peers(self) -> None:
         """Take over peers' confirmations, and ask one of them for changes that are missing."""
--- a/packages/springbridge-standins/springbridge_standins/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants.py
@@ -177,8 +177,8 @@
     Mutant(
         "freshness before serving",
         f"{NODE}/config_sync.py",
-        "        return may_serve(self.confirmation, now_s, majority, peers)",
-        "        return self.confirmation.version > 0",
+        "            self._decision = may_serve(self.confirmation, now_s, majority, peers)",
+        "            self._decision = self.confirmation.version > 0",
         f"{NODE}/configuration_test.py::test_node_cut_off_from_table_and_peers_stops_serving",
     ),
     Mutant(
--- a/packages/springbridge/springbridge/scheduler.py
+++ b/packages/springbridge/springbridge/scheduler.py
@@ -162,6 +162,8 @@
 
     def tick(self) -> list[Decision]:
         """Give up asks whose wait has ended, preempt for late ones, give slots freed by time."""
+        if not len(self.queue):
+            return []
         now_s = self._clock()
         decisions: list[Decision] = list(self._grant_free_slots(now_s))
         for ask in self.queue.expired(now_s):
