--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/caller_handler.py
@@ -0,0 +1,87 @@
+"""What all handlers of callers share, and the handlers that tell how the node is."""
+
+import orjson
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from springbridge_node import logs
+from springbridge_node.services import Services
+
+JSON = "application/json"
+
+
+class CallerHandler(RequestHandler):
+    """What all handlers of callers share: answers to problems."""
+
+    node: Services
+
+    def initialize(self, node: Services) -> None:
+        """Keep the node's parts."""
+        self.node = node
+
+    def refuse(self, problem: Problem) -> None:
+        """Answer with a problem, at once."""
+        self.finish(self.prepare_refusal(problem))
+
+    def prepare_refusal(self, problem: Problem) -> bytes:
+        """Set status and headers for a problem and return the body."""
+        self.node.metrics.incr(f"answers.{problem.code.name}")
+        self.set_status(problem.info.http_status)
+        self.set_header("Content-Type", JSON)
+        if problem.retry_after_s is not None:
+            self.set_header("Retry-After", f"{problem.retry_after_s:.2f}")
+        body: dict[str, object] = {"error": describe(problem)}
+        if problem.code in (Code.NODE_LEAVING, Code.WRONG_PLACE, Code.CONFIG_NOT_FRESH):
+            body["addresses"] = [member.caller_address for member in self.node.other_live()]
+        return orjson.dumps(body)
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answer a fault of this program, or a path that does not exist, without a traceback."""
+        code = Code.UNKNOWN_PATH if status_code in (404, 405) else Code.INTERNAL
+        self.refuse(Problem(code))
+
+    def log_exception(self, kind, value, trace) -> None:
+        """Log an unexpected exception by its type only, as its text may hold content."""
+        if kind is not StreamClosedError:
+            logs.fault(value, type(self).__name__)
+
+
+def describe(problem: Problem) -> dict[str, object]:
+    """Return a problem as callers see it."""
+    return {
+        "code": int(problem.code),
+        "name": problem.code.name,
+        "fate": problem.info.fate.value,
+        "message": problem.sentence(),
+        "retry_after_s": problem.retry_after_s,
+    }
+
+
+class NotFoundHandler(CallerHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Answer at once."""
+        self.refuse(Problem(Code.UNKNOWN_PATH, source=self.request.path[:100]))
+
+
+class HealthHandler(CallerHandler):
+    """Health: the process answers."""
+
+    def get(self) -> None:
+        """Answer."""
+        self.finish({"alive": True})
+
+
+class ReadyHandler(CallerHandler):
+    """Readiness: the node takes new requests."""
+
+    def get(self) -> None:
+        """Answer, or say why not."""
+        problem = self.node.closed()
+        if problem is not None:
+            self.refuse(problem)
+        else:
+            self.finish({"ready": True, "version": self.node.config.table.version})
--- a/packages/springbridge-node/springbridge_node/editing.py
+++ b/packages/springbridge-node/springbridge_node/editing.py
@@ -8,7 +8,7 @@
 from springbridge.changes import Change, Edit, Snapshot, check_edits
 from springbridge.codes import Code
 from springbridge.membership import Membership
-from springbridge.ports import OrderKind, OrderLease, TableStore
+from springbridge.ports import MOVED_ON, OrderKind, OrderLease, TableStore
 from springbridge.problems import Problem
 from springbridge.records import Engine
 
@@ -66,7 +66,7 @@
             match await self._try_edit(request):
                 case Success(version):
                     return Success(version)
-                case Failure(problems) if not _raced(problems):
+                case Failure(problems) if problems != [MOVED_ON]:
                     return Failure(problems)
         return Failure([Problem(Code.VERSION_CONFLICT, "too many racing edits; try again")])
 
@@ -82,7 +82,7 @@
             return Failure([Problem(Code.TABLE_UNAVAILABLE, retry_after_s=OUTAGE_RETRY_S)])
         snapshot = self._config.snapshot
         if request.strict and snapshot.version != request.base_version:
-            return Failure([_moved_on(request.base_version, snapshot)])
+            return Failure([_not_the_base(request.base_version, snapshot)])
         match check_edits(snapshot, request.edits):
             case Failure(problems):
                 return Failure(problems)
@@ -110,14 +110,7 @@
         return Success(change.version)
 
 
-def _raced(problems: list[Problem]) -> bool:
-    """Return whether only the version moved on, which another try settles."""
-    return [problem.source for problem in problems] == [""] and (
-        problems[0].code is Code.VERSION_CONFLICT and problems[0].detail == "the table moved on"
-    )
-
-
-def _moved_on(base_version: int, snapshot: Snapshot) -> Problem:
+def _not_the_base(base_version: int, snapshot: Snapshot) -> Problem:
     detail = f"the table is at version {snapshot.version}, your edit is based on {base_version}"
     return Problem(Code.VERSION_CONFLICT, detail, "table")
 
--- a/packages/springbridge-node/springbridge_node/home.py
+++ b/packages/springbridge-node/springbridge_node/home.py
@@ -19,11 +19,12 @@
 from springbridge.stream import Chunk, StreamCheck
 
 from springbridge_node.answers import Answer, KeptAnswers
+from springbridge_node.attempts import Work
 from springbridge_node.messages import HandOver, HandOverReply, Message
 from springbridge_node.peer_links import open_channel
 from springbridge_node.proto import peer_pb2
 from springbridge_node.proto.peer_grpc import PeerStub
-from springbridge_node.runner import Runner, Work
+from springbridge_node.runner import Runner
 
 HOME_PATIENCE_S = 1.0
 RELAY_STALL_S = 10.0
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/http_app.py
@@ -0,0 +1,36 @@
+"""The HTTP interface of a node: which path is answered by which handler."""
+
+from tornado.web import Application
+
+from springbridge_node.caller_handler import HealthHandler, NotFoundHandler, ReadyHandler
+from springbridge_node.callers_http import AddressesHandler, ChatHandler, ServiceHandler
+from springbridge_node.operators_http import (
+    AuditHandler,
+    OperatorServices,
+    OrderHandler,
+    StatusHandler,
+    TableHandler,
+)
+from springbridge_node.services import Services
+
+
+def make_application(services: Services, operator_services: OperatorServices) -> Application:
+    """Return the application that serves callers and operators."""
+    node = {"node": services}
+    operators = {"services": operator_services}
+    return Application(
+        [
+            (r"/v1/chat/completions", ChatHandler, node),
+            (r"/v1/services/([^/]+)/(.*)", ServiceHandler, node),
+            (r"/v1/addresses", AddressesHandler, node),
+            (r"/health", HealthHandler, node),
+            (r"/ready", ReadyHandler, node),
+            (r"/operator/table", TableHandler, operators),
+            (r"/operator/audit", AuditHandler, operators),
+            (r"/operator/orders", OrderHandler, operators),
+            (r"/operator/status", StatusHandler, operators),
+        ],
+        default_handler_class=NotFoundHandler,
+        default_handler_args=node,
+        log_function=lambda handler: None,
+    )
--- a/packages/springbridge-node/springbridge_node/node.py
+++ b/packages/springbridge-node/springbridge_node/node.py
@@ -6,7 +6,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from functools import singledispatchmethod
 
 from grpclib.server import Server
@@ -33,22 +33,14 @@
 from springbridge.records import EngineKind
 from springbridge.slots import ROLE_PREFIX, ScheduledSlots
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
 from springbridge_node import logs, metrics
 from springbridge_node.answers import KeptAnswers
-from springbridge_node.callers_http import (
-    AddressesHandler,
-    ChatHandler,
-    HealthHandler,
-    NotFoundHandler,
-    ReadyHandler,
-    ServiceHandler,
-)
 from springbridge_node.config_sync import ConfigSync
 from springbridge_node.editing import Editor, Orders
 from springbridge_node.engine_http import ModelClient, ServiceClient, make_client
 from springbridge_node.home import Home
+from springbridge_node.http_app import make_application
 from springbridge_node.limit_gate import LimitGate
 from springbridge_node.load_reports import LoadReports
 from springbridge_node.messages import (
@@ -59,15 +51,10 @@
     HandOverReply,
     Message,
 )
-from springbridge_node.operators_http import (
-    AuditHandler,
-    OperatorServices,
-    OrderHandler,
-    StatusHandler,
-    TableHandler,
-)
+from springbridge_node.operators_http import OperatorServices
 from springbridge_node.peer_links import NODE_KEY, TOKEN_KEY, PeerLinks
 from springbridge_node.peer_server import PeerService
+from springbridge_node.periodic import every, guarded
 from springbridge_node.platform_http import HttpInstanceList, HttpTableStore
 from springbridge_node.runner import Runner
 from springbridge_node.scheduler_host import TICK_S, SchedulerHost
@@ -322,24 +309,7 @@
 
     def _start_callers(self) -> HTTPServer:
         """Listen for callers and operators."""
-        node = {"node": self.services}
-        operators = {"services": self.operator_services}
-        application = Application(
-            [
-                (r"/v1/chat/completions", ChatHandler, node),
-                (r"/v1/services/([^/]+)/(.*)", ServiceHandler, node),
-                (r"/v1/addresses", AddressesHandler, node),
-                (r"/health", HealthHandler, node),
-                (r"/ready", ReadyHandler, node),
-                (r"/operator/table", TableHandler, operators),
-                (r"/operator/audit", AuditHandler, operators),
-                (r"/operator/orders", OrderHandler, operators),
-                (r"/operator/status", StatusHandler, operators),
-            ],
-            default_handler_class=NotFoundHandler,
-            default_handler_args=node,
-            log_function=lambda handler: None,
-        )
+        application = make_application(self.services, self.operator_services)
         server = HTTPServer(application, max_body_size=LARGEST_DISCARDED_BYTES)
         host, port = split(self.settings.caller_address)
         server.listen(port, host)
@@ -349,7 +319,7 @@
         """Start the node's periodic tasks."""
         running: list[Awaitable[None]] = [
             self.config.run(),
-            _every(LIST_POLL_S, self._read_list),
+            every(LIST_POLL_S, self._read_list),
             self._keep_house(),
         ]
         if self.settings.policy == "least-load":
@@ -368,9 +338,9 @@
             self._tidy: TIDY_TICKS,
         }
         for tick in itertools.count():
-            for step, every in steps.items():
-                if tick % every == 0:
-                    _guarded(step)
+            for step, ticks in steps.items():
+                if tick % ticks == 0:
+                    guarded(step)
             await asyncio.sleep(TICK_S)
 
     async def _drain(self) -> None:
@@ -396,24 +366,6 @@
         await self.links.close()
 
 
-async def _every(interval_s: float, step: Callable[[], Awaitable[None]]) -> None:
-    """Take a step again and again; a fault in one is logged and does not end the task."""
-    while True:
-        try:
-            await step()
-        except Exception as exc:
-            logs.fault(exc, getattr(step, "__name__", ""))
-        await asyncio.sleep(interval_s)
-
-
-def _guarded(step: Callable[[], None]) -> None:
-    """Take one step; a fault in it is logged and does not end the others."""
-    try:
-        step()
-    except Exception as exc:
-        logs.fault(exc, step.__name__)
-
-
 def make_node(settings: Settings) -> Node:
     """Return a node with the platform's adapters."""
     client = make_client()
--- a/packages/springbridge-node/springbridge_node/operators_http.py
+++ b/packages/springbridge-node/springbridge_node/operators_http.py
@@ -13,7 +13,7 @@
 from tornado.web import RequestHandler
 
 from springbridge_node import logs
-from springbridge_node.callers_http import JSON, describe
+from springbridge_node.caller_handler import JSON, describe
 from springbridge_node.editing import Editor, EditRequest, Orders
 from springbridge_node.peer_links import PeerLinks
 from springbridge_node.scheduler_host import SchedulerHost
--- a/packages/springbridge-node/springbridge_node/platform_http.py
+++ b/packages/springbridge-node/springbridge_node/platform_http.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result, Success
 from springbridge.changes import Change, Snapshot, decode_change, encode_change
 from springbridge.codes import Code
-from springbridge.ports import Listed, OrderLease
+from springbridge.ports import MOVED_ON, Listed, OrderLease
 from springbridge.problems import Problem
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
@@ -243,4 +243,4 @@
 def _accepted_or_conflict(found: Change | None) -> Result[None, Problem]:
     if found is not None:
         return Success(None)
-    return Failure(Problem(Code.VERSION_CONFLICT, "the table moved on"))
+    return Failure(MOVED_ON)
--- a/packages/springbridge-node/springbridge_node/runner.py
+++ b/packages/springbridge-node/springbridge_node/runner.py
@@ -6,13 +6,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
-from enum import Enum, auto
 
 from returns.result import Failure, Success
 from springbridge.binding import Bindings
-from springbridge.codes import Code, Fate
-from springbridge.decisions import Outcome, Sample
+from springbridge.codes import Code
+from springbridge.decisions import Outcome
 from springbridge.ports import (
     Attempt,
     EngineClient,
@@ -28,12 +26,18 @@
 from springbridge.stream import Chunk, StreamCheck
 
 from springbridge_node.answers import Answer
+from springbridge_node.attempts import (
+    End,
+    Progress,
+    Work,
+    after_start,
+    note,
+    outcome_of,
+    stall_s_of,
+)
 
 MAX_PREEMPTIONS = 2
 MAX_REFUSED_ATTEMPTS = 4
-STALL_TARGETS = 30
-SHORTEST_STALL_S = 2.0
-SERVICE_STALL_S = 60.0
 WATCH_INTERVAL_S = 0.25
 SAMPLE_INTERVAL_S = 0.5
 RESUME_TRIES = 8
@@ -41,74 +45,6 @@
 PARK_S = 0.25
 
 
-class End(Enum):
-    """How one attempt ended."""
-
-    WHOLE = auto()
-    PREEMPTED = auto()
-    TURNED_AWAY = auto()
-    BROKEN = auto()
-
-
-@dataclass
-class Work:
-    """A request with what it takes to run it.
-
-    Attributes:
-      engines: Returns the engines that the request may use under the table in force.
-      bound: Whether attempts are recorded at this home, as the request is not repeatable.
-      wait_from_s: From when the present wait is counted.
-      started: Whether an engine may have worked on it.
-      avoid: Engines that failed this request.
-    """
-
-    request: Request
-    body: bytes
-    path: str
-    engines: Callable[[], tuple[Engine, ...]]
-    bound: bool
-    wait_from_s: float
-    attempts: int = 0
-    preemptions: int = 0
-    refused_attempts: int = 0
-    started: bool = False
-    avoid: set[str] = field(default_factory=set)
-
-    def job_id(self) -> str:
-        """Return the id of the present attempt: the request's own where there is but one."""
-        if self.bound:
-            return self.request.request_id
-        return f"{self.request.request_id}.{self.attempts}"
-
-
-@dataclass
-class Progress:
-    """What is seen of one attempt."""
-
-    started_s: float
-    first_s: float = 0.0
-    first_tokens: int = 0
-    last_s: float = 0.0
-    tokens: int = 0
-    sampled_s: float = 0.0
-    sampled_tokens: int = 0
-    stalled: bool = False
-    preempted: bool = False
-
-    def sample(self, ask_id: str) -> Sample:
-        """Return the latencies since the last sample."""
-        first_token_s = 0.0
-        if self.tokens and not self.sampled_s:
-            first_token_s = self.first_s - self.started_s
-            self.sampled_s = self.first_s
-            self.sampled_tokens = self.first_tokens
-        fresh = self.tokens - self.sampled_tokens
-        between_s = (self.last_s - self.sampled_s) / fresh if fresh else 0.0
-        self.sampled_s = self.last_s
-        self.sampled_tokens = self.tokens
-        return Sample(ask_id, first_token_s, between_s, self.tokens)
-
-
 class Runner:
     """Runs requests against engines through a slot source."""
 
@@ -152,7 +88,7 @@
             match await self._slots.acquire(self._attempt_for(work)):
                 case Failure(problem):
                     if not await self._park(work, problem):
-                        return _after_start(work, problem)
+                        return after_start(work, problem)
                     continue
                 case Success(slot):
                     end = await self._attempt(work, slot, answer)
@@ -192,7 +128,7 @@
         if end is End.TURNED_AWAY:
             work.refused_attempts += 1
             if work.refused_attempts >= MAX_REFUSED_ATTEMPTS:
-                return _after_start(work, Problem(Code.NO_ENGINE, retry_after_s=1.0))
+                return after_start(work, Problem(Code.NO_ENGINE, retry_after_s=1.0))
             return None
         if not work.request.repeatable:
             return Problem(Code.OUTCOME_UNKNOWN, "the engine's stream broke", slot.engine.name)
@@ -207,7 +143,7 @@
         outcome = Outcome.CANCELLED
         try:
             end = await self._run_watched(work, slot, answer, progress)
-            outcome = _outcome(end)
+            outcome = outcome_of(end)
             return end
         finally:
             if outcome is not Outcome.DONE and work.request.repeatable:
@@ -253,7 +189,7 @@
 
     async def _watch_stall(self, work: Work, slot: Slot, progress: Progress, pump) -> None:
         """Report samples now and then, and stop an attempt that brings nothing for long."""
-        stall_s = _stall_s(work.request, slot.engine)
+        stall_s = stall_s_of(work.request, slot.engine)
         reported_s = progress.started_s
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
@@ -303,7 +239,7 @@
                 case Failure(problem):
                     raise EngineError(problem.sentence())
                 case Success(Chunk() as fresh):
-                    _note(progress, fresh, self._clock())
+                    note(progress, fresh, self._clock())
                     answer.add(fresh)
                     if fresh.last:
                         return End.WHOLE
@@ -324,7 +260,7 @@
             progress = Progress(self._clock())
             chunks = client.resume(engine, request.request_id, answer.offset)
             reading = self._read(chunks, request.request_id, answer, progress)
-            stall_s = _stall_s(request, engine)
+            stall_s = stall_s_of(request, engine)
             try:
                 await _with_stall(reading, progress, stall_s, self._clock)
                 return True
@@ -346,39 +282,3 @@
         if clock() - max(progress.started_s, progress.last_s) > stall_s:
             task.cancel()
             raise TimeoutError
-
-
-def _note(progress: Progress, chunk: Chunk, now_s: float) -> None:
-    """Note the arrival of a chunk."""
-    if not progress.tokens:
-        progress.first_s = now_s
-        progress.first_tokens = chunk.tokens
-    progress.last_s = now_s
-    progress.tokens += chunk.tokens
-
-
-def _stall_s(request: Request, engine: Engine) -> float:
-    """Return the silence after which an attempt counts as stalled."""
-    if engine.kind is EngineKind.SERVICE:
-        return SERVICE_STALL_S
-    target_s = request.request_class.between_tokens_ms / 1000
-    first_s = request.request_class.first_token_ms / 1000
-    return max(SHORTEST_STALL_S, STALL_TARGETS * target_s, 2 * first_s)
-
-
-def _outcome(end: End) -> Outcome:
-    """Return what the scheduler is told of an attempt."""
-    return {
-        End.WHOLE: Outcome.DONE,
-        End.PREEMPTED: Outcome.CANCELLED,
-        End.TURNED_AWAY: Outcome.ENGINE_REFUSED,
-        End.BROKEN: Outcome.ENGINE_FAILED,
-    }[end]
-
-
-def _after_start(work: Work, problem: Problem) -> Problem:
-    """Return a problem that does not promise NOT_RUN for work that has started."""
-    if work.started and problem.info.fate is Fate.NOT_RUN:
-        detail = f"given up after its start: {problem.code.name}"
-        return Problem(Code.ENGINE_FAILED, detail, retry_after_s=problem.retry_after_s)
-    return problem
--- a/packages/springbridge-standins/springbridge_standins/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants.py
@@ -218,7 +218,7 @@
     ),
     Mutant(
         "work of callers that are gone is cancelled",
-        f"{NODE}/callers_http.py",
+        f"{NODE}/work_handler.py",
         "            self.task.cancel()",
         "            pass",
         f"{NODE}/callers_test.py::test_caller_gone_stops_the_engine",
--- a/packages/springbridge/springbridge/ports.py
+++ b/packages/springbridge/springbridge/ports.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from springbridge.changes import Change, Snapshot
+from springbridge.codes import Code
 from springbridge.decisions import Outcome, Sample
 from springbridge.problems import Problem
 from springbridge.records import Engine, Request
@@ -44,6 +45,9 @@
     valid_s: float
 
 
+MOVED_ON = Problem(Code.VERSION_CONFLICT, "the table moved on")
+
+
 class TableStore(Protocol):
     """The platform's transactional table service, for what must last or be agreed.
 
@@ -64,7 +68,11 @@
         """Return the accepted change with this id, or None."""
 
     async def commit(self, change: Change) -> Result[None, Problem]:
-        """Write rows, version and audit record in one transaction on the version before."""
+        """Write rows, version and audit record in one transaction on the version before.
+
+        Returns:
+          Nothing, or MOVED_ON if another change came first.
+        """
 
     async def claim(self, request_id: str, node: str) -> Result[str, Problem]:
         """Return the node that has the claim on an id without a home: the first to ask."""
