Say that the affinity comparison was not run

Cause: its docstring named a page with figures that does not exist. Nothing was measured, so nothing is claimed; the comparison of SPOCA and rendezvous hashing stays open.

--- a/bench/affinity.py
+++ b/bench/affinity.py
@@ -1,6 +1,6 @@
 """Compares SPOCA and weighted rendezvous hashing, and measures what prefix affinity brings.
 
-Run with ``python bench/affinity.py``; docs/design/prefix-affinity.md has the figures.
+Run with ``python bench/affinity.py``. It has not been run yet, so no page gives figures of it.
 """
 
 import asyncio
