--- a/Makefile
+++ b/Makefile
@@ -8,12 +8,12 @@
 
 setup: .venv/ready
 
-.venv/ready: requirements.txt packages/*/pyproject.toml
+.venv/ready: requirements.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
 		-e packages/springbridge -e packages/springbridge-node \
-		-e packages/springbridge-ctl -e packages/springbridge-standins
+		-e packages/springbridge-ctl -e packages/springbridge-standins -e platform
 	touch .venv/ready
 
 demo: setup
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: their requests as they arrive, and the answers they get."""
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/callers/answer.py
@@ -0,0 +1,74 @@
+"""The one answer that a caller gets to its request, written as it becomes known."""
+
+import orjson
+from springbridge.problems import Problem
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+from tornado.iostream import StreamClosedError
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class CallerAnswer:
+    """An answer in the making.
+
+    Attributes:
+      started: Whether its head was sent.
+      ended: Whether it was sent whole or broken off.
+    """
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        """Keep the connection on which the request came."""
+        self._connection = connection
+        self.started = False
+        self.ended = False
+
+    async def start(self, status: int, reason: str, headers: HTTPHeaders, piece: bytes) -> None:
+        """Send the head and the first piece of the body.
+
+        Raises:
+          CallerGoneError: The caller is gone.
+        """
+        self.started = True
+        line = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
+        await _sent(self._connection.write_headers(line, headers, piece or None))
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body and wait until the caller takes it.
+
+        Raises:
+          CallerGoneError: The caller is gone.
+        """
+        if piece:
+            await _sent(self._connection.write(piece))
+
+    def finish(self) -> None:
+        """End the answer as whole."""
+        self.ended = True
+        self._connection.finish()
+
+    def break_off(self) -> None:
+        """End the answer so that it does not look whole."""
+        self.ended = True
+        self._connection.close()
+
+    async def refuse(self, problem: Problem) -> None:
+        """Send the product's own answer for a problem, with the time to come back if one is set."""
+        body = orjson.dumps({"error": problem.code.name, "code": int(problem.code)})
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        )
+        if problem.retry_after_s is not None:
+            headers["Retry-After"] = f"{problem.retry_after_s:.2f}"
+        await self.start(problem.info.http_status, "", headers, body)
+        self.finish()
+
+
+async def _sent(write) -> None:
+    """Wait for a write to the caller."""
+    try:
+        await write
+    except StreamClosedError as exc:
+        raise CallerGoneError from exc
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -0,0 +1,279 @@
+"""A node that routes by host and path: its parts, joined, and the tasks that keep them fresh."""
+
+import asyncio
+import os
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+
+from springbridge.codes import Code
+from springbridge.membership import Member, Membership, Pace
+from springbridge.problems import Problem
+from springbridge.routing.admission import RouteIndex
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import Chooser, by_shared_prompt
+from springbridge.routing.records import CallerLimits
+from springbridge.routing.shared_budget import SharedRetryBudget
+
+from springbridge_node import logs
+from springbridge_node.callers.answer import CallerAnswer
+from springbridge_node.callers.directory import AddressBook
+from springbridge_node.callers.ingress import CallerListener, IncomingRequest
+from springbridge_node.config.configuration_follower import ConfigurationFollower
+from springbridge_node.config.engine_follower import EngineFollower
+from springbridge_node.config.ports import ConfigurationReader, PlatformStore
+from springbridge_node.engines.pool import EnginePool
+from springbridge_node.gateway_settings import GatewaySettings
+from springbridge_node.peers.gossip import GossipChannel
+from springbridge_node.peers.knowledge import PeerKnowledge, peer_handlers
+from springbridge_node.periodic import every
+from springbridge_node.requests.journal import RequestJournal
+from springbridge_node.requests.router import RequestRouter, RouterParts
+from springbridge_node.requests.wire_format import WireFormat
+from springbridge_node.telemetry import Telemetry
+from springbridge_node.wire.small_server import TEXT, Handler, Reply, SmallServer
+
+BEAT_S = 0.25
+PACE = Pace(peers=3, suspect_s=1.2)
+STALL_S = 0.6
+ALONE_READ_S = 2.0
+SWEEP_S = 2.0
+METRICS_PATH = "/metrics"
+LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=0.05)
+
+
+@dataclass(frozen=True)
+class Outside:
+    """The ports of a node to its platform.
+
+    Attributes:
+      ready_handlers: Make the handlers of the ready address from what they ask.
+      directory_handlers: Make those of the directory address.
+    """
+
+    store: PlatformStore
+    read_configuration: ConfigurationReader
+    wire_format: WireFormat
+    ready_handlers: Callable[[Callable[[], bool]], Mapping[str, Handler]]
+    directory_handlers: Callable[[AddressBook], Mapping[str, Handler]]
+
+
+class Gateway:
+    """One node.
+
+    Attributes:
+      leaving: Whether a planned stop has begun.
+    """
+
+    def __init__(
+        self, settings: GatewaySettings, outside: Outside, choose: Chooser = by_shared_prompt
+    ) -> None:
+        """Join the parts; nothing is started yet."""
+        self.settings = settings
+        self.leaving = False
+        self._outside = outside
+        self.telemetry = Telemetry()
+        self.membership = Membership(_member(settings), time.monotonic, random.Random(), PACE)
+        self.board = EngineBoard(time.monotonic)
+        self.pool = EnginePool(self._live_nodes)
+        self.configuration = ConfigurationFollower(
+            outside.store, outside.read_configuration, self._configuration_installed
+        )
+        self.knowledge = PeerKnowledge(self.membership, lambda: list(self.settings.seeds))
+        self.engines = EngineFollower(
+            outside.store,
+            self.board,
+            self._capacities,
+            self.knowledge.engines,
+            self.configuration.refresh,
+            settings.listing_interval_s,
+        )
+        self.budget = SharedRetryBudget(settings.budget, self._live_nodes, time.monotonic)
+        self.router = RequestRouter(
+            RouterParts(
+                lambda: self.configuration.index,
+                self.board,
+                self.pool,
+                self.budget,
+                outside.wire_format,
+                choose,
+                RequestJournal(self.telemetry),
+            )
+        )
+        self.listener = CallerListener(self._serve)
+        self.gossip: GossipChannel | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._peers_ahead = asyncio.Event()
+        self._announced = False
+        self._refusing = False
+        self._last_beat_s = time.monotonic()
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        addresses = self.settings.addresses
+        self._serve_small(addresses.ready, self._outside.ready_handlers(self.is_ready))
+        self._serve_small(
+            addresses.directory, self._outside.directory_handlers(AddressBook(self.membership))
+        )
+        self._serve_small(addresses.peers, peer_handlers(lambda: self.configuration, self.board))
+        self._serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
+        self.listener.listen(addresses.callers, _limits(self.configuration.index))
+        self.gossip = await GossipChannel.open(
+            self.membership, self.settings.ip, self.settings.gossip_port, self._digest_heard
+        )
+        self.membership.set_listed(self.settings.seeds)
+        self._tasks = [
+            asyncio.ensure_future(task)
+            for task in (
+                self.configuration.run(),
+                every(0.0, self.engines.step),
+                every(BEAT_S, self._beat),
+                every(ALONE_READ_S, self._find_peers),
+                every(0.0, self._follow_peers),
+                every(SWEEP_S, self._sweep),
+            )
+        ]
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return (
+            not self.leaving and self.configuration.index is not None and self.board.revision >= 0
+        )
+
+    def leave(self) -> None:
+        """Begin a planned stop: tell all peers, and let connections end with their answers."""
+        self.leaving = True
+        self.membership.leave()
+        if self.gossip is not None:
+            self.gossip.push()
+        self.listener.close_after_answers()
+
+    def refuse_new(self) -> None:
+        """Take no further connections and refuse further requests; what is in progress goes on."""
+        self._refusing = True
+        self.listener.stop_accepting()
+
+    async def end(self) -> None:
+        """Stop all tasks."""
+        self.membership.end()
+        if self.gossip is not None:
+            self.gossip.push()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over changed settings; addresses stay as they were at the start."""
+        self.settings = replace(settings, addresses=self.settings.addresses)
+        self.budget.terms = settings.budget
+        self.membership.set_listed(settings.seeds)
+        logs.event("settings.reloaded", seeds=list(settings.seeds))
+
+    def _serve_small(self, address: str, handlers: Mapping[str, Handler]) -> None:
+        """Serve a small interface if it has an address."""
+        if address:
+            SmallServer(handlers).listen(address)
+
+    async def _serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
+        """Serve a request, or refuse it near the end of a planned stop."""
+        if self._refusing:
+            await answer.refuse(LEAVING)
+        else:
+            await self.router.serve(request, answer)
+
+    def _metrics(self, query: dict[str, str]) -> Reply:
+        """Return the metrics as text."""
+        self.telemetry.nodes.set(self._live_nodes())
+        self.telemetry.engines.set(len(self.board.entries()))
+        self.telemetry.config_version.set(self.configuration.version)
+        self.telemetry.store_up.set(int(self.engines.dependency.up))
+        self.telemetry.dropped_lines.set(logs.dropped())
+        return Reply(200, self.telemetry.text(), TEXT)
+
+    def _live_nodes(self) -> int:
+        return max(1, len(self.membership.live()))
+
+    def _capacities(self) -> dict[str, int]:
+        """Return the tokens that an engine of each service keeps."""
+        index = self.configuration.index
+        if index is None:
+            return {}
+        services = index.configuration.services
+        return {name: service.token_capacity for name, service in services.items()}
+
+    def _configuration_installed(self, index: RouteIndex) -> None:
+        """Hold callers to the new limits and tell peers of the version."""
+        self.listener.apply(index.configuration.limits)
+        self._state_version()
+        if self.gossip is not None:
+            self.gossip.push()
+
+    def _digest_heard(self) -> None:
+        """Wake the task that catches up if a peer has a newer configuration."""
+        if self._newest_version() > self.configuration.version:
+            self._peers_ahead.set()
+
+    def _newest_version(self) -> int:
+        """Return the newest version of the configuration that a peer has in force."""
+        return max((member.config_version for member in self.membership.reachable()), default=0)
+
+    async def _follow_peers(self) -> None:
+        """Take a newer configuration from a peer, which helps a node that the store turns away."""
+        await self._peers_ahead.wait()
+        self._peers_ahead.clear()
+        await self.configuration.catch_up(
+            self._newest_version(), self.knowledge.configuration_after
+        )
+
+    async def _beat(self) -> None:
+        """Send a digest; a node that is not ready yet stays silent."""
+        started_s = time.monotonic()
+        if self.is_ready() or self.leaving:
+            self._state_version()
+            self.gossip.send(self.membership.gossip_targets())
+        elif self.configuration.index is None:
+            await self.configuration.catch_up(1, self.knowledge.configuration_after)
+        self._notice_stall(started_s)
+
+    def _notice_stall(self, beat_s: float) -> None:
+        """After a time in which this process did not run, read the configuration anew."""
+        last_s, self._last_beat_s = self._last_beat_s, beat_s
+        if beat_s - last_s > STALL_S + BEAT_S:
+            logs.event("node.stalled", seconds=round(beat_s - last_s, 3))
+            self.configuration.refresh()
+
+    def _state_version(self) -> None:
+        """Count up this node's heartbeat and state its version."""
+        self.membership.beat(self.configuration.version, 0.0, not self.engines.dependency.up)
+
+    async def _find_peers(self) -> None:
+        """Announce this node once, and read who else did while it is alone."""
+        store = self._outside.store
+        if not self._announced:
+            told = await store.announce(self.settings.addresses.peers)
+            self._announced = told.map(lambda _: True).value_or(False)
+        if len(self.membership.live()) < 2:
+            listed = (await store.read_nodes()).value_or([])
+            self.membership.set_listed([*self.settings.seeds, *listed])
+
+    async def _sweep(self) -> None:
+        """Drop what belongs to engines and members that are gone."""
+        self.pool.keep_only(self.board.known_ids())
+        self.membership.forget_old()
+
+
+def _member(settings: GatewaySettings) -> Member:
+    """Return this node as its peers will know it; the incarnation is new at each start."""
+    return Member(
+        incarnation=f"{settings.name}.{os.urandom(4).hex()}",
+        instance=settings.name,
+        peer_address=settings.addresses.peers,
+        caller_address=settings.addresses.callers,
+        place=settings.place,
+    )
+
+
+def _limits(index: RouteIndex | None) -> CallerLimits:
+    """Return the limits for callers, the defaults before the first configuration."""
+    return index.configuration.limits if index else CallerLimits()
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway_settings.py
@@ -0,0 +1,70 @@
+"""Settings of a node that routes by host and path, checked before anything starts."""
+
+from dataclasses import dataclass
+
+from springbridge.routing.shared_budget import BudgetTerms
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where a node listens, each an IP number and port; an empty one is not served.
+
+    Attributes:
+      callers: For callers' requests.
+      ready: For the question whether the node is ready.
+      directory: For callers that ask which nodes to use.
+      peers: For peers' questions.
+      metrics: For the metrics.
+    """
+
+    callers: str
+    ready: str
+    directory: str
+    peers: str
+    metrics: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """All settings of a node.
+
+    Attributes:
+      gossip_port: Port of the digests, alike on all nodes.
+      seeds: Peer addresses to begin with; they may be stale.
+      budget: What all nodes together may send to second engines.
+      grace_s: Time between a planned stop and its end.
+      address_ttl_s: How long callers may keep an answer of the directory.
+      listing_interval_s: Pause between two reads of the list of engines.
+    """
+
+    name: str
+    ip: str
+    place: str
+    addresses: Addresses
+    gossip_port: int
+    seeds: tuple[str, ...]
+    budget: BudgetTerms
+    grace_s: float
+    address_ttl_s: float
+    listing_interval_s: float
+
+    def __post_init__(self) -> None:
+        """Check the values.
+
+        Raises:
+          ValueError: One is missing or out of range; the message names it.
+        """
+        for name in ("callers", "ready", "peers"):
+            _check_address(name, getattr(self.addresses, name))
+        if not 0 < self.gossip_port < 65536:
+            raise ValueError(f"gossip_port: {self.gossip_port} is no port")
+        for name in ("grace_s", "address_ttl_s", "listing_interval_s"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name}: must be above 0")
+
+
+def _check_address(name: str, address: str) -> None:
+    """Check that an address is an IP number and a port."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"addresses.{name}: {address!r} is no IP number and port")
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Peers: who is alive, and what they know that this node does not."""
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peers/knowledge.py
@@ -0,0 +1,104 @@
+"""What nodes tell each other on request: the configuration as written, and the engine list."""
+
+import base64
+import random
+from collections.abc import Callable
+
+import orjson
+from springbridge.membership import Membership
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.records import EngineEntry, EngineListing
+
+from springbridge_node.config.configuration_follower import ConfigurationFollower
+from springbridge_node.config.engine_follower import AgedListing
+from springbridge_node.config.ports import ConfigurationDocument
+from springbridge_node.wire.calls import Caller, CallFailedError
+from springbridge_node.wire.small_server import Handler, Reply
+
+CONFIGURATION_PATH = "/peer/configuration"
+ENGINES_PATH = "/peer/engines"
+PEERS_ASKED = 2
+TIMEOUT_S = 0.8
+
+
+def peer_handlers(
+    configuration: Callable[[], ConfigurationFollower], board: EngineBoard
+) -> dict[str, Handler]:
+    """Return the handlers that answer peers."""
+
+    def tell_configuration(query: dict[str, str]) -> Reply:
+        document = configuration().document
+        if document is None:
+            return Reply(404)
+        raw = base64.b64encode(document.raw).decode()
+        return Reply(200, orjson.dumps({"version": document.version, "document": raw}))
+
+    def tell_engines(query: dict[str, str]) -> Reply:
+        if board.revision < 0:
+            return Reply(404)
+        return Reply(
+            200,
+            orjson.dumps(
+                {
+                    "revision": board.revision,
+                    "age_s": board.age_s(),
+                    "entries": [_engine_row(entry) for entry in board.entries()],
+                }
+            ),
+        )
+
+    return {CONFIGURATION_PATH: tell_configuration, ENGINES_PATH: tell_engines}
+
+
+class PeerKnowledge:
+    """Asks peers for what this node lacks."""
+
+    def __init__(self, membership: Membership, seeds: Callable[[], list[str]]) -> None:
+        """Keep the membership, and the addresses to ask while no peer is known."""
+        self._membership = membership
+        self._seeds = seeds
+
+    async def configuration_after(self, version: int) -> ConfigurationDocument | None:
+        """Return the newest configuration that a peer has, if it is newer than a version."""
+        members = sorted(self._membership.reachable(), key=lambda member: -member.config_version)
+        ahead = [member.peer_address for member in members if member.config_version > version]
+        for address in (ahead or self._seeds())[:PEERS_ASKED]:
+            told = await _ask(address, CONFIGURATION_PATH)
+            if told is not None and told["version"] > version:
+                return ConfigurationDocument(told["version"], base64.b64decode(told["document"]))
+        return None
+
+    async def engines(self) -> AgedListing | None:
+        """Return the youngest list of engines that a few peers have."""
+        peers = [member.peer_address for member in self._membership.reachable()] or self._seeds()
+        best = None
+        for address in random.sample(peers, min(PEERS_ASKED, len(peers))):
+            told = await _ask(address, ENGINES_PATH)
+            if told is not None and (best is None or told["age_s"] < best.age_s):
+                entries = tuple(EngineEntry(*row) for row in told["entries"])
+                best = AgedListing(EngineListing(told["revision"], entries), told["age_s"])
+        return best
+
+
+async def _ask(address: str, path: str) -> dict | None:
+    """Return what a peer tells, or None."""
+    caller = Caller(address)
+    try:
+        answer = await caller.call("GET", path, timeout_s=TIMEOUT_S)
+    except CallFailedError:
+        return None
+    finally:
+        caller.close()
+    return orjson.loads(answer.body) if answer.status == 200 else None
+
+
+def _engine_row(entry: EngineEntry) -> list:
+    """Return an engine as it travels, in the order of the record's fields."""
+    return [
+        entry.engine_id,
+        entry.service,
+        entry.address,
+        entry.place,
+        entry.slots,
+        entry.draining,
+    ]
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: admission, choice of engine, attempts, relay of the answer."""
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/requests/journal.py
@@ -0,0 +1,81 @@
+"""What is logged and counted of requests: one line for each decision, never any content."""
+
+import time
+
+from springbridge.problems import Problem
+from springbridge.routing.records import Arrival
+
+from springbridge_node import logs
+from springbridge_node.requests.attempt import End, Exchange
+from springbridge_node.telemetry import Telemetry
+
+
+class RequestJournal:
+    """Writes decisions on requests to the log and the metrics."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        """Keep the metrics."""
+        self._telemetry = telemetry
+
+    def refused(self, arrival: Arrival, problem: Problem) -> None:
+        """Note a request that the configuration does not allow."""
+        self._telemetry.requests.labels("", problem.code.name).inc()
+        logs.event(
+            "request.refused",
+            request_id=arrival.request_id,
+            host=arrival.host,
+            code=int(problem.code),
+            reason=problem.detail,
+        )
+
+    def attempt_failed(self, exchange: Exchange, engine_id: str, end: End) -> None:
+        """Note an attempt that did not deliver."""
+        self._telemetry.attempts.labels(end.value).inc()
+        logs.event(
+            "request.attempt_failed",
+            request_id=exchange.admitted.arrival.request_id,
+            engine=engine_id,
+            end=end.value,
+            sends=exchange.progress.sends,
+            last_event=exchange.progress.last_event,
+            after_ms=_age_ms(exchange),
+        )
+
+    def unreachable(self, exchange: Exchange, engine_id: str) -> None:
+        """Note an engine to which no connection came up."""
+        self._telemetry.attempts.labels("unreachable").inc()
+        logs.event(
+            "request.engine_unreachable",
+            request_id=exchange.admitted.arrival.request_id,
+            engine=engine_id,
+            after_ms=_age_ms(exchange),
+        )
+
+    def ended(self, exchange: Exchange, result: str, list_age_s: float) -> None:
+        """Note the end of a request, with what decided it."""
+        admitted, progress = exchange.admitted, exchange.progress
+        first_ms = None
+        if progress.first_piece_s is not None:
+            first_s = progress.first_piece_s - admitted.arrival.arrived_s
+            first_ms = round(first_s * 1000)
+            self._telemetry.first_piece.labels(admitted.route.name).observe(first_s)
+        self._telemetry.requests.labels(admitted.route.name, result).inc()
+        logs.event(
+            "request.ended",
+            request_id=admitted.arrival.request_id,
+            route=admitted.route.name,
+            service=admitted.service.name,
+            customer=admitted.customer,
+            config_version=admitted.version,
+            list_age_ms=round(min(list_age_s, 1e6) * 1000),
+            engines=sorted(progress.tried),
+            sends=progress.sends,
+            result=result,
+            first_ms=first_ms,
+            total_ms=_age_ms(exchange),
+        )
+
+
+def _age_ms(exchange: Exchange) -> int:
+    """Return how long ago a request arrived."""
+    return round((time.monotonic() - exchange.admitted.arrival.arrived_s) * 1000)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -0,0 +1,280 @@
+"""Serves a request from its arrival to the end of its answer.
+
+Straight down: admit, choose an engine, send, pass the answer on; where that fails, decide whether
+another engine may have it. What may not be repeated is sent on only after an engine's promise that
+it has not run it. A request given up on is answered at once.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from springbridge.routing.admission import RouteIndex, admit
+from springbridge.routing.engine_board import EngineBoard, EngineState
+from springbridge.routing.engine_choice import Chooser
+from springbridge.routing.records import Admitted
+from springbridge.routing.shared_budget import SharedRetryBudget
+
+from springbridge_node.callers.answer import CallerAnswer
+from springbridge_node.callers.ingress import IncomingRequest
+from springbridge_node.engines.pool import EngineBusyError, EnginePool
+from springbridge_node.requests.attempt import (
+    SERVER_ERROR,
+    End,
+    Exchange,
+    HeldFailure,
+    Progress,
+    SilentError,
+    read_own_head,
+    read_whole,
+    relay_events,
+    relay_plain,
+    send_held_failure,
+    within,
+)
+from springbridge_node.requests.journal import RequestJournal
+from springbridge_node.requests.wire_format import WireFormat
+from springbridge_node.wire.http_connection import (
+    AnswerBrokenError,
+    ConnectFailedError,
+    HttpConnection,
+)
+
+LEAST_LEFT_S = 0.005
+UNREACHED_ENGINES = 4
+RETRY_AFTER_SHARE = 0.1
+LEAST_RETRY_AFTER_S = 0.05
+SILENCE_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class RouterParts:
+    """What a router works with.
+
+    Attributes:
+      index: Returns the newest configuration, or None before the first.
+    """
+
+    index: Callable[[], RouteIndex | None]
+    board: EngineBoard
+    pool: EnginePool
+    budget: SharedRetryBudget
+    wire_format: WireFormat
+    choose: Chooser
+    journal: RequestJournal
+
+
+class RequestRouter:
+    """Serves requests."""
+
+    def __init__(self, parts: RouterParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+
+    async def serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
+        """Serve one request; on return its answer has ended."""
+        arrival = self._parts.wire_format.read_arrival(request)
+        match admit(self._parts.index(), arrival):
+            case Failure(problem):
+                self._parts.journal.refused(arrival, problem)
+                await answer.refuse(problem)
+            case Success(admitted):
+                await self._serve_admitted(Exchange(request, admitted, answer, Progress()))
+
+    async def _serve_admitted(self, exchange: Exchange) -> None:
+        """Serve a request that the configuration allows."""
+        self._parts.budget.fresh(exchange.admitted.service.name)
+        result = "caller left"
+        try:
+            problem = await self._until_deadline(exchange)
+            result = "served" if problem is None else problem.code.name
+            if problem is not None:
+                await self._give_up(exchange, problem)
+        finally:
+            self._parts.journal.ended(exchange, result, self._parts.board.age_s())
+
+    async def _until_deadline(self, exchange: Exchange) -> Problem | None:
+        """Make attempts until the answer is whole, there are no more, or time is up."""
+        try:
+            async with asyncio.timeout_at(exchange.admitted.deadline_s):
+                return await self._attempts(exchange)
+        except TimeoutError:
+            if exchange.progress.may_have_run:
+                return Problem(Code.OUTCOME_UNKNOWN, "deadline")
+            return _not_run(exchange.admitted, "deadline")
+
+    async def _give_up(self, exchange: Exchange, problem: Problem) -> None:
+        """End the answer of a request that no further engine gets."""
+        if exchange.answer.started:
+            exchange.answer.break_off()
+        elif exchange.progress.failure is not None and not problem.not_run:
+            await send_held_failure(exchange, exchange.progress.failure, self._parts.wire_format)
+        else:
+            await exchange.answer.refuse(problem)
+
+    async def _attempts(self, exchange: Exchange) -> Problem | None:
+        """Try engine after engine as far as the request allows."""
+        progress = exchange.progress
+        unreached = 0
+        while True:
+            state = self._choose(exchange)
+            if state is None or unreached > UNREACHED_ENGINES:
+                return _no_engine(exchange)
+            if progress.sends and not self._may_send_again(exchange):
+                return _no_engine(exchange)
+            connection = await self._connect(exchange, state)
+            if connection is None:
+                unreached += 1
+                progress.tried.add(state.entry.engine_id)
+                continue
+            end = await self._attempt(exchange, state, connection)
+            if end is End.DELIVERED:
+                return None
+            self._parts.journal.attempt_failed(exchange, state.entry.engine_id, end)
+            if not _may_try_another(exchange, end):
+                return _after(exchange, end)
+
+    def _choose(self, exchange: Exchange) -> EngineState | None:
+        """Return the engine for the next attempt, or None if there is none."""
+        admitted = exchange.admitted
+        states = self._parts.board.candidates(admitted.service.name, exchange.progress.tried)
+        return self._parts.choose(states, admitted) if states else None
+
+    def _may_send_again(self, exchange: Exchange) -> bool:
+        """Return whether route and budget allow another engine."""
+        admitted = exchange.admitted
+        if exchange.progress.sends >= admitted.route.max_engines:
+            return False
+        return self._parts.budget.try_repeat(admitted.service.name)
+
+    async def _connect(self, exchange: Exchange, state: EngineState) -> HttpConnection | None:
+        """Return a connection to an engine, or None if there is none to be had."""
+        admitted = exchange.admitted
+        repeatable = _repeatable(admitted)
+        try:
+            return await self._parts.pool.acquire(state.entry, admitted.service, repeatable)
+        except ConnectFailedError:
+            self._parts.board.unreachable(state)
+            self._parts.journal.unreachable(exchange, state.entry.engine_id)
+        except EngineBusyError:
+            pass
+        return None
+
+    async def _attempt(
+        self, exchange: Exchange, state: EngineState, connection: HttpConnection
+    ) -> End:
+        """Send the request to one engine and pass on what it answers."""
+        engine_id = state.entry.engine_id
+        parts = exchange.admitted.arrival.prompt_parts
+        prefill = max(0, exchange.admitted.arrival.prompt_tokens - state.cache.kept_tokens(parts))
+        state.in_flight += 1
+        state.prefill_tokens += prefill
+        state.cache.note(parts)
+        try:
+            end = await self._send_and_relay(exchange, state, connection)
+        except BaseException:
+            self._parts.pool.discard(engine_id, connection)
+            raise
+        finally:
+            state.in_flight -= 1
+            state.prefill_tokens -= prefill
+        self._note(state, end)
+        if end in (End.BROKEN, End.SILENT):
+            self._parts.pool.discard(engine_id, connection)
+        else:
+            self._parts.pool.release(engine_id, connection)
+        return end
+
+    async def _send_and_relay(
+        self, exchange: Exchange, state: EngineState, connection: HttpConnection
+    ) -> End:
+        """Send the request and pass on the answer; no await comes before the send."""
+        admitted, progress = exchange.admitted, exchange.progress
+        left_s = admitted.deadline_s - time.monotonic()
+        if left_s < LEAST_LEFT_S:
+            raise TimeoutError
+        head_bytes = self._parts.wire_format.engine_request(
+            exchange.request, admitted, state.entry, left_s, progress.last_event
+        )
+        ran_before = progress.may_have_run
+        progress.sends += 1
+        progress.may_have_run = True
+        progress.tried.add(state.entry.engine_id)
+        connection.send(head_bytes, exchange.request.body)
+        try:
+            reading = read_own_head(
+                connection, self._parts.wire_format, admitted.arrival.request_id
+            )
+            head = await within(self._silence_limit_s(exchange, left_s), reading)
+            verdict = self._parts.wire_format.verdict(head)
+            if verdict.not_run:
+                progress.may_have_run = ran_before
+                await read_whole(connection, head)
+                return End.OTHER_ENGINE if verdict.other_engine else End.TURNED_AWAY
+            if head.status >= SERVER_ERROR and _repeatable(admitted):
+                progress.failure = HeldFailure(head, await read_whole(connection, head))
+                return End.ENGINE_ERROR
+            if admitted.route.streaming and head.status < 300:
+                await relay_events(exchange, connection, head, self._parts.wire_format)
+            else:
+                await relay_plain(exchange, connection, head, self._parts.wire_format)
+            return End.DELIVERED
+        except AnswerBrokenError:
+            return End.BROKEN
+        except SilentError:
+            return End.SILENT
+
+    def _silence_limit_s(self, exchange: Exchange, left_s: float) -> float | None:
+        """Return how long to wait for an engine's answer while another may still be asked."""
+        admitted = exchange.admitted
+        if admitted.route.streaming or not admitted.route.repeatable:
+            return None
+        if exchange.progress.sends >= admitted.route.max_engines:
+            return None
+        return left_s * SILENCE_SHARE
+
+    def _note(self, state: EngineState, end: End) -> None:
+        """Take what an attempt showed into the belief on its engine."""
+        board = self._parts.board
+        if end is End.DELIVERED:
+            board.succeeded(state)
+        elif end is End.OTHER_ENGINE:
+            board.misnamed(state)
+        elif end in (End.BROKEN, End.SILENT, End.ENGINE_ERROR):
+            board.failed(state)
+
+
+def _repeatable(admitted: Admitted) -> bool:
+    """Return whether a request may run more than once."""
+    return admitted.route.repeatable or admitted.route.resumable
+
+
+def _may_try_another(exchange: Exchange, end: End) -> bool:
+    """Return whether another engine may get the request after an attempt failed."""
+    if exchange.answer.started and not exchange.admitted.route.resumable:
+        return False
+    return not exchange.progress.may_have_run or _repeatable(exchange.admitted)
+
+
+def _after(exchange: Exchange, end: End) -> Problem:
+    """Return the problem of a request whose last attempt failed."""
+    if not exchange.progress.may_have_run:
+        return _not_run(exchange.admitted, end.value)
+    return Problem(Code.ENGINE_FAILED, end.value)
+
+
+def _no_engine(exchange: Exchange) -> Problem:
+    """Return the problem of a request for which there is no further engine."""
+    if exchange.progress.may_have_run:
+        return Problem(Code.ENGINE_FAILED, "no further engine")
+    return _not_run(exchange.admitted, "no engine")
+
+
+def _not_run(admitted: Admitted, detail: str) -> Problem:
+    """Return the refusal of a request that no engine has run, with the time to come back."""
+    retry_after_s = max(LEAST_RETRY_AFTER_S, admitted.route.target_s * RETRY_AFTER_SHARE)
+    return Problem(Code.NO_ENGINE, detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/telemetry.py
@@ -0,0 +1,44 @@
+"""Counters and latency histograms, served as text on the metrics address."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+FIRST_PIECE_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.35, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0)
+
+
+class Telemetry:
+    """The metrics of one node; docs/OPERATIONS.md lists them."""
+
+    def __init__(self) -> None:
+        """Create all metrics at zero."""
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "springbridge_requests", "Ended requests", ["route", "result"], registry=self.registry
+        )
+        self.attempts = Counter(
+            "springbridge_failed_attempts",
+            "Attempts that did not deliver",
+            ["end"],
+            registry=self.registry,
+        )
+        self.first_piece = Histogram(
+            "springbridge_first_piece_seconds",
+            "Arrival to first piece of the answer",
+            ["route"],
+            buckets=FIRST_PIECE_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.config_version = Gauge(
+            "springbridge_config_version", "Version in force", registry=self.registry
+        )
+        self.engines = Gauge("springbridge_engines", "Engines listed", registry=self.registry)
+        self.nodes = Gauge("springbridge_live_nodes", "Nodes alive", registry=self.registry)
+        self.store_up = Gauge(
+            "springbridge_store_up", "1 while the store answers", registry=self.registry
+        )
+        self.dropped_lines = Gauge(
+            "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
+        )
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/wire/small_server.py
@@ -0,0 +1,49 @@
+"""Small HTTP interfaces of a node: a table of paths, each answered from memory at once."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import parse_qsl, urlsplit
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine, responses
+
+JSON = "application/json"
+TEXT = "text/plain; version=0.0.4"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer of a small interface."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = JSON
+
+
+Handler = Callable[[dict[str, str]], Reply]
+
+
+class SmallServer:
+    """Serves GET requests by path; a handler gets the query."""
+
+    def __init__(self, handlers: Mapping[str, Handler]) -> None:
+        """Keep the handlers."""
+        self._handlers = handlers
+        self._server = HTTPServer(self._serve)
+
+    def listen(self, address: str) -> None:
+        """Accept connections at an address."""
+        host, _, port = address.rpartition(":")
+        self._server.listen(int(port), host)
+
+    def _serve(self, request: HTTPServerRequest) -> None:
+        """Answer one request."""
+        url = urlsplit(request.uri)
+        handler = self._handlers.get(url.path)
+        reply = handler(dict(parse_qsl(url.query))) if handler else Reply(404)
+        headers = HTTPHeaders(
+            {"Content-Type": reply.content_type, "Content-Length": str(len(reply.body))}
+        )
+        line = ResponseStartLine("HTTP/1.1", reply.status, responses[reply.status])
+        request.connection.write_headers(line, headers, reply.body or None)
+        request.connection.finish()
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -55,6 +55,19 @@
     table_out: bool = False
 
 
+@dataclass(frozen=True)
+class Pace:
+    """How fast news travels and silence counts.
+
+    Attributes:
+      peers: Random peers that get each digest.
+      suspect_s: Time for which a heartbeat may stand still.
+    """
+
+    peers: int = GOSSIP_PEERS
+    suspect_s: float = SUSPECT_S
+
+
 @dataclass
 class Known:
     """A member and when its heartbeat last moved, on this node's clock."""
@@ -66,9 +79,16 @@
 class Membership:
     """This node's view of all nodes, itself included."""
 
-    def __init__(self, me: Member, clock: Callable[[], float], rng: random.Random):
+    def __init__(
+        self,
+        me: Member,
+        clock: Callable[[], float],
+        rng: random.Random,
+        pace: Pace | None = None,
+    ):
         """Start with only this node known."""
         self.me = me
+        self._pace = pace or Pace()
         self._clock = clock
         self._rng = rng
         self._known: dict[str, Known] = {}
@@ -121,7 +141,7 @@
         """Note that the connection to a member broke: suspect it unless its heartbeat moves on."""
         known = self._known.get(incarnation)
         if known is not None:
-            known.heard_s = min(known.heard_s, self._clock() - SUSPECT_S / 2)
+            known.heard_s = min(known.heard_s, self._clock() - self._pace.suspect_s / 2)
 
     def live(self) -> list[Member]:
         """Return the members that run and are not leaving, this node included if it is."""
@@ -173,7 +193,7 @@
     def gossip_targets(self) -> list[str]:
         """Return the peer addresses to send the next digest to."""
         members = self.reachable()
-        targets = self._rng.sample(members, min(GOSSIP_PEERS, len(members)))
+        targets = self._rng.sample(members, min(self._pace.peers, len(members)))
         away = [member for member in members if member.place != self.me.place]
         if away and all(member.place == self.me.place for member in targets):
             targets[-1] = self._rng.choice(away)
@@ -207,7 +227,7 @@
 
     def _suspect_s(self) -> float:
         """Return the time to suspicion, longer where a digest cannot hold all members."""
-        return SUSPECT_S * max(1.0, len(self._known) / DIGEST_LIMIT)
+        return self._pace.suspect_s * max(1.0, len(self._known) / DIGEST_LIMIT)
 
     def _is_live(self, known: Known) -> bool:
         return known.member.phase is Phase.LIVE and self._is_heard(known)
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -0,0 +1,162 @@
+"""What this node believes of each engine: listed, loaded, failing, and which prompts it holds.
+
+The platform's list says which engines exist; this node's own traffic says how they do. An engine
+that leaves the list gets no new request. The one exception: when the list was unreadable for a
+while, entries may have expired without their engines having gone, so that engines which vanished
+over the outage stay usable for a short grace.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from springbridge.routing.prefix_cache import PrefixCache
+from springbridge.routing.records import EngineEntry, EngineListing
+
+FAILURES_TO_EJECT = 3
+EJECT_S = 1.0
+LONGEST_EJECT_S = 4.0
+UNREACHABLE_S = 0.5
+LAPSE_GRACE_S = 4.0
+OUTAGE_S = 1.0
+
+
+@dataclass
+class EngineState:
+    """One engine as this node sees it.
+
+    Attributes:
+      in_flight: Requests of this node that the engine has now.
+      prefill_tokens: Prompt tokens of those that have not brought an event yet.
+      failures: Failures in a row.
+      rests_until_s: No request goes there before this moment unless there is no other engine.
+      usable_until_s: When an engine that is no longer listed gets its last request.
+    """
+
+    entry: EngineEntry
+    in_flight: int = 0
+    prefill_tokens: int = 0
+    failures: int = 0
+    rests_until_s: float = 0.0
+    usable_until_s: float = float("inf")
+    cache: PrefixCache = field(default_factory=PrefixCache)
+
+
+class EngineBoard:
+    """All engines that this node may use."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Start without engines."""
+        self._clock = clock
+        self._states: dict[str, EngineState] = {}
+        self._revision = -1
+        self._read_s: float | None = None
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the list in use, -1 before the first."""
+        return self._revision
+
+    def age_s(self) -> float:
+        """Return how old the list in use is, in seconds; infinite before the first."""
+        return float("inf") if self._read_s is None else self._clock() - self._read_s
+
+    def install(self, listing: EngineListing, capacities: dict[str, int], age_s: float) -> bool:
+        """Take in a list unless a newer one is in use.
+
+        Args:
+          capacities: Tokens that an engine of a service can keep.
+          age_s: How long ago the list was read.
+
+        Returns:
+          Whether an engine came, went, or changed.
+        """
+        if listing.revision < self._revision:
+            return False
+        after_outage = self.age_s() > OUTAGE_S + age_s
+        self._revision = listing.revision
+        self._read_s = self._clock() - age_s
+        listed = {entry.engine_id: entry for entry in listing.entries}
+        changed = self._update(listed, capacities)
+        return self._drop_unlisted(listed, after_outage) or changed
+
+    def _update(self, listed: dict[str, EngineEntry], capacities: dict[str, int]) -> bool:
+        """Take in the listed engines and return whether one is new or changed."""
+        changed = False
+        for engine_id, entry in listed.items():
+            state = self._states.get(engine_id)
+            if state is None:
+                state = self._states[engine_id] = EngineState(entry)
+                changed = True
+            elif state.entry != entry:
+                state.entry = entry
+                changed = True
+            state.usable_until_s = float("inf")
+            state.cache.capacity = capacities.get(entry.service, 0)
+        return changed
+
+    def _drop_unlisted(self, listed: dict[str, EngineEntry], after_outage: bool) -> bool:
+        """Stop using engines that are no longer listed and return whether there were any."""
+        now_s = self._clock()
+        changed = False
+        for engine_id in [name for name in self._states if name not in listed]:
+            state = self._states[engine_id]
+            if state.usable_until_s == float("inf"):
+                grace_s = LAPSE_GRACE_S if after_outage and not state.entry.draining else 0.0
+                state.usable_until_s = now_s + grace_s
+                changed = True
+            if state.usable_until_s <= now_s and not state.in_flight:
+                del self._states[engine_id]
+        return changed
+
+    def find(self, engine_id: str) -> EngineState | None:
+        """Return an engine by its id."""
+        return self._states.get(engine_id)
+
+    def entries(self) -> tuple[EngineEntry, ...]:
+        """Return the engines that are listed now."""
+        return tuple(
+            state.entry for state in self._states.values() if state.usable_until_s == float("inf")
+        )
+
+    def known_ids(self) -> set[str]:
+        """Return the ids of all engines that are still in use."""
+        return set(self._states)
+
+    def candidates(self, service: str, tried: Iterable[str]) -> list[EngineState]:
+        """Return the engines of a service that may get a request, those at rest only if no other.
+
+        Args:
+          tried: Ids of engines that have had this request.
+        """
+        now_s = self._clock()
+        usable = [
+            state
+            for state in self._states.values()
+            if state.entry.service == service
+            and not state.entry.draining
+            and state.usable_until_s > now_s
+            and state.entry.engine_id not in tried
+        ]
+        return [state for state in usable if state.rests_until_s <= now_s] or usable
+
+    def succeeded(self, state: EngineState) -> None:
+        """Note that an engine answered as it should."""
+        state.failures = 0
+
+    def failed(self, state: EngineState) -> None:
+        """Note that an engine failed a request; after some in a row it rests."""
+        state.failures += 1
+        if state.failures >= FAILURES_TO_EJECT:
+            doublings = state.failures - FAILURES_TO_EJECT
+            rest_s = min(LONGEST_EJECT_S, EJECT_S * 2**doublings)
+            state.rests_until_s = self._clock() + rest_s
+
+    def unreachable(self, state: EngineState) -> None:
+        """Note that no connection to an engine came up, or that all its connections broke."""
+        state.failures += 1
+        rest_s = min(LONGEST_EJECT_S, UNREACHABLE_S * 2 ** min(state.failures - 1, 3))
+        state.rests_until_s = self._clock() + rest_s
+
+    def misnamed(self, state: EngineState) -> None:
+        """Note that another engine has the address: this one has ended."""
+        state.usable_until_s = self._clock()
