--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -2,10 +2,11 @@
 
 The platform's list says which engines exist; this node's own traffic says how they do. An engine
 that leaves the list gets no new request. The one exception: when the list was unreadable for a
-while, entries may have expired without their engines having gone, so that engines which vanished
-over the outage stay usable for a short grace.
+while, entries may have expired without their engines having gone, so that the engines of a service
+that lost most of them over the outage stay usable for a short grace.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -16,7 +17,7 @@
 EJECT_S = 1.0
 LONGEST_EJECT_S = 4.0
 UNREACHABLE_S = 0.5
-LAPSE_GRACE_S = 4.0
+LAPSE_GRACE_S = 2.5
 OUTAGE_S = 1.0
 
 
@@ -98,16 +99,30 @@
         """Stop using engines that are no longer listed and return whether there were any."""
         now_s = self._clock()
         changed = False
+        lapsed = self._lapsed_services(listed) if after_outage else set()
         for engine_id in [name for name in self._states if name not in listed]:
             state = self._states[engine_id]
             if state.usable_until_s == float("inf"):
-                grace_s = LAPSE_GRACE_S if after_outage and not state.entry.draining else 0.0
-                state.usable_until_s = now_s + grace_s
+                lapse = state.entry.service in lapsed and not state.entry.draining
+                state.usable_until_s = now_s + (LAPSE_GRACE_S if lapse else 0.0)
                 changed = True
             if state.usable_until_s <= now_s and not state.in_flight:
                 del self._states[engine_id]
         return changed
 
+    def _lapsed_services(self, listed: dict[str, EngineEntry]) -> set[str]:
+        """Return the services that lost more than half of their engines at once.
+
+        A single engine that is no longer listed has left; many at once have expired together.
+        """
+        before: Counter[str] = Counter()
+        missing: Counter[str] = Counter()
+        for engine_id, state in self._states.items():
+            if state.usable_until_s == float("inf") and not state.entry.draining:
+                before[state.entry.service] += 1
+                missing[state.entry.service] += engine_id not in listed
+        return {name for name in before if missing[name] * 2 > before[name]}
+
     def find(self, engine_id: str) -> EngineState | None:
         """Return an engine by its id."""
         return self._states.get(engine_id)
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/engine_board_test.py
@@ -0,0 +1,104 @@
+"""Tests of engine_board.py: which engines may get a request, and when no longer."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge.routing.engine_board import (
+    EJECT_S,
+    FAILURES_TO_EJECT,
+    LAPSE_GRACE_S,
+    OUTAGE_S,
+    EngineBoard,
+)
+from springbridge.routing.records import EngineEntry, EngineListing
+
+SERVICE = "matching"
+
+
+def engine(name, draining=False, address="10.0.0.1:80"):
+    return EngineEntry(name, SERVICE, address, "perth-a", 4, draining)
+
+
+def listing(revision, *names, draining=()):
+    entries = [engine(name) for name in names] + [engine(name, True) for name in draining]
+    return EngineListing(revision, tuple(entries))
+
+
+def usable(board):
+    return sorted(state.entry.engine_id for state in board.candidates(SERVICE, ()))
+
+
+@pytest.fixture
+def board(clock):
+    """Return a board with four engines."""
+    board = EngineBoard(clock)
+    board.install(listing(1, "a", "b", "c", "d"), {}, 0.0)
+    return board
+
+
+def test_draining_and_unlisted_engines_get_nothing(board):
+    board.install(listing(2, "a", "b", draining=("c",)), {}, 0.0)
+    assert_that(usable(board), Equals(["a", "b"]))
+
+
+def test_an_older_list_changes_nothing(board):
+    board.install(listing(5, "a"), {}, 0.0)
+    assert_that(board.install(listing(4, "a", "b"), {}, 0.0), Equals(False))
+    assert_that(usable(board), Equals(["a"]))
+
+
+def test_one_engine_that_vanished_over_an_outage_gets_nothing(board, clock):
+    # Found by hunt-14ef-7 on caroni-charts: a node that was cut off took the removal of one engine
+    # for a lapse of the list, and sent it requests for seconds.
+    clock.advance(OUTAGE_S + 2.0)
+    board.install(listing(2, "a", "b", "c"), {}, 0.0)
+    assert_that(usable(board), Equals(["a", "b", "c"]))
+
+
+def test_engines_that_all_vanished_over_an_outage_stay_usable_for_a_grace(board, clock):
+    clock.advance(OUTAGE_S + 2.0)
+    board.install(listing(2), {}, 0.0)
+    assert_that(usable(board), Equals(["a", "b", "c", "d"]))
+    clock.advance(LAPSE_GRACE_S)
+    assert_that(usable(board), Equals([]))
+
+
+def test_engines_that_all_vanish_without_an_outage_get_nothing(board):
+    board.install(listing(2), {}, 0.0)
+    assert_that(usable(board), Equals([]))
+
+
+def test_a_lapsed_engine_that_is_listed_again_is_as_before(board, clock):
+    clock.advance(OUTAGE_S + 2.0)
+    board.install(listing(2), {}, 0.0)
+    board.install(listing(3, "a"), {}, 0.0)
+    clock.advance(LAPSE_GRACE_S)
+    assert_that(usable(board), Equals(["a"]))
+
+
+def test_failures_in_a_row_make_an_engine_rest(board, clock):
+    state = board.find("a")
+    for _ in range(FAILURES_TO_EJECT):
+        board.failed(state)
+    assert_that(usable(board), Equals(["b", "c", "d"]))
+    clock.advance(EJECT_S)
+    assert_that(usable(board), Equals(["a", "b", "c", "d"]))
+
+
+def test_resting_engines_are_used_when_there_is_no_other(board):
+    for name in "abcd":
+        board.unreachable(board.find(name))
+    assert_that(usable(board), Equals(["a", "b", "c", "d"]))
+
+
+def test_an_engine_whose_address_another_has_gets_nothing(board):
+    board.misnamed(board.find("b"))
+    assert_that(usable(board), Equals(["a", "c", "d"]))
+
+
+def test_engines_that_had_the_request_are_left_out(board):
+    assert_that(
+        [state.entry.engine_id for state in board.candidates(SERVICE, {"a", "c"})],
+        Equals(["b", "d"]),
+    )
