--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -12,7 +12,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.engine_board import EngineBoard
-from springbridge.routing.engine_choice import Chooser, by_shared_prompt
+from springbridge.routing.engine_choice import Chooser, TokenCost
 from springbridge.routing.records import CallerLimits
 from springbridge.routing.shared_budget import SharedRetryBudget
 
@@ -25,8 +25,10 @@
 from springbridge_node.config.ports import ConfigurationReader, PlatformStore
 from springbridge_node.engines.pool import EnginePool
 from springbridge_node.gateway_settings import GatewaySettings
-from springbridge_node.peers.gossip import GossipChannel
+from springbridge_node.peers.datagrams import PeerDatagrams
+from springbridge_node.peers.gossip import Gossip
 from springbridge_node.peers.knowledge import PeerKnowledge, peer_handlers
+from springbridge_node.peers.load_sharing import LoadSharing
 from springbridge_node.periodic import every
 from springbridge_node.requests.journal import RequestJournal
 from springbridge_node.requests.router import RequestRouter, RouterParts
@@ -67,7 +69,7 @@
     """
 
     def __init__(
-        self, settings: GatewaySettings, outside: Outside, choose: Chooser = by_shared_prompt
+        self, settings: GatewaySettings, outside: Outside, choose: Chooser | None = None
     ) -> None:
         """Join the parts; nothing is started yet."""
         self.settings = settings
@@ -76,6 +78,7 @@
         self.telemetry = Telemetry()
         self.membership = Membership(_member(settings), time.monotonic, random.Random(), PACE)
         self.board = EngineBoard(time.monotonic)
+        self.loads = LoadSharing(self.board, self.membership.me.incarnation)
         self.pool = EnginePool(self._live_nodes)
         self.configuration = ConfigurationFollower(
             outside.store, outside.read_configuration, self._configuration_installed
@@ -97,12 +100,13 @@
                 self.pool,
                 self.budget,
                 outside.wire_format,
-                choose,
+                choose or TokenCost(settings.place),
                 RequestJournal(self.telemetry),
+                self.loads,
             )
         )
         self.listener = CallerListener(self._serve)
-        self.gossip: GossipChannel | None = None
+        self.gossip: Gossip | None = None
         self._tasks: list[asyncio.Task] = []
         self._peers_ahead = asyncio.Event()
         self._announced = False
@@ -119,9 +123,11 @@
         self._serve_small(addresses.peers, peer_handlers(lambda: self.configuration, self.board))
         self._serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
         self.listener.listen(addresses.callers, _limits(self.configuration.index))
-        self.gossip = await GossipChannel.open(
-            self.membership, self.settings.ip, self.settings.gossip_port, self._digest_heard
+        datagrams = await PeerDatagrams.open(
+            self.membership, self.settings.ip, self.settings.gossip_port
         )
+        self.gossip = Gossip(self.membership, datagrams, self._digest_heard)
+        self.loads.connect(datagrams)
         self.membership.set_listed(self.settings.seeds)
         self._tasks = [
             asyncio.ensure_future(task)
@@ -261,6 +267,7 @@
         """Drop what belongs to engines and members that are gone."""
         self.pool.keep_only(self.board.known_ids())
         self.membership.forget_old()
+        self.board.expire_loads()
 
 
 def _member(settings: GatewaySettings) -> Member:
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -0,0 +1,113 @@
+"""Tells peers of this node's requests at engines, and takes in what they tell.
+
+Notices are gathered for a few milliseconds, so that a burst of requests makes few datagrams.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.records import Arrival, PromptPart
+
+from springbridge_node.peers.datagrams import Kind, PeerDatagrams
+
+GATHER_S = 0.01
+MOST_IN_A_DATAGRAM = 8
+MOST_PEERS = 16
+
+
+class SharedLoad:
+    """One attempt at an engine, from its start to its end."""
+
+    def __init__(self, sharing: "LoadSharing", attempt_id: str, engine_id: str) -> None:
+        """Keep the names."""
+        self._sharing = sharing
+        self._attempt_id = attempt_id
+        self._engine_id = engine_id
+        self._was_read = False
+
+    def read(self) -> None:
+        """Note that the engine has read the prompt: the first piece of the answer came."""
+        if not self._was_read:
+            self._was_read = True
+            notice = LoadNotice(LoadPhase.READ, self._attempt_id, self._engine_id)
+            self._sharing.tell(notice)
+
+
+class LoadSharing:
+    """This node's part in what all nodes know of the engines' load."""
+
+    def __init__(self, board: EngineBoard, incarnation: str) -> None:
+        """Keep the board; attempts are named after this node's incarnation."""
+        self._board = board
+        self._incarnation = incarnation
+        self._count = 0
+        self._untold: list[LoadNotice] = []
+        self._datagrams: PeerDatagrams | None = None
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Begin to tell peers and to listen to them."""
+        self._datagrams = datagrams
+        datagrams.handle(Kind.LOAD, self._take)
+
+    @contextlib.contextmanager
+    def attempt(self, engine_id: str, arrival: Arrival) -> Iterator[SharedLoad]:
+        """Count a request at an engine for as long as the block runs."""
+        self._count += 1
+        attempt_id = f"{self._incarnation}/{self._count}"
+        self.tell(
+            LoadNotice(
+                LoadPhase.STARTED,
+                attempt_id,
+                engine_id,
+                arrival.prompt_tokens,
+                arrival.prompt_parts,
+            )
+        )
+        try:
+            yield SharedLoad(self, attempt_id, engine_id)
+        finally:
+            self.tell(LoadNotice(LoadPhase.ENDED, attempt_id, engine_id))
+
+    def tell(self, notice: LoadNotice) -> None:
+        """Take in a notice here and tell the peers soon."""
+        self._board.take_notice(notice)
+        if self._datagrams is None:
+            return
+        if not self._untold:
+            asyncio.get_running_loop().call_later(GATHER_S, self._flush)
+        self._untold.append(notice)
+
+    def _flush(self) -> None:
+        """Send what was gathered."""
+        notices, self._untold = self._untold, []
+        peers = self._datagrams.some_peers(MOST_PEERS)
+        for start in range(0, len(notices), MOST_IN_A_DATAGRAM):
+            rows = [_row(notice) for notice in notices[start : start + MOST_IN_A_DATAGRAM]]
+            self._datagrams.send(Kind.LOAD, rows, peers)
+
+    def _take(self, rows: list) -> None:
+        """Take in a peer's notices."""
+        for row in rows:
+            self._board.take_notice(_notice(row))
+
+
+def _row(notice: LoadNotice) -> list:
+    """Return a notice as it travels."""
+    row = [int(notice.phase), notice.attempt_id, notice.engine_id]
+    if notice.phase is LoadPhase.STARTED:
+        parts = [[part.part_id, part.tokens] for part in notice.prompt_parts]
+        row += [notice.prompt_tokens, parts]
+    return row
+
+
+def _notice(row: list) -> LoadNotice:
+    """Return a notice from what travelled."""
+    phase, attempt_id, engine_id, *started = row
+    if not started:
+        return LoadNotice(LoadPhase(phase), attempt_id, engine_id)
+    prompt_tokens, parts = started
+    prompt_parts = tuple(PromptPart(part_id, tokens) for part_id, tokens in parts)
+    return LoadNotice(LoadPhase(phase), attempt_id, engine_id, prompt_tokens, prompt_parts)
--- a/packages/springbridge-node/springbridge_node/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/requests/attempt.py
@@ -16,6 +16,7 @@
 
 from springbridge_node.callers.answer import CallerAnswer
 from springbridge_node.callers.ingress import IncomingRequest
+from springbridge_node.peers.load_sharing import SharedLoad
 from springbridge_node.requests.wire_format import WireFormat
 from springbridge_node.wire.http_connection import AnswerBrokenError, Head, HttpConnection
 
@@ -53,6 +54,7 @@
       last_event: Id of the last event that the caller got.
       first_piece_s: When the caller got the first piece of the answer, None before.
       failure: The last failure that an engine answered with.
+      load: The attempt in progress as the other nodes know it.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -61,6 +63,7 @@
     last_event: str | None = None
     first_piece_s: float | None = None
     failure: HeldFailure | None = None
+    load: SharedLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +172,8 @@
     if length is not None:
         headers["Content-Length"] = str(length)
     exchange.progress.first_piece_s = time.monotonic()
+    if exchange.progress.load is not None:
+        exchange.progress.load.read()
     await exchange.answer.start(head.status, head.reason, headers, piece)
 
 
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -22,6 +22,7 @@
 from springbridge_node.callers.answer import CallerAnswer
 from springbridge_node.callers.ingress import IncomingRequest
 from springbridge_node.engines.pool import EngineBusyError, EnginePool
+from springbridge_node.peers.load_sharing import LoadSharing
 from springbridge_node.requests.attempt import (
     SERVER_ERROR,
     End,
@@ -66,6 +67,7 @@
     wire_format: WireFormat
     choose: Chooser
     journal: RequestJournal
+    loads: LoadSharing
 
 
 class RequestRouter:
@@ -169,19 +171,13 @@
     ) -> End:
         """Send the request to one engine and pass on what it answers."""
         engine_id = state.entry.engine_id
-        parts = exchange.admitted.arrival.prompt_parts
-        prefill = max(0, exchange.admitted.arrival.prompt_tokens - state.cache.kept_tokens(parts))
-        state.in_flight += 1
-        state.prefill_tokens += prefill
-        state.cache.note(parts)
         try:
-            end = await self._send_and_relay(exchange, state, connection)
+            with self._parts.loads.attempt(engine_id, exchange.admitted.arrival) as load:
+                exchange.progress.load = load
+                end = await self._send_and_relay(exchange, state, connection)
         except BaseException:
             self._parts.pool.discard(engine_id, connection)
             raise
-        finally:
-            state.in_flight -= 1
-            state.prefill_tokens -= prefill
         self._note(state, end)
         if end in (End.BROKEN, End.SILENT):
             self._parts.pool.discard(engine_id, connection)
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from springbridge.routing.load import Load, LoadNotice, LoadPhase
 from springbridge.routing.prefix_cache import PrefixCache
 from springbridge.routing.records import EngineEntry, EngineListing
 
@@ -18,6 +19,8 @@
 LONGEST_EJECT_S = 4.0
 UNREACHABLE_S = 0.5
 LAPSE_GRACE_S = 2.5
+LONGEST_LOAD_S = 20.0
+LONGEST_READ_S = 8.0
 OUTAGE_S = 1.0
 
 
@@ -26,21 +29,26 @@
     """One engine as this node sees it.
 
     Attributes:
-      in_flight: Requests of this node that the engine has now.
-      prefill_tokens: Prompt tokens of those that have not brought an event yet.
+      loads: The requests that it has now, of all nodes as far as this node knows.
+      prefill_tokens: Prompt tokens of those that it has still to read.
       failures: Failures in a row.
       rests_until_s: No request goes there before this moment unless there is no other engine.
       usable_until_s: When an engine that is no longer listed gets its last request.
     """
 
     entry: EngineEntry
-    in_flight: int = 0
+    loads: dict[str, Load] = field(default_factory=dict)
     prefill_tokens: int = 0
     failures: int = 0
     rests_until_s: float = 0.0
     usable_until_s: float = float("inf")
     cache: PrefixCache = field(default_factory=PrefixCache)
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests it has now."""
+        return len(self.loads)
+
 
 class EngineBoard:
     """All engines that this node may use."""
@@ -154,6 +162,45 @@
         ]
         return [state for state in usable if state.rests_until_s <= now_s] or usable
 
+    def take_notice(self, notice: LoadNotice) -> None:
+        """Take in what this node or a peer did with a request at an engine."""
+        state = self._states.get(notice.engine_id)
+        if state is None:
+            return
+        if notice.phase is LoadPhase.STARTED:
+            self._add_load(state, notice)
+        elif notice.phase is LoadPhase.READ:
+            self._mark_read(state, notice.attempt_id)
+        else:
+            self._mark_read(state, notice.attempt_id)
+            state.loads.pop(notice.attempt_id, None)
+
+    def _add_load(self, state: EngineState, notice: LoadNotice) -> None:
+        """Add a request to an engine's load."""
+        kept = state.cache.kept_tokens(notice.prompt_parts)
+        prefill = max(0, notice.prompt_tokens - kept)
+        state.cache.note(notice.prompt_parts)
+        state.loads[notice.attempt_id] = Load(prefill, self._clock())
+        state.prefill_tokens += prefill
+
+    def _mark_read(self, state: EngineState, attempt_id: str) -> None:
+        """Note that an engine has read a prompt."""
+        load = state.loads.get(attempt_id)
+        if load is not None and load.prefill_tokens:
+            state.prefill_tokens -= load.prefill_tokens
+            state.loads[attempt_id] = Load(0, load.since_s)
+
+    def expire_loads(self) -> None:
+        """Drop loads whose end was never heard of, since its notice was lost or its node died."""
+        oldest_s = self._clock() - LONGEST_LOAD_S
+        longest_read_s = self._clock() - LONGEST_READ_S
+        for state in self._states.values():
+            for attempt_id, load in list(state.loads.items()):
+                if load.since_s < longest_read_s:
+                    self._mark_read(state, attempt_id)
+                if load.since_s < oldest_s:
+                    del state.loads[attempt_id]
+
     def succeeded(self, state: EngineState) -> None:
         """Note that an engine answered as it should."""
         state.failures = 0
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -6,13 +6,24 @@
 """
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
 
 from springbridge.hashing import score
 from springbridge.routing.engine_board import EngineState
-from springbridge.routing.records import Admitted
+from springbridge.routing.records import Admitted, PromptPart
 
 LOAD_BOUND = 1.5
 LEAST_BOUND = 2.0
+COST_STEP = 500
+RUNNING_TOKENS = 100
+BORDER_SHARE = 0.08
+SHORT_PROMPT_TOKENS = 3000
+LONG_AT_QUIET_TOKENS = 12000
+SHORT_AT_BUSY_TOKENS = 1500
+QUIET_SHARE = 0.2
+LEAST_ENGINES_TO_SPLIT = 3
+QUIET_KEY = "short prompts"
 
 Chooser = Callable[[Sequence[EngineState], Admitted], EngineState]
 
@@ -39,3 +50,68 @@
     bound = max(LEAST_BOUND, LOAD_BOUND * mean)
     within = [state for state in states if state.in_flight + 1 <= bound]
     return max(within or states, key=lambda state: score(shared.part_id, state.entry.engine_id))
+
+
+@dataclass(frozen=True)
+class TokenCost:
+    """Chooses the engine at which a request costs the fewest prompt tokens of time.
+
+    The cost of an engine is what it has still to read, what it would have to read of this prompt, a
+    little for each request that it runs, and something for a border between failure domains. Short
+    prompts with quick answers suffer beside long ones, whose reading holds up every token; so some
+    engines of each service are kept for short prompts by a charge that long ones pay there.
+
+    Attributes:
+      place: Failure domain of this node.
+    """
+
+    place: str
+
+    def __call__(self, states: Sequence[EngineState], admitted: Admitted) -> EngineState:
+        """Return the engine with the lowest cost."""
+        arrival = admitted.arrival
+        if not arrival.prompt_parts:
+            return least_in_flight(states, admitted)
+        quiet = _quiet_engines(states)
+        shared = _shared_part(arrival.prompt_parts)
+        return min(
+            states,
+            key=lambda state: (
+                self._cost(state, admitted, quiet) // COST_STEP,
+                -score(shared, state.entry.engine_id),
+            ),
+        )
+
+    def _cost(self, state: EngineState, admitted: Admitted, quiet: frozenset[str]) -> float:
+        """Return the cost of a request at an engine, in prompt tokens."""
+        arrival = admitted.arrival
+        unread = max(0, arrival.prompt_tokens - state.cache.kept_tokens(arrival.prompt_parts))
+        cost = state.prefill_tokens + unread + RUNNING_TOKENS * state.in_flight
+        if state.entry.place != self.place:
+            cost += BORDER_SHARE * arrival.prompt_tokens
+        is_short = arrival.prompt_tokens <= SHORT_PROMPT_TOKENS
+        if state.entry.engine_id in quiet and not is_short:
+            cost += LONG_AT_QUIET_TOKENS
+        if state.entry.engine_id not in quiet and is_short:
+            cost += SHORT_AT_BUSY_TOKENS
+        return cost
+
+
+def _shared_part(parts: tuple[PromptPart, ...]) -> str:
+    """Return the longest chain of a prompt that other requests may share."""
+    return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
+
+
+def _quiet_engines(states: Sequence[EngineState]) -> frozenset[str]:
+    """Return the engines that are kept for short prompts, the same at all nodes."""
+    if len(states) < LEAST_ENGINES_TO_SPLIT:
+        return frozenset()
+    count = max(1, round(len(states) * QUIET_SHARE))
+    ranked = sorted((state.entry.engine_id for state in states), key=_quiet_rank, reverse=True)
+    return frozenset(ranked[:count])
+
+
+@lru_cache(maxsize=4096)
+def _quiet_rank(engine_id: str) -> float:
+    """Return the rank of an engine among those kept for short prompts."""
+    return score(QUIET_KEY, engine_id)
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/load.py
@@ -0,0 +1,49 @@
+"""What nodes tell each other of the requests that they have at engines.
+
+An engine's own report is late and costs a call. What a node does with a request it knows at once,
+and a notice of a hundred bytes tells the others within milliseconds. Notices may be lost: they are
+hints for the choice of engine, and a load whose end is never heard of expires.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from springbridge.routing.records import PromptPart
+
+
+class LoadPhase(IntEnum):
+    """What happened to a request at an engine."""
+
+    STARTED = 0
+    READ = 1
+    ENDED = 2
+
+
+@dataclass(frozen=True, slots=True)
+class LoadNotice:
+    """One request at one engine changed its phase.
+
+    Attributes:
+      attempt_id: Names the attempt among those of all nodes.
+      prompt_tokens: Length of the prompt; only with STARTED.
+      prompt_parts: What the engine will keep of it; only with STARTED.
+    """
+
+    phase: LoadPhase
+    attempt_id: str
+    engine_id: str
+    prompt_tokens: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """A request that an engine has.
+
+    Attributes:
+      prefill_tokens: Prompt tokens that it probably has still to read.
+      since_s: When this node learnt of it.
+    """
+
+    prefill_tokens: int
+    since_s: float
