--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -17,7 +17,8 @@
 LEAST_BOUND = 2.0
 COST_STEP = 500
 RUNNING_TOKENS = 100
-BORDER_SHARE = 0.08
+UNREAD_WEIGHT = 2.0
+BORDER_SHARE = 0.3
 SHORT_PROMPT_TOKENS = 3000
 LONG_AT_QUIET_TOKENS = 12000
 SHORT_AT_BUSY_TOKENS = 1500
@@ -86,7 +87,7 @@
         """Return the cost of a request at an engine, in prompt tokens."""
         arrival = admitted.arrival
         unread = max(0, arrival.prompt_tokens - state.cache.kept_tokens(arrival.prompt_parts))
-        cost = state.prefill_tokens + unread + RUNNING_TOKENS * state.in_flight
+        cost = state.prefill_tokens + UNREAD_WEIGHT * unread + RUNNING_TOKENS * state.in_flight
         if state.entry.place != self.place:
             cost += BORDER_SHARE * arrival.prompt_tokens
         is_short = arrival.prompt_tokens <= SHORT_PROMPT_TOKENS
