--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -268,12 +268,13 @@
         self.pool.keep_only(self.board.known_ids())
         self.membership.forget_old()
         self.board.expire_loads()
+        self.gossip.forget_gone()
 
 
 def _member(settings: GatewaySettings) -> Member:
     """Return this node as its peers will know it; the incarnation is new at each start."""
     return Member(
-        incarnation=f"{settings.name}.{os.urandom(4).hex()}",
+        incarnation=os.urandom(5).hex(),
         instance=settings.name,
         peer_address=settings.addresses.peers,
         caller_address=settings.addresses.callers,
--- a/packages/springbridge-node/springbridge_node/lifecycle.py
+++ b/packages/springbridge-node/springbridge_node/lifecycle.py
@@ -41,7 +41,12 @@
     changed = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     async with running(gateway):
-        logs.event("node.started", instance=gateway.settings.name, pid=os.getpid())
+        logs.event(
+            "node.started",
+            instance=gateway.settings.name,
+            incarnation=gateway.membership.me.incarnation,
+            pid=os.getpid(),
+        )
         reloading = asyncio.ensure_future(_reload(gateway, settings_path, load, changed))
         await stop.wait()
         await stop_planned(gateway)
--- a/packages/springbridge-node/springbridge_node/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/peers/gossip.py
@@ -1,9 +1,13 @@
 """Carries the membership's digests between nodes.
 
-A digest is a few hundred bytes and may be lost without harm, since the next one says more.
+A digest may be lost without harm, since the next one says more. What does not change of a member is
+told now and then, and always while it is new; the rest of the time its name, heartbeat, phase and
+version are enough. Bytes between failure domains cost, and digests are most of what nodes say.
 """
 
+import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from springbridge.membership import Member, Membership, Phase
 
@@ -11,6 +15,9 @@
 from springbridge_node.peers.datagrams import Kind, PeerDatagrams
 
 PUSHED_PEERS = 64
+WHOLE_EVERY = 12
+NEW_FOR_S = 4.0
+OTHERS_IN_DIGEST = 4
 
 
 class Gossip:
@@ -23,11 +30,20 @@
         self._membership = membership
         self._datagrams = datagrams
         self._heard = heard
+        self._sent = 0
+        self._first_heard_s: dict[str, float] = {}
         datagrams.handle(Kind.DIGEST, self._take)
 
     def send(self, peer_addresses: list[str]) -> None:
         """Send this node's digest to peers."""
-        rows = [_row(member) for member in self._membership.digest()]
+        self._sent += 1
+        whole = self._sent % WHOLE_EVERY == 1
+        digest = self._membership.digest()
+        members = digest if whole else digest[: OTHERS_IN_DIGEST + 1]
+        rows = [
+            _whole_row(member) if whole or self._is_new(member) else _short_row(member)
+            for member in members
+        ]
         self._datagrams.send(Kind.DIGEST, rows, peer_addresses)
 
     def push(self) -> None:
@@ -37,10 +53,37 @@
     def _take(self, rows: list) -> None:
         """Take in a digest."""
         known = set(self._membership.incarnations())
-        self._membership.merge([_member(row) for row in rows])
+        members = [self._member(row) for row in rows]
+        self._membership.merge([member for member in members if member is not None])
         self._log_changes(known)
         self._heard()
 
+    def _member(self, row: list) -> Member | None:
+        """Return a member from what travelled, or None if only its changes came and it is new."""
+        incarnation, heartbeat, phase, version, *fixed = row
+        if fixed:
+            instance, peer, caller, place = fixed
+            return Member(
+                incarnation, instance, peer, caller, place, heartbeat, Phase(phase), version
+            )
+        known = self._membership.find(incarnation)
+        if known is None:
+            return None
+        return replace(known, heartbeat=heartbeat, phase=Phase(phase), config_version=version)
+
+    def _is_new(self, member: Member) -> bool:
+        """Return whether a member may be unknown to others: it was heard of a moment ago."""
+        first_s = self._first_heard_s.setdefault(member.incarnation, time.monotonic())
+        return time.monotonic() - first_s < NEW_FOR_S
+
+    def forget_gone(self) -> None:
+        """Drop what is kept of members that the membership has forgotten."""
+        self._first_heard_s = {
+            incarnation: first_s
+            for incarnation, first_s in self._first_heard_s.items()
+            if self._membership.find(incarnation) is not None
+        }
+
     def _log_changes(self, known: set[str]) -> None:
         """Log members that came or left with a digest."""
         now = set(self._membership.incarnations())
@@ -50,23 +93,12 @@
             logs.event("member.left", incarnation=incarnation)
 
 
-def _row(member: Member) -> list:
-    """Return a member as it travels."""
-    return [
-        member.incarnation,
-        member.instance,
-        member.peer_address,
-        member.caller_address,
-        member.place,
-        member.heartbeat,
-        int(member.phase),
-        member.config_version,
-    ]
-
-
-def _member(row: list) -> Member:
-    """Return a member from what travelled."""
-    incarnation, instance, peer, caller, place, heartbeat, phase, version = row
-    return Member(
-        incarnation, instance, peer, caller, place, int(heartbeat), Phase(phase), int(version)
-    )
+def _short_row(member: Member) -> list:
+    """Return what changes of a member, as it travels."""
+    return [member.incarnation, member.heartbeat, int(member.phase), member.config_version]
+
+
+def _whole_row(member: Member) -> list:
+    """Return a member as it travels to nodes that may not know it."""
+    fixed = [member.instance, member.peer_address, member.caller_address, member.place]
+    return _short_row(member) + fixed
