--- a/packages/springbridge-node/springbridge_node/config/engine_follower.py
+++ b/packages/springbridge-node/springbridge_node/config/engine_follower.py
@@ -1,10 +1,12 @@
-"""Keeps the list of engines fresh: from the store at a steady pace, from peers while it fails."""
+"""Keeps the list of engines fresh: a few nodes read the store, the others follow them."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from returns.result import Failure, Success
+from springbridge.hashing import score
+from springbridge.membership import ListingSeen, Membership
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.records import EngineListing
 
@@ -12,6 +14,10 @@
 from springbridge_node.config.dependency import Dependency
 from springbridge_node.config.ports import PlatformStore
 
+READERS = 2
+READER_KEY = "reader of the list of engines"
+CONFIRMED_S = 1.1
+LOOK_S = 0.2
 ASK_PEERS_AFTER_S = 1.5
 
 
@@ -23,18 +29,25 @@
     age_s: float
 
 
-FetchFromPeers = Callable[[], Awaitable[AgedListing | None]]
+FetchListing = Callable[[str | None], Awaitable[AgedListing | None]]
 
 
 class EngineFollower:
-    """Reads the list of engines into the board."""
+    """Brings the list of engines onto the board.
+
+    Every call to the store costs, so a few nodes, chosen by hashing over the live members, read it
+    for all. The others see in the readers' digests whether their list is still the newest, and
+    fetch a changed one from a peer. A node that no peer confirms in time reads for itself.
+    """
 
     def __init__(
         self,
         store: PlatformStore,
         board: EngineBoard,
+        membership: Membership,
         capacities: Callable[[], dict[str, int]],
-        fetch: FetchFromPeers,
+        fetch: FetchListing,
+        changed: Callable[[], None],
         regained: Callable[[], None],
         interval_s: float,
     ) -> None:
@@ -42,40 +55,80 @@
 
         Args:
           capacities: Returns the tokens that an engine of each service can keep.
+          fetch: Returns the list that a peer has, or that any has.
+          changed: Called when this node read a changed list.
           regained: Called when the store answers again after a failure.
-          interval_s: Pause between two reads.
+          interval_s: Pause between two reads of a reader.
         """
         self._store = store
         self._board = board
+        self._membership = membership
         self._capacities = capacities
         self._fetch = fetch
+        self._changed = changed
         self._regained = regained
         self._interval_s = interval_s
         self.dependency = Dependency("store")
 
+    def seen(self) -> ListingSeen:
+        """Return what to tell peers of the list in use."""
+        return ListingSeen(self._board.mark, min(1e6, self._board.age_s()))
+
     async def step(self) -> None:
+        """Keep the list fresh for one interval."""
+        if self._is_reader() or not await self._is_kept_fresh_by_peers():
+            await self._read_store()
+            await asyncio.sleep(self._interval_s)
+        else:
+            await asyncio.sleep(LOOK_S)
+
+    def _is_reader(self) -> bool:
+        """Return whether this node is one of those that read for all."""
+        live = self._membership.incarnations()
+        live.sort(key=lambda incarnation: score(READER_KEY, incarnation), reverse=True)
+        return self._membership.me.incarnation in live[:READERS]
+
+    async def _is_kept_fresh_by_peers(self) -> bool:
+        """Return whether a peer shows that the list in use is the newest, or gives a newer one."""
+        listings = self._membership.listings()
+        youngest, age_s = min(listings, key=lambda pair: pair[1], default=(None, CONFIRMED_S))
+        if age_s >= CONFIRMED_S:
+            return False
+        if youngest.listing.mark == self._board.mark:
+            self._board.confirm(age_s)
+            return True
+        if age_s >= self._board.age_s():
+            return self._board.age_s() < CONFIRMED_S
+        aged = await self._fetch(youngest.peer_address)
+        if aged is None:
+            return False
+        self._install(aged, "peer")
+        return True
+
+    async def _read_store(self) -> None:
         """Read once; ask a peer where the list has grown old."""
         match await self._store.read_engines():
             case Success(listing):
-                self._install(AgedListing(listing, 0.0), "store")
+                if self._install(AgedListing(listing, 0.0), "store"):
+                    self._changed()
                 if self.dependency.answered():
                     self._regained()
             case Failure(problem):
                 self.dependency.failed(problem.detail)
-                await self._ask_peers()
-        await asyncio.sleep(self._interval_s)
+                await self._ask_any_peer()
 
-    async def _ask_peers(self) -> None:
+    async def _ask_any_peer(self) -> None:
         """Take a younger list from a peer."""
         if self._board.age_s() < ASK_PEERS_AFTER_S:
             return
-        aged = await self._fetch()
+        aged = await self._fetch(None)
         if aged is not None and aged.age_s < self._board.age_s():
             self._install(aged, "peer")
 
-    def _install(self, aged: AgedListing, source: str) -> None:
-        """Put a list in use and log it if it brought a change."""
-        if self._board.install(aged.listing, self._capacities(), aged.age_s):
+    def _install(self, aged: AgedListing, source: str) -> bool:
+        """Put a list in use, log it if it brought a change, and return whether it did."""
+        changed = self._board.install(aged.listing, self._capacities(), aged.age_s)
+        if changed:
             logs.event(
                 "engines.changed",
                 revision=aged.listing.revision,
@@ -86,3 +139,4 @@
                     entry.engine_id for entry in aged.listing.entries if entry.draining
                 ),
             )
+        return changed
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -87,8 +87,10 @@
         self.engines = EngineFollower(
             outside.store,
             self.board,
+            self.membership,
             self._capacities,
             self.knowledge.engines,
+            self._push,
             self.configuration.refresh,
             settings.listing_interval_s,
         )
@@ -211,8 +213,12 @@
     def _configuration_installed(self, index: RouteIndex) -> None:
         """Hold callers to the new limits and tell peers of the version."""
         self.listener.apply(index.configuration.limits)
+        self._push()
+
+    def _push(self) -> None:
+        """Tell all peers at once what this node knows."""
         self._state_version()
-        if self.gossip is not None:
+        if self.gossip is not None and self.is_ready():
             self.gossip.push()
 
     def _digest_heard(self) -> None:
@@ -251,7 +257,9 @@
 
     def _state_version(self) -> None:
         """Count up this node's heartbeat and state its version."""
-        self.membership.beat(self.configuration.version, 0.0, not self.engines.dependency.up)
+        self.membership.beat(
+            self.configuration.version, 0.0, not self.engines.dependency.up, self.engines.seen()
+        )
 
     async def _find_peers(self) -> None:
         """Announce this node once, and read who else did while it is alone."""
--- a/packages/springbridge-node/springbridge_node/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/peers/gossip.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from springbridge.membership import Member, Membership, Phase
+from springbridge.membership import ListingSeen, Member, Membership, Phase
 
 from springbridge_node import logs
 from springbridge_node.peers.datagrams import Kind, PeerDatagrams
@@ -60,16 +60,21 @@
 
     def _member(self, row: list) -> Member | None:
         """Return a member from what travelled, or None if only its changes came and it is new."""
-        incarnation, heartbeat, phase, version, *fixed = row
+        incarnation, heartbeat, phase, version, mark, age_s, *fixed = row
         if fixed:
             instance, peer, caller, place = fixed
-            return Member(
-                incarnation, instance, peer, caller, place, heartbeat, Phase(phase), version
-            )
-        known = self._membership.find(incarnation)
+            known = Member(incarnation, instance, peer, caller, place)
+        else:
+            known = self._membership.find(incarnation)
         if known is None:
             return None
-        return replace(known, heartbeat=heartbeat, phase=Phase(phase), config_version=version)
+        return replace(
+            known,
+            heartbeat=heartbeat,
+            phase=Phase(phase),
+            config_version=version,
+            listing=ListingSeen(mark, age_s),
+        )
 
     def _is_new(self, member: Member) -> bool:
         """Return whether a member may be unknown to others: it was heard of a moment ago."""
@@ -95,7 +100,14 @@
 
 def _short_row(member: Member) -> list:
     """Return what changes of a member, as it travels."""
-    return [member.incarnation, member.heartbeat, int(member.phase), member.config_version]
+    return [
+        member.incarnation,
+        member.heartbeat,
+        int(member.phase),
+        member.config_version,
+        member.listing.mark,
+        round(member.listing.age_s, 2),
+    ]
 
 
 def _whole_row(member: Member) -> list:
--- a/packages/springbridge-node/springbridge_node/peers/knowledge.py
+++ b/packages/springbridge-node/springbridge_node/peers/knowledge.py
@@ -68,16 +68,19 @@
                 return ConfigurationDocument(told["version"], base64.b64decode(told["document"]))
         return None
 
-    async def engines(self) -> AgedListing | None:
-        """Return the youngest list of engines that a few peers have."""
+    async def engines(self, peer: str | None) -> AgedListing | None:
+        """Return the list of engines that a peer has, or the youngest that a few peers have."""
         peers = [member.peer_address for member in self._membership.reachable()] or self._seeds()
-        best = None
-        for address in random.sample(peers, min(PEERS_ASKED, len(peers))):
-            told = await _ask(address, ENGINES_PATH)
-            if told is not None and (best is None or told["age_s"] < best.age_s):
-                entries = tuple(EngineEntry(*row) for row in told["entries"])
-                best = AgedListing(EngineListing(told["revision"], entries), told["age_s"])
-        return best
+        asked = [peer] if peer else random.sample(peers, min(PEERS_ASKED, len(peers)))
+        told = [await _ask(address, ENGINES_PATH) for address in asked]
+        lists = [_aged_listing(each) for each in told if each is not None]
+        return min(lists, key=lambda aged: aged.age_s, default=None)
+
+
+def _aged_listing(told: dict) -> AgedListing:
+    """Return a list of engines as a peer tells it."""
+    entries = tuple(EngineEntry(*row) for row in told["entries"])
+    return AgedListing(EngineListing(told["revision"], entries), told["age_s"])
 
 
 async def _ask(address: str, path: str) -> dict | None:
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -28,6 +28,18 @@
     GONE = 2
 
 
+@dataclass(frozen=True)
+class ListingSeen:
+    """A list of engines as a node tells of it.
+
+    Attributes:
+      mark: Hash of its content; two nodes with the same mark have the same list.
+    """
+
+    mark: int = 0
+    age_s: float = 1e9
+
+
 @dataclass(frozen=True)
 class Member:
     """What is known of one incarnation of a node.
@@ -41,6 +53,7 @@
       confirmed_ago_s: How long ago the node, or somebody it heard from, read that version as the
         newest from the platform's table.
       table_out: Whether the node cannot reach the platform's table.
+      listing: What list of engines the node has, and how old it was at the heartbeat.
     """
 
     incarnation: str
@@ -53,6 +66,7 @@
     config_version: int = 0
     confirmed_ago_s: float = 1e9
     table_out: bool = False
+    listing: ListingSeen = ListingSeen()
 
 
 @dataclass(frozen=True)
@@ -95,14 +109,21 @@
         self._listed: set[str] = set()
         self._list_was_read = False
 
-    def beat(self, config_version: int, confirmed_ago_s: float, table_out: bool) -> None:
-        """Count up this node's heartbeat and state what it knows of the configuration."""
+    def beat(
+        self,
+        config_version: int,
+        confirmed_ago_s: float,
+        table_out: bool,
+        listing: ListingSeen | None = None,
+    ) -> None:
+        """Count up this node's heartbeat and state what it knows of configuration and engines."""
         self.me = replace(
             self.me,
             heartbeat=self.me.heartbeat + 1,
             config_version=config_version,
             confirmed_ago_s=confirmed_ago_s,
             table_out=table_out,
+            listing=listing or self.me.listing,
         )
 
     def leave(self) -> None:
@@ -167,6 +188,15 @@
             return None
         return known.member
 
+    def listings(self) -> list[tuple[Member, float]]:
+        """Return the other members that run, and how old their lists of engines are by now."""
+        now_s = self._clock()
+        return [
+            (known.member, known.member.listing.age_s + now_s - known.heard_s)
+            for known in self._known.values()
+            if known.member.phase is not Phase.GONE and self._is_heard(known)
+        ]
+
     def incarnations(self) -> list[str]:
         """Return the incarnations of live(), the candidates for roles."""
         return [member.incarnation for member in self.live()]
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+import xxhash
+
 from springbridge.routing.load import Load, LoadNotice, LoadPhase
 from springbridge.routing.prefix_cache import PrefixCache
 from springbridge.routing.records import EngineEntry, EngineListing
@@ -21,6 +23,7 @@
 LAPSE_GRACE_S = 2.5
 LONGEST_LOAD_S = 20.0
 LONGEST_READ_S = 8.0
+MARK_SHIFT = 32
 OUTAGE_S = 1.0
 
 
@@ -59,6 +62,17 @@
         self._states: dict[str, EngineState] = {}
         self._revision = -1
         self._read_s: float | None = None
+        self._mark = 0
+
+    @property
+    def mark(self) -> int:
+        """Return a hash of the list in use, alike at all nodes that have the same; 0 before one."""
+        return self._mark
+
+    def confirm(self, age_s: float) -> None:
+        """Note that the list in use was still the newest so long ago."""
+        if self._read_s is not None:
+            self._read_s = max(self._read_s, self._clock() - age_s)
 
     @property
     def revision(self) -> int:
@@ -83,6 +97,7 @@
             return False
         after_outage = self.age_s() > OUTAGE_S + age_s
         self._revision = listing.revision
+        self._mark = _mark(listing)
         self._read_s = self._clock() - age_s
         listed = {entry.engine_id: entry for entry in listing.entries}
         changed = self._update(listed, capacities)
@@ -222,3 +237,12 @@
     def misnamed(self, state: EngineState) -> None:
         """Note that another engine has the address: this one has ended."""
         state.usable_until_s = self._clock()
+
+
+def _mark(listing: EngineListing) -> int:
+    """Return a hash of a list's content, whatever its revision and order."""
+    rows = sorted(
+        f"{entry.engine_id} {entry.service} {entry.address} {entry.draining}"
+        for entry in listing.entries
+    )
+    return xxhash.xxh3_64_intdigest("\n".join(rows).encode()) >> MARK_SHIFT
