--- a/packages/springbridge-node/springbridge_node/engines/pool.py
+++ b/packages/springbridge-node/springbridge_node/engines/pool.py
@@ -54,6 +54,19 @@
             self.discard(entry.engine_id, connection)
         if self._open.get(entry.engine_id, 0) >= self._cap(service):
             raise EngineBusyError(entry.engine_id)
+        return await self._connect(entry)
+
+    async def warm(self, entry: EngineEntry) -> None:
+        """Open a connection and keep it for the next request.
+
+        Raises:
+          ConnectFailedError: The engine cannot be reached.
+        """
+        connection = await self._connect(entry)
+        self._resting.setdefault(entry.engine_id, []).append(connection)
+
+    async def _connect(self, entry: EngineEntry) -> HttpConnection:
+        """Open a connection and count it."""
         self._open[entry.engine_id] = self._open.get(entry.engine_id, 0) + 1
         try:
             return await connect(entry.address, CONNECT_TIMEOUT_S)
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -24,6 +24,7 @@
 from springbridge_node.config.engine_follower import EngineFollower
 from springbridge_node.config.ports import ConfigurationReader, PlatformStore
 from springbridge_node.engines.pool import EnginePool
+from springbridge_node.engines.prober import EngineProber
 from springbridge_node.gateway_settings import GatewaySettings
 from springbridge_node.peers.datagrams import PeerDatagrams
 from springbridge_node.peers.gossip import Gossip
@@ -136,6 +137,7 @@
             for task in (
                 self.configuration.run(),
                 every(0.0, self.engines.step),
+                every(0.0, EngineProber(self.board, self.pool).step),
                 every(BEAT_S, self._beat),
                 every(ALONE_READ_S, self._find_peers),
                 every(0.0, self._follow_peers),
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -50,6 +50,7 @@
 RETRY_AFTER_SHARE = 0.1
 LEAST_RETRY_AFTER_S = 0.05
 SILENCE_SHARE = 0.5
+RESTART_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -267,10 +268,17 @@
     """Return the problem of a request for which there is no further engine."""
     if exchange.progress.may_have_run:
         return Problem(Code.ENGINE_FAILED, "no further engine")
-    return _not_run(exchange.admitted, "no engine")
+    if exchange.progress.sends:
+        return _not_run(exchange.admitted, "no further engine")
+    return _not_run(exchange.admitted, "no engine", RESTART_S)
 
 
-def _not_run(admitted: Admitted, detail: str) -> Problem:
-    """Return the refusal of a request that no engine has run, with the time to come back."""
-    retry_after_s = max(LEAST_RETRY_AFTER_S, admitted.route.target_s * RETRY_AFTER_SHARE)
+def _not_run(admitted: Admitted, detail: str, retry_after_s: float | None = None) -> Problem:
+    """Return the refusal of a request that no engine has run, with the time to come back.
+
+    Args:
+      retry_after_s: That time; left out, an engine is full for a moment.
+    """
+    if retry_after_s is None:
+        retry_after_s = max(LEAST_RETRY_AFTER_S, admitted.route.target_s * RETRY_AFTER_SHARE)
     return Problem(Code.NO_ENGINE, detail, retry_after_s=retry_after_s)
--- a/packages/springbridge-node/springbridge_node/wire/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/wire/http_connection.py
@@ -108,7 +108,7 @@
         self._stream = stream
         self._unread = bytearray()
         self._sent: asyncio.Future | None = None
-        self._may_be_kept = False
+        self._may_be_kept = True
         self.served = 0
         self.rested_since_s = time.monotonic()
         self.keep_s: float | None = None
--- a/packages/springbridge-standins/springbridge_standins/users_platform/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/engine.py
@@ -34,16 +34,34 @@
         self.abandoned: list[str] = []
         self.connections = 0
         self.address = ""
+        self._server: asyncio.Server | None = None
+        self._open: set[Connection] = set()
+
+    async def start(self, ip: str) -> None:
+        """Begin to listen, at the address of before if there was one."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self.serve, ip, port)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stop listening and reset all connections, as a process that is killed does."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self._open:
+            connection.reset()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         self.connections += 1
         connection = Connection(reader, writer)
+        self._open.add(connection)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while not writer.is_closing():
                 request = await read_request(reader)
                 self.arrived.append(request)
                 await self._run_script(request, connection)
+        self._open.discard(connection)
         writer.close()
 
     async def _run_script(self, request: RawRequest, connection: Connection) -> None:
@@ -69,13 +87,11 @@
 @contextlib.asynccontextmanager
 async def running_engine(engine: EngineStandIn, ip: str = "127.0.0.1") -> AsyncIterator[str]:
     """Serve an engine and give its address."""
-    server = await asyncio.start_server(engine.serve, ip, 0)
-    host, port = server.sockets[0].getsockname()
-    engine.address = f"{host}:{port}"
+    await engine.start(ip)
     try:
         yield engine.address
     finally:
-        server.close()
+        engine.stop()
 
 
 async def plain_answer(request: RawRequest, connection: Connection) -> None:
--- a/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
@@ -35,6 +35,18 @@
         """Return how many requests have arrived at engines."""
         return sum(len(engine.arrived) for engine in self.engines.values())
 
+    async def kill_engines(self, service: str) -> None:
+        """Kill all engines of a service; the platform's list does not know yet."""
+        for name, engine in self.engines.items():
+            if service in name:
+                engine.stop()
+
+    async def revive_engines(self, service: str) -> None:
+        """Start them again as they were."""
+        for name, engine in self.engines.items():
+            if service in name:
+                await engine.start("127.0.0.1")
+
     async def list_engine(self, name: str, service: str, state: str = "ready") -> None:
         """Write an engine's entry into the platform's list."""
         await self.store.put(
--- a/packages/springbridge-standins/springbridge_standins/users_platform/wire.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/wire.py
@@ -38,7 +38,7 @@
     whole: bool
 
 
-@dataclass
+@dataclass(eq=False)
 class Connection:
     """One connection of a stand-in."""
 
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -19,7 +19,6 @@
 FAILURES_TO_EJECT = 3
 EJECT_S = 1.0
 LONGEST_EJECT_S = 4.0
-UNREACHABLE_S = 0.5
 LAPSE_GRACE_S = 2.5
 LONGEST_LOAD_S = 20.0
 LONGEST_READ_S = 8.0
@@ -36,6 +35,7 @@
       prefill_tokens: Prompt tokens of those that it has still to read.
       failures: Failures in a row.
       rests_until_s: No request goes there before this moment unless there is no other engine.
+      reachable: Whether the last attempt to connect succeeded; if not, no request goes there.
       usable_until_s: When an engine that is no longer listed gets its last request.
     """
 
@@ -44,6 +44,7 @@
     prefill_tokens: int = 0
     failures: int = 0
     rests_until_s: float = 0.0
+    reachable: bool = True
     usable_until_s: float = float("inf")
     cache: PrefixCache = field(default_factory=PrefixCache)
 
@@ -172,6 +173,7 @@
             for state in self._states.values()
             if state.entry.service == service
             and not state.entry.draining
+            and state.reachable
             and state.usable_until_s > now_s
             and state.entry.engine_id not in tried
         ]
@@ -229,10 +231,21 @@
             state.rests_until_s = self._clock() + rest_s
 
     def unreachable(self, state: EngineState) -> None:
-        """Note that no connection to an engine came up, or that all its connections broke."""
-        state.failures += 1
-        rest_s = min(LONGEST_EJECT_S, UNREACHABLE_S * 2 ** min(state.failures - 1, 3))
-        state.rests_until_s = self._clock() + rest_s
+        """Note that no connection to an engine came up."""
+        state.reachable = False
+
+    def reached(self, state: EngineState) -> None:
+        """Note that a connection to an engine came up."""
+        state.reachable = True
+
+    def unreachable_engines(self) -> list[EngineState]:
+        """Return the listed engines to which no connection came up, for somebody to try again."""
+        now_s = self._clock()
+        return [
+            state
+            for state in self._states.values()
+            if not state.reachable and state.usable_until_s > now_s
+        ]
 
     def misnamed(self, state: EngineState) -> None:
         """Note that another engine has the address: this one has ended."""
--- a/packages/springbridge/springbridge/routing/engine_board_test.py
+++ b/packages/springbridge/springbridge/routing/engine_board_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from springbridge.routing.engine_board import (
     EJECT_S,
@@ -88,10 +88,21 @@
 
 def test_resting_engines_are_used_when_there_is_no_other(board):
     for name in "abcd":
-        board.unreachable(board.find(name))
+        for _ in range(FAILURES_TO_EJECT):
+            board.failed(board.find(name))
     assert_that(usable(board), Equals(["a", "b", "c", "d"]))
 
 
+def test_an_unreachable_engine_gets_nothing_until_it_is_reached(board):
+    # With all engines dark, requests waited for connections and were refused late.
+    for name in "abcd":
+        board.unreachable(board.find(name))
+    assert_that(usable(board), Equals([]))
+    assert_that([state.entry.engine_id for state in board.unreachable_engines()], HasLength(4))
+    board.reached(board.find("b"))
+    assert_that(usable(board), Equals(["b"]))
+
+
 def test_an_engine_whose_address_another_has_gets_nothing(board):
     board.misnamed(board.find("b"))
     assert_that(usable(board), Equals(["a", "c", "d"]))
