--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -42,6 +42,7 @@
 STALL_S = 0.6
 ALONE_READ_S = 2.0
 SWEEP_S = 2.0
+FIRST_VERSION = 1
 METRICS_PATH = "/metrics"
 LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=0.05)
 
@@ -236,9 +237,8 @@
         """Take a newer configuration from a peer, which helps a node that the store turns away."""
         await self._peers_ahead.wait()
         self._peers_ahead.clear()
-        await self.configuration.catch_up(
-            self._newest_version(), self.knowledge.configuration_after
-        )
+        newest = max(self._newest_version(), FIRST_VERSION)
+        await self.configuration.catch_up(newest, self.knowledge.configuration_after)
 
     async def _beat(self) -> None:
         """Send a digest; a node that is not ready yet stays silent."""
@@ -247,7 +247,7 @@
             self._state_version()
             self.gossip.send(self.membership.gossip_targets())
         elif self.configuration.index is None:
-            await self.configuration.catch_up(1, self.knowledge.configuration_after)
+            self._peers_ahead.set()
         self._notice_stall(started_s)
 
     def _notice_stall(self, beat_s: float) -> None:
