--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import Choice
 from springbridge.routing.load import LoadNotice, LoadPhase
 from springbridge.routing.records import Arrival, PromptPart
 
@@ -53,8 +54,10 @@
         datagrams.handle(Kind.LOAD, self._take)
 
     @contextlib.contextmanager
-    def attempt(self, engine_id: str, arrival: Arrival) -> Iterator[SharedLoad]:
+    def attempt(self, choice: Choice, arrival: Arrival) -> Iterator[SharedLoad]:
         """Count a request at an engine for as long as the block runs."""
+        engine_id = choice.state.entry.engine_id
+        fetched = choice.source.cache.kept_tokens(arrival.prompt_parts) if choice.source else 0
         self._count += 1
         attempt_id = f"{self._incarnation}/{self._count}"
         self.tell(
@@ -64,6 +67,7 @@
                 engine_id,
                 arrival.prompt_tokens,
                 arrival.prompt_parts,
+                fetched,
             )
         )
         try:
@@ -99,7 +103,7 @@
     row = [int(notice.phase), notice.attempt_id, notice.engine_id]
     if notice.phase is LoadPhase.STARTED:
         parts = [[part.part_id, part.tokens] for part in notice.prompt_parts]
-        row += [notice.prompt_tokens, parts]
+        row += [notice.prompt_tokens, parts, notice.fetched_tokens]
     return row
 
 
@@ -108,6 +112,6 @@
     phase, attempt_id, engine_id, *started = row
     if not started:
         return LoadNotice(LoadPhase(phase), attempt_id, engine_id)
-    prompt_tokens, parts = started
+    prompt_tokens, parts, fetched = started
     prompt_parts = tuple(PromptPart(part_id, tokens) for part_id, tokens in parts)
-    return LoadNotice(LoadPhase(phase), attempt_id, engine_id, prompt_tokens, prompt_parts)
+    return LoadNotice(LoadPhase(phase), attempt_id, engine_id, prompt_tokens, prompt_parts, fetched)
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -15,7 +15,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex, admit
 from springbridge.routing.engine_board import EngineBoard, EngineState
-from springbridge.routing.engine_choice import Chooser
+from springbridge.routing.engine_choice import Choice, Chooser
 from springbridge.routing.records import Admitted
 from springbridge.routing.shared_budget import SharedRetryBudget
 
@@ -124,24 +124,25 @@
         progress = exchange.progress
         unreached = 0
         while True:
-            state = self._choose(exchange)
-            if state is None or unreached > UNREACHED_ENGINES:
+            choice = self._choose(exchange)
+            if choice is None or unreached > UNREACHED_ENGINES:
                 return _no_engine(exchange)
             if progress.sends and not self._may_send_again(exchange):
                 return _no_engine(exchange)
-            connection = await self._connect(exchange, state)
+            engine_id = choice.state.entry.engine_id
+            connection = await self._connect(exchange, choice.state)
             if connection is None:
                 unreached += 1
-                progress.tried.add(state.entry.engine_id)
+                progress.tried.add(engine_id)
                 continue
-            end = await self._attempt(exchange, state, connection)
+            end = await self._attempt(exchange, choice, connection)
             if end is End.DELIVERED:
                 return None
-            self._parts.journal.attempt_failed(exchange, state.entry.engine_id, end)
+            self._parts.journal.attempt_failed(exchange, engine_id, end)
             if not _may_try_another(exchange, end):
                 return _after(exchange, end)
 
-    def _choose(self, exchange: Exchange) -> EngineState | None:
+    def _choose(self, exchange: Exchange) -> Choice | None:
         """Return the engine for the next attempt, or None if there is none."""
         admitted = exchange.admitted
         states = self._parts.board.candidates(admitted.service.name, exchange.progress.tried)
@@ -167,19 +168,17 @@
             pass
         return None
 
-    async def _attempt(
-        self, exchange: Exchange, state: EngineState, connection: HttpConnection
-    ) -> End:
+    async def _attempt(self, exchange: Exchange, choice: Choice, connection: HttpConnection) -> End:
         """Send the request to one engine and pass on what it answers."""
-        engine_id = state.entry.engine_id
+        engine_id = choice.state.entry.engine_id
         try:
-            with self._parts.loads.attempt(engine_id, exchange.admitted.arrival) as load:
+            with self._parts.loads.attempt(choice, exchange.admitted.arrival) as load:
                 exchange.progress.load = load
-                end = await self._send_and_relay(exchange, state, connection)
+                end = await self._send_and_relay(exchange, choice, connection)
         except BaseException:
             self._parts.pool.discard(engine_id, connection)
             raise
-        self._note(state, end)
+        self._note(choice.state, end)
         if end in (End.BROKEN, End.SILENT):
             self._parts.pool.discard(engine_id, connection)
         else:
@@ -187,20 +186,22 @@
         return end
 
     async def _send_and_relay(
-        self, exchange: Exchange, state: EngineState, connection: HttpConnection
+        self, exchange: Exchange, choice: Choice, connection: HttpConnection
     ) -> End:
         """Send the request and pass on the answer; no await comes before the send."""
+        entry = choice.state.entry
+        source = choice.source.entry if choice.source else None
         admitted, progress = exchange.admitted, exchange.progress
         left_s = admitted.deadline_s - time.monotonic()
         if left_s < LEAST_LEFT_S:
             raise TimeoutError
         head_bytes = self._parts.wire_format.engine_request(
-            exchange.request, admitted, state.entry, left_s, progress.last_event
+            exchange.request, admitted, entry, source, left_s, progress.last_event
         )
         ran_before = progress.may_have_run
         progress.sends += 1
         progress.may_have_run = True
-        progress.tried.add(state.entry.engine_id)
+        progress.tried.add(entry.engine_id)
         connection.send(head_bytes, exchange.request.body)
         try:
             reading = read_own_head(
--- a/packages/springbridge-node/springbridge_node/requests/wire_format.py
+++ b/packages/springbridge-node/springbridge_node/requests/wire_format.py
@@ -36,12 +36,14 @@
         request: IncomingRequest,
         admitted: Admitted,
         entry: EngineEntry,
+        source: EngineEntry | None,
         left_s: float,
         resume_after: str | None,
     ) -> bytes:
         """Return the head of the request to an engine.
 
         Args:
+          source: An engine to fetch what it keeps of the prompt from, or None.
           left_s: Time for which the engine may work.
           resume_after: The last event that the caller has got, or None.
         """
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -194,7 +194,7 @@
 
     def _add_load(self, state: EngineState, notice: LoadNotice) -> None:
         """Add a request to an engine's load."""
-        kept = state.cache.kept_tokens(notice.prompt_parts)
+        kept = max(state.cache.kept_tokens(notice.prompt_parts), notice.fetched_tokens)
         prefill = max(0, notice.prompt_tokens - kept)
         state.cache.note(notice.prompt_parts)
         state.loads[notice.attempt_id] = Load(prefill, self._clock())
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -11,13 +11,15 @@
 
 from springbridge.hashing import score
 from springbridge.routing.engine_board import EngineState
-from springbridge.routing.records import Admitted, PromptPart
+from springbridge.routing.records import Admitted, Arrival, PromptPart
 
 LOAD_BOUND = 1.5
 LEAST_BOUND = 2.0
 COST_STEP = 500
 RUNNING_TOKENS = 100
 UNREAD_WEIGHT = 2.0
+FETCH_WEIGHT = 0.8
+LEAST_FETCH_TOKENS = 1024
 BORDER_SHARE = 0.3
 SHORT_PROMPT_TOKENS = 3000
 LONG_AT_QUIET_TOKENS = 12000
@@ -26,31 +28,45 @@
 LEAST_ENGINES_TO_SPLIT = 3
 QUIET_KEY = "short prompts"
 
-Chooser = Callable[[Sequence[EngineState], Admitted], EngineState]
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """An engine for a request.
 
-def least_in_flight(states: Sequence[EngineState], admitted: Admitted) -> EngineState:
-    """Return the engine with the fewest requests of this node for its slots."""
+    Attributes:
+      source: An engine that keeps more of the prompt, to fetch that from; None if there is none.
+    """
+
+    state: EngineState
+    source: EngineState | None = None
+
+
+Chooser = Callable[[Sequence[EngineState], Admitted], Choice]
+
+
+def least_in_flight(states: Sequence[EngineState], admitted: Admitted) -> Choice:
+    """Return the engine with the fewest requests for its slots."""
     request_id = admitted.arrival.request_id
-    return min(
+    state = min(
         states,
         key=lambda state: (
             state.in_flight / max(1, state.entry.slots),
             -score(request_id, state.entry.engine_id),
         ),
     )
+    return Choice(state)
 
 
-def by_shared_prompt(states: Sequence[EngineState], admitted: Admitted) -> EngineState:
+def by_shared_prompt(states: Sequence[EngineState], admitted: Admitted) -> Choice:
     """Return the home of the prompt's shared part if it is within the load bound, else the next."""
     parts = admitted.arrival.prompt_parts
     if not parts:
         return least_in_flight(states, admitted)
-    shared = parts[-2] if len(parts) > 1 else parts[-1]
+    shared = _shared_part(parts)
     mean = (sum(state.in_flight for state in states) + 1) / len(states)
     bound = max(LEAST_BOUND, LOAD_BOUND * mean)
     within = [state for state in states if state.in_flight + 1 <= bound]
-    return max(within or states, key=lambda state: score(shared.part_id, state.entry.engine_id))
+    return Choice(max(within or states, key=lambda state: score(shared, state.entry.engine_id)))
 
 
 @dataclass(frozen=True)
@@ -58,9 +74,10 @@
     """Chooses the engine at which a request costs the fewest prompt tokens of time.
 
     The cost of an engine is what it has still to read, what it would have to read of this prompt, a
-    little for each request that it runs, and something for a border between failure domains. Short
-    prompts with quick answers suffer beside long ones, whose reading holds up every token; so some
-    engines of each service are kept for short prompts by a charge that long ones pay there.
+    little for each request that it runs, and something for a border between failure domains. What
+    another engine keeps of the prompt can be fetched for a small part of what reading it costs.
+    Short prompts with quick answers suffer beside long ones, whose reading holds up every token; so
+    some engines of each service are kept for short prompts by a charge that long ones pay there.
 
     Attributes:
       place: Failure domain of this node.
@@ -68,29 +85,35 @@
 
     place: str
 
-    def __call__(self, states: Sequence[EngineState], admitted: Admitted) -> EngineState:
+    def __call__(self, states: Sequence[EngineState], admitted: Admitted) -> Choice:
         """Return the engine with the lowest cost."""
         arrival = admitted.arrival
         if not arrival.prompt_parts:
             return least_in_flight(states, admitted)
+        kept = {
+            state.entry.engine_id: state.cache.kept_tokens(arrival.prompt_parts) for state in states
+        }
+        source = max(states, key=lambda state: kept[state.entry.engine_id])
+        most = kept[source.entry.engine_id] if admitted.service.fetches else 0
         quiet = _quiet_engines(states)
         shared = _shared_part(arrival.prompt_parts)
-        return min(
-            states,
-            key=lambda state: (
-                self._cost(state, admitted, quiet) // COST_STEP,
-                -score(shared, state.entry.engine_id),
-            ),
-        )
+
+        def rank(state: EngineState) -> tuple[float, float]:
+            own = kept[state.entry.engine_id]
+            cost = self._cost(state, admitted, quiet) + _prompt_cost(arrival, own, most)
+            return cost // COST_STEP, -score(shared, state.entry.engine_id)
+
+        best = min(states, key=rank)
+        fetched = most - kept[best.entry.engine_id]
+        return Choice(best, source if fetched >= LEAST_FETCH_TOKENS else None)
 
     def _cost(self, state: EngineState, admitted: Admitted, quiet: frozenset[str]) -> float:
-        """Return the cost of a request at an engine, in prompt tokens."""
-        arrival = admitted.arrival
-        unread = max(0, arrival.prompt_tokens - state.cache.kept_tokens(arrival.prompt_parts))
-        cost = state.prefill_tokens + UNREAD_WEIGHT * unread + RUNNING_TOKENS * state.in_flight
+        """Return the cost of an engine whatever it keeps of the prompt, in prompt tokens."""
+        prompt_tokens = admitted.arrival.prompt_tokens
+        cost = state.prefill_tokens + RUNNING_TOKENS * state.in_flight
         if state.entry.place != self.place:
-            cost += BORDER_SHARE * arrival.prompt_tokens
-        is_short = arrival.prompt_tokens <= SHORT_PROMPT_TOKENS
+            cost += BORDER_SHARE * prompt_tokens
+        is_short = prompt_tokens <= SHORT_PROMPT_TOKENS
         if state.entry.engine_id in quiet and not is_short:
             cost += LONG_AT_QUIET_TOKENS
         if state.entry.engine_id not in quiet and is_short:
@@ -98,6 +121,18 @@
         return cost
 
 
+def _prompt_cost(arrival: Arrival, own: int, most: int) -> float:
+    """Return what bringing a prompt into an engine costs, in prompt tokens.
+
+    Args:
+      own: Tokens of it that the engine keeps.
+      most: Tokens of it that some engine keeps which it can fetch from.
+    """
+    fetched = most - own if most - own >= LEAST_FETCH_TOKENS else 0
+    unread = max(0, arrival.prompt_tokens - own - fetched)
+    return UNREAD_WEIGHT * unread + FETCH_WEIGHT * fetched
+
+
 def _shared_part(parts: tuple[PromptPart, ...]) -> str:
     """Return the longest chain of a prompt that other requests may share."""
     return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
--- a/packages/springbridge/springbridge/routing/load.py
+++ b/packages/springbridge/springbridge/routing/load.py
@@ -27,6 +27,7 @@
       attempt_id: Names the attempt among those of all nodes.
       prompt_tokens: Length of the prompt; only with STARTED.
       prompt_parts: What the engine will keep of it; only with STARTED.
+      fetched_tokens: What the engine keeps or fetches from another; only with STARTED.
     """
 
     phase: LoadPhase
@@ -34,6 +35,7 @@
     engine_id: str
     prompt_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
+    fetched_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -56,12 +56,14 @@
     Attributes:
       max_connections: Connections that one engine takes from all nodes together.
       token_capacity: Tokens of running requests and cached prompts that fit; 0 for plain services.
+      fetches: Whether an engine can take what another keeps of a prompt.
     """
 
     name: str
     health_path: str
     max_connections: int
     token_capacity: int = 0
+    fetches: bool = False
 
 
 @dataclass(frozen=True, slots=True)
