--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -20,6 +20,7 @@
 UNREAD_WEIGHT = 2.0
 FETCH_WEIGHT = 0.8
 LEAST_FETCH_TOKENS = 1024
+HOME_SHARE = 0.8
 BORDER_SHARE = 0.3
 SHORT_PROMPT_TOKENS = 3000
 LONG_AT_QUIET_TOKENS = 12000
@@ -121,6 +122,26 @@
         return cost
 
 
+def _kept_tokens(
+    states: Sequence[EngineState], arrival: Arrival, quiet: frozenset[str]
+) -> dict[str, int]:
+    """Return for each engine how many tokens of a prompt it probably keeps.
+
+    Where this node knows of no engine that keeps the shared parts, as in a large fleet whose nodes
+    hear of few of the others' requests, their home probably does: all nodes send them there first.
+    """
+    parts = arrival.prompt_parts
+    kept = {state.entry.engine_id: state.cache.kept_tokens(parts) for state in states}
+    shared_tokens = sum(part.tokens for part in parts[:-1])
+    if shared_tokens < LEAST_FETCH_TOKENS or max(kept.values()) >= shared_tokens:
+        return kept
+    shared = _shared_part(parts)
+    homes = [name for name in kept if name not in quiet] or list(kept)
+    home = max(homes, key=lambda name: score(shared, name))
+    kept[home] = max(kept[home], round(HOME_SHARE * shared_tokens))
+    return kept
+
+
 def _prompt_cost(arrival: Arrival, own: int, most: int) -> float:
     """Return what bringing a prompt into an engine costs, in prompt tokens.
 
