--- a/packages/springbridge-node/springbridge_node/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/requests/attempt.py
@@ -44,11 +44,31 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ChosenEngine:
+    """An engine that a request was sent to, and what was believed of it then.
+
+    Attributes:
+      in_flight: Requests that it had.
+      prefill_tokens: Prompt tokens that it had still to read.
+      kept_tokens: Tokens of this prompt that it probably kept.
+      source: Engine that it was told to fetch more of the prompt from, "" for none.
+    """
+
+    engine: str
+    in_flight: int
+    prefill_tokens: int
+    kept_tokens: int
+    source: str
+
+
 @dataclass
 class Progress:
     """What became of a request so far.
 
     Attributes:
+      tried: Engines that no further attempt goes to.
+      chosen: The engines it was sent to, in order.
       sends: Engines that it was sent to.
       may_have_run: Whether one of them may have run it.
       last_event: Id of the last event that the caller got.
@@ -58,6 +78,7 @@
     """
 
     tried: set[str] = field(default_factory=set)
+    chosen: list[ChosenEngine] = field(default_factory=list)
     sends: int = 0
     may_have_run: bool = False
     last_event: str | None = None
--- a/packages/springbridge-node/springbridge_node/requests/journal.py
+++ b/packages/springbridge-node/springbridge_node/requests/journal.py
@@ -1,8 +1,10 @@
 """What is logged and counted of requests: one line for each decision, never any content."""
 
 import time
+from dataclasses import asdict
 
 from springbridge.problems import Problem
+from springbridge.routing.engine_board import EngineState
 from springbridge.routing.records import Arrival
 
 from springbridge_node import logs
@@ -17,13 +19,14 @@
         """Keep the metrics."""
         self._telemetry = telemetry
 
-    def refused(self, arrival: Arrival, problem: Problem) -> None:
+    def refused(self, arrival: Arrival, problem: Problem, version: int) -> None:
         """Note a request that the configuration does not allow."""
         self._telemetry.requests.labels("", problem.code.name).inc()
         logs.event(
             "request.refused",
             request_id=arrival.request_id,
             host=arrival.host,
+            config_version=version,
             code=int(problem.code),
             reason=problem.detail,
         )
@@ -41,13 +44,24 @@
             after_ms=_age_ms(exchange),
         )
 
-    def unreachable(self, exchange: Exchange, engine_id: str) -> None:
-        """Note an engine to which no connection came up."""
+    def engine_rests(self, state: EngineState, end: End) -> None:
+        """Note that an engine gets no request for a while, after failures in a row."""
+        logs.event(
+            "engine.rests",
+            engine=state.entry.engine_id,
+            last_end=end.value,
+            failures=state.failures,
+            seconds=round(state.rests_until_s - time.monotonic(), 2),
+        )
+
+    def unreachable(self, exchange: Exchange, engine_id: str, reason: str) -> None:
+        """Note an engine to which no connection came up, so that it gets no request."""
         self._telemetry.attempts.labels("unreachable").inc()
         logs.event(
-            "request.engine_unreachable",
+            "engine.unreachable",
             request_id=exchange.admitted.arrival.request_id,
             engine=engine_id,
+            reason=reason,
             after_ms=_age_ms(exchange),
         )
 
@@ -68,7 +82,7 @@
             customer=admitted.customer,
             config_version=admitted.version,
             list_age_ms=round(min(list_age_s, 1e6) * 1000),
-            engines=sorted(progress.tried),
+            engines=[asdict(chosen) for chosen in progress.chosen],
             sends=progress.sends,
             result=result,
             first_ms=first_ms,
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -25,6 +25,7 @@
 from springbridge_node.peers.load_sharing import LoadSharing
 from springbridge_node.requests.attempt import (
     SERVER_ERROR,
+    ChosenEngine,
     End,
     Exchange,
     HeldFailure,
@@ -83,11 +84,16 @@
         arrival = self._parts.wire_format.read_arrival(request)
         match admit(self._parts.index(), arrival):
             case Failure(problem):
-                self._parts.journal.refused(arrival, problem)
+                self._parts.journal.refused(arrival, problem, self._version())
                 await answer.refuse(problem)
             case Success(admitted):
                 await self._serve_admitted(Exchange(request, admitted, answer, Progress()))
 
+    def _version(self) -> int:
+        """Return the version of the configuration that decides now, 0 before the first."""
+        index = self._parts.index()
+        return index.configuration.version if index else 0
+
     async def _serve_admitted(self, exchange: Exchange) -> None:
         """Serve a request that the configuration allows."""
         self._parts.budget.fresh(exchange.admitted.service.name)
@@ -161,9 +167,9 @@
         repeatable = _repeatable(admitted)
         try:
             return await self._parts.pool.acquire(state.entry, admitted.service, repeatable)
-        except ConnectFailedError:
+        except ConnectFailedError as exc:
             self._parts.board.unreachable(state)
-            self._parts.journal.unreachable(exchange, state.entry.engine_id)
+            self._parts.journal.unreachable(exchange, state.entry.engine_id, str(exc))
         except EngineBusyError:
             pass
         return None
@@ -171,6 +177,7 @@
     async def _attempt(self, exchange: Exchange, choice: Choice, connection: HttpConnection) -> End:
         """Send the request to one engine and pass on what it answers."""
         engine_id = choice.state.entry.engine_id
+        exchange.progress.chosen.append(_chosen(choice, exchange.admitted))
         try:
             with self._parts.loads.attempt(choice, exchange.admitted.arrival) as load:
                 exchange.progress.load = load
@@ -242,8 +249,20 @@
             board.succeeded(state)
         elif end is End.OTHER_ENGINE:
             board.misnamed(state)
-        elif end in (End.BROKEN, End.SILENT, End.ENGINE_ERROR):
-            board.failed(state)
+        elif end in (End.BROKEN, End.SILENT, End.ENGINE_ERROR) and board.failed(state):
+            self._parts.journal.engine_rests(state, end)
+
+
+def _chosen(choice: Choice, admitted: Admitted) -> ChosenEngine:
+    """Return what is believed of an engine as a request is sent to it."""
+    state = choice.state
+    return ChosenEngine(
+        engine=state.entry.engine_id,
+        in_flight=state.in_flight,
+        prefill_tokens=state.prefill_tokens,
+        kept_tokens=state.cache.kept_tokens(admitted.arrival.prompt_parts),
+        source=choice.source.entry.engine_id if choice.source else "",
+    )
 
 
 def _repeatable(admitted: Admitted) -> bool:
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -19,6 +19,7 @@
 FAILURES_TO_EJECT = 3
 EJECT_S = 1.0
 LONGEST_EJECT_S = 4.0
+MOST_DOUBLINGS = 4
 LAPSE_GRACE_S = 2.5
 LONGEST_LOAD_S = 20.0
 LONGEST_READ_S = 8.0
@@ -222,13 +223,18 @@
         """Note that an engine answered as it should."""
         state.failures = 0
 
-    def failed(self, state: EngineState) -> None:
-        """Note that an engine failed a request; after some in a row it rests."""
+    def failed(self, state: EngineState) -> bool:
+        """Note that an engine failed a request; after some in a row it rests.
+
+        Returns:
+          Whether it rests now.
+        """
         state.failures += 1
-        if state.failures >= FAILURES_TO_EJECT:
-            doublings = state.failures - FAILURES_TO_EJECT
-            rest_s = min(LONGEST_EJECT_S, EJECT_S * 2**doublings)
-            state.rests_until_s = self._clock() + rest_s
+        if state.failures < FAILURES_TO_EJECT:
+            return False
+        doublings = min(state.failures - FAILURES_TO_EJECT, MOST_DOUBLINGS)
+        state.rests_until_s = self._clock() + min(LONGEST_EJECT_S, EJECT_S * 2**doublings)
+        return True
 
     def unreachable(self, state: EngineState) -> None:
         """Note that no connection to an engine came up."""
