--- /dev/null
+++ b/packages/springbridge/springbridge/routing/admission_test.py
@@ -0,0 +1,72 @@
+"""Tests of admission.py: route, customer, service, priority and deadline of a request."""
+
+import pytest
+from returns.result import Failure
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from springbridge.codes import Code
+from springbridge.routing.admission import RouteIndex, admit, find_route, pick_service
+from springbridge.routing.conftest import MODEL, make_arrival, make_route
+from springbridge.routing.records import Configuration, CustomerKeys, Service, WeightedService
+
+CUSTOMERS = (CustomerKeys("councils", ("key-1",), 1), CustomerKeys("airports", ("key-2",)))
+
+
+def index_of(*routes, customers=CUSTOMERS):
+    services = {MODEL: Service(MODEL, "/healthz", 100)}
+    return RouteIndex.from_config(Configuration(7, routes, services, customers))
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    index = index_of(make_route("short", "/a/"), make_route("long", "/a/b/"))
+    assert_that(find_route(index, "desk.example", "/a/b/c").name, Equals("long"))
+    assert_that(find_route(index, "DESK.example:80", "/a/c").name, Equals("short"))
+    assert_that(find_route(index, "other.example", "/a/c"), Equals(None))
+    assert_that(find_route(index, "desk.example", "/a"), Equals(None))
+
+
+@pytest.mark.parametrize(
+    ("index", "arrival", "code"),
+    [
+        (None, make_arrival(), Code.CONFIG_NOT_FRESH),
+        (index_of(), make_arrival(), Code.UNKNOWN_PATH),
+        (index_of(make_route()), make_arrival(key="wrong"), Code.UNKNOWN_KEY),
+        (index_of(make_route()), make_arrival(key=None), Code.UNKNOWN_KEY),
+    ],
+)
+def test_what_the_configuration_does_not_allow_is_refused_with_its_code(index, arrival, code):
+    result = admit(index, arrival)
+    assert isinstance(result, Failure)
+    assert_that(result.failure().code, Equals(code))
+
+
+def test_before_the_first_configuration_the_refusal_says_when_to_come_back():
+    assert_that(admit(None, make_arrival()).failure().retry_after_s, GreaterThan(0.0))
+
+
+def test_a_public_route_needs_no_key_and_has_no_customer():
+    found = admit(index_of(make_route(needs_key=False)), make_arrival(key=None)).unwrap()
+    assert_that((found.customer, found.version), Equals(("", 7)))
+
+
+def test_the_customer_s_priority_outranks_the_route_s():
+    index = index_of(make_route(priority=4))
+    assert_that(admit(index, make_arrival(key="key-1")).unwrap().priority, Equals(1))
+    assert_that(admit(index, make_arrival(key="key-2")).unwrap().priority, Equals(4))
+
+
+@pytest.mark.parametrize(
+    ("patience_s", "deadline_s"), [(None, 1003.0), (1.0, 1001.0), (9.0, 1003.0)]
+)
+def test_the_deadline_is_the_earlier_of_caller_and_route(patience_s, deadline_s):
+    found = admit(index_of(make_route()), make_arrival(patience_s=patience_s)).unwrap()
+    assert_that(found.deadline_s, Equals(deadline_s))
+
+
+def test_a_split_route_sends_by_weight_and_never_to_a_weight_of_zero():
+    route = make_route(services=(WeightedService("a", 90), WeightedService("b", 10)))
+    counts = [pick_service(route, f"q{number}") for number in range(1000)].count("b")
+    assert_that(60 < counts < 140, Equals(True))
+    alone = make_route(services=(WeightedService("a", 0), WeightedService("b", 1)))
+    assert_that({pick_service(alone, f"q{number}") for number in range(100)}, Equals({"b"}))
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/conftest.py
@@ -0,0 +1,72 @@
+"""Fixtures of the routing tests: routes, requests and boards of engines."""
+
+import pytest
+
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.records import (
+    Admitted,
+    Arrival,
+    EngineEntry,
+    EngineListing,
+    PromptPart,
+    Route,
+    Service,
+    WeightedService,
+)
+
+MODEL = "model"
+
+
+def make_route(name="r", prefix="/r/", **fields):
+    """Return a route that is repeatable unless fields say otherwise."""
+    plain = {
+        "name": name,
+        "host": "desk.example",
+        "path_prefix": prefix,
+        "services": (WeightedService(MODEL, 1.0),),
+        "streaming": False,
+        "repeatable": True,
+        "resumable": False,
+        "timeout_s": 3.0,
+        "target_s": 0.5,
+        "pause_s": 0.0,
+        "priority": 2,
+        "max_engines": 2,
+        "needs_key": True,
+    }
+    return Route(**(plain | fields))
+
+
+def make_arrival(request_id="q", path="/r/x", key="key-1", parts=(), **fields):
+    """Return a request; parts are pairs of a name and tokens."""
+    prompt_parts = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    prompt_tokens = sum(tokens for _, tokens in parts)
+    return Arrival(
+        request_id,
+        "desk.example",
+        path,
+        key,
+        1000.0,
+        prompt_parts=prompt_parts,
+        prompt_tokens=prompt_tokens,
+        **fields,
+    )
+
+
+def make_admitted(parts=(), fetches=True, **fields):
+    """Return an admitted request with a prompt."""
+    arrival = make_arrival(parts=parts, **fields)
+    service = Service(MODEL, "/healthz", 100, 500_000, fetches)
+    return Admitted(arrival, make_route(), service, "councils", 2, 1, 1003.0)
+
+
+@pytest.fixture
+def engines(clock):
+    """Return a board of five model engines in one place."""
+    board = EngineBoard(clock)
+    entries = tuple(
+        EngineEntry(f"e{number}", MODEL, f"10.0.0.{number}:80", "perth-a", 64, False)
+        for number in range(5)
+    )
+    board.install(EngineListing(1, entries), {MODEL: 500_000}, 0.0)
+    return board
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/event_stream_test.py
@@ -0,0 +1,28 @@
+"""Tests of event_stream.py: whole events, whatever the pieces in which they come."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge.routing.event_stream import EventSplitter
+
+STREAM = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_come_whole_whatever_the_pieces(cuts):
+    splitter = EventSplitter()
+    bounds = [0, *sorted(cuts), len(STREAM)]
+    events = [
+        event
+        for start, end in zip(bounds, bounds[1:], strict=False)
+        for event in splitter.feed(STREAM[start:end])
+    ]
+    assert_that([event.event_id for event in events], Equals(["1", "2"]))
+    assert_that(b"".join(event.raw for event in events) + splitter.rest, Equals(STREAM))
+
+
+def test_an_event_without_an_id_has_none():
+    (event,) = EventSplitter().feed(b"data: x\n\n")
+    assert_that(event.event_id, Equals(None))
