--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 2
 
-.PHONY: setup demo test lint proto bench soak capacity mutants
+.PHONY: setup demo test lint proto bench soak soak-platform capacity mutants
 
 setup: .venv/ready
 
@@ -36,6 +36,12 @@
 soak: setup
 	$(BIN)/python -m springbridge_standins.soak --seed $(SEED) --minutes $(MINUTES)
 
+# SEEDS soaks of MINUTES each on the users' platform, from SEED on.
+SEEDS ?= 1
+soak-platform: setup
+	$(BIN)/python -m springbridge_standins.users_platform.soak --seed $(SEED) --seeds $(SEEDS) \
+		--minutes $(MINUTES)
+
 capacity: setup
 	$(BIN)/python -m springbridge_standins.capacity
 
--- a/packages/springbridge-standins/springbridge_standins/users_platform/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/engine.py
@@ -56,7 +56,9 @@
         self.connections += 1
         connection = Connection(reader, writer)
         self._open.add(connection)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+        ):
             while not writer.is_closing():
                 request = await read_request(reader)
                 self.arrived.append(request)
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/proxy.py
@@ -0,0 +1,96 @@
+"""A loopback proxy that harms the connections through it: delayed, reset, silenced, cut one way."""
+
+import asyncio
+import contextlib
+from enum import Enum
+
+PIECE_BYTES = 65536
+DELAY_S = 0.15
+
+
+class Harm(Enum):
+    """What happens to connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENCE = "silence"
+    ONE_WAY = "one way"
+
+
+class LoopbackProxy:
+    """Passes connections on to a target, with harm that can change at any moment.
+
+    Attributes:
+      harm: What happens to bytes from now on; RESET also ends the connections that are open.
+    """
+
+    def __init__(self, target: str) -> None:
+        """Keep the target's address."""
+        self._target = target
+        self._harm = Harm.NONE
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self, ip: str = "127.0.0.1") -> None:
+        """Begin to listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        self._close_all()
+
+    @property
+    def harm(self) -> Harm:
+        """Return what happens to connections now."""
+        return self._harm
+
+    @harm.setter
+    def harm(self, harm: Harm) -> None:
+        self._harm = harm
+        if harm is Harm.RESET:
+            self._close_all()
+
+    def _close_all(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass one connection on."""
+        if self._harm is Harm.RESET:
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            target_reader, target_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, target_writer}
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await asyncio.gather(
+                self._pump(reader, target_writer, back=False),
+                self._pump(target_reader, writer, back=True),
+            )
+        for one in (writer, target_writer):
+            self._writers.discard(one)
+            one.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool
+    ) -> None:
+        """Pass bytes on in one direction until they end."""
+        while piece := await reader.read(PIECE_BYTES):
+            while self._harm is Harm.SILENCE or (self._harm is Harm.ONE_WAY and back):
+                await asyncio.sleep(0.05)
+            if self._harm is Harm.DELAY:
+                await asyncio.sleep(DELAY_S)
+            writer.write(piece)
+            await writer.drain()
+        writer.close()
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
@@ -0,0 +1,105 @@
+"""Node processes of the soak: the real program, started, signalled and ended by its process id."""
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "perth-a"
+internalPorts = [{gossip}, {gossip}]
+seeds = [{seeds}]
+[listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+control = "{ip}:{peers}"
+directory = "{ip}:{directory}"
+[bounds]
+drainMs = 2000
+graceS = 6
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 60
+ttl_max_s = 5
+[platform]
+address = "{store}"
+"""
+
+
+@dataclass(frozen=True)
+class Ports:
+    """Ports that all nodes use, each on its own loopback IP."""
+
+    callers: int
+    ready: int
+    peers: int
+    directory: int
+    gossip: int
+
+
+class NodeProcess:
+    """One node as a process of its own.
+
+    Attributes:
+      busy: Whether a signal's consequences are still being played.
+    """
+
+    def __init__(self, number: int, ports: Ports, store: str, folder: Path, seeds: list[str]):
+        """Write the settings file; nothing is started yet."""
+        self.ip = f"127.0.0.{number + 10}"
+        self.name = f"node-{number}"
+        self.ports = ports
+        self.busy = False
+        self._settings = folder / f"{self.name}.toml"
+        self._log = folder / f"{self.name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        quoted = ", ".join(f'"{seed}"' for seed in seeds)
+        self._settings.write_text(
+            SETTINGS.format(name=self.name, ip=self.ip, store=store, seeds=quoted, **vars(ports))
+        )
+
+    @property
+    def callers(self) -> str:
+        """Return the address for callers."""
+        return f"{self.ip}:{self.ports.callers}"
+
+    @property
+    def directory(self) -> str:
+        """Return the address that tells callers where to go."""
+        return f"{self.ip}:{self.ports.directory}"
+
+    async def start(self) -> None:
+        """Start the process; its log goes to a file."""
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "springbridge_platform",
+                env=os.environ | {"SPRINGBRIDGE_SETTINGS": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def ended(self) -> int:
+        """Wait for the end of the process and return its exit status."""
+        return await self._process.wait()
+
+    def touch_settings(self) -> None:
+        """Write the settings file anew."""
+        self._settings.write_text(self._settings.read_text())
+
+    async def end(self) -> None:
+        """Kill the process, whatever it does."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
--- a/packages/springbridge-standins/springbridge_standins/users_platform/store.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/store.py
@@ -71,7 +71,9 @@
         """Serve one connection."""
         peer = writer.get_extra_info("peername")[0]
         connection = Connection(reader, writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+        ):
             while not writer.is_closing():
                 request = await read_request(reader)
                 await self._answer(request, connection, peer)
