--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import shutil
 import signal
 import tempfile
 import time
@@ -37,6 +38,8 @@
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
 RUN_ONCE = frozenset({"/once/x", "/single/x"})
 NOT_RUN = frozenset({408, 421, 429, 503})
+FIRST_NET = 2
+NETS = 200
 START_S = 2.0
 CALM_S = 3.0
 GRACE_S = 6.0
@@ -283,15 +286,17 @@
     )
 
 
-async def run_soak(seed: int, seconds: float, nodes: int = 4, callers: int = 8) -> Soak:
-    """Run a soak and return what it found."""
+async def run_soak(
+    seed: int, seconds: float, folder: Path, nodes: int = 4, callers: int = 8
+) -> Soak:
+    """Run a soak and return what it found; the nodes' logs are in the folder then."""
     async with contextlib.AsyncExitStack() as stack:
-        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         soak = Soak(random.Random(seed), StoreStandIn())
         await stack.enter_async_context(running_store(soak.store))
         await _start_engines(soak, stack)
         await soak.store.put("op", "config", configuration(soak.version))
-        await _start_nodes(soak, stack, folder, nodes)
+        net = f"127.{FIRST_NET + seed % NETS}.0"
+        await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
         tasks = [asyncio.ensure_future(call_forever(soak, number)) for number in range(callers)]
         tasks.append(asyncio.ensure_future(harm_forever(soak)))
         done, _ = await asyncio.wait(tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
@@ -323,17 +328,17 @@
 
 
 async def _start_nodes(
-    soak: Soak, stack: contextlib.AsyncExitStack, folder: Path, count: int
+    soak: Soak, stack: contextlib.AsyncExitStack, folder: Path, ips: list[str]
 ) -> None:
     """Start nodes, each with a proxy of its own to the store."""
     ports = Ports(*_free_ports(5))
-    seeds = [f"127.0.0.{number + 10}:{ports.peers}" for number in range(min(3, count))]
-    for number in range(count):
+    seeds = [f"{ip}:{ports.peers}" for ip in ips[:3]]
+    for number, ip in enumerate(ips):
         proxy = LoopbackProxy(soak.store.address)
         await proxy.start()
         stack.callback(proxy.stop)
         soak.store_proxies.append(proxy)
-        node = NodeProcess(number, ports, proxy.address, folder, seeds)
+        node = NodeProcess(number, ip, ports, proxy.address, folder, seeds)
         await node.start()
         stack.push_async_callback(node.end)
         soak.nodes.append(node)
@@ -345,7 +350,8 @@
     failed = False
     for number in range(seed, seed + seeds):
         began_s = time.monotonic()
-        soak = asyncio.run(run_soak(number, minutes * 60, nodes))
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
+        soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes))
         failed = failed or bool(soak.violations)
         requests = len(soak.asked)
         harms = sum(count for name, count in soak.counts.items() if name.startswith("harm"))
@@ -355,6 +361,10 @@
         )
         for line in soak.violations[:20]:
             typer.echo(f"  {line}")
+        if soak.violations:
+            typer.echo(f"  logs kept in {folder}")
+        else:
+            shutil.rmtree(folder)
         for name, count in sorted(soak.counts.items()):
             typer.echo(f"  {count:6} {name}")
     raise SystemExit(failed)
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
@@ -48,9 +48,11 @@
       busy: Whether a signal's consequences are still being played.
     """
 
-    def __init__(self, number: int, ports: Ports, store: str, folder: Path, seeds: list[str]):
+    def __init__(
+        self, number: int, ip: str, ports: Ports, store: str, folder: Path, seeds: list[str]
+    ):
         """Write the settings file; nothing is started yet."""
-        self.ip = f"127.0.0.{number + 10}"
+        self.ip = ip
         self.name = f"node-{number}"
         self.ports = ports
         self.busy = False
