--- a/packages/springbridge-node/springbridge_node/callers/directory.py
+++ b/packages/springbridge-node/springbridge_node/callers/directory.py
@@ -6,11 +6,16 @@
 
 
 class AddressBook:
-    """Answers callers from the membership."""
+    """Answers callers from the membership.
 
-    def __init__(self, membership: Membership) -> None:
+    Attributes:
+      ttl_s: How long callers may keep an answer.
+    """
+
+    def __init__(self, membership: Membership, ttl_s: float) -> None:
         """Keep the membership."""
         self._membership = membership
+        self.ttl_s = ttl_s
 
     def addresses_for(self, place: str) -> list[str]:
         """Return the addresses of nodes that run and are not leaving, those of a place first."""
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -42,6 +42,9 @@
 STALL_S = 0.6
 ALONE_READ_S = 2.0
 SWEEP_S = 2.0
+ADDRESS_TTL_S = 1.0
+LISTING_INTERVAL_S = 0.5
+LISTING_SHARE_OF_DRAIN = 0.25
 FIRST_VERSION = 1
 METRICS_PATH = "/metrics"
 LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=0.05)
@@ -94,7 +97,7 @@
             self.knowledge.engines,
             self._push,
             self.configuration.refresh,
-            settings.listing_interval_s,
+            min(LISTING_INTERVAL_S, settings.drain_s * LISTING_SHARE_OF_DRAIN),
         )
         self.budget = SharedRetryBudget(settings.budget, self._live_nodes, time.monotonic)
         self.router = RequestRouter(
@@ -120,9 +123,11 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         addresses = self.settings.addresses
+        ttl_s = min(ADDRESS_TTL_S, self.settings.longest_ttl_s)
         self._serve_small(addresses.ready, self._outside.ready_handlers(self.is_ready))
         self._serve_small(
-            addresses.directory, self._outside.directory_handlers(AddressBook(self.membership))
+            addresses.directory,
+            self._outside.directory_handlers(AddressBook(self.membership, ttl_s)),
         )
         self._serve_small(addresses.peers, peer_handlers(lambda: self.configuration, self.board))
         self._serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
--- a/packages/springbridge-node/springbridge_node/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway_settings.py
@@ -33,8 +33,8 @@
       seeds: Peer addresses to begin with; they may be stale.
       budget: What all nodes together may send to second engines.
       grace_s: Time between a planned stop and its end.
-      address_ttl_s: How long callers may keep an answer of the directory.
-      listing_interval_s: Pause between two reads of the list of engines.
+      longest_ttl_s: Longest time for which callers keep an answer of the directory.
+      drain_s: Time within which no request may reach an engine that leaves.
     """
 
     name: str
@@ -45,8 +45,8 @@
     seeds: tuple[str, ...]
     budget: BudgetTerms
     grace_s: float
-    address_ttl_s: float
-    listing_interval_s: float
+    longest_ttl_s: float
+    drain_s: float
 
     def __post_init__(self) -> None:
         """Check the values.
@@ -58,7 +58,7 @@
             _check_address(name, getattr(self.addresses, name))
         if not 0 < self.gossip_port < 65536:
             raise ValueError(f"gossip_port: {self.gossip_port} is no port")
-        for name in ("grace_s", "address_ttl_s", "listing_interval_s"):
+        for name in ("grace_s", "longest_ttl_s", "drain_s"):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name}: must be above 0")
 
--- a/packages/springbridge-node/springbridge_node/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/requests/attempt.py
@@ -18,7 +18,8 @@
 from springbridge_node.callers.ingress import IncomingRequest
 from springbridge_node.peers.load_sharing import SharedLoad
 from springbridge_node.requests.wire_format import WireFormat
-from springbridge_node.wire.http_connection import AnswerBrokenError, Head, HttpConnection
+from springbridge_node.wire.http_connection import HttpConnection
+from springbridge_node.wire.http_head import AnswerBrokenError, Head
 
 HELD_BYTES = 256 << 10
 STALE_ANSWERS = 3
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/requests/outcomes.py
@@ -0,0 +1,68 @@
+"""What an attempt's end means for its request: another engine, or which answer."""
+
+from springbridge.codes import Code
+from springbridge.problems import Problem
+from springbridge.routing.engine_choice import Choice
+from springbridge.routing.records import Admitted
+
+from springbridge_node.requests.attempt import ChosenEngine, End, Exchange
+
+LEAST_RETRY_AFTER_S = 0.05
+RETRY_AFTER_SHARE = 0.1
+RESTART_S = 4.0
+
+
+def chosen_engine(choice: Choice, admitted: Admitted) -> ChosenEngine:
+    """Return what is believed of an engine as a request is sent to it."""
+    state = choice.state
+    return ChosenEngine(
+        engine=state.entry.engine_id,
+        in_flight=state.in_flight,
+        prefill_tokens=state.prefill_tokens,
+        kept_tokens=state.cache.kept_tokens(admitted.arrival.prompt_parts),
+        source=choice.source.entry.engine_id if choice.source else "",
+    )
+
+
+def is_repeatable(admitted: Admitted) -> bool:
+    """Return whether a request may run more than once."""
+    return admitted.route.repeatable or admitted.route.resumable
+
+
+def may_try_another(exchange: Exchange) -> bool:
+    """Return whether another engine may get the request after an attempt failed."""
+    if exchange.answer.started and not _can_be_continued(exchange):
+        return False
+    return not exchange.progress.may_have_run or is_repeatable(exchange.admitted)
+
+
+def _can_be_continued(exchange: Exchange) -> bool:
+    """Return whether an answer that has begun can go on behind its last event."""
+    return exchange.admitted.route.resumable and exchange.progress.last_event is not None
+
+
+def problem_after(exchange: Exchange, end: End) -> Problem:
+    """Return the problem of a request whose last attempt failed."""
+    if not exchange.progress.may_have_run:
+        return not_run_problem(exchange.admitted, end.value)
+    return Problem(Code.ENGINE_FAILED, end.value)
+
+
+def no_engine_problem(exchange: Exchange) -> Problem:
+    """Return the problem of a request for which there is no further engine."""
+    if exchange.progress.may_have_run:
+        return Problem(Code.ENGINE_FAILED, "no further engine")
+    if exchange.progress.sends:
+        return not_run_problem(exchange.admitted, "no further engine")
+    return not_run_problem(exchange.admitted, "no engine", RESTART_S)
+
+
+def not_run_problem(admitted: Admitted, detail: str, retry_after_s: float | None = None) -> Problem:
+    """Return the refusal of a request that no engine has run, with the time to come back.
+
+    Args:
+      retry_after_s: That time; left out, an engine is full for a moment.
+    """
+    if retry_after_s is None:
+        retry_after_s = max(LEAST_RETRY_AFTER_S, admitted.route.target_s * RETRY_AFTER_SHARE)
+    return Problem(Code.NO_ENGINE, detail, retry_after_s=retry_after_s)
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -16,7 +16,6 @@
 from springbridge.routing.admission import RouteIndex, admit
 from springbridge.routing.engine_board import EngineBoard, EngineState
 from springbridge.routing.engine_choice import Choice, Chooser
-from springbridge.routing.records import Admitted
 from springbridge.routing.shared_budget import SharedRetryBudget
 
 from springbridge_node.callers.answer import CallerAnswer
@@ -25,7 +24,6 @@
 from springbridge_node.peers.load_sharing import LoadSharing
 from springbridge_node.requests.attempt import (
     SERVER_ERROR,
-    ChosenEngine,
     End,
     Exchange,
     HeldFailure,
@@ -39,19 +37,21 @@
     within,
 )
 from springbridge_node.requests.journal import RequestJournal
-from springbridge_node.requests.wire_format import WireFormat
-from springbridge_node.wire.http_connection import (
-    AnswerBrokenError,
-    ConnectFailedError,
-    HttpConnection,
+from springbridge_node.requests.outcomes import (
+    chosen_engine,
+    is_repeatable,
+    may_try_another,
+    no_engine_problem,
+    not_run_problem,
+    problem_after,
 )
+from springbridge_node.requests.wire_format import WireFormat
+from springbridge_node.wire.http_connection import ConnectFailedError, HttpConnection
+from springbridge_node.wire.http_head import AnswerBrokenError
 
 LEAST_LEFT_S = 0.005
 UNREACHED_ENGINES = 4
-RETRY_AFTER_SHARE = 0.1
-LEAST_RETRY_AFTER_S = 0.05
 SILENCE_SHARE = 0.5
-RESTART_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -114,7 +114,7 @@
         except TimeoutError:
             if exchange.progress.may_have_run:
                 return Problem(Code.OUTCOME_UNKNOWN, "deadline")
-            return _not_run(exchange.admitted, "deadline")
+            return not_run_problem(exchange.admitted, "deadline")
 
     async def _give_up(self, exchange: Exchange, problem: Problem) -> None:
         """End the answer of a request that no further engine gets."""
@@ -132,9 +132,9 @@
         while True:
             choice = self._choose(exchange)
             if choice is None or unreached > UNREACHED_ENGINES:
-                return _no_engine(exchange)
+                return no_engine_problem(exchange)
             if progress.sends and not self._may_send_again(exchange):
-                return _no_engine(exchange)
+                return no_engine_problem(exchange)
             engine_id = choice.state.entry.engine_id
             connection = await self._connect(exchange, choice.state)
             if connection is None:
@@ -145,8 +145,8 @@
             if end is End.DELIVERED:
                 return None
             self._parts.journal.attempt_failed(exchange, engine_id, end)
-            if not _may_try_another(exchange, end):
-                return _after(exchange, end)
+            if not may_try_another(exchange):
+                return problem_after(exchange, end)
 
     def _choose(self, exchange: Exchange) -> Choice | None:
         """Return the engine for the next attempt, or None if there is none."""
@@ -164,7 +164,7 @@
     async def _connect(self, exchange: Exchange, state: EngineState) -> HttpConnection | None:
         """Return a connection to an engine, or None if there is none to be had."""
         admitted = exchange.admitted
-        repeatable = _repeatable(admitted)
+        repeatable = is_repeatable(admitted)
         try:
             return await self._parts.pool.acquire(state.entry, admitted.service, repeatable)
         except ConnectFailedError as exc:
@@ -177,7 +177,7 @@
     async def _attempt(self, exchange: Exchange, choice: Choice, connection: HttpConnection) -> End:
         """Send the request to one engine and pass on what it answers."""
         engine_id = choice.state.entry.engine_id
-        exchange.progress.chosen.append(_chosen(choice, exchange.admitted))
+        exchange.progress.chosen.append(chosen_engine(choice, exchange.admitted))
         try:
             with self._parts.loads.attempt(choice, exchange.admitted.arrival) as load:
                 exchange.progress.load = load
@@ -220,7 +220,7 @@
                 progress.may_have_run = ran_before
                 await read_whole(connection, head)
                 return End.OTHER_ENGINE if verdict.other_engine else End.TURNED_AWAY
-            if head.status >= SERVER_ERROR and _repeatable(admitted):
+            if head.status >= SERVER_ERROR and is_repeatable(admitted):
                 progress.failure = HeldFailure(head, await read_whole(connection, head))
                 return End.ENGINE_ERROR
             if admitted.route.streaming and head.status < 300:
@@ -251,54 +251,3 @@
             board.misnamed(state)
         elif end in (End.BROKEN, End.SILENT, End.ENGINE_ERROR) and board.failed(state):
             self._parts.journal.engine_rests(state, end)
-
-
-def _chosen(choice: Choice, admitted: Admitted) -> ChosenEngine:
-    """Return what is believed of an engine as a request is sent to it."""
-    state = choice.state
-    return ChosenEngine(
-        engine=state.entry.engine_id,
-        in_flight=state.in_flight,
-        prefill_tokens=state.prefill_tokens,
-        kept_tokens=state.cache.kept_tokens(admitted.arrival.prompt_parts),
-        source=choice.source.entry.engine_id if choice.source else "",
-    )
-
-
-def _repeatable(admitted: Admitted) -> bool:
-    """Return whether a request may run more than once."""
-    return admitted.route.repeatable or admitted.route.resumable
-
-
-def _may_try_another(exchange: Exchange, end: End) -> bool:
-    """Return whether another engine may get the request after an attempt failed."""
-    if exchange.answer.started and not exchange.admitted.route.resumable:
-        return False
-    return not exchange.progress.may_have_run or _repeatable(exchange.admitted)
-
-
-def _after(exchange: Exchange, end: End) -> Problem:
-    """Return the problem of a request whose last attempt failed."""
-    if not exchange.progress.may_have_run:
-        return _not_run(exchange.admitted, end.value)
-    return Problem(Code.ENGINE_FAILED, end.value)
-
-
-def _no_engine(exchange: Exchange) -> Problem:
-    """Return the problem of a request for which there is no further engine."""
-    if exchange.progress.may_have_run:
-        return Problem(Code.ENGINE_FAILED, "no further engine")
-    if exchange.progress.sends:
-        return _not_run(exchange.admitted, "no further engine")
-    return _not_run(exchange.admitted, "no engine", RESTART_S)
-
-
-def _not_run(admitted: Admitted, detail: str, retry_after_s: float | None = None) -> Problem:
-    """Return the refusal of a request that no engine has run, with the time to come back.
-
-    Args:
-      retry_after_s: That time; left out, an engine is full for a moment.
-    """
-    if retry_after_s is None:
-        retry_after_s = max(LEAST_RETRY_AFTER_S, admitted.route.target_s * RETRY_AFTER_SHARE)
-    return Problem(Code.NO_ENGINE, detail, retry_after_s=retry_after_s)
--- a/packages/springbridge-node/springbridge_node/requests/wire_format.py
+++ b/packages/springbridge-node/springbridge_node/requests/wire_format.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from springbridge_node.callers.ingress import IncomingRequest
-from springbridge_node.wire.http_connection import Head
+from springbridge_node.wire.http_head import Head
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/springbridge-node/springbridge_node/wire/calls.py
+++ b/packages/springbridge-node/springbridge_node/wire/calls.py
@@ -3,12 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 
-from springbridge_node.wire.http_connection import (
-    AnswerBrokenError,
-    ConnectFailedError,
-    HttpConnection,
-    connect,
-)
+from springbridge_node.wire.http_connection import ConnectFailedError, HttpConnection, connect
+from springbridge_node.wire.http_head import AnswerBrokenError
 
 CONNECT_TIMEOUT_S = 0.6
 LONGEST_REST_S = 5.0
--- a/packages/springbridge-node/springbridge_node/wire/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/wire/http_connection.py
@@ -10,16 +10,17 @@
 import socket
 import time
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-    ResponseStartLine,
-    parse_response_start_line,
-)
 from tornado.iostream import IOStream, StreamClosedError
 
+from springbridge_node.wire.http_head import (
+    AnswerBrokenError,
+    Head,
+    chunk_length,
+    keep_alive_s,
+    parse_head,
+)
+
 READ_BYTES = 1 << 18
 LARGEST_HEAD_BYTES = 64 << 10
 LARGEST_CHUNK_LINE_BYTES = 256
@@ -27,37 +28,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 2500
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 class ConnectFailedError(Exception):
     """No connection came up; nothing was sent."""
 
 
-class AnswerBrokenError(Exception):
-    """The connection ended or was reset, or what came is no answer."""
-
-
-@dataclass(frozen=True, slots=True)
-class Head:
-    """Status line and headers of an answer.
-
-    Attributes:
-      length: Bytes of the body, or None where it is chunked or ends with the connection.
-    """
-
-    status: int
-    reason: str
-    headers: HTTPHeaders
-    length: int | None
-    chunked: bool
-
-    @property
-    def unframed(self) -> bool:
-        """Return whether the body ends only with the connection."""
-        return self.length is None and not self.chunked
-
-
 async def connect(address: str, timeout_s: float) -> "HttpConnection":
     """Open a connection.
 
@@ -134,7 +110,7 @@
         """
         while True:
             raw = await self._read_until(b"\r\n\r\n", LARGEST_HEAD_BYTES)
-            head = _parse_head(raw)
+            head = parse_head(raw)
             if head.status >= 200:
                 return head
 
@@ -188,7 +164,7 @@
         """Note the end of a whole answer."""
         self.served += 1
         self.rested_since_s = time.monotonic()
-        self.keep_s = _keep_alive_s(head.headers)
+        self.keep_s = keep_alive_s(head.headers)
         whole_request_sent = self._sent is None or self._sent.done()
         closes = head.headers.get("Connection", "").lower() == "close"
         self._may_be_kept = whole_request_sent and not closes and not head.unframed
@@ -227,7 +203,7 @@
         """Yield the chunks of a chunked body."""
         while True:
             line = await self._read_until(b"\r\n", LARGEST_CHUNK_LINE_BYTES)
-            length = _chunk_length(line)
+            length = chunk_length(line)
             if length == 0:
                 await self._read_trailers()
                 return
@@ -259,52 +235,3 @@
     """Take the result of a write, so that a failed one is not reported as unhandled."""
     if not sent.cancelled():
         sent.exception()
-
-
-def _parse_head(raw: bytes) -> Head:
-    """Return the head of an answer.
-
-    Raises:
-      AnswerBrokenError: It is none.
-    """
-    start, _, fields = raw.decode("latin-1").partition("\r\n")
-    try:
-        line: ResponseStartLine = parse_response_start_line(start)
-        headers = HTTPHeaders.parse(fields)
-        length = _content_length(line.code, headers)
-    except (HTTPInputError, ValueError) as exc:
-        raise AnswerBrokenError("no HTTP answer") from exc
-    chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
-    return Head(line.code, line.reason, headers, None if chunked else length, chunked)
-
-
-def _content_length(status: int, headers: HTTPHeaders) -> int | None:
-    """Return the length of a body, or None if the head does not tell."""
-    if status in BODILESS_STATUSES:
-        return 0
-    if "Content-Length" not in headers:
-        return None
-    length = int(headers["Content-Length"])
-    if length < 0:
-        raise ValueError(length)
-    return length
-
-
-def _chunk_length(line: bytes) -> int:
-    """Return the length of a chunk."""
-    try:
-        length = int(line.partition(b";")[0], 16)
-    except ValueError as exc:
-        raise AnswerBrokenError("no chunk length") from exc
-    if length < 0:
-        raise AnswerBrokenError("no chunk length")
-    return length
-
-
-def _keep_alive_s(headers: HTTPHeaders) -> float | None:
-    """Return how long the other side keeps the connection at rest, None where it does not say."""
-    for item in headers.get("Keep-Alive", "").split(","):
-        name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
-    return None
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/wire/http_head.py
@@ -0,0 +1,85 @@
+"""Heads of HTTP/1.1 answers: status, headers and how the body is framed."""
+
+from dataclasses import dataclass
+
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    ResponseStartLine,
+    parse_response_start_line,
+)
+
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class AnswerBrokenError(Exception):
+    """The connection ended or was reset, or what came is no answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Status line and headers of an answer.
+
+    Attributes:
+      length: Bytes of the body, or None where it is chunked or ends with the connection.
+    """
+
+    status: int
+    reason: str
+    headers: HTTPHeaders
+    length: int | None
+    chunked: bool
+
+    @property
+    def unframed(self) -> bool:
+        """Return whether the body ends only with the connection."""
+        return self.length is None and not self.chunked
+
+
+def parse_head(raw: bytes) -> Head:
+    """Return the head of an answer.
+
+    Raises:
+      AnswerBrokenError: It is none.
+    """
+    start, _, fields = raw.decode("latin-1").partition("\r\n")
+    try:
+        line: ResponseStartLine = parse_response_start_line(start)
+        headers = HTTPHeaders.parse(fields)
+        length = _content_length(line.code, headers)
+    except (HTTPInputError, ValueError) as exc:
+        raise AnswerBrokenError("no HTTP answer") from exc
+    chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
+    return Head(line.code, line.reason, headers, None if chunked else length, chunked)
+
+
+def _content_length(status: int, headers: HTTPHeaders) -> int | None:
+    """Return the length of a body, or None if the head does not tell."""
+    if status in BODILESS_STATUSES:
+        return 0
+    if "Content-Length" not in headers:
+        return None
+    length = int(headers["Content-Length"])
+    if length < 0:
+        raise ValueError(length)
+    return length
+
+
+def chunk_length(line: bytes) -> int:
+    """Return the length of a chunk."""
+    try:
+        length = int(line.partition(b";")[0], 16)
+    except ValueError as exc:
+        raise AnswerBrokenError("no chunk length") from exc
+    if length < 0:
+        raise AnswerBrokenError("no chunk length")
+    return length
+
+
+def keep_alive_s(headers: HTTPHeaders) -> float | None:
+    """Return how long the other side keeps the connection at rest, None where it does not say."""
+    for item in headers.get("Keep-Alive", "").split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return None
--- a/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
@@ -138,7 +138,7 @@
 def _settings(nodes: int) -> list[GatewaySettings]:
     """Return settings of nodes that know each other as seeds."""
     ips = [f"127.0.0.{number + 2}" for number in range(nodes)]
-    ports = _free_ports(PORTS)
+    ports = free_ports(PORTS)
     seeds = tuple(f"{ip}:{ports[3]}" for ip in ips)
     return [
         GatewaySettings(
@@ -150,14 +150,14 @@
             seeds=tuple(seed for seed in seeds if not seed.startswith(f"{ip}:")),
             budget=BUDGET,
             grace_s=4.0,
-            address_ttl_s=1.0,
-            listing_interval_s=0.1,
+            longest_ttl_s=5.0,
+            drain_s=0.4,
         )
         for number, ip in enumerate(ips)
     ]
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Return ports that are free on all loopback IPs."""
     with contextlib.ExitStack() as stack:
         found = []
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_harms.py
@@ -0,0 +1,135 @@
+"""What the soak does to nodes, links, store and engines; the harms overlap."""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator
+
+from springbridge_standins.users_platform.fleet import configuration
+from springbridge_standins.users_platform.proxy import Harm, LoopbackProxy
+from springbridge_standins.users_platform.soak_nodes import NodeProcess
+from springbridge_standins.users_platform.soak_state import Soak, list_engine
+from springbridge_standins.users_platform.store import StoreFault
+
+START_S = 2.0
+GRACE_S = 6.0
+
+
+async def harm_forever(soak: Soak) -> None:
+    """Do harm again and again; the harms overlap."""
+    harms = (
+        _harm_engine_link,
+        _harm_store_link,
+        _harm_store,
+        _kill_node,
+        _freeze_node,
+        _stop_node,
+        _reload_node,
+        _change_configuration,
+        _drain_engine,
+    )
+    async with asyncio.TaskGroup() as group:
+        while True:
+            harm = soak.rng.choice(harms)
+            soak.counts[f"harm {harm.__name__.strip('_')}"] += 1
+            group.create_task(harm(soak))
+            await asyncio.sleep(soak.rng.random() * 1.2)
+
+
+async def _harm_engine_link(soak: Soak) -> None:
+    await _harm_link(soak, soak.engine_proxies)
+
+
+async def _harm_store_link(soak: Soak) -> None:
+    await _harm_link(soak, soak.store_proxies)
+
+
+async def _harm_link(soak: Soak, proxies: list[LoopbackProxy]) -> None:
+    """Harm one link for a while."""
+    proxy = soak.rng.choice(proxies)
+    proxy.harm = soak.rng.choice([harm for harm in Harm if harm is not Harm.NONE])
+    await asyncio.sleep(soak.rng.random() * 3)
+    proxy.harm = Harm.NONE
+
+
+async def _harm_store(soak: Soak) -> None:
+    """Let the store fail for all."""
+    soak.store.fault = soak.rng.choice([StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT])
+    await asyncio.sleep(soak.rng.random() * 3)
+    soak.store.fault = StoreFault.NONE
+
+
+async def _kill_node(soak: Soak) -> None:
+    """Kill a node and start it again."""
+    async with _free_node(soak) as node:
+        if node is not None:
+            node.signal(signal.SIGKILL)
+            await node.ended()
+            await asyncio.sleep(soak.rng.random())
+            await node.start()
+            await asyncio.sleep(START_S)
+
+
+async def _freeze_node(soak: Soak) -> None:
+    """Stop a node's clock hand and let it go on."""
+    async with _free_node(soak) as node:
+        if node is not None:
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(soak.rng.random() * 3)
+            node.signal(signal.SIGCONT)
+
+
+async def _stop_node(soak: Soak) -> None:
+    """Stop a node as planned work does; it has to end by itself within the grace."""
+    async with _free_node(soak) as node:
+        if node is None:
+            return
+        node.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S + 2):
+                status = await node.ended()
+            if status:
+                soak.violated("a planned stop ends well", f"{node.name} status {status}")
+        except TimeoutError:
+            soak.violated("a planned stop ends in its grace", node.name)
+            node.signal(signal.SIGKILL)
+            await node.ended()
+        await node.start()
+        await asyncio.sleep(START_S)
+
+
+async def _reload_node(soak: Soak) -> None:
+    """Change a settings file, with a signal or without."""
+    node = soak.rng.choice(soak.nodes)
+    node.touch_settings()
+    if soak.rng.random() < 0.5 and not node.busy:
+        node.signal(signal.SIGHUP)
+
+
+async def _change_configuration(soak: Soak) -> None:
+    """Write a new version that allows the same."""
+    soak.version += soak.rng.randint(1, 3)
+    await soak.store.put("op", "config", configuration(soak.version))
+
+
+async def _drain_engine(soak: Soak) -> None:
+    """Let an engine say that it leaves, and come back."""
+    name = soak.rng.choice(sorted(soak.engines))
+    await list_engine(soak, name, "draining")
+    await asyncio.sleep(1 + soak.rng.random() * 2)
+    await list_engine(soak, name, "ready")
+
+
+@contextlib.asynccontextmanager
+async def _free_node(soak: Soak) -> AsyncIterator[NodeProcess | None]:
+    """Give a node that no other harm holds, as long as two others are well; else None."""
+    free = [node for node in soak.nodes if not node.busy]
+    if len(free) < 3:
+        yield None
+        return
+    node = soak.rng.choice(free)
+    node.busy = True
+    try:
+        yield node
+    finally:
+        node.busy = False
