--- a/packages/springbridge-node/springbridge_node/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/peers/datagrams.py
@@ -10,6 +10,7 @@
 from enum import IntEnum
 
 import orjson
+from springbridge.hashing import score
 from springbridge.membership import Membership
 
 Handler = Callable[[list], None]
@@ -71,3 +72,14 @@
         """Return the addresses of peers that run, a random choice of them where there are many."""
         peers = [member.peer_address for member in self._membership.reachable()]
         return peers if len(peers) <= most else random.sample(peers, most)
+
+    def steady_peers(self, most: int) -> list[str]:
+        """Return the addresses of peers that run, the same ones each time where there are many.
+
+        What begins and ends has to be told to the same peers, or some hear only of its beginning.
+        """
+        peers = [member.peer_address for member in self._membership.reachable()]
+        if len(peers) <= most:
+            return peers
+        mine = self._membership.me.incarnation
+        return sorted(peers, key=lambda peer: score(mine, peer), reverse=True)[:most]
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -87,7 +87,7 @@
     def _flush(self) -> None:
         """Send what was gathered."""
         notices, self._untold = self._untold, []
-        peers = self._datagrams.some_peers(MOST_PEERS)
+        peers = self._datagrams.steady_peers(MOST_PEERS)
         for start in range(0, len(notices), MOST_IN_A_DATAGRAM):
             rows = [_row(notice) for notice in notices[start : start + MOST_IN_A_DATAGRAM]]
             self._datagrams.send(Kind.LOAD, rows, peers)
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -91,13 +91,11 @@
         arrival = admitted.arrival
         if not arrival.prompt_parts:
             return least_in_flight(states, admitted)
-        kept = {
-            state.entry.engine_id: state.cache.kept_tokens(arrival.prompt_parts) for state in states
-        }
-        source = max(states, key=lambda state: kept[state.entry.engine_id])
-        most = kept[source.entry.engine_id] if admitted.service.fetches else 0
         quiet = _quiet_engines(states)
         shared = _shared_part(arrival.prompt_parts)
+        kept = _kept_tokens(states, arrival, quiet)
+        source = max(states, key=lambda state: kept[state.entry.engine_id])
+        most = kept[source.entry.engine_id] if admitted.service.fetches else 0
 
         def rank(state: EngineState) -> tuple[float, float]:
             own = kept[state.entry.engine_id]
