--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -12,7 +12,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.engine_board import EngineBoard
-from springbridge.routing.engine_choice import Chooser, TokenCost
+from springbridge.routing.engine_choice import ByView, Chooser, TokenCost, by_shared_prompt
 from springbridge.routing.records import CallerLimits
 from springbridge.routing.shared_budget import SharedRetryBudget
 
@@ -107,7 +107,7 @@
                 self.pool,
                 self.budget,
                 outside.wire_format,
-                choose or TokenCost(settings.place),
+                choose or ByView(TokenCost(settings.place), by_shared_prompt, self.loads.is_whole),
                 RequestJournal(self.telemetry),
                 self.loads,
             )
--- a/packages/springbridge-node/springbridge_node/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/peers/datagrams.py
@@ -10,7 +10,6 @@
 from enum import IntEnum
 
 import orjson
-from springbridge.hashing import score
 from springbridge.membership import Membership
 
 Handler = Callable[[list], None]
@@ -68,18 +67,11 @@
         for address in peer_addresses:
             self._transport.sendto(data, (address.rpartition(":")[0], self._port))
 
+    def peers(self) -> list[str]:
+        """Return the addresses of the peers that run."""
+        return [member.peer_address for member in self._membership.reachable()]
+
     def some_peers(self, most: int) -> list[str]:
         """Return the addresses of peers that run, a random choice of them where there are many."""
-        peers = [member.peer_address for member in self._membership.reachable()]
+        peers = self.peers()
         return peers if len(peers) <= most else random.sample(peers, most)
-
-    def steady_peers(self, most: int) -> list[str]:
-        """Return the addresses of peers that run, the same ones each time where there are many.
-
-        What begins and ends has to be told to the same peers, or some hear only of its beginning.
-        """
-        peers = [member.peer_address for member in self._membership.reachable()]
-        if len(peers) <= most:
-            return peers
-        mine = self._membership.me.incarnation
-        return sorted(peers, key=lambda peer: score(mine, peer), reverse=True)[:most]
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -1,6 +1,7 @@
 """Tells peers of this node's requests at engines, and takes in what they tell.
 
-Notices are gathered for a few milliseconds, so that a burst of requests makes few datagrams.
+Notices are gathered for a few milliseconds, so that a burst of requests makes few datagrams. In a
+fleet with too many nodes to tell them all, none is told: half a view of an engine's load misleads.
 """
 
 import asyncio
@@ -75,6 +76,10 @@
         finally:
             self.tell(LoadNotice(LoadPhase.ENDED, attempt_id, engine_id))
 
+    def is_whole(self) -> bool:
+        """Return whether all nodes tell each other, so that the board shows the whole load."""
+        return self._datagrams is not None and len(self._datagrams.peers()) <= MOST_PEERS
+
     def tell(self, notice: LoadNotice) -> None:
         """Take in a notice here and tell the peers soon."""
         self._board.take_notice(notice)
@@ -87,7 +92,9 @@
     def _flush(self) -> None:
         """Send what was gathered."""
         notices, self._untold = self._untold, []
-        peers = self._datagrams.steady_peers(MOST_PEERS)
+        peers = self._datagrams.peers()
+        if len(peers) > MOST_PEERS:
+            return
         for start in range(0, len(notices), MOST_IN_A_DATAGRAM):
             rows = [_row(notice) for notice in notices[start : start + MOST_IN_A_DATAGRAM]]
             self._datagrams.send(Kind.LOAD, rows, peers)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
@@ -0,0 +1,69 @@
+"""Tests of load_sharing.py: who is told of a request at an engine."""
+
+import asyncio
+import random
+import time
+
+import pytest
+from springbridge.membership import Member, Membership
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import Choice
+from springbridge.routing.records import Arrival, EngineEntry, EngineListing
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from springbridge_node.peers.datagrams import PeerDatagrams
+from springbridge_node.peers.load_sharing import GATHER_S, MOST_PEERS, LoadSharing
+
+ENTRY = EngineEntry("e1", "model", "10.1.0.1:80", "perth-a", 4, False)
+ARRIVAL = Arrival("q", "desk.example", "/r/x", None, 0.0)
+
+
+class RecordingDatagrams(PeerDatagrams):
+    """Datagrams that are only recorded."""
+
+    def __init__(self, membership):
+        super().__init__(membership, 7000)
+        self.sent = []
+
+    def send(self, kind, rows, peer_addresses):
+        """Record rows and receivers."""
+        self.sent.append((rows, peer_addresses))
+
+
+def play(peers):
+    """Return what a node with so many peers sends for one request, and its engine's loads."""
+    me, *others = [
+        Member(f"n{number}", f"n{number}", f"10.0.0.{number}:1", "", "perth-a")
+        for number in range(peers + 1)
+    ]
+    membership = Membership(me, time.monotonic, random.Random(1))
+    membership.merge(others)
+    board = EngineBoard(time.monotonic)
+    board.install(EngineListing(1, (ENTRY,)), {}, 0.0)
+    state = board.find("e1")
+
+    async def body():
+        datagrams = RecordingDatagrams(membership)
+        sharing = LoadSharing(board, "n0")
+        sharing.connect(datagrams)
+        with sharing.attempt(Choice(state), ARRIVAL):
+            during = state.in_flight
+        await asyncio.sleep(GATHER_S * 3)
+        return datagrams.sent, during, state.in_flight, sharing.is_whole()
+
+    return asyncio.run(body())
+
+
+def test_all_peers_hear_of_the_beginning_and_the_end_in_one_datagram():
+    sent, during, after, whole = play(7)
+    ((rows, peers),) = sent
+    assert_that(peers, HasLength(7))
+    assert_that([row[0] for row in rows], Equals([0, 2]))
+    assert_that((during, after, whole), Equals((1, 0, True)))
+
+
+@pytest.mark.parametrize("peers", [MOST_PEERS + 1, 40])
+def test_in_a_large_fleet_nobody_is_told_and_the_own_load_is_counted(peers):
+    sent, during, after, whole = play(peers)
+    assert_that((sent, during, after, whole), Equals(([], 1, 0, False)))
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -120,6 +120,29 @@
         return cost
 
 
+@dataclass(frozen=True)
+class ByView:
+    """Chooses by the whole load where this node sees it, and by its own part where it does not.
+
+    In a large fleet a node sees a small part of each engine's load. To take the engine that looks
+    least loaded then makes many nodes take the same one; hashing spreads them.
+
+    Attributes:
+      whole: The choice with the whole view.
+      own: The choice with only this node's requests in view.
+      is_whole: Returns whether the whole view is to be had.
+    """
+
+    whole: Chooser
+    own: Chooser
+    is_whole: Callable[[], bool]
+
+    def __call__(self, states: Sequence[EngineState], admitted: Admitted) -> Choice:
+        """Return the engine that the fitting choice takes."""
+        choose = self.whole if self.is_whole() else self.own
+        return choose(states, admitted)
+
+
 def _kept_tokens(
     states: Sequence[EngineState], arrival: Arrival, quiet: frozenset[str]
 ) -> dict[str, int]:
--- a/packages/springbridge/springbridge/routing/engine_choice_test.py
+++ b/packages/springbridge/springbridge/routing/engine_choice_test.py
@@ -7,6 +7,7 @@
 from springbridge.routing.conftest import MODEL, make_admitted
 from springbridge.routing.engine_choice import (
     LEAST_FETCH_TOKENS,
+    ByView,
     TokenCost,
     _quiet_engines,
     by_shared_prompt,
@@ -144,3 +145,15 @@
     cache = PrefixCache(0)
     cache.note((PromptPart("a", 10),))
     assert_that(cache.kept_tokens((PromptPart("a", 10),)), Equals(0))
+
+
+def test_without_the_whole_view_the_choice_is_by_hash(engines):
+    for number in range(3):
+        start(engines, "e0", f"a{number}")
+    by_view = {
+        whole: ByView(TokenCost(HERE), by_shared_prompt, lambda whole=whole: whole)
+        for whole in (True, False)
+    }
+    admitted, states = make_admitted(LONG), states_of(engines)
+    assert_that(by_view[True](states, admitted), Equals(TokenCost(HERE)(states, admitted)))
+    assert_that(by_view[False](states, admitted), Equals(by_shared_prompt(states, admitted)))
