--- a/packages/springbridge-node/springbridge_node/requests/outcomes.py
+++ b/packages/springbridge-node/springbridge_node/requests/outcomes.py
@@ -3,6 +3,7 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 from springbridge.routing.engine_choice import Choice
+from springbridge.routing.overload import RETRY_AFTER_S
 from springbridge.routing.records import Admitted
 
 from springbridge_node.requests.attempt import ChosenEngine, End, Exchange
@@ -66,3 +67,8 @@
     if retry_after_s is None:
         retry_after_s = max(LEAST_RETRY_AFTER_S, admitted.route.target_s * RETRY_AFTER_SHARE)
     return Problem(Code.NO_ENGINE, detail, retry_after_s=retry_after_s)
+
+
+def overload_problem() -> Problem:
+    """Return the refusal of a request whose engines are too full for its priority."""
+    return Problem(Code.OVERLOADED, "engines full", retry_after_s=RETRY_AFTER_S)
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -16,6 +16,7 @@
 from springbridge.routing.admission import RouteIndex, admit
 from springbridge.routing.engine_board import EngineBoard, EngineState
 from springbridge.routing.engine_choice import Choice, Chooser
+from springbridge.routing.overload import is_refused
 from springbridge.routing.shared_budget import SharedRetryBudget
 
 from springbridge_node.callers.answer import CallerAnswer
@@ -43,6 +44,7 @@
     may_try_another,
     no_engine_problem,
     not_run_problem,
+    overload_problem,
     problem_after,
 )
 from springbridge_node.requests.wire_format import WireFormat
@@ -129,6 +131,8 @@
         """Try engine after engine as far as the request allows."""
         progress = exchange.progress
         unreached = 0
+        if self._finds_overload(exchange):
+            return overload_problem()
         while True:
             choice = self._choose(exchange)
             if choice is None or unreached > UNREACHED_ENGINES:
@@ -148,6 +152,14 @@
             if not may_try_another(exchange):
                 return problem_after(exchange, end)
 
+    def _finds_overload(self, exchange: Exchange) -> bool:
+        """Return whether all engines have more prompts than this request's priority allows."""
+        admitted = exchange.admitted
+        if not admitted.arrival.prompt_parts:
+            return False
+        states = self._parts.board.candidates(admitted.service.name, ())
+        return is_refused(states, admitted.route.priority)
+
     def _choose(self, exchange: Exchange) -> Choice | None:
         """Return the engine for the next attempt, or None if there is none."""
         admitted = exchange.admitted
