--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -12,7 +12,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.engine_board import EngineBoard
-from springbridge.routing.engine_choice import ByView, Chooser, TokenCost, by_shared_prompt
+from springbridge.routing.engine_choice import Chooser, by_token_cost
 from springbridge.routing.records import CallerLimits
 from springbridge.routing.shared_budget import SharedRetryBudget
 
@@ -26,11 +26,14 @@
 from springbridge_node.engines.pool import EnginePool
 from springbridge_node.engines.prober import EngineProber
 from springbridge_node.gateway_settings import GatewaySettings
+from springbridge_node.peers.assignments import AssignmentClient, AssignmentServer
 from springbridge_node.peers.datagrams import PeerDatagrams
 from springbridge_node.peers.gossip import Gossip
 from springbridge_node.peers.knowledge import PeerKnowledge, peer_handlers
 from springbridge_node.peers.load_sharing import LoadSharing
+from springbridge_node.peers.scheduler_set import SchedulerSet
 from springbridge_node.periodic import every
+from springbridge_node.requests.engine_selector import EngineSelector
 from springbridge_node.requests.journal import RequestJournal
 from springbridge_node.requests.router import RequestRouter, RouterParts
 from springbridge_node.requests.wire_format import WireFormat
@@ -83,7 +86,15 @@
         self.telemetry = Telemetry()
         self.membership = Membership(_member(settings), time.monotonic, random.Random(), PACE)
         self.board = EngineBoard(time.monotonic)
-        self.loads = LoadSharing(self.board, self.membership.me.incarnation)
+        self.schedulers = SchedulerSet(self.membership)
+        self.assignments = AssignmentServer(self.board, choose or by_token_cost)
+        self.scheduler_client = AssignmentClient(self.board, self.schedulers)
+        self.loads = LoadSharing(
+            self.board,
+            self.membership.me.incarnation,
+            self.schedulers.audience,
+            self.assignments.heard,
+        )
         self.pool = EnginePool(self._live_nodes)
         self.configuration = ConfigurationFollower(
             outside.store, outside.read_configuration, self._configuration_installed
@@ -107,9 +118,12 @@
                 self.pool,
                 self.budget,
                 outside.wire_format,
-                choose or ByView(TokenCost(settings.place), by_shared_prompt, self.loads.is_whole),
+                EngineSelector(
+                    self.board, self.loads, self.schedulers, self.scheduler_client, choose
+                ),
                 RequestJournal(self.telemetry),
                 self.loads,
+                settings.place,
             )
         )
         self.listener = CallerListener(self._serve)
@@ -137,6 +151,8 @@
         )
         self.gossip = Gossip(self.membership, datagrams, self._digest_heard)
         self.loads.connect(datagrams)
+        self.assignments.connect(datagrams)
+        self.scheduler_client.connect(datagrams)
         self.membership.set_listed(self.settings.seeds)
         self._tasks = [
             asyncio.ensure_future(task)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/peers/assignments_test.py
@@ -0,0 +1,206 @@
+"""Tests of assignments.py and scheduler_set.py: asking a scheduler, and what it counts."""
+
+import asyncio
+import random
+
+import pytest
+from springbridge.membership import Member, Membership
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import by_token_cost
+from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.records import Demand, EngineEntry, EngineListing, PromptPart
+from springbridge.routing.schedulers import in_order_for, schedulers
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, Not
+
+from springbridge_node.peers.assignments import (
+    CONFIRMED_S,
+    AssignmentClient,
+    AssignmentServer,
+)
+from springbridge_node.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.peers.scheduler_set import AVOIDED_S, SchedulerSet
+
+PARTS = (PromptPart("shared", 13_000), PromptPart("own", 3_000))
+DEMAND = Demand("q", "model", "a", 1, 16_000, PARTS, True)
+PLACES = ("a", "b", "c")
+NODES = 30
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now_s
+
+
+class Wire:
+    """Datagrams that reach their receivers at once, but for addresses that are silent."""
+
+    def __init__(self):
+        self.ends = {}
+        self.silent = set()
+        self.asked = []
+
+    def end(self, address):
+        """Return the datagrams of one node."""
+        self.ends[address] = WireEnd(self, address)
+        return self.ends[address]
+
+
+class WireEnd(PeerDatagrams):
+    """One node's datagrams."""
+
+    def __init__(self, wire, address):
+        super().__init__(None, 7000)
+        self._wire = wire
+        self._address = address
+
+    def send(self, kind, rows, peer_addresses):
+        """Hand rows to the receivers' handlers."""
+        for address in peer_addresses:
+            if kind is Kind.ASK:
+                self._wire.asked.append(address)
+            if address in self._wire.ends and address not in self._wire.silent:
+                self._wire.ends[address]._handlers[int(kind)](rows, self._address)
+
+
+def make_board(clock, engines=4):
+    """Return a board of model engines in failure domain a."""
+    board = EngineBoard(clock)
+    entries = tuple(
+        EngineEntry(f"e{number}", "model", f"10.9.0.{number}:80", "a", 64, False)
+        for number in range(engines)
+    )
+    board.install(EngineListing(1, entries), {"model": 500_000}, 0.0)
+    return board
+
+
+@pytest.fixture
+def clock():
+    """Return a clock at rest."""
+    return Clock()
+
+
+@pytest.fixture
+def fleet(clock):
+    """Return a membership of many nodes, seen by one that does not schedule."""
+    members = [
+        Member(f"n{number}", f"n{number}", f"10.0.0.{number}:1", "", PLACES[number % len(PLACES)])
+        for number in range(NODES)
+    ]
+    roles = schedulers(members)
+    me = next(member for member in members if member.place == "a" and member not in roles)
+    membership = Membership(me, clock, random.Random(1))
+    membership.merge(member for member in members if member is not me)
+    return membership
+
+
+def ask(wire, fleet, clock, times=1):
+    """Return what a node gets that asks so many times, with all schedulers answering."""
+    found = SchedulerSet(fleet, clock)
+    for member in schedulers(fleet.live()):
+        AssignmentServer(make_board(clock), by_token_cost, clock).connect(
+            wire.end(member.peer_address)
+        )
+    client = AssignmentClient(make_board(clock), found)
+    client.connect(wire.end(fleet.me.peer_address))
+
+    async def body():
+        return [await client.ask(DEMAND, (), f"me/{number}") for number in range(times)]
+
+    return asyncio.run(body())
+
+
+def first_schedulers(fleet):
+    """Return the peer addresses of the schedulers in the order in which the node asks them."""
+    ordered = in_order_for(fleet.me.place, schedulers(fleet.live()))
+    return [member.peer_address for member in ordered]
+
+
+def test_a_scheduler_names_an_engine_under_the_asker_s_attempt(fleet, clock):
+    wire = Wire()
+    (selection,) = ask(wire, fleet, clock)
+    assert_that(selection.choice.attempt_id, Equals("me/0"))
+    assert_that(selection.choice.scheduler, Equals(first_schedulers(fleet)[0]))
+
+
+def test_a_silent_scheduler_is_left_out_and_the_next_one_asked(fleet, clock):
+    wire = Wire()
+    first, second, *_ = first_schedulers(fleet)
+    wire.silent = {first}
+    alone, told = ask(wire, fleet, clock, times=2)
+    assert_that(alone, Is(None))
+    assert_that(told, Not(Is(None)))
+    assert_that(wire.asked, Equals([first, second]))
+
+
+def test_a_silent_scheduler_is_asked_again_after_a_moment(fleet, clock):
+    found = SchedulerSet(fleet, clock)
+    first = found.first()
+    found.avoid(first)
+    assert_that(found.first(), Not(Equals(first)))
+    clock.now_s += AVOIDED_S
+    assert_that(found.first(), Equals(first))
+
+
+def test_with_all_schedulers_silent_the_node_chooses_alone(fleet, clock):
+    wire = Wire()
+    wire.silent = set(first_schedulers(fleet))
+    told = ask(wire, fleet, clock, times=7)
+    assert_that(told, Equals([None] * 7))
+    assert_that(len(wire.asked), Equals(6))
+
+
+def test_an_engine_that_the_asker_may_not_use_is_not_taken(fleet, clock):
+    wire = Wire()
+    found = SchedulerSet(fleet, clock)
+    address = found.first()
+    AssignmentServer(make_board(clock), by_token_cost, clock).connect(wire.end(address))
+    client = AssignmentClient(make_board(clock, engines=0), found)
+    client.connect(wire.end(fleet.me.peer_address))
+    assert_that(asyncio.run(client.ask(DEMAND, (), "me/0")), Is(None))
+
+
+def test_questions_at_the_same_moment_are_spread(clock):
+    server = AssignmentServer(make_board(clock), by_token_cost, clock)
+    short = [Demand(f"q{number}", "model", "a", 1, 4_000, (), False) for number in range(4)]
+    named = {server.assign(demand, (), demand.request_id).engine_id for demand in short}
+    assert_that(len(named), Equals(4))
+
+
+def test_an_attempt_is_counted_once_and_only_while_it_is_confirmed(clock):
+    board = make_board(clock)
+    server = AssignmentServer(board, by_token_cost, clock)
+    kept = server.assign(DEMAND, (), "kept").engine_id
+    dropped = server.assign(DEMAND, (), "dropped").engine_id
+    notice = LoadNotice(LoadPhase.STARTED, "kept", kept, 16_000, PARTS)
+    server.heard(notice)
+    board.take_notice(notice)
+    assert_that(board.find(kept).loads["kept"].prefill_tokens, Equals(16_000))
+    clock.now_s += CONFIRMED_S + 0.1
+    server.assign(DEMAND, (), "later")
+    assert_that("dropped" in board.find(dropped).loads, Equals(False))
+    assert_that("kept" in board.find(kept).loads, Equals(True))
+
+
+def test_the_least_urgent_are_refused_by_the_scheduler_while_all_engines_are_too_full(clock):
+    board = make_board(clock)
+    for number in range(4 * 40):
+        board.take_notice(LoadNotice(LoadPhase.STARTED, f"x{number}", f"e{number % 4}"))
+    server = AssignmentServer(board, by_token_cost, clock)
+    told = server.assign(Demand("q", "model", "a", 2, 16_000, PARTS, True), (), "x")
+    assert_that((told.engine_id, told.overloaded), Equals(("", True)))
+
+
+def test_in_a_small_fleet_every_node_schedules(clock):
+    me = Member("n0", "n0", "10.0.0.0:1", "", "a")
+    membership = Membership(me, clock, random.Random(1))
+    membership.merge([Member("n1", "n1", "10.0.0.1:1", "", "b")])
+    found = SchedulerSet(membership, clock)
+    assert_that((found.includes_me(), found.first()), Equals((True, None)))
+    assert_that(found.audience(), Equals(["10.0.0.1:1"]))
--- a/packages/springbridge-node/springbridge_node/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/peers/datagrams.py
@@ -12,7 +12,7 @@
 import orjson
 from springbridge.membership import Membership
 
-Handler = Callable[[list], None]
+Handler = Callable[[list, str], None]
 
 
 class Kind(IntEnum):
@@ -20,6 +20,8 @@
 
     DIGEST = 1
     LOAD = 2
+    ASK = 3
+    ASSIGNED = 4
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
@@ -49,10 +51,10 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hand on a datagram; anything unreadable is dropped."""
+        """Hand on a datagram and its sender's address; anything unreadable is dropped."""
         try:
             kind, rows = orjson.loads(data)
-            self._handlers[kind](rows)
+            self._handlers[kind](rows, f"{addr[0]}:{addr[1]}")
         except (ValueError, TypeError, KeyError, IndexError):
             return
 
--- a/packages/springbridge-node/springbridge_node/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/peers/gossip.py
@@ -50,7 +50,7 @@
         """Send this node's digest to all peers at once, for news that must not wait."""
         self.send(self._datagrams.some_peers(PUSHED_PEERS))
 
-    def _take(self, rows: list) -> None:
+    def _take(self, rows: list, sender: str) -> None:
         """Take in a digest."""
         known = set(self._membership.incarnations())
         members = [self._member(row) for row in rows]
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -1,23 +1,24 @@
 """Tells peers of this node's requests at engines, and takes in what they tell.
 
 Notices are gathered for a few milliseconds, so that a burst of requests makes few datagrams. In a
-fleet with too many nodes to tell them all, none is told: half a view of an engine's load misleads.
+fleet with too many nodes to tell them all, the schedulers are told: half a view of an engine's load
+misleads.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice
 from springbridge.routing.load import LoadNotice, LoadPhase
-from springbridge.routing.records import Arrival, PromptPart
+from springbridge.routing.records import Demand, PromptPart
+from springbridge.routing.selection import start_notice
 
 from springbridge_node.peers.datagrams import Kind, PeerDatagrams
 
 GATHER_S = 0.01
 MOST_IN_A_DATAGRAM = 8
-MOST_PEERS = 16
 
 
 class SharedLoad:
@@ -41,10 +42,24 @@
 class LoadSharing:
     """This node's part in what all nodes know of the engines' load."""
 
-    def __init__(self, board: EngineBoard, incarnation: str) -> None:
-        """Keep the board; attempts are named after this node's incarnation."""
+    def __init__(
+        self,
+        board: EngineBoard,
+        incarnation: str,
+        audience: Callable[[], list[str]],
+        heard: Callable[[LoadNotice], None],
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+          incarnation: Of this node; attempts are named after it.
+          audience: Returns the peer addresses to tell.
+          heard: Called with each notice of a peer.
+        """
         self._board = board
         self._incarnation = incarnation
+        self._audience = audience
+        self._heard = heard
         self._count = 0
         self._untold: list[LoadNotice] = []
         self._datagrams: PeerDatagrams | None = None
@@ -54,32 +69,22 @@
         self._datagrams = datagrams
         datagrams.handle(Kind.LOAD, self._take)
 
+    def new_attempt_id(self) -> str:
+        """Return a name for an attempt, new among those of all nodes."""
+        self._count += 1
+        return f"{self._incarnation}/{self._count}"
+
     @contextlib.contextmanager
-    def attempt(self, choice: Choice, arrival: Arrival) -> Iterator[SharedLoad]:
+    def attempt(self, choice: Choice, demand: Demand) -> Iterator[SharedLoad]:
         """Count a request at an engine for as long as the block runs."""
         engine_id = choice.state.entry.engine_id
-        fetched = choice.source.cache.kept_tokens(arrival.prompt_parts) if choice.source else 0
-        self._count += 1
-        attempt_id = f"{self._incarnation}/{self._count}"
-        self.tell(
-            LoadNotice(
-                LoadPhase.STARTED,
-                attempt_id,
-                engine_id,
-                arrival.prompt_tokens,
-                arrival.prompt_parts,
-                fetched,
-            )
-        )
+        attempt_id = choice.attempt_id or self.new_attempt_id()
+        self.tell(start_notice(choice, demand, attempt_id))
         try:
             yield SharedLoad(self, attempt_id, engine_id)
         finally:
             self.tell(LoadNotice(LoadPhase.ENDED, attempt_id, engine_id))
 
-    def is_whole(self) -> bool:
-        """Return whether all nodes tell each other, so that the board shows the whole load."""
-        return self._datagrams is not None and len(self._datagrams.peers()) <= MOST_PEERS
-
     def tell(self, notice: LoadNotice) -> None:
         """Take in a notice here and tell the peers soon."""
         self._board.take_notice(notice)
@@ -92,17 +97,17 @@
     def _flush(self) -> None:
         """Send what was gathered."""
         notices, self._untold = self._untold, []
-        peers = self._datagrams.peers()
-        if len(peers) > MOST_PEERS:
-            return
+        peers = self._audience()
         for start in range(0, len(notices), MOST_IN_A_DATAGRAM):
             rows = [_row(notice) for notice in notices[start : start + MOST_IN_A_DATAGRAM]]
             self._datagrams.send(Kind.LOAD, rows, peers)
 
-    def _take(self, rows: list) -> None:
+    def _take(self, rows: list, sender: str) -> None:
         """Take in a peer's notices."""
         for row in rows:
-            self._board.take_notice(_notice(row))
+            notice = _notice(row)
+            self._heard(notice)
+            self._board.take_notice(notice)
 
 
 def _row(notice: LoadNotice) -> list:
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
@@ -8,15 +8,17 @@
 from springbridge.membership import Member, Membership
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice
-from springbridge.routing.records import Arrival, EngineEntry, EngineListing
+from springbridge.routing.records import Demand, EngineEntry, EngineListing
+from springbridge.routing.schedulers import schedulers
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
 from springbridge_node.peers.datagrams import PeerDatagrams
-from springbridge_node.peers.load_sharing import GATHER_S, MOST_PEERS, LoadSharing
+from springbridge_node.peers.load_sharing import GATHER_S, LoadSharing
+from springbridge_node.peers.scheduler_set import MOST_EQUALS, SchedulerSet
 
 ENTRY = EngineEntry("e1", "model", "10.1.0.1:80", "perth-a", 4, False)
-ARRIVAL = Arrival("q", "desk.example", "/r/x", None, 0.0)
+DEMAND = Demand("q", "model", "perth-a", 2)
 
 
 class RecordingDatagrams(PeerDatagrams):
@@ -45,25 +47,33 @@
 
     async def body():
         datagrams = RecordingDatagrams(membership)
-        sharing = LoadSharing(board, "n0")
+        found = SchedulerSet(membership)
+        sharing = LoadSharing(board, "n0", found.audience, lambda notice: None)
         sharing.connect(datagrams)
-        with sharing.attempt(Choice(state), ARRIVAL):
+        with sharing.attempt(Choice(state), DEMAND):
             during = state.in_flight
         await asyncio.sleep(GATHER_S * 3)
-        return datagrams.sent, during, state.in_flight, sharing.is_whole()
+        return datagrams.sent, during, state.in_flight, membership
 
     return asyncio.run(body())
 
 
 def test_all_peers_hear_of_the_beginning_and_the_end_in_one_datagram():
-    sent, during, after, whole = play(7)
+    sent, during, after, _ = play(7)
     ((rows, peers),) = sent
     assert_that(peers, HasLength(7))
     assert_that([row[0] for row in rows], Equals([0, 2]))
-    assert_that((during, after, whole), Equals((1, 0, True)))
-
-
-@pytest.mark.parametrize("peers", [MOST_PEERS + 1, 40])
-def test_in_a_large_fleet_nobody_is_told_and_the_own_load_is_counted(peers):
-    sent, during, after, whole = play(peers)
-    assert_that((sent, during, after, whole), Equals(([], 1, 0, False)))
+    assert_that((during, after), Equals((1, 0)))
+
+
+@pytest.mark.parametrize("peers", [MOST_EQUALS, 40])
+def test_in_a_large_fleet_the_schedulers_hear_and_nobody_else(peers):
+    sent, during, after, membership = play(peers)
+    expected = {
+        member.peer_address
+        for member in schedulers(membership.live())
+        if member is not membership.me
+    }
+    ((_, audience),) = sent
+    assert_that(set(audience), Equals(expected))
+    assert_that((during, after), Equals((1, 0)))
--- a/packages/springbridge-node/springbridge_node/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/requests/attempt.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 from springbridge.routing.event_stream import EventSplitter
-from springbridge.routing.records import Admitted
+from springbridge.routing.records import Admitted, Demand
 
 from springbridge_node.callers.answer import CallerAnswer
 from springbridge_node.callers.ingress import IncomingRequest
@@ -54,6 +54,7 @@
       prefill_tokens: Prompt tokens that it had still to read.
       kept_tokens: Tokens of this prompt that it probably kept.
       source: Engine that it was told to fetch more of the prompt from, "" for none.
+      scheduler: Address of the node that chose, "" for this one.
     """
 
     engine: str
@@ -61,6 +62,7 @@
     prefill_tokens: int
     kept_tokens: int
     source: str
+    scheduler: str
 
 
 @dataclass
@@ -94,6 +96,7 @@
 
     request: IncomingRequest
     admitted: Admitted
+    demand: Demand
     answer: CallerAnswer
     progress: Progress
 
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/requests/engine_selector.py
@@ -0,0 +1,48 @@
+"""Who chooses the engine of an attempt: this node, or a scheduler that knows more."""
+
+from collections.abc import Collection
+
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import Chooser, by_shared_prompt, by_token_cost
+from springbridge.routing.records import Demand
+from springbridge.routing.selection import Selection, select
+
+from springbridge_node.peers.assignments import AssignmentClient
+from springbridge_node.peers.load_sharing import LoadSharing
+from springbridge_node.peers.scheduler_set import SchedulerSet
+
+
+class EngineSelector:
+    """Selects engines: by the load of all nodes where this node or a scheduler knows that."""
+
+    def __init__(
+        self,
+        board: EngineBoard,
+        loads: LoadSharing,
+        found: SchedulerSet,
+        client: AssignmentClient,
+        chooser: Chooser | None = None,
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+          chooser: Decides at this node whatever it knows; left out, what suits the knowledge.
+        """
+        self._board = board
+        self._loads = loads
+        self._found = found
+        self._client = client
+        self._chooser = chooser
+
+    async def select(self, demand: Demand, tried: Collection[str]) -> Selection:
+        """Return the engine for the next attempt, or why there is none."""
+        if self._chooser is not None:
+            return select(self._board, demand, tried, self._chooser)
+        if self._found.includes_me():
+            return select(self._board, demand, tried, by_token_cost)
+        if demand.prompt_parts:
+            attempt_id = self._loads.new_attempt_id()
+            told = await self._client.ask(demand, tried, attempt_id)
+            if told is not None:
+                return told
+        return select(self._board, demand, tried, by_shared_prompt)
--- a/packages/springbridge-node/springbridge_node/requests/outcomes.py
+++ b/packages/springbridge-node/springbridge_node/requests/outcomes.py
@@ -22,6 +22,7 @@
         prefill_tokens=state.prefill_tokens,
         kept_tokens=state.cache.kept_tokens(admitted.arrival.prompt_parts),
         source=choice.source.entry.engine_id if choice.source else "",
+        scheduler=choice.scheduler,
     )
 
 
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -15,8 +15,8 @@
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex, admit
 from springbridge.routing.engine_board import EngineBoard, EngineState
-from springbridge.routing.engine_choice import Choice, Chooser
-from springbridge.routing.overload import is_refused
+from springbridge.routing.engine_choice import Choice
+from springbridge.routing.records import Demand
 from springbridge.routing.shared_budget import SharedRetryBudget
 
 from springbridge_node.callers.answer import CallerAnswer
@@ -37,6 +37,7 @@
     send_held_failure,
     within,
 )
+from springbridge_node.requests.engine_selector import EngineSelector
 from springbridge_node.requests.journal import RequestJournal
 from springbridge_node.requests.outcomes import (
     chosen_engine,
@@ -62,6 +63,7 @@
 
     Attributes:
       index: Returns the newest configuration, or None before the first.
+      place: Failure domain of this node.
     """
 
     index: Callable[[], RouteIndex | None]
@@ -69,9 +71,10 @@
     pool: EnginePool
     budget: SharedRetryBudget
     wire_format: WireFormat
-    choose: Chooser
+    selector: EngineSelector
     journal: RequestJournal
     loads: LoadSharing
+    place: str
 
 
 class RequestRouter:
@@ -89,7 +92,9 @@
                 self._parts.journal.refused(arrival, problem, self._version())
                 await answer.refuse(problem)
             case Success(admitted):
-                await self._serve_admitted(Exchange(request, admitted, answer, Progress()))
+                demand = Demand.from_admitted(admitted, self._parts.place)
+                exchange = Exchange(request, admitted, demand, answer, Progress())
+                await self._serve_admitted(exchange)
 
     def _version(self) -> int:
         """Return the version of the configuration that decides now, 0 before the first."""
@@ -131,10 +136,11 @@
         """Try engine after engine as far as the request allows."""
         progress = exchange.progress
         unreached = 0
-        if self._finds_overload(exchange):
-            return overload_problem()
         while True:
-            choice = self._choose(exchange)
+            selection = await self._parts.selector.select(exchange.demand, progress.tried)
+            if selection.overloaded:
+                return overload_problem()
+            choice = selection.choice
             if choice is None or unreached > UNREACHED_ENGINES:
                 return no_engine_problem(exchange)
             if progress.sends and not self._may_send_again(exchange):
@@ -152,20 +158,6 @@
             if not may_try_another(exchange):
                 return problem_after(exchange, end)
 
-    def _finds_overload(self, exchange: Exchange) -> bool:
-        """Return whether all engines have more prompts than this request's priority allows."""
-        admitted = exchange.admitted
-        if not admitted.arrival.prompt_parts:
-            return False
-        states = self._parts.board.candidates(admitted.service.name, ())
-        return is_refused(states, admitted.route.priority)
-
-    def _choose(self, exchange: Exchange) -> Choice | None:
-        """Return the engine for the next attempt, or None if there is none."""
-        admitted = exchange.admitted
-        states = self._parts.board.candidates(admitted.service.name, exchange.progress.tried)
-        return self._parts.choose(states, admitted) if states else None
-
     def _may_send_again(self, exchange: Exchange) -> bool:
         """Return whether route and budget allow another engine."""
         admitted = exchange.admitted
@@ -191,7 +183,7 @@
         engine_id = choice.state.entry.engine_id
         exchange.progress.chosen.append(chosen_engine(choice, exchange.admitted))
         try:
-            with self._parts.loads.attempt(choice, exchange.admitted.arrival) as load:
+            with self._parts.loads.attempt(choice, exchange.demand) as load:
                 exchange.progress.load = load
                 end = await self._send_and_relay(exchange, choice, connection)
         except BaseException:
--- a/packages/springbridge/springbridge/routing/conftest.py
+++ b/packages/springbridge/springbridge/routing/conftest.py
@@ -1,11 +1,14 @@
 """Fixtures of the routing tests: routes, requests and boards of engines."""
 
+from dataclasses import replace
+
 import pytest
 
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.records import (
     Admitted,
     Arrival,
+    Demand,
     EngineEntry,
     EngineListing,
     PromptPart,
@@ -60,6 +63,11 @@
     return Admitted(arrival, make_route(), service, "councils", 2, 1, 1003.0)
 
 
+def make_demand(parts=(), fetches=True, place="perth-a", **fields):
+    """Return what a request with a prompt demands."""
+    return replace(Demand.from_admitted(make_admitted(parts, fetches), place), **fields)
+
+
 @pytest.fixture
 def engines(clock):
     """Return a board of five model engines in one place."""
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -194,7 +194,9 @@
             state.loads.pop(notice.attempt_id, None)
 
     def _add_load(self, state: EngineState, notice: LoadNotice) -> None:
-        """Add a request to an engine's load."""
+        """Add a request to an engine's load, once."""
+        if notice.attempt_id in state.loads:
+            return
         kept = max(state.cache.kept_tokens(notice.prompt_parts), notice.fetched_tokens)
         prefill = max(0, notice.prompt_tokens - kept)
         state.cache.note(notice.prompt_parts)
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -1,8 +1,8 @@
-"""Which engine serves a request: the one that has read the prompt's shared part, if not busy.
+"""Which engine serves a request, judged by what is known of the engines' load.
 
-Each node decides alone. The home of a shared prompt part is found by rendezvous hashing, so that
-all nodes send it to the same engine without a message; a bound on the load keeps one popular part
-from crowding its engine.
+Who knows the load that all instances give weighs prompt tokens (by_token_cost). Who knows only its
+own goes by rendezvous hashing (by_shared_prompt), so that all instances send a shared prompt part
+to the same engine without a message; a bound on the load keeps one popular part from crowding it.
 """
 
 from collections.abc import Callable, Sequence
@@ -11,7 +11,7 @@
 
 from springbridge.hashing import score
 from springbridge.routing.engine_board import EngineState
-from springbridge.routing.records import Admitted, Arrival, PromptPart
+from springbridge.routing.records import Demand, PromptPart
 
 LOAD_BOUND = 1.5
 LEAST_BOUND = 2.0
@@ -36,33 +36,38 @@
 
     Attributes:
       source: An engine that keeps more of the prompt, to fetch that from; None if there is none.
+      fetched_tokens: Tokens of the prompt that the source is known to keep.
+      attempt_id: Under which the scheduler that chose has counted the request; "" if none did.
+      scheduler: The address of that scheduler.
     """
 
     state: EngineState
     source: EngineState | None = None
+    fetched_tokens: int = 0
+    attempt_id: str = ""
+    scheduler: str = ""
 
 
-Chooser = Callable[[Sequence[EngineState], Admitted], Choice]
+Chooser = Callable[[Sequence[EngineState], Demand], Choice]
 
 
-def least_in_flight(states: Sequence[EngineState], admitted: Admitted) -> Choice:
+def least_in_flight(states: Sequence[EngineState], demand: Demand) -> Choice:
     """Return the engine with the fewest requests for its slots."""
-    request_id = admitted.arrival.request_id
     state = min(
         states,
         key=lambda state: (
             state.in_flight / max(1, state.entry.slots),
-            -score(request_id, state.entry.engine_id),
+            -score(demand.request_id, state.entry.engine_id),
         ),
     )
     return Choice(state)
 
 
-def by_shared_prompt(states: Sequence[EngineState], admitted: Admitted) -> Choice:
+def by_shared_prompt(states: Sequence[EngineState], demand: Demand) -> Choice:
     """Return the home of the prompt's shared part if it is within the load bound, else the next."""
-    parts = admitted.arrival.prompt_parts
+    parts = demand.prompt_parts
     if not parts:
-        return least_in_flight(states, admitted)
+        return least_in_flight(states, demand)
     shared = _shared_part(parts)
     mean = (sum(state.in_flight for state in states) + 1) / len(states)
     bound = max(LEAST_BOUND, LOAD_BOUND * mean)
@@ -70,88 +75,55 @@
     return Choice(max(within or states, key=lambda state: score(shared, state.entry.engine_id)))
 
 
-@dataclass(frozen=True)
-class TokenCost:
-    """Chooses the engine at which a request costs the fewest prompt tokens of time.
+def by_token_cost(states: Sequence[EngineState], demand: Demand) -> Choice:
+    """Return the engine at which a request costs the fewest prompt tokens of time.
 
     The cost of an engine is what it has still to read, what it would have to read of this prompt, a
     little for each request that it runs, and something for a border between failure domains. What
     another engine keeps of the prompt can be fetched for a small part of what reading it costs.
     Short prompts with quick answers suffer beside long ones, whose reading holds up every token; so
     some engines of each service are kept for short prompts by a charge that long ones pay there.
-
-    Attributes:
-      place: Failure domain of this node.
-    """
-
-    place: str
-
-    def __call__(self, states: Sequence[EngineState], admitted: Admitted) -> Choice:
-        """Return the engine with the lowest cost."""
-        arrival = admitted.arrival
-        if not arrival.prompt_parts:
-            return least_in_flight(states, admitted)
-        quiet = _quiet_engines(states)
-        shared = _shared_part(arrival.prompt_parts)
-        kept = _kept_tokens(states, arrival, quiet)
-        source = max(states, key=lambda state: kept[state.entry.engine_id])
-        most = kept[source.entry.engine_id] if admitted.service.fetches else 0
-
-        def rank(state: EngineState) -> tuple[float, float]:
-            own = kept[state.entry.engine_id]
-            cost = self._cost(state, admitted, quiet) + _prompt_cost(arrival, own, most)
-            return cost // COST_STEP, -score(shared, state.entry.engine_id)
-
-        best = min(states, key=rank)
-        fetched = most - kept[best.entry.engine_id]
-        return Choice(best, source if fetched >= LEAST_FETCH_TOKENS else None)
-
-    def _cost(self, state: EngineState, admitted: Admitted, quiet: frozenset[str]) -> float:
-        """Return the cost of an engine whatever it keeps of the prompt, in prompt tokens."""
-        prompt_tokens = admitted.arrival.prompt_tokens
-        cost = state.prefill_tokens + RUNNING_TOKENS * state.in_flight
-        if state.entry.place != self.place:
-            cost += BORDER_SHARE * prompt_tokens
-        is_short = prompt_tokens <= SHORT_PROMPT_TOKENS
-        if state.entry.engine_id in quiet and not is_short:
-            cost += LONG_AT_QUIET_TOKENS
-        if state.entry.engine_id not in quiet and is_short:
-            cost += SHORT_AT_BUSY_TOKENS
-        return cost
-
-
-@dataclass(frozen=True)
-class ByView:
-    """Chooses by the whole load where this node sees it, and by its own part where it does not.
-
-    In a large fleet a node sees a small part of each engine's load. To take the engine that looks
-    least loaded then makes many nodes take the same one; hashing spreads them.
-
-    Attributes:
-      whole: The choice with the whole view.
-      own: The choice with only this node's requests in view.
-      is_whole: Returns whether the whole view is to be had.
     """
-
-    whole: Chooser
-    own: Chooser
-    is_whole: Callable[[], bool]
-
-    def __call__(self, states: Sequence[EngineState], admitted: Admitted) -> Choice:
-        """Return the engine that the fitting choice takes."""
-        choose = self.whole if self.is_whole() else self.own
-        return choose(states, admitted)
+    if not demand.prompt_parts:
+        return least_in_flight(states, demand)
+    quiet = _quiet_engines(states)
+    shared = _shared_part(demand.prompt_parts)
+    kept = _kept_tokens(states, demand.prompt_parts, quiet)
+    source = max(states, key=lambda state: kept[state.entry.engine_id])
+    most = kept[source.entry.engine_id] if demand.fetches else 0
+
+    def rank(state: EngineState) -> tuple[float, float]:
+        own = kept[state.entry.engine_id]
+        cost = _engine_cost(state, demand, quiet) + _prompt_cost(demand.prompt_tokens, own, most)
+        return cost // COST_STEP, -score(shared, state.entry.engine_id)
+
+    best = min(states, key=rank)
+    if most - kept[best.entry.engine_id] < LEAST_FETCH_TOKENS:
+        return Choice(best)
+    return Choice(best, source, source.cache.kept_tokens(demand.prompt_parts))
+
+
+def _engine_cost(state: EngineState, demand: Demand, quiet: frozenset[str]) -> float:
+    """Return the cost of an engine whatever it keeps of the prompt, in prompt tokens."""
+    cost = state.prefill_tokens + RUNNING_TOKENS * state.in_flight
+    if state.entry.place != demand.place:
+        cost += BORDER_SHARE * demand.prompt_tokens
+    is_short = demand.prompt_tokens <= SHORT_PROMPT_TOKENS
+    if state.entry.engine_id in quiet and not is_short:
+        cost += LONG_AT_QUIET_TOKENS
+    if state.entry.engine_id not in quiet and is_short:
+        cost += SHORT_AT_BUSY_TOKENS
+    return cost
 
 
 def _kept_tokens(
-    states: Sequence[EngineState], arrival: Arrival, quiet: frozenset[str]
+    states: Sequence[EngineState], parts: tuple[PromptPart, ...], quiet: frozenset[str]
 ) -> dict[str, int]:
     """Return for each engine how many tokens of a prompt it probably keeps.
 
-    Where this node knows of no engine that keeps the shared parts, as in a large fleet whose nodes
-    hear of few of the others' requests, their home probably does: all nodes send them there first.
+    Where this instance knows of no engine that keeps the shared parts, as after its start, their
+    home probably does: all instances send them there first.
     """
-    parts = arrival.prompt_parts
     kept = {state.entry.engine_id: state.cache.kept_tokens(parts) for state in states}
     shared_tokens = sum(part.tokens for part in parts[:-1])
     if shared_tokens < LEAST_FETCH_TOKENS or max(kept.values()) >= shared_tokens:
@@ -163,7 +135,7 @@
     return kept
 
 
-def _prompt_cost(arrival: Arrival, own: int, most: int) -> float:
+def _prompt_cost(prompt_tokens: int, own: int, most: int) -> float:
     """Return what bringing a prompt into an engine costs, in prompt tokens.
 
     Args:
@@ -171,7 +143,7 @@
       most: Tokens of it that some engine keeps which it can fetch from.
     """
     fetched = most - own if most - own >= LEAST_FETCH_TOKENS else 0
-    unread = max(0, arrival.prompt_tokens - own - fetched)
+    unread = max(0, prompt_tokens - own - fetched)
     return UNREAD_WEIGHT * unread + FETCH_WEIGHT * fetched
 
 
--- a/packages/springbridge/springbridge/routing/engine_choice_test.py
+++ b/packages/springbridge/springbridge/routing/engine_choice_test.py
@@ -4,13 +4,12 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
 
-from springbridge.routing.conftest import MODEL, make_admitted
+from springbridge.routing.conftest import MODEL, make_demand
 from springbridge.routing.engine_choice import (
     LEAST_FETCH_TOKENS,
-    ByView,
-    TokenCost,
     _quiet_engines,
     by_shared_prompt,
+    by_token_cost,
     least_in_flight,
 )
 from springbridge.routing.load import LoadNotice, LoadPhase
@@ -37,7 +36,7 @@
 
 
 def chosen(board, parts, place=HERE, **fields):
-    return TokenCost(place)(states_of(board), make_admitted(parts, **fields))
+    return by_token_cost(states_of(board), make_demand(parts, place=place, **fields))
 
 
 def test_a_shared_prompt_returns_to_the_engine_that_read_it(engines):
@@ -120,7 +119,7 @@
 
 @pytest.mark.parametrize("choose", [least_in_flight, by_shared_prompt])
 def test_the_baselines_choose_an_engine(engines, choose):
-    assert_that(choose(states_of(engines), make_admitted(LONG)).state.entry.service, Equals(MODEL))
+    assert_that(choose(states_of(engines), make_demand(LONG)).state.entry.service, Equals(MODEL))
 
 
 def test_the_least_recently_used_parts_give_way():
@@ -145,15 +144,3 @@
     cache = PrefixCache(0)
     cache.note((PromptPart("a", 10),))
     assert_that(cache.kept_tokens((PromptPart("a", 10),)), Equals(0))
-
-
-def test_without_the_whole_view_the_choice_is_by_hash(engines):
-    for number in range(3):
-        start(engines, "e0", f"a{number}")
-    by_view = {
-        whole: ByView(TokenCost(HERE), by_shared_prompt, lambda whole=whole: whole)
-        for whole in (True, False)
-    }
-    admitted, states = make_admitted(LONG), states_of(engines)
-    assert_that(by_view[True](states, admitted), Equals(TokenCost(HERE)(states, admitted)))
-    assert_that(by_view[False](states, admitted), Equals(by_shared_prompt(states, admitted)))
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -167,3 +167,36 @@
     priority: int
     version: int
     deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What the choice of an engine has to know of a request.
+
+    Attributes:
+      place: Failure domain of the instance that will send it.
+      priority: Rank of its route, 0 first.
+      fetches: Whether an engine of the service can take what another keeps of a prompt.
+    """
+
+    request_id: str
+    service: str
+    place: str
+    priority: int
+    prompt_tokens: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
+    fetches: bool = False
+
+    @classmethod
+    def from_admitted(cls, admitted: Admitted, place: str) -> "Demand":
+        """Return what an admitted request demands at an instance of a failure domain."""
+        arrival = admitted.arrival
+        return cls(
+            request_id=arrival.request_id,
+            service=admitted.service.name,
+            place=place,
+            priority=admitted.route.priority,
+            prompt_tokens=arrival.prompt_tokens,
+            prompt_parts=arrival.prompt_parts,
+            fetches=admitted.service.fetches,
+        )
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -0,0 +1,53 @@
+"""The engine for one attempt of a request, or why there is none."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import Choice, Chooser
+from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.overload import is_refused
+from springbridge.routing.records import Demand
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """What was found for a request.
+
+    Attributes:
+      choice: The engine, or None if no engine may get the request.
+      overloaded: Whether the request is refused because all its engines are too full.
+    """
+
+    choice: Choice | None
+    overloaded: bool = False
+
+
+def select(
+    board: EngineBoard, demand: Demand, tried: Collection[str], choose: Chooser
+) -> Selection:
+    """Return the engine for the next attempt.
+
+    A request is refused for overload only before its first attempt: later it may have run.
+
+    Args:
+      tried: Ids of the engines that have had the request.
+    """
+    if demand.prompt_parts and not tried:
+        states = board.candidates(demand.service, ())
+        if is_refused(states, demand.priority):
+            return Selection(None, overloaded=True)
+    states = board.candidates(demand.service, tried)
+    return Selection(choose(states, demand) if states else None)
+
+
+def start_notice(choice: Choice, demand: Demand, attempt_id: str) -> LoadNotice:
+    """Return the notice that an attempt begins at the chosen engine."""
+    return LoadNotice(
+        LoadPhase.STARTED,
+        attempt_id,
+        choice.state.entry.engine_id,
+        demand.prompt_tokens,
+        demand.prompt_parts,
+        choice.fetched_tokens,
+    )
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/selection_test.py
@@ -0,0 +1,42 @@
+"""Tests of selection.py: the engine for an attempt, or why there is none."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge.routing.conftest import MODEL, make_demand
+from springbridge.routing.engine_choice import least_in_flight
+from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.selection import Selection, select
+
+PROMPT = (("shared", 300), ("own", 900))
+
+
+def fill(board, count):
+    for state in board.candidates(MODEL, ()):
+        for number in range(count):
+            name = f"{state.entry.engine_id}-{number}"
+            board.take_notice(LoadNotice(LoadPhase.STARTED, name, state.entry.engine_id))
+
+
+def test_an_engine_that_was_tried_is_left_out(engines):
+    tried = {"e0", "e1", "e2", "e3"}
+    selection = select(engines, make_demand(PROMPT), tried, least_in_flight)
+    assert_that(selection.choice.state.entry.engine_id, Equals("e4"))
+
+
+def test_without_engines_there_is_no_choice(engines):
+    demand = make_demand(PROMPT, service="other")
+    assert_that(select(engines, demand, (), least_in_flight), Equals(Selection(None)))
+
+
+def test_the_least_urgent_is_refused_while_all_engines_are_too_full(engines):
+    fill(engines, 40)
+    refused = select(engines, make_demand(PROMPT, priority=2), (), least_in_flight)
+    urgent = select(engines, make_demand(PROMPT, priority=0), (), least_in_flight)
+    assert_that((refused.overloaded, urgent.overloaded), Equals((True, False)))
+
+
+def test_a_request_that_was_sent_once_is_not_refused_for_overload(engines):
+    fill(engines, 40)
+    selection = select(engines, make_demand(PROMPT, priority=2), {"e0"}, least_in_flight)
+    assert_that(selection.overloaded, Equals(False))
