What a node tells on of a member is as old as it is

Cause: found by reading. A digest told on another member's age of its list as that member had told it, without the time since; each hop made a list look fresher, so that in a fleet with several hops a node could take a list of engines for confirmed that was older than the time to drain allows. Change: ages count on while they are kept. The test fails before (0.1 s told on after 1 s).

--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -215,10 +215,11 @@
 
     def digest(self) -> list[Member]:
         """Return what to send to a peer: this node, leaving members, and a bounded rest."""
-        known = [entry.member for entry in self._known.values()]
+        known = list(self._known.values())
         self._rng.shuffle(known)
-        known.sort(key=lambda member: member.phase is Phase.LIVE)
-        return [self.me, *known[: DIGEST_LIMIT - 1]]
+        known.sort(key=lambda entry: entry.member.phase is Phase.LIVE)
+        now_s = self._clock()
+        return [self.me, *(_as_old_as_now(entry, now_s) for entry in known[: DIGEST_LIMIT - 1])]
 
     def gossip_targets(self) -> list[str]:
         """Return the peer addresses to send the next digest to."""
@@ -261,3 +262,11 @@
 
     def _is_live(self, known: Known) -> bool:
         return known.member.phase is Phase.LIVE and self._is_heard(known)
+
+
+def _as_old_as_now(known: Known, now_s: float) -> Member:
+    """Return a member whose ages count on from when it was heard, to be told on."""
+    since_s = now_s - known.heard_s
+    member = known.member
+    listing = replace(member.listing, age_s=member.listing.age_s + since_s)
+    return replace(member, listing=listing, confirmed_ago_s=member.confirmed_ago_s + since_s)
--- a/packages/springbridge/springbridge/membership_test.py
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -13,6 +13,7 @@
     FORGET_S,
     GOSSIP_INTERVAL_S,
     SUSPECT_S,
+    ListingSeen,
     Member,
     Membership,
     Phase,
@@ -189,3 +190,15 @@
     clock.advance(10.0)
     fresh.learn_from([replace(PEER, config_version=6, confirmed_ago_s=0.0)], clock())
     assert_that(may_serve(fresh, clock(), True, [PEER]), Equals(False))
+
+
+def test_what_is_told_on_of_a_member_is_as_old_as_it_is(clock):
+    # A list of engines that was read a second ago must not look fresh because it came by a third node.
+    reader = Member("r", "r", "10.0.0.1:1", "", "a", 1, listing=ListingSeen(7, 0.1))
+    reader = replace(reader, confirmed_ago_s=0.2)
+    relay = Membership(Member("m", "m", "10.0.0.2:1", "", "a"), clock, random.Random(1))
+    relay.merge([reader])
+    clock.advance(1.0)
+    told = next(member for member in relay.digest() if member.incarnation == "r")
+    assert_that(round(told.listing.age_s, 3), Equals(1.1))
+    assert_that(round(told.confirmed_ago_s, 3), Equals(1.2))
