--- a/packages/springbridge-node/springbridge_node/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/requests/attempt.py
@@ -72,7 +72,8 @@
     Attributes:
       tried: Engines that no further attempt goes to.
       chosen: The engines it was sent to, in order.
-      sends: Engines that it was sent to.
+      sends: Times that it was sent.
+      misdirected: Those of them that met another engine than the one meant, which is gone.
       may_have_run: Whether one of them may have run it.
       last_event: Id of the last event that the caller got.
       first_piece_s: When the caller got the first piece of the answer, None before.
@@ -83,6 +84,7 @@
     tried: set[str] = field(default_factory=set)
     chosen: list[ChosenEngine] = field(default_factory=list)
     sends: int = 0
+    misdirected: int = 0
     may_have_run: bool = False
     last_event: str | None = None
     first_piece_s: float | None = None
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -160,8 +160,8 @@
 
     def _may_send_again(self, exchange: Exchange) -> bool:
         """Return whether route and budget allow another engine."""
-        admitted = exchange.admitted
-        if exchange.progress.sends >= admitted.route.max_engines:
+        admitted, progress = exchange.admitted, exchange.progress
+        if progress.sends - progress.misdirected >= admitted.route.max_engines:
             return False
         return self._parts.budget.try_repeat(admitted.service.name)
 
@@ -223,6 +223,7 @@
             if verdict.not_run:
                 progress.may_have_run = ran_before
                 await read_whole(connection, head)
+                progress.misdirected += verdict.other_engine
                 return End.OTHER_ENGINE if verdict.other_engine else End.TURNED_AWAY
             if head.status >= SERVER_ERROR and is_repeatable(admitted):
                 progress.failure = HeldFailure(head, await read_whole(connection, head))
