--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -138,6 +138,7 @@
         """Open the listeners and start the tasks."""
         addresses = self.settings.addresses
         ttl_s = min(ADDRESS_TTL_S, self.settings.longest_ttl_s)
+        self.datagrams: PeerDatagrams | None = None
         self._serve_small(addresses.ready, self._outside.ready_handlers(self.is_ready))
         self._serve_small(
             addresses.directory,
@@ -146,7 +147,7 @@
         self._serve_small(addresses.peers, peer_handlers(lambda: self.configuration, self.board))
         self._serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
         self.listener.listen(addresses.callers, _limits(self.configuration.index))
-        datagrams = await PeerDatagrams.open(
+        self.datagrams = datagrams = await PeerDatagrams.open(
             self.membership, self.settings.ip, self.settings.gossip_port
         )
         self.gossip = Gossip(self.membership, datagrams, self._digest_heard)
@@ -205,6 +206,8 @@
     def _serve_small(self, address: str, handlers: Mapping[str, Handler]) -> None:
         """Serve a small interface if it has an address."""
         if address:
+        if self.datagrams is not None:
+            self.datagrams.close()
             SmallServer(handlers).listen(address)
 
     async def _serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
--- a/packages/springbridge-node/springbridge_node/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/peers/datagrams.py
@@ -42,6 +42,11 @@
         await loop.create_datagram_endpoint(lambda: datagrams, local_addr=(ip, port))
         return datagrams
 
+    def close(self) -> None:
+        """Close the socket once what was sent is out."""
+        if self._transport is not None:
+            self._transport.close()
+
     def handle(self, kind: Kind, handler: Handler) -> None:
         """Set who takes in datagrams of a kind."""
         self._handlers[int(kind)] = handler
--- a/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
@@ -158,13 +158,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback IPs."""
+    """Return ports that are free on all loopback IPs, for connections and for datagrams."""
     with contextlib.ExitStack() as stack:
         found = []
-        for _ in range(count):
+        while len(found) < count:
             sock = stack.enter_context(socket.socket())
             sock.bind(("0.0.0.0", 0))
-            found.append(sock.getsockname()[1])
+            port = sock.getsockname()[1]
+            datagrams = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            with contextlib.suppress(OSError):
+                datagrams.bind(("0.0.0.0", port))
+                found.append(port)
     return found
 
 
