Who finds an engine gone or out of reach tells the others

Change: notices for both, and a question to a scheduler names the engines that the asker cannot use. Each node still tries unreachable engines itself and takes them back. The test fails before.

--- a/packages/springbridge-node/springbridge_node/peers/assignments.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments.py
@@ -60,10 +60,20 @@
         self._datagrams = datagrams
         datagrams.handle(Kind.ASK, self._take)
 
-    def assign(self, demand: Demand, tried: Collection[str], attempt_id: str) -> Assignment:
-        """Return the engine for an attempt and count the attempt there."""
+    def assign(
+        self,
+        demand: Demand,
+        tried: Collection[str],
+        attempt_id: str,
+        avoided: Collection[str] = (),
+    ) -> Assignment:
+        """Return the engine for an attempt and count the attempt there.
+
+        Args:
+          avoided: Ids of engines that the asker cannot use, whatever this node believes of them.
+        """
         self._drop_unconfirmed()
-        selection = select(self._board, demand, tried, self._choose)
+        selection = select(self._board, demand, tried, self._choose, avoided)
         choice = selection.choice
         if choice is None:
             return Assignment("", "", 0, selection.overloaded)
@@ -89,8 +99,8 @@
 
     def _take(self, rows: list, sender: str) -> None:
         """Answer a question."""
-        number, attempt_id, tried, *demanded = rows
-        told = self.assign(_demand(demanded), tried, attempt_id)
+        number, attempt_id, tried, avoided, *demanded = rows
+        told = self.assign(_demand(demanded), tried, attempt_id, avoided)
         answer = [number, *astuple(told)]
         self._datagrams.send(Kind.ASSIGNED, answer, [sender])
 
@@ -138,7 +148,8 @@
         number = next(self._numbers)
         fut = asyncio.get_running_loop().create_future()
         self._waiting[number] = fut
-        question = [number, attempt_id, list(tried), *_demand_row(demand)]
+        avoided = self._board.avoided(demand.service)
+        question = [number, attempt_id, list(tried), avoided, *_demand_row(demand)]
         self._datagrams.send(Kind.ASK, question, [address])
         try:
             async with asyncio.timeout(ANSWER_S):
--- a/packages/springbridge-node/springbridge_node/peers/assignments_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments_test.py
@@ -166,6 +166,22 @@
     assert_that(asyncio.run(client.ask(DEMAND, (), "me/0")), Is(None))
 
 
+def test_a_scheduler_learns_of_an_engine_that_an_asker_found_gone(clock):
+    # findwell-wa-grown, scale-1, seed 7: engines that had come back under other names were named
+    # again and again, as each node had to find out for itself.
+    board = make_board(clock)
+    server = AssignmentServer(board, by_token_cost, clock)
+    gone = server.assign(DEMAND, (), "a").engine_id
+    board.take_notice(LoadNotice(LoadPhase.GONE, "", gone))
+    second = server.assign(DEMAND, (), "b").engine_id
+    board.take_notice(LoadNotice(LoadPhase.UNREACHED, "", second))
+    third = server.assign(DEMAND, (), "c").engine_id
+    assert_that(len({gone, second, third}), Equals(3))
+    board.reached(board.find(second))
+    others = {"e0", "e1", "e2", "e3"} - {second}
+    assert_that(server.assign(DEMAND, (), "d", others).engine_id, Equals(second))
+
+
 def test_questions_at_the_same_moment_are_spread(clock):
     server = AssignmentServer(make_board(clock), by_token_cost, clock)
     short = [Demand(f"q{number}", "model", "a", 1, 4_000, (), False) for number in range(4)]
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -85,6 +85,14 @@
         finally:
             self.tell(LoadNotice(LoadPhase.ENDED, attempt_id, engine_id))
 
+    def unreached(self, engine_id: str) -> None:
+        """Note that no connection to an engine came up, so that others need not wait for it too."""
+        self.tell(LoadNotice(LoadPhase.UNREACHED, "", engine_id))
+
+    def gone(self, engine_id: str) -> None:
+        """Note that another engine has the address of this one."""
+        self.tell(LoadNotice(LoadPhase.GONE, "", engine_id))
+
     def tell(self, notice: LoadNotice) -> None:
         """Take in a notice here and tell the peers soon."""
         self._board.take_notice(notice)
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -172,7 +172,7 @@
         try:
             return await self._parts.pool.acquire(state.entry, admitted.service, repeatable)
         except ConnectFailedError as exc:
-            self._parts.board.unreachable(state)
+            self._parts.loads.unreached(state.entry.engine_id)
             self._parts.journal.unreachable(exchange, state.entry.engine_id, str(exc))
         except EngineBusyError:
             pass
@@ -253,6 +253,6 @@
         if end is End.DELIVERED:
             board.succeeded(state)
         elif end is End.OTHER_ENGINE:
-            board.misnamed(state)
+            self._parts.loads.gone(state.entry.engine_id)
         elif end in (End.BROKEN, End.SILENT, End.ENGINE_ERROR) and board.failed(state):
             self._parts.journal.engine_rests(state, end)
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -187,6 +187,19 @@
         ]
         return [state for state in usable if state.rests_until_s <= now_s] or usable
 
+    def avoided(self, service: str) -> list[str]:
+        """Return the listed engines of a service that this instance keeps from using for now."""
+        now_s = self._clock()
+        return [
+            state.entry.engine_id
+            for state in self._states.values()
+            if state.entry.service == service
+            and not state.entry.draining
+            and not (
+                state.reachable and state.usable_until_s > now_s and state.rests_until_s <= now_s
+            )
+        ]
+
     def take_notice(self, notice: LoadNotice) -> None:
         """Take in what this node or a peer did with a request at an engine."""
         state = self._states.get(notice.engine_id)
@@ -196,9 +209,13 @@
             self._add_load(state, notice)
         elif notice.phase is LoadPhase.READ:
             self._mark_read(state, notice.attempt_id)
-        else:
+        elif notice.phase is LoadPhase.ENDED:
             self._mark_read(state, notice.attempt_id)
             state.loads.pop(notice.attempt_id, None)
+        elif notice.phase is LoadPhase.UNREACHED:
+            self.unreachable(state)
+        else:
+            self.misnamed(state)
 
     def _add_load(self, state: EngineState, notice: LoadNotice) -> None:
         """Add a request to an engine's load, once."""
--- a/packages/springbridge/springbridge/routing/engine_board_test.py
+++ b/packages/springbridge/springbridge/routing/engine_board_test.py
@@ -66,7 +66,7 @@
 
 @pytest.mark.parametrize("drain_s", [1.5, 2.0, 3.0])
 def test_lapsed_engines_get_nothing_once_the_time_to_drain_is_over(clock, drain_s):
-    # The platform's pages: who has read that an engine is gone is bound by that also over an outage.
+    # The platform's pages: who has read that an engine is gone is bound by that over an outage too.
     board = EngineBoard(clock, drain_s)
     board.install(listing(1, "a", "b"), {}, 0.0)
     clock.advance(OUTAGE_S + 2.0)
--- a/packages/springbridge/springbridge/routing/load.py
+++ b/packages/springbridge/springbridge/routing/load.py
@@ -12,11 +12,17 @@
 
 
 class LoadPhase(IntEnum):
-    """What happened to a request at an engine."""
+    """What happened to a request at an engine.
+
+    UNREACHED and GONE are no phases of the request but what it showed of the engine: no connection
+    came up, or another engine has its address.
+    """
 
     STARTED = 0
     READ = 1
     ENDED = 2
+    UNREACHED = 3
+    GONE = 4
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -24,7 +24,11 @@
 
 
 def select(
-    board: EngineBoard, demand: Demand, tried: Collection[str], choose: Chooser
+    board: EngineBoard,
+    demand: Demand,
+    tried: Collection[str],
+    choose: Chooser,
+    avoided: Collection[str] = (),
 ) -> Selection:
     """Return the engine for the next attempt.
 
@@ -32,12 +36,13 @@
 
     Args:
       tried: Ids of the engines that have had the request.
+      avoided: Ids of further engines that it cannot be sent to.
     """
     if demand.prompt_parts and not tried:
         states = board.candidates(demand.service, ())
         if is_refused(states, demand.priority):
             return Selection(None, overloaded=True)
-    states = board.candidates(demand.service, tried)
+    states = board.candidates(demand.service, {*tried, *avoided})
     return Selection(choose(states, demand) if states else None)
 
 
