A few nodes read the store for all; digests stay in their failure domain; what peers fetch is compressed

Digests were most of what nodes say, and 80 in 100 crossed a border. Change: five nodes wait at the feed, digests carry how long ago the version was confirmed, the others read when nobody confirms theirs for 1.1 s; a starting node asks its seeds first; only readers announce themselves; one digest of three crosses a border; lists and configurations travel compressed, and are asked of any peer that is ahead. The role of a scheduler is for each service. After a stall no digest confirms what was known before it. Tests: configuration_follower_test.py, membership_test.py, schedulers_test.py; gateway.py split (presence.py, scheduling.py).

--- a/packages/springbridge-node/springbridge_node/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower.py
@@ -1,10 +1,13 @@
 """Keeps the newest configuration in force, from the store's feed and from peers.
 
-A version is never followed by an older one. The store's feed tells of changes at once; peers tell
-of a version that this node has not seen, which helps a node that the store turns away.
+A version is never followed by an older one. A few nodes wait at the store's feed, which tells of
+changes at once, and tell the others. Digests carry how long ago the version in force was known to
+be the newest; a node that no peer confirms in time reads the store itself. Peers also help a node
+that the store turns away.
 """
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure, Success
@@ -19,11 +22,17 @@
     ConfigurationReader,
     PlatformStore,
 )
+from springbridge_node.config.store_readers import StoreReaders
 
 WAIT_S = 15.0
 RETRY_S = 0.25
+LOOK_S = 0.2
+FEED_READERS = 5
+CONFIRMED_S = 1.1
+STORE = "store"
+PEER = "peer"
 
-Installed = Callable[[RouteIndex], None]
+Installed = Callable[[RouteIndex, str], None]
 FetchFromPeers = Callable[[int], Awaitable[ConfigurationDocument | None]]
 
 
@@ -36,12 +45,21 @@
     """
 
     def __init__(
-        self, store: PlatformStore, read: ConfigurationReader, installed: Installed
+        self,
+        store: PlatformStore,
+        read: ConfigurationReader,
+        installed: Installed,
+        readers: StoreReaders,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Keep the store, the reader of documents, and whom to tell of a new version."""
+        """Keep the store, the reader of documents, whom to tell of a version, and who reads."""
         self._store = store
         self._read = read
         self._installed = installed
+        self._readers = readers
+        self._clock = clock
+        self._feed_is_up = False
+        self._confirmed_s = float("-inf")
         self._dependency = Dependency("configuration feed")
         self._watch: asyncio.Task | None = None
         self.index: RouteIndex | None = None
@@ -52,6 +70,15 @@
         """Return the version in force, 0 before the first."""
         return self.document.version if self.document else 0
 
+    def age_s(self) -> float:
+        """Return how long ago the version in force was known to be the newest, in seconds."""
+        return 0.0 if self._feed_is_up else self._clock() - self._confirmed_s
+
+    def confirm(self, version: int, age_s: float) -> None:
+        """Note that a peer knew a version to be the newest so long ago."""
+        if version == self.version:
+            self._confirmed_s = max(self._confirmed_s, self._clock() - age_s)
+
     def offer(self, document: ConfigurationDocument, source: str) -> None:
         """Put a configuration in force unless it is not newer than the one that is."""
         if document.version <= self.version:
@@ -65,34 +92,49 @@
         self.document = document
         self.index = index
         logs.event("configuration.installed", version=self.version, before=before, source=source)
-        self._installed(index)
+        self._installed(index, source)
 
     async def run(self) -> None:
-        """Follow the store until cancelled; the caller keeps the task."""
+        """Keep the configuration fresh until cancelled; the caller keeps the task."""
         while True:
+            if not self._has_to_read():
+                await asyncio.sleep(LOOK_S)
+                continue
             self._watch = asyncio.ensure_future(self._follow())
             await asyncio.wait([self._watch])
+            self._feed_is_up = False
             if not self._watch.cancelled() and self._watch.exception():
                 logs.fault(self._watch.exception(), "configuration feed")
             await asyncio.sleep(RETRY_S if not self._watch.cancelled() else 0)
 
     def refresh(self) -> None:
         """Read anew at once, after a time in which changes may have been missed."""
+        self._feed_is_up = False
+        self._confirmed_s = float("-inf")
         if self._watch is not None:
             self._watch.cancel()
 
+    def _has_to_read(self) -> bool:
+        """Return whether the store has to be read here, as a reader or for want of one."""
+        if self.index is None:
+            return not self._readers.seeds_come_first()
+        return self.age_s() > CONFIRMED_S or self._readers.include_me(FEED_READERS)
+
     async def catch_up(self, newest: int, fetch: FetchFromPeers) -> None:
-        """Take a version that peers have and this node has not."""
+        """Take a version that peers have and this node has not, from the store if none gives it."""
         if newest <= self.version:
             return
         document = await fetch(self.version)
         if document is not None:
-            self.offer(document, "peer")
+            self.offer(document, PEER)
+        elif self.index is not None:
+            self.refresh()
 
     async def _follow(self) -> None:
-        """Read the newest version, then wait for changes until a call fails."""
+        """Read the newest version; a reader then waits for changes until a call fails."""
         cursor = self._take(await self._store.read_configuration())
-        while cursor is not None:
+        while cursor is not None and self._readers.include_me(FEED_READERS):
+            self._feed_is_up = True
             cursor = self._take(await self._store.await_configuration(cursor, WAIT_S))
 
     def _take(self, result) -> int | None:
@@ -100,10 +142,12 @@
         match result:
             case Success(ConfigurationNews(cursor, document)):
                 self._dependency.answered()
+                self._confirmed_s = self._clock()
                 if document is not None:
-                    self.offer(document, "store")
+                    self.offer(document, STORE)
                 return cursor
             case Failure(problem):
+                self._feed_is_up = False
                 if problem.code is not Code.VERSION_CONFLICT:
                     self._dependency.failed(problem.detail)
                 return None
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
@@ -0,0 +1,222 @@
+"""Tests of configuration_follower.py and store_readers.py: who reads the store, and when."""
+
+import asyncio
+import random
+
+import orjson
+import pytest
+from returns.result import Failure, Success
+from springbridge.codes import Code
+from springbridge.membership import Member, Membership
+from springbridge.problems import Problem
+from springbridge.routing.records import Configuration
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from springbridge_node.config.configuration_follower import (
+    CONFIRMED_S,
+    LOOK_S,
+    ConfigurationFollower,
+)
+from springbridge_node.config.ports import ConfigurationDocument, ConfigurationNews
+from springbridge_node.config.store_readers import ASK_SEEDS_FIRST_S, StoreReaders
+
+VERSION = 3
+FOREVER_S = 60.0
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now_s
+
+
+class Store:
+    """A store that counts its calls and answers or does not."""
+
+    def __init__(self):
+        self.up = True
+        self.reads = 0
+        self.waits = 0
+
+    async def read_configuration(self):
+        """Return the version."""
+        self.reads += 1
+        if not self.up:
+            return Failure(Problem(Code.TABLE_UNAVAILABLE, "down"))
+        return Success(ConfigurationNews(1, document(VERSION)))
+
+    async def await_configuration(self, cursor, wait_s):
+        """Wait without an end."""
+        self.waits += 1
+        await asyncio.sleep(FOREVER_S)
+
+
+class Readers:
+    """Whether this node reads for all."""
+
+    def __init__(self, reads_for_all=False, is_starting=False):
+        self.reads_for_all = reads_for_all
+        self.is_starting = is_starting
+
+    def include_me(self, count):
+        """Return the set value."""
+        return self.reads_for_all
+
+    def seeds_come_first(self):
+        """Return the set value."""
+        return self.is_starting
+
+
+def document(version):
+    return ConfigurationDocument(version, orjson.dumps({"version": version}))
+
+
+def read(raw):
+    return Configuration(orjson.loads(raw)["version"], (), {}, ())
+
+
+@pytest.fixture
+def clock():
+    """Return a clock at rest."""
+    return Clock()
+
+
+def run(store, readers, clock, steps=()):
+    """Run a follower, taking steps one look apart, and return it."""
+    follower = ConfigurationFollower(store, read, lambda index, source: None, readers, clock)
+
+    async def body():
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(LOOK_S / 4)
+        for step in steps:
+            step(follower)
+            await asyncio.sleep(LOOK_S * 1.5)
+        task.cancel()
+
+    asyncio.run(body())
+    return follower
+
+
+def test_a_reader_waits_at_the_feed_and_knows_the_newest_version(clock):
+    store = Store()
+    follower = run(store, Readers(reads_for_all=True), clock)
+    assert_that((store.reads, store.waits, follower.version), Equals((1, 1, VERSION)))
+
+
+def test_a_node_whose_peers_confirm_its_version_leaves_the_store_alone(clock):
+    store = Store()
+
+    def confirmed(follower):
+        clock.now_s += CONFIRMED_S
+        follower.confirm(VERSION, 0.1)
+
+    run(store, Readers(), clock, [confirmed] * 3)
+    assert_that((store.reads, store.waits), Equals((1, 0)))
+
+
+def test_a_node_whose_version_nobody_confirms_reads_the_store(clock):
+    store = Store()
+
+    def silent(follower):
+        clock.now_s += CONFIRMED_S + 0.1
+
+    run(store, Readers(), clock, [silent] * 3)
+    assert_that(store.reads, GreaterThan(2))
+
+
+def test_the_confirmation_of_another_version_does_not_count(clock):
+    store = Store()
+
+    def other(follower):
+        clock.now_s += CONFIRMED_S + 0.1
+        follower.confirm(VERSION - 1, 0.0)
+
+    run(store, Readers(), clock, [other])
+    assert_that(store.reads, Equals(2))
+
+
+def test_an_old_confirmation_does_not_count(clock):
+    store = Store()
+
+    def old(follower):
+        clock.now_s += CONFIRMED_S + 0.1
+        follower.confirm(VERSION, CONFIRMED_S + 0.05)
+
+    run(store, Readers(), clock, [old])
+    assert_that(store.reads, Equals(2))
+
+
+def test_a_starting_node_leaves_the_store_to_its_seeds(clock):
+    store = Store()
+    readers = Readers(is_starting=True)
+
+    def told(follower):
+        follower.offer(document(VERSION), "peer")
+        follower.confirm(VERSION, 0.1)
+
+    def no_longer(follower):
+        readers.is_starting = False
+
+    run(store, readers, clock, [told, no_longer])
+    assert_that(store.reads, Equals(0))
+
+
+def test_a_starting_node_whose_seeds_are_silent_reads_the_store(clock):
+    store = Store()
+    readers = Readers(is_starting=True)
+
+    def no_longer(follower):
+        readers.is_starting = False
+
+    follower = run(store, readers, clock, [lambda follower: None, no_longer])
+    assert_that((store.reads, follower.version), Equals((1, VERSION)))
+
+
+def test_after_a_stall_no_confirmation_of_before_counts(clock):
+    store = Store()
+    run(store, Readers(), clock, [lambda follower: follower.refresh()])
+    assert_that(store.reads, Equals(2))
+
+
+def test_a_node_says_how_old_its_knowledge_is(clock):
+    store = Store()
+    follower = run(store, Readers(), clock)
+    clock.now_s += 0.7
+    assert_that(round(follower.age_s(), 3), Equals(0.7))
+
+
+def test_without_the_store_a_version_stays_in_force_and_grows_old(clock):
+    store = Store()
+
+    def down(follower):
+        store.up = False
+        clock.now_s += CONFIRMED_S + 0.1
+
+    follower = run(store, Readers(reads_for_all=False), clock, [down])
+    assert_that(follower.version, Equals(VERSION))
+    assert_that(follower.age_s(), GreaterThan(CONFIRMED_S))
+
+
+def test_few_of_many_nodes_read(clock):
+    members = [Member(f"n{number}", f"n{number}", "", "", "a") for number in range(40)]
+    reading = 0
+    for me in members:
+        membership = Membership(me, clock, random.Random(1))
+        membership.merge(member for member in members if member is not me)
+        reading += StoreReaders(membership, True, clock).include_me(5)
+    assert_that(reading, Equals(5))
+
+
+def test_a_seed_does_not_wait_for_seeds(clock):
+    membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
+    waits = [StoreReaders(membership, seed, clock).seeds_come_first() for seed in (True, False)]
+    assert_that(waits, Equals([False, True]))
+    readers = StoreReaders(membership, False, clock)
+    clock.now_s += ASK_SEEDS_FIRST_S
+    assert_that(readers.seeds_come_first(), Equals(False))
--- a/packages/springbridge-node/springbridge_node/config/engine_follower.py
+++ b/packages/springbridge-node/springbridge_node/config/engine_follower.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Success
-from springbridge.hashing import score
 from springbridge.membership import ListingSeen, Membership
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.records import EngineListing
@@ -13,9 +12,9 @@
 from springbridge_node import logs
 from springbridge_node.config.dependency import Dependency
 from springbridge_node.config.ports import PlatformStore
+from springbridge_node.config.store_readers import StoreReaders
 
 READERS = 2
-READER_KEY = "reader of the list of engines"
 CONFIRMED_S = 1.1
 LOOK_S = 0.2
 ASK_PEERS_AFTER_S = 1.5
@@ -45,6 +44,7 @@
         store: PlatformStore,
         board: EngineBoard,
         membership: Membership,
+        readers: StoreReaders,
         capacities: Callable[[], dict[str, int]],
         fetch: FetchListing,
         changed: Callable[[], None],
@@ -63,6 +63,7 @@
         self._store = store
         self._board = board
         self._membership = membership
+        self._readers = readers
         self._capacities = capacities
         self._fetch = fetch
         self._changed = changed
@@ -76,17 +77,21 @@
 
     async def step(self) -> None:
         """Keep the list fresh for one interval."""
-        if self._is_reader() or not await self._is_kept_fresh_by_peers():
+        if self._readers.seeds_come_first() and await self._has_list_of_a_seed():
+            await asyncio.sleep(LOOK_S)
+        elif self._readers.include_me(READERS) or not await self._is_kept_fresh_by_peers():
             await self._read_store()
             await asyncio.sleep(self._interval_s)
         else:
             await asyncio.sleep(LOOK_S)
 
-    def _is_reader(self) -> bool:
-        """Return whether this node is one of those that read for all."""
-        live = self._membership.incarnations()
-        live.sort(key=lambda incarnation: score(READER_KEY, incarnation), reverse=True)
-        return self._membership.me.incarnation in live[:READERS]
+    async def _has_list_of_a_seed(self) -> bool:
+        """Return whether a starting node leaves the store alone: it has a list or awaits one."""
+        if self._board.revision < 0:
+            aged = await self._fetch(None)
+            if aged is not None:
+                self._install(aged, "seed")
+        return self._board.age_s() < CONFIRMED_S or self._readers.seeds_come_first()
 
     async def _is_kept_fresh_by_peers(self) -> bool:
         """Return whether a peer shows that the list in use is the newest, or gives a newer one."""
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -12,7 +12,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.engine_board import EngineBoard
-from springbridge.routing.engine_choice import Chooser, by_token_cost
+from springbridge.routing.engine_choice import Chooser
 from springbridge.routing.records import CallerLimits
 from springbridge.routing.shared_budget import SharedRetryBudget
 
@@ -20,35 +20,34 @@
 from springbridge_node.callers.answer import CallerAnswer
 from springbridge_node.callers.directory import AddressBook
 from springbridge_node.callers.ingress import CallerListener, IncomingRequest
-from springbridge_node.config.configuration_follower import ConfigurationFollower
+from springbridge_node.config.configuration_follower import STORE, ConfigurationFollower
 from springbridge_node.config.engine_follower import EngineFollower
 from springbridge_node.config.ports import ConfigurationReader, PlatformStore
+from springbridge_node.config.store_readers import StoreReaders
 from springbridge_node.engines.pool import EnginePool
 from springbridge_node.engines.prober import EngineProber
 from springbridge_node.gateway_settings import GatewaySettings
-from springbridge_node.peers.assignments import AssignmentClient, AssignmentServer
 from springbridge_node.peers.datagrams import PeerDatagrams
-from springbridge_node.peers.gossip import Gossip
 from springbridge_node.peers.knowledge import PeerKnowledge, peer_handlers
-from springbridge_node.peers.load_sharing import LoadSharing
-from springbridge_node.peers.scheduler_set import SchedulerSet
+from springbridge_node.peers.presence import (
+    ALONE_READ_S,
+    BEAT_S,
+    FIND_PEERS_AFTER_S,
+    Presence,
+)
 from springbridge_node.periodic import every
-from springbridge_node.requests.engine_selector import EngineSelector
 from springbridge_node.requests.journal import RequestJournal
 from springbridge_node.requests.router import RequestRouter, RouterParts
+from springbridge_node.requests.scheduling import Scheduling
 from springbridge_node.requests.wire_format import WireFormat
 from springbridge_node.telemetry import Telemetry
 from springbridge_node.wire.small_server import TEXT, Handler, Reply, SmallServer
 
-BEAT_S = 0.25
 PACE = Pace(peers=3, suspect_s=1.2)
-STALL_S = 0.6
-ALONE_READ_S = 2.0
 SWEEP_S = 2.0
 ADDRESS_TTL_S = 1.0
 LISTING_INTERVAL_S = 0.5
 LISTING_SHARE_OF_DRAIN = 0.25
-FIRST_VERSION = 1
 METRICS_PATH = "/metrics"
 LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=0.05)
 
@@ -86,24 +85,21 @@
         self.telemetry = Telemetry()
         self.membership = Membership(_member(settings), time.monotonic, random.Random(), PACE)
         self.board = EngineBoard(time.monotonic, settings.drain_s)
-        self.schedulers = SchedulerSet(self.membership)
-        self.assignments = AssignmentServer(self.board, choose or by_token_cost)
-        self.scheduler_client = AssignmentClient(self.board, self.schedulers)
-        self.loads = LoadSharing(
-            self.board,
-            self.membership.me.incarnation,
-            self.schedulers.audience,
-            self.assignments.heard,
-        )
+        self.scheduling = Scheduling(self.board, self.membership, choose)
         self.pool = EnginePool(self._live_nodes)
+        self.readers = StoreReaders(self.membership, settings.is_seed)
         self.configuration = ConfigurationFollower(
-            outside.store, outside.read_configuration, self._configuration_installed
+            outside.store,
+            outside.read_configuration,
+            self._configuration_installed,
+            self.readers,
         )
         self.knowledge = PeerKnowledge(self.membership, lambda: list(self.settings.seeds))
         self.engines = EngineFollower(
             outside.store,
             self.board,
             self.membership,
+            self.readers,
             self._capacities,
             self.knowledge.engines,
             self._push,
@@ -118,27 +114,30 @@
                 self.pool,
                 self.budget,
                 outside.wire_format,
-                EngineSelector(
-                    self.board, self.loads, self.schedulers, self.scheduler_client, choose
-                ),
+                self.scheduling.selector,
                 RequestJournal(self.telemetry),
-                self.loads,
+                self.scheduling.loads,
                 settings.place,
             )
         )
         self.listener = CallerListener(self._serve)
-        self.gossip: Gossip | None = None
+        self.datagrams: PeerDatagrams | None = None
+        self.presence = Presence(
+            self.membership,
+            self.configuration,
+            self.engines,
+            self.knowledge,
+            outside.store,
+            self.readers,
+            self.is_ready,
+        )
         self._tasks: list[asyncio.Task] = []
-        self._peers_ahead = asyncio.Event()
-        self._announced = False
         self._refusing = False
-        self._last_beat_s = time.monotonic()
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         addresses = self.settings.addresses
         ttl_s = min(ADDRESS_TTL_S, self.settings.longest_ttl_s)
-        self.datagrams: PeerDatagrams | None = None
         self._serve_small(addresses.ready, self._outside.ready_handlers(self.is_ready))
         self._serve_small(
             addresses.directory,
@@ -150,10 +149,8 @@
         self.datagrams = datagrams = await PeerDatagrams.open(
             self.membership, self.settings.ip, self.settings.gossip_port
         )
-        self.gossip = Gossip(self.membership, datagrams, self._digest_heard)
-        self.loads.connect(datagrams)
-        self.assignments.connect(datagrams)
-        self.scheduler_client.connect(datagrams)
+        self.presence.connect(datagrams)
+        self.scheduling.connect(datagrams)
         self.membership.set_listed(self.settings.seeds)
         self._tasks = [
             asyncio.ensure_future(task)
@@ -161,9 +158,9 @@
                 self.configuration.run(),
                 every(0.0, self.engines.step),
                 every(0.0, EngineProber(self.board, self.pool).step),
-                every(BEAT_S, self._beat),
-                every(ALONE_READ_S, self._find_peers),
-                every(0.0, self._follow_peers),
+                every(BEAT_S, self.presence.beat),
+                every(ALONE_READ_S, self._find_peers, FIND_PEERS_AFTER_S),
+                every(0.0, self.presence.follow_peers),
                 every(SWEEP_S, self._sweep),
             )
         ]
@@ -178,8 +175,7 @@
         """Begin a planned stop: tell all peers, and let connections end with their answers."""
         self.leaving = True
         self.membership.leave()
-        if self.gossip is not None:
-            self.gossip.push()
+        self.presence.push_phase()
         self.listener.close_after_answers()
 
     def refuse_new(self) -> None:
@@ -190,11 +186,12 @@
     async def end(self) -> None:
         """Stop all tasks."""
         self.membership.end()
-        if self.gossip is not None:
-            self.gossip.push()
+        self.presence.push_phase()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.datagrams is not None:
+            self.datagrams.close()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Take over changed settings; addresses stay as they were at the start."""
@@ -206,8 +203,6 @@
     def _serve_small(self, address: str, handlers: Mapping[str, Handler]) -> None:
         """Serve a small interface if it has an address."""
         if address:
-        if self.datagrams is not None:
-            self.datagrams.close()
             SmallServer(handlers).listen(address)
 
     async def _serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
@@ -237,72 +232,25 @@
         services = index.configuration.services
         return {name: service.token_capacity for name, service in services.items()}
 
-    def _configuration_installed(self, index: RouteIndex) -> None:
-        """Hold callers to the new limits and tell peers of the version."""
+    def _configuration_installed(self, index: RouteIndex, source: str) -> None:
+        """Hold callers to the new limits; who has a version from the store tells all peers."""
         self.listener.apply(index.configuration.limits)
-        self._push()
+        if source == STORE:
+            self._push()
 
     def _push(self) -> None:
         """Tell all peers at once what this node knows."""
-        self._state_version()
-        if self.gossip is not None and self.is_ready():
-            self.gossip.push()
-
-    def _digest_heard(self) -> None:
-        """Wake the task that catches up if a peer has a newer configuration."""
-        if self._newest_version() > self.configuration.version:
-            self._peers_ahead.set()
-
-    def _newest_version(self) -> int:
-        """Return the newest version of the configuration that a peer has in force."""
-        return max((member.config_version for member in self.membership.reachable()), default=0)
-
-    async def _follow_peers(self) -> None:
-        """Take a newer configuration from a peer, which helps a node that the store turns away."""
-        await self._peers_ahead.wait()
-        self._peers_ahead.clear()
-        newest = max(self._newest_version(), FIRST_VERSION)
-        await self.configuration.catch_up(newest, self.knowledge.configuration_after)
-
-    async def _beat(self) -> None:
-        """Send a digest; a node that is not ready yet stays silent."""
-        started_s = time.monotonic()
-        if self.is_ready() or self.leaving:
-            self._state_version()
-            self.gossip.send(self.membership.gossip_targets())
-        elif self.configuration.index is None:
-            self._peers_ahead.set()
-        self._notice_stall(started_s)
-
-    def _notice_stall(self, beat_s: float) -> None:
-        """After a time in which this process did not run, read the configuration anew."""
-        last_s, self._last_beat_s = self._last_beat_s, beat_s
-        if beat_s - last_s > STALL_S + BEAT_S:
-            logs.event("node.stalled", seconds=round(beat_s - last_s, 3))
-            self.configuration.refresh()
-
-    def _state_version(self) -> None:
-        """Count up this node's heartbeat and state its version."""
-        self.membership.beat(
-            self.configuration.version, 0.0, not self.engines.dependency.up, self.engines.seen()
-        )
+        self.presence.push()
 
     async def _find_peers(self) -> None:
-        """Announce this node once, and read who else did while it is alone."""
-        store = self._outside.store
-        if not self._announced:
-            told = await store.announce(self.settings.addresses.peers)
-            self._announced = told.map(lambda _: True).value_or(False)
-        if len(self.membership.live()) < 2:
-            listed = (await store.read_nodes()).value_or([])
-            self.membership.set_listed([*self.settings.seeds, *listed])
+        """Look for peers while there are none."""
+        await self.presence.find_peers(self.settings.addresses.peers, lambda: self.settings.seeds)
 
     async def _sweep(self) -> None:
         """Drop what belongs to engines and members that are gone."""
         self.pool.keep_only(self.board.known_ids())
-        self.membership.forget_old()
         self.board.expire_loads()
-        self.gossip.forget_gone()
+        self.presence.forget_gone()
 
 
 def _member(settings: GatewaySettings) -> Member:
--- a/packages/springbridge-node/springbridge_node/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway_settings.py
@@ -30,7 +30,8 @@
 
     Attributes:
       gossip_port: Port of the digests, alike on all nodes.
-      seeds: Peer addresses to begin with; they may be stale.
+      seeds: Peer addresses of others to begin with; they may be stale.
+      is_seed: Whether other nodes begin with this one.
       budget: What all nodes together may send to second engines.
       grace_s: Time between a planned stop and its end.
       longest_ttl_s: Longest time for which callers keep an answer of the directory.
@@ -47,6 +48,7 @@
     grace_s: float
     longest_ttl_s: float
     drain_s: float
+    is_seed: bool = True
 
     def __post_init__(self) -> None:
         """Check the values.
--- a/packages/springbridge-node/springbridge_node/peers/assignments.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments.py
@@ -21,7 +21,7 @@
 from springbridge_node.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.peers.scheduler_set import SchedulerSet
 
-ANSWER_S = 0.03
+ANSWER_S = 0.08
 CONFIRMED_S = 0.5
 
 
@@ -125,7 +125,7 @@
         self, demand: Demand, tried: Collection[str], attempt_id: str
     ) -> Selection | None:
         """Return what a scheduler selects, or None if this node has to choose alone."""
-        address = self._found.first()
+        address = self._found.first(demand.service)
         if address is None or self._datagrams is None:
             return None
         told = await self._answer(address, demand, tried, attempt_id)
--- a/packages/springbridge-node/springbridge_node/peers/assignments_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments_test.py
@@ -25,6 +25,7 @@
 DEMAND = Demand("q", "model", "a", 1, 16_000, PARTS, True)
 PLACES = ("a", "b", "c")
 NODES = 30
+MODEL = "model"
 
 
 class Clock:
@@ -93,7 +94,7 @@
         Member(f"n{number}", f"n{number}", f"10.0.0.{number}:1", "", PLACES[number % len(PLACES)])
         for number in range(NODES)
     ]
-    roles = schedulers(members)
+    roles = schedulers(members, MODEL)
     me = next(member for member in members if member.place == "a" and member not in roles)
     membership = Membership(me, clock, random.Random(1))
     membership.merge(member for member in members if member is not me)
@@ -103,7 +104,7 @@
 def ask(wire, fleet, clock, times=1):
     """Return what a node gets that asks so many times, with all schedulers answering."""
     found = SchedulerSet(fleet, clock)
-    for member in schedulers(fleet.live()):
+    for member in schedulers(fleet.live(), MODEL):
         AssignmentServer(make_board(clock), by_token_cost, clock).connect(
             wire.end(member.peer_address)
         )
@@ -118,7 +119,7 @@
 
 def first_schedulers(fleet):
     """Return the peer addresses of the schedulers in the order in which the node asks them."""
-    ordered = in_order_for(fleet.me.place, schedulers(fleet.live()))
+    ordered = in_order_for(fleet.me.place, schedulers(fleet.live(), MODEL))
     return [member.peer_address for member in ordered]
 
 
@@ -141,11 +142,11 @@
 
 def test_a_silent_scheduler_is_asked_again_after_a_moment(fleet, clock):
     found = SchedulerSet(fleet, clock)
-    first = found.first()
+    first = found.first(MODEL)
     found.avoid(first)
-    assert_that(found.first(), Not(Equals(first)))
+    assert_that(found.first(MODEL), Not(Equals(first)))
     clock.now_s += AVOIDED_S
-    assert_that(found.first(), Equals(first))
+    assert_that(found.first(MODEL), Equals(first))
 
 
 def test_with_all_schedulers_silent_the_node_chooses_alone(fleet, clock):
@@ -159,7 +160,7 @@
 def test_an_engine_that_the_asker_may_not_use_is_not_taken(fleet, clock):
     wire = Wire()
     found = SchedulerSet(fleet, clock)
-    address = found.first()
+    address = found.first(MODEL)
     AssignmentServer(make_board(clock), by_token_cost, clock).connect(wire.end(address))
     client = AssignmentClient(make_board(clock, engines=0), found)
     client.connect(wire.end(fleet.me.peer_address))
@@ -218,5 +219,5 @@
     membership = Membership(me, clock, random.Random(1))
     membership.merge([Member("n1", "n1", "10.0.0.1:1", "", "b")])
     found = SchedulerSet(membership, clock)
-    assert_that((found.includes_me(), found.first()), Equals((True, None)))
-    assert_that(found.audience(), Equals(["10.0.0.1:1"]))
+    assert_that((found.includes_me(MODEL), found.first(MODEL)), Equals((True, None)))
+    assert_that(found.audience(MODEL), Equals(["10.0.0.1:1"]))
--- a/packages/springbridge-node/springbridge_node/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/peers/gossip.py
@@ -60,7 +60,7 @@
 
     def _member(self, row: list) -> Member | None:
         """Return a member from what travelled, or None if only its changes came and it is new."""
-        incarnation, heartbeat, phase, version, mark, age_s, *fixed = row
+        incarnation, heartbeat, phase, version, confirmed_ago_s, mark, age_s, *fixed = row
         if fixed:
             instance, peer, caller, place = fixed
             known = Member(incarnation, instance, peer, caller, place)
@@ -73,6 +73,7 @@
             heartbeat=heartbeat,
             phase=Phase(phase),
             config_version=version,
+            confirmed_ago_s=confirmed_ago_s,
             listing=ListingSeen(mark, age_s),
         )
 
@@ -105,6 +106,7 @@
         member.heartbeat,
         int(member.phase),
         member.config_version,
+        round(member.confirmed_ago_s, 2),
         member.listing.mark,
         round(member.listing.age_s, 2),
     ]
--- a/packages/springbridge-node/springbridge_node/peers/knowledge.py
+++ b/packages/springbridge-node/springbridge_node/peers/knowledge.py
@@ -1,8 +1,13 @@
-"""What nodes tell each other on request: the configuration as written, and the engine list."""
+"""What nodes tell each other on request: the configuration as written, and the engine list.
+
+Both are compressed, since many nodes ask at the same moment and some have narrow links.
+"""
 
 import base64
 import random
+import zlib
 from collections.abc import Callable
+from functools import lru_cache
 
 import orjson
 from springbridge.membership import Membership
@@ -19,6 +24,8 @@
 ENGINES_PATH = "/peer/engines"
 PEERS_ASKED = 2
 TIMEOUT_S = 0.8
+COMPRESSION_LEVEL = 1
+COMPRESSED = "application/zlib"
 
 
 def peer_handlers(
@@ -30,21 +37,17 @@
         document = configuration().document
         if document is None:
             return Reply(404)
-        raw = base64.b64encode(document.raw).decode()
-        return Reply(200, orjson.dumps({"version": document.version, "document": raw}))
+        return _configuration_reply(document)
 
     def tell_engines(query: dict[str, str]) -> Reply:
         if board.revision < 0:
             return Reply(404)
-        return Reply(
-            200,
-            orjson.dumps(
-                {
-                    "revision": board.revision,
-                    "age_s": board.age_s(),
-                    "entries": [_engine_row(entry) for entry in board.entries()],
-                }
-            ),
+        return _reply(
+            {
+                "revision": board.revision,
+                "age_s": board.age_s(),
+                "entries": [_engine_row(entry) for entry in board.entries()],
+            }
         )
 
     return {CONFIGURATION_PATH: tell_configuration, ENGINES_PATH: tell_engines}
@@ -60,9 +63,12 @@
 
     async def configuration_after(self, version: int) -> ConfigurationDocument | None:
         """Return the newest configuration that a peer has, if it is newer than a version."""
-        members = sorted(self._membership.reachable(), key=lambda member: -member.config_version)
-        ahead = [member.peer_address for member in members if member.config_version > version]
-        for address in (ahead or self._seeds())[:PEERS_ASKED]:
+        ahead = [
+            member.peer_address
+            for member in self._membership.reachable()
+            if member.config_version > version
+        ]
+        for address in _some(ahead or self._seeds()):
             told = await _ask(address, CONFIGURATION_PATH)
             if told is not None and told["version"] > version:
                 return ConfigurationDocument(told["version"], base64.b64decode(told["document"]))
@@ -71,12 +77,17 @@
     async def engines(self, peer: str | None) -> AgedListing | None:
         """Return the list of engines that a peer has, or the youngest that a few peers have."""
         peers = [member.peer_address for member in self._membership.reachable()] or self._seeds()
-        asked = [peer] if peer else random.sample(peers, min(PEERS_ASKED, len(peers)))
+        asked = [peer] if peer else _some(peers)
         told = [await _ask(address, ENGINES_PATH) for address in asked]
         lists = [_aged_listing(each) for each in told if each is not None]
         return min(lists, key=lambda aged: aged.age_s, default=None)
 
 
+def _some(addresses: list[str]) -> list[str]:
+    """Return a few addresses by chance."""
+    return random.sample(addresses, min(PEERS_ASKED, len(addresses)))
+
+
 def _aged_listing(told: dict) -> AgedListing:
     """Return a list of engines as a peer tells it."""
     entries = tuple(EngineEntry(*row) for row in told["entries"])
@@ -88,11 +99,23 @@
     caller = Caller(address)
     try:
         answer = await caller.call("GET", path, timeout_s=TIMEOUT_S)
-    except CallFailedError:
+        return orjson.loads(zlib.decompress(answer.body)) if answer.status == 200 else None
+    except (CallFailedError, zlib.error, ValueError):
         return None
     finally:
         caller.close()
-    return orjson.loads(answer.body) if answer.status == 200 else None
+
+
+@lru_cache(maxsize=1)
+def _configuration_reply(document: ConfigurationDocument) -> Reply:
+    """Return the answer to those that ask for a configuration, made once for all of them."""
+    raw = base64.b64encode(document.raw).decode()
+    return _reply({"version": document.version, "document": raw})
+
+
+def _reply(told: dict) -> Reply:
+    """Return an answer."""
+    return Reply(200, zlib.compress(orjson.dumps(told), COMPRESSION_LEVEL), COMPRESSED)
 
 
 def _engine_row(entry: EngineEntry) -> list:
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -46,14 +46,14 @@
         self,
         board: EngineBoard,
         incarnation: str,
-        audience: Callable[[], list[str]],
+        audience: Callable[[str], list[str]],
         heard: Callable[[LoadNotice], None],
     ) -> None:
         """Keep the parts.
 
         Args:
           incarnation: Of this node; attempts are named after it.
-          audience: Returns the peer addresses to tell.
+          audience: Returns the peer addresses to tell of requests for a service.
           heard: Called with each notice of a peer.
         """
         self._board = board
@@ -61,7 +61,7 @@
         self._audience = audience
         self._heard = heard
         self._count = 0
-        self._untold: list[LoadNotice] = []
+        self._untold: dict[str, list[LoadNotice]] = {}
         self._datagrams: PeerDatagrams | None = None
 
     def connect(self, datagrams: PeerDatagrams) -> None:
@@ -96,19 +96,21 @@
     def tell(self, notice: LoadNotice) -> None:
         """Take in a notice here and tell the peers soon."""
         self._board.take_notice(notice)
-        if self._datagrams is None:
+        state = self._board.find(notice.engine_id)
+        if self._datagrams is None or state is None:
             return
         if not self._untold:
             asyncio.get_running_loop().call_later(GATHER_S, self._flush)
-        self._untold.append(notice)
+        self._untold.setdefault(state.entry.service, []).append(notice)
 
     def _flush(self) -> None:
         """Send what was gathered."""
-        notices, self._untold = self._untold, []
-        peers = self._audience()
-        for start in range(0, len(notices), MOST_IN_A_DATAGRAM):
-            rows = [_row(notice) for notice in notices[start : start + MOST_IN_A_DATAGRAM]]
-            self._datagrams.send(Kind.LOAD, rows, peers)
+        untold, self._untold = self._untold, {}
+        for service, notices in untold.items():
+            peers = self._audience(service)
+            for start in range(0, len(notices), MOST_IN_A_DATAGRAM):
+                rows = [_row(notice) for notice in notices[start : start + MOST_IN_A_DATAGRAM]]
+                self._datagrams.send(Kind.LOAD, rows, peers)
 
     def _take(self, rows: list, sender: str) -> None:
         """Take in a peer's notices."""
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
@@ -71,7 +71,7 @@
     sent, during, after, membership = play(peers)
     expected = {
         member.peer_address
-        for member in schedulers(membership.live())
+        for member in schedulers(membership.live(), "model")
         if member is not membership.me
     }
     ((_, audience),) = sent
--- a/packages/springbridge-node/springbridge_node/peers/scheduler_set.py
+++ b/packages/springbridge-node/springbridge_node/peers/scheduler_set.py
@@ -25,26 +25,26 @@
         self._clock = clock
         self._viewed_s = float("-inf")
         self._few = True
-        self._found: list[Member] = []
+        self._found: dict[str, list[Member]] = {}
         self._avoided_until_s: dict[str, float] = {}
 
-    def includes_me(self) -> bool:
-        """Return whether this node hears of all requests, and so chooses engines itself."""
-        self._refresh()
-        return self._few or any(self._is_me(member) for member in self._found)
+    def includes_me(self, service: str) -> bool:
+        """Return whether this node hears of all requests for a service, and so chooses itself."""
+        found = self._schedulers(service)
+        return self._few or any(self._is_me(member) for member in found)
 
-    def audience(self) -> list[str]:
-        """Return the peer addresses to tell of this node's requests."""
-        self._refresh()
+    def audience(self, service: str) -> list[str]:
+        """Return the peer addresses to tell of this node's requests for a service."""
+        found = self._schedulers(service)
         if self._few:
-            return [member.peer_address for member in self._membership.reachable()]
-        return [member.peer_address for member in self._found if not self._is_me(member)]
+            found = self._membership.reachable()
+        return [member.peer_address for member in found if not self._is_me(member)]
 
-    def first(self) -> str | None:
+    def first(self, service: str) -> str | None:
         """Return the peer address of the scheduler to ask next, or None if none answers."""
-        self._refresh()
+        found = self._schedulers(service)
         now_s = self._clock()
-        for member in in_order_for(self._membership.me.place, self._found):
+        for member in in_order_for(self._membership.me.place, found):
             avoided_until_s = self._avoided_until_s.get(member.peer_address, now_s)
             if not self._is_me(member) and avoided_until_s <= now_s:
                 return member.peer_address
@@ -55,15 +55,23 @@
         self._avoided_until_s[address] = self._clock() + AVOIDED_S
         logs.event("scheduler.silent", address=address, avoided_s=AVOIDED_S)
 
+    def _schedulers(self, service: str) -> list[Member]:
+        """Return who schedules a service, nobody in particular in a small fleet."""
+        self._refresh()
+        if self._few:
+            return []
+        if service not in self._found:
+            self._found[service] = schedulers(self._membership.live(), service)
+        return self._found[service]
+
     def _refresh(self) -> None:
         """Take the view anew when it is old."""
         now_s = self._clock()
         if now_s - self._viewed_s < VIEW_S:
             return
         self._viewed_s = now_s
-        members = self._membership.live()
-        self._few = len(members) <= MOST_EQUALS
-        self._found = [] if self._few else schedulers(members)
+        self._few = len(self._membership.live()) <= MOST_EQUALS
+        self._found = {}
         self._avoided_until_s = {
             address: until_s
             for address, until_s in self._avoided_until_s.items()
--- a/packages/springbridge-node/springbridge_node/periodic.py
+++ b/packages/springbridge-node/springbridge_node/periodic.py
@@ -6,8 +6,11 @@
 from springbridge_node import logs
 
 
-async def every(interval_s: float, step: Callable[[], Awaitable[None]]) -> None:
+async def every(
+    interval_s: float, step: Callable[[], Awaitable[None]], first_after_s: float = 0.0
+) -> None:
     """Take a step again and again; a fault in one is logged and does not end the task."""
+    await asyncio.sleep(first_after_s)
     while True:
         try:
             await step()
--- a/packages/springbridge-node/springbridge_node/requests/engine_selector.py
+++ b/packages/springbridge-node/springbridge_node/requests/engine_selector.py
@@ -38,7 +38,7 @@
         """Return the engine for the next attempt, or why there is none."""
         if self._chooser is not None:
             return select(self._board, demand, tried, self._chooser)
-        if self._found.includes_me():
+        if self._found.includes_me(demand.service):
             return select(self._board, demand, tried, by_token_cost)
         if demand.prompt_parts:
             attempt_id = self._loads.new_attempt_id()
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/requests/scheduling.py
@@ -0,0 +1,42 @@
+"""All that decides which engine serves a request at this node, joined."""
+
+from springbridge.membership import Membership
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_choice import Chooser, by_token_cost
+
+from springbridge_node.peers.assignments import AssignmentClient, AssignmentServer
+from springbridge_node.peers.datagrams import PeerDatagrams
+from springbridge_node.peers.load_sharing import LoadSharing
+from springbridge_node.peers.scheduler_set import SchedulerSet
+from springbridge_node.requests.engine_selector import EngineSelector
+
+
+class Scheduling:
+    """The choice of engines, with what nodes tell each other for it.
+
+    Attributes:
+      loads: Tells of this node's requests at engines.
+      selector: Selects the engine of an attempt.
+    """
+
+    def __init__(
+        self, board: EngineBoard, membership: Membership, chooser: Chooser | None = None
+    ) -> None:
+        """Join the parts.
+
+        Args:
+          chooser: Decides at this node whatever it knows; left out, what suits the knowledge.
+        """
+        found = SchedulerSet(membership)
+        self._server = AssignmentServer(board, chooser or by_token_cost)
+        self._client = AssignmentClient(board, found)
+        self.loads = LoadSharing(
+            board, membership.me.incarnation, found.audience, self._server.heard
+        )
+        self.selector = EngineSelector(board, self.loads, found, self._client, chooser)
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Begin to tell peers and to listen to them."""
+        self.loads.connect(datagrams)
+        self._server.connect(datagrams)
+        self._client.connect(datagrams)
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -164,10 +164,14 @@
         if known is not None:
             known.heard_s = min(known.heard_s, self._clock() - self._pace.suspect_s / 2)
 
+    def is_live(self) -> bool:
+        """Return whether this node itself is neither leaving nor gone."""
+        return self.me.phase is Phase.LIVE
+
     def live(self) -> list[Member]:
         """Return the members that run and are not leaving, this node included if it is."""
         found = [known.member for known in self._known.values() if self._is_live(known)]
-        if self.me.phase is Phase.LIVE:
+        if self.is_live():
             found.append(self.me)
         return found
 
@@ -197,6 +201,15 @@
             if known.member.phase is not Phase.GONE and self._is_heard(known)
         ]
 
+    def confirmations(self) -> list[tuple[Member, float]]:
+        """Return the other members that run, and how long ago their versions were confirmed."""
+        now_s = self._clock()
+        return [
+            (known.member, known.member.confirmed_ago_s + now_s - known.heard_s)
+            for known in self._known.values()
+            if known.member.phase is not Phase.GONE and self._is_heard(known)
+        ]
+
     def incarnations(self) -> list[str]:
         """Return the incarnations of live(), the candidates for roles."""
         return [member.incarnation for member in self.live()]
@@ -222,12 +235,17 @@
         return [self.me, *(_as_old_as_now(entry, now_s) for entry in known[: DIGEST_LIMIT - 1])]
 
     def gossip_targets(self) -> list[str]:
-        """Return the peer addresses to send the next digest to."""
+        """Return the peer addresses to send the next digest to.
+
+        One goes to another failure domain, the others to this one's members as far as there are
+        enough, since bytes between failure domains cost.
+        """
         members = self.reachable()
-        targets = self._rng.sample(members, min(self._pace.peers, len(members)))
-        away = [member for member in members if member.place != self.me.place]
-        if away and all(member.place == self.me.place for member in targets):
-            targets[-1] = self._rng.choice(away)
+        near = [member for member in members if member.place == self.me.place]
+        far = [member for member in members if member.place != self.me.place]
+        self._rng.shuffle(near)
+        self._rng.shuffle(far)
+        targets = [*far[:1], *near, *far[1:]][: self._pace.peers]
         addresses = {member.peer_address for member in targets}
         return sorted(addresses | self._unheard_addresses())
 
--- a/packages/springbridge/springbridge/membership_test.py
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -16,6 +16,7 @@
     ListingSeen,
     Member,
     Membership,
+    Pace,
     Phase,
 )
 
@@ -193,7 +194,7 @@
 
 
 def test_what_is_told_on_of_a_member_is_as_old_as_it_is(clock):
-    # A list of engines that was read a second ago must not look fresh because it came by a third node.
+    # A list of engines read a second ago must not look fresh because it came by a third node.
     reader = Member("r", "r", "10.0.0.1:1", "", "a", 1, listing=ListingSeen(7, 0.1))
     reader = replace(reader, confirmed_ago_s=0.2)
     relay = Membership(Member("m", "m", "10.0.0.2:1", "", "a"), clock, random.Random(1))
@@ -202,3 +203,21 @@
     told = next(member for member in relay.digest() if member.incarnation == "r")
     assert_that(round(told.listing.age_s, 3), Equals(1.1))
     assert_that(round(told.confirmed_ago_s, 3), Equals(1.2))
+
+
+def test_one_digest_crosses_the_border_and_the_others_stay(clock):
+    me = member("m")
+    view = Membership(me, clock, random.Random(1), Pace(peers=3))
+    view.merge([member(f"near-{number}", heartbeat=1) for number in range(9)])
+    view.merge([member(f"far-{number}", "perth-b", heartbeat=1) for number in range(9)])
+    for _ in range(20):
+        targets = view.gossip_targets()
+        assert_that([target for target in targets if target.startswith("far")], HasLength(1))
+        assert_that(targets, HasLength(3))
+    assert_that(len({target for _ in range(50) for target in view.gossip_targets()}), Equals(18))
+
+
+def test_without_near_members_all_digests_cross_the_border(clock):
+    view = Membership(member("m"), clock, random.Random(1), Pace(peers=3))
+    view.merge([member(f"far-{number}", "perth-b", heartbeat=1) for number in range(9)])
+    assert_that(view.gossip_targets(), HasLength(3))
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -11,6 +11,7 @@
 
 from springbridge.hashing import score
 from springbridge.routing.engine_board import EngineState
+from springbridge.routing.prefix_cache import chain_of
 from springbridge.routing.records import Demand, PromptPart
 
 LOAD_BOUND = 1.5
@@ -92,12 +93,17 @@
     source = max(states, key=lambda state: kept[state.entry.engine_id])
     most = kept[source.entry.engine_id] if demand.fetches else 0
 
-    def rank(state: EngineState) -> tuple[float, float]:
-        own = kept[state.entry.engine_id]
-        cost = _engine_cost(state, demand, quiet) + _prompt_cost(demand.prompt_tokens, own, most)
-        return cost // COST_STEP, -score(shared, state.entry.engine_id)
-
-    best = min(states, key=rank)
+    costs = [
+        (
+            _engine_cost(state, demand, quiet)
+            + _prompt_cost(demand, kept[state.entry.engine_id], most)
+        )
+        // COST_STEP
+        for state in states
+    ]
+    least = min(costs)
+    cheapest = [state for state, cost in zip(states, costs, strict=True) if cost == least]
+    best = max(cheapest, key=lambda state: score(shared, state.entry.engine_id))
     if most - kept[best.entry.engine_id] < LEAST_FETCH_TOKENS:
         return Choice(best)
     return Choice(best, source, source.cache.kept_tokens(demand.prompt_parts))
@@ -124,7 +130,8 @@
     Where this instance knows of no engine that keeps the shared parts, as after its start, their
     home probably does: all instances send them there first.
     """
-    kept = {state.entry.engine_id: state.cache.kept_tokens(parts) for state in states}
+    chain = chain_of(parts)
+    kept = {state.entry.engine_id: state.cache.kept_of(chain) for state in states}
     shared_tokens = sum(part.tokens for part in parts[:-1])
     if shared_tokens < LEAST_FETCH_TOKENS or max(kept.values()) >= shared_tokens:
         return kept
@@ -135,7 +142,7 @@
     return kept
 
 
-def _prompt_cost(prompt_tokens: int, own: int, most: int) -> float:
+def _prompt_cost(demand: Demand, own: int, most: int) -> float:
     """Return what bringing a prompt into an engine costs, in prompt tokens.
 
     Args:
@@ -143,7 +150,7 @@
       most: Tokens of it that some engine keeps which it can fetch from.
     """
     fetched = most - own if most - own >= LEAST_FETCH_TOKENS else 0
-    unread = max(0, prompt_tokens - own - fetched)
+    unread = max(0, demand.prompt_tokens - own - fetched)
     return UNREAD_WEIGHT * unread + FETCH_WEIGHT * fetched
 
 
--- a/packages/springbridge/springbridge/routing/prefix_cache.py
+++ b/packages/springbridge/springbridge/routing/prefix_cache.py
@@ -9,6 +9,8 @@
 
 from springbridge.routing.records import PromptPart
 
+Chain = list[tuple[str, PromptPart]]
+
 
 class PrefixCache:
     """Parts that an engine probably keeps, the least recently used first."""
@@ -21,8 +23,12 @@
 
     def kept_tokens(self, parts: tuple[PromptPart, ...]) -> int:
         """Return the tokens at the beginning of a prompt that are probably kept."""
+        return self.kept_of(chain_of(parts))
+
+    def kept_of(self, chain: Chain) -> int:
+        """Return the same for a chain that is looked up at many engines."""
         tokens = 0
-        for name, part in _chain(parts):
+        for name, part in chain:
             if name not in self._parts:
                 break
             tokens += part.tokens
@@ -32,7 +38,7 @@
         """Note that the engine read a prompt."""
         if not self.capacity:
             return
-        for name, part in reversed(_chain(parts)):
+        for name, part in reversed(chain_of(parts)):
             if name not in self._parts:
                 self._tokens += part.tokens
                 self._parts[name] = part.tokens
@@ -42,7 +48,7 @@
             self._tokens -= tokens
 
 
-def _chain(parts: tuple[PromptPart, ...]) -> list[tuple[str, PromptPart]]:
+def chain_of(parts: tuple[PromptPart, ...]) -> Chain:
     """Return each part with the name of the chain that ends in it."""
     names = []
     name = ""
