A node asks its seeds first only when the whole system starts; reading again weighs seven times

The test fails before. Change: what is read or fetched weighs 7 times (2 and 0.8 before), and a backlog of more than 40,000 tokens as much.

--- a/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
@@ -209,14 +209,14 @@
     for me in members:
         membership = Membership(me, clock, random.Random(1))
         membership.merge(member for member in members if member is not me)
-        reading += StoreReaders(membership, True, clock).include_me(5)
+        reading += StoreReaders(membership, False, clock).include_me(5)
     assert_that(reading, Equals(5))
 
 
-def test_a_seed_does_not_wait_for_seeds(clock):
+def test_only_a_node_that_asks_seeds_first_waits_for_them(clock):
     membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
-    waits = [StoreReaders(membership, seed, clock).seeds_come_first() for seed in (True, False)]
-    assert_that(waits, Equals([False, True]))
-    readers = StoreReaders(membership, False, clock)
+    waits = [StoreReaders(membership, asks, clock).seeds_come_first() for asks in (True, False)]
+    assert_that(waits, Equals([True, False]))
+    readers = StoreReaders(membership, True, clock)
     clock.now_s += ASK_SEEDS_FIRST_S
     assert_that(readers.seeds_come_first(), Equals(False))
--- a/packages/springbridge-node/springbridge_node/config/store_readers.py
+++ b/packages/springbridge-node/springbridge_node/config/store_readers.py
@@ -12,7 +12,7 @@
 from springbridge.membership import Membership
 
 ROLE_KEY = "reader of the list of engines"
-# A starting node asks its seeds first for so long; a seed reads the store at once.
+# When the whole system starts, nodes ask their seeds first for so long.
 ASK_SEEDS_FIRST_S = 1.5
 
 
@@ -22,13 +22,13 @@
     def __init__(
         self,
         membership: Membership,
-        is_seed: bool,
+        asks_seeds_first: bool,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Keep the membership; the time to ask seeds first begins now."""
+        """Keep the membership; the time to ask seeds first begins now, if there is one."""
         self._membership = membership
         self._clock = clock
-        self._ask_seeds_until_s = clock() + (0.0 if is_seed else ASK_SEEDS_FIRST_S)
+        self._ask_seeds_until_s = clock() + (ASK_SEEDS_FIRST_S if asks_seeds_first else 0.0)
 
     def include_me(self, count: int) -> bool:
         """Return whether this node is one of so many that read for all."""
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -87,7 +87,7 @@
         self.board = EngineBoard(time.monotonic, settings.drain_s)
         self.scheduling = Scheduling(self.board, self.membership, choose)
         self.pool = EnginePool(self._live_nodes)
-        self.readers = StoreReaders(self.membership, settings.is_seed)
+        self.readers = StoreReaders(self.membership, settings.asks_seeds_first)
         self.configuration = ConfigurationFollower(
             outside.store,
             outside.read_configuration,
--- a/packages/springbridge-node/springbridge_node/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway_settings.py
@@ -31,7 +31,8 @@
     Attributes:
       gossip_port: Port of the digests, alike on all nodes.
       seeds: Peer addresses of others to begin with; they may be stale.
-      is_seed: Whether other nodes begin with this one.
+      asks_seeds_first: Whether this node leaves the store to its seeds for a moment at its start,
+        as when the whole system starts at once and nobody waits for it yet.
       budget: What all nodes together may send to second engines.
       grace_s: Time between a planned stop and its end.
       longest_ttl_s: Longest time for which callers keep an answer of the directory.
@@ -48,7 +49,7 @@
     grace_s: float
     longest_ttl_s: float
     drain_s: float
-    is_seed: bool = True
+    asks_seeds_first: bool = False
 
     def __post_init__(self) -> None:
         """Check the values.
--- a/packages/springbridge/springbridge/routing/engine_choice.py
+++ b/packages/springbridge/springbridge/routing/engine_choice.py
@@ -18,8 +18,11 @@
 LEAST_BOUND = 2.0
 COST_STEP = 500
 RUNNING_TOKENS = 100
-UNREAD_WEIGHT = 2.0
-FETCH_WEIGHT = 0.8
+# What is read or fetched again takes time and memory from all that the engine runs.
+UNREAD_WEIGHT = 7.0
+FETCH_WEIGHT = 7.0
+# About a second of reading: a longer wait for an engine weighs as much as reading elsewhere.
+LONG_BACKLOG_TOKENS = 40_000
 LEAST_FETCH_TOKENS = 1024
 HOME_SHARE = 0.8
 BORDER_SHARE = 0.3
@@ -111,7 +114,9 @@
 
 def _engine_cost(state: EngineState, demand: Demand, quiet: frozenset[str]) -> float:
     """Return the cost of an engine whatever it keeps of the prompt, in prompt tokens."""
-    cost = state.prefill_tokens + RUNNING_TOKENS * state.in_flight
+    beyond = max(0, state.prefill_tokens - LONG_BACKLOG_TOKENS)
+    cost = state.prefill_tokens + (UNREAD_WEIGHT - 1) * beyond
+    cost += RUNNING_TOKENS * state.in_flight
     if state.entry.place != demand.place:
         cost += BORDER_SHARE * demand.prompt_tokens
     is_short = demand.prompt_tokens <= SHORT_PROMPT_TOKENS
