--- a/Makefile
+++ b/Makefile
@@ -36,11 +36,12 @@
 soak: setup
 	$(BIN)/python -m springbridge_standins.soak --seed $(SEED) --minutes $(MINUTES)
 
-# SEEDS soaks of MINUTES each on the users' platform, from SEED on.
+# SEEDS soaks of MINUTES each on the users' platform, from SEED on; with NODES=20 a large fleet's ways.
 SEEDS ?= 1
+NODES ?= 4
 soak-platform: setup
 	$(BIN)/python -m springbridge_standins.users_platform.soak --seed $(SEED) --seeds $(SEEDS) \
-		--minutes $(MINUTES)
+		--minutes $(MINUTES) --nodes $(NODES)
 
 capacity: setup
 	$(BIN)/python -m springbridge_standins.capacity
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
@@ -28,6 +28,8 @@
 from springbridge_standins.users_platform.store import StoreStandIn, running_store
 
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
+PROMPTS = 6
+PROMPT_TOKENS = 1050
 FIRST_NET = 2
 NETS = 200
 
@@ -44,7 +46,13 @@
         address = await _address(soak)
         try:
             got = await ask(
-                address, path, method="POST", body=body, Request_Id=request_id, Tenant="forged"
+                address,
+                path,
+                method="POST",
+                body=body,
+                Request_Id=request_id,
+                Tenant="forged",
+                **_prompt_headers(soak, path, count),
             )
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             soak.counts[f"{path} no answer"] += 1
@@ -55,6 +63,17 @@
         await asyncio.sleep(soak.rng.random() * 0.05)
 
 
+def _prompt_headers(soak: Soak, path: str, count: int) -> dict[str, str]:
+    """Return what a caller says of its prompt, nothing for plain services."""
+    if path not in ("/stream/x", "/single/x"):
+        return {}
+    shared = soak.rng.randrange(PROMPTS)
+    return {
+        "Prefix_Hash": f"{shared:x}:800,{count:x}f:250",
+        "Token_Usage": f"{PROMPT_TOKENS},80",
+    }
+
+
 async def _address(soak: Soak) -> str:
     """Return the address of a node as the directory of some node tells it."""
     for node in soak.rng.sample(soak.nodes, len(soak.nodes)):
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
@@ -10,7 +10,7 @@
 SETTINGS = """
 nodeName = "{name}"
 ip = "{ip}"
-zone = "perth-a"
+zone = "{zone}"
 internalPorts = [{gossip}, {gossip}]
 seeds = [{seeds}]
 [listen]
@@ -29,6 +29,8 @@
 address = "{store}"
 """
 
+ZONES = ("perth-a", "perth-b", "perth-c")
+
 
 @dataclass(frozen=True)
 class Ports:
@@ -61,7 +63,14 @@
         self._process: asyncio.subprocess.Process | None = None
         quoted = ", ".join(f'"{seed}"' for seed in seeds)
         self._settings.write_text(
-            SETTINGS.format(name=self.name, ip=self.ip, store=store, seeds=quoted, **vars(ports))
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                zone=ZONES[number % len(ZONES)],
+                store=store,
+                seeds=quoted,
+                **vars(ports),
+            )
         )
 
     @property
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_test.py
@@ -12,3 +12,11 @@
     soak = asyncio.run(run_soak(7, 12.0, tmp_path))
     assert_that(soak.violations, Equals([]))
     assert_that(len(soak.asked), GreaterThan(20))
+
+
+def test_a_short_soak_of_a_large_fleet_breaks_no_promise(tmp_path):
+    # More nodes than tell each other of all requests, so that schedulers choose for the others.
+    soak = asyncio.run(run_soak(9, 12.0, tmp_path, nodes=20))
+    assert_that(soak.violations, Equals([]))
+    logs = "".join(path.read_text() for path in tmp_path.glob("*.log"))
+    assert_that(logs.count('"scheduler":"127.'), GreaterThan(20))
