Mutants of the users' platform; what may not be repeated is proved on a route of two engines

16 mechanisms taken out one by one. One test passed without its mechanism: the route of the test allowed one engine, so the limit of engines hid that only promised work is sent again.

--- a/packages/springbridge-standins/springbridge_standins/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants.py
@@ -9,37 +9,18 @@
 import subprocess
 import sys
 import tempfile
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from springbridge_standins.mutant import LIBRARY, NODE, Mutant
+from springbridge_standins.users_platform.mutants import USERS_PLATFORM
+
 ROOT = Path(__file__).parents[3]
-LIBRARY = "packages/springbridge/springbridge"
-NODE = "packages/springbridge-node/springbridge_node"
 TIMEOUT_S = 300.0
 
 
-@dataclass(frozen=True)
-class Mutant:
-    """One mechanism taken out.
-
-    Attributes:
-      name: The mechanism.
-      module: File that holds it.
-      old: Text that is replaced.
-      new: What takes its place.
-      tests: File and name of the tests that have to fail.
-    """
-
-    name: str
-    module: str
-    old: str
-    new: str
-    tests: str
-
-
 MUTANTS = (
     Mutant(
         "check before dispatch",
@@ -237,7 +218,7 @@
     """Return whether the mutant's tests fail in a copy of the packages."""
     copy = folder / "copy"
     shutil.copytree(ROOT / "packages", copy / "packages")
-    for name in ("docs", "examples", "pyproject.toml"):
+    for name in ("docs", "examples", "platform", "pyproject.toml"):
         source = ROOT / name
         (shutil.copytree if source.is_dir() else shutil.copy)(source, copy / name)
     module = copy / mutant.module
@@ -247,7 +228,7 @@
             f"{mutant.name}: the text to replace stands {text.count(mutant.old)} times"
         )
     module.write_text(text.replace(mutant.old, mutant.new))
-    paths = [str(path) for path in (copy / "packages").iterdir()]
+    paths = [str(path) for path in (*(copy / "packages").iterdir(), copy / "platform")]
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
     command = [sys.executable, "-m", "pytest", "-x", "-q", mutant.tests]
     result = subprocess.run(
@@ -264,7 +245,7 @@
 ) -> None:
     """Run the tests of all mutants; exit 1 if one of them passes."""
     survivors = 0
-    for mutant in MUTANTS:
+    for mutant in (*MUTANTS, *USERS_PLATFORM):
         if only not in mutant.name:
             continue
         with tempfile.TemporaryDirectory() as folder:
--- a/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/fleet.py
@@ -87,6 +87,7 @@
         "routes": [
             route("safe", "safe", "desk"),
             route("once", "unsafe", "desk", maxAttempts=1),
+            route("once-of-two", "unsafe", "desk", maxAttempts=2),
             route("stream", "streaming", "model", resumable=True),
             route("single", "streaming", "model", resumable=False, maxAttempts=1),
         ],
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
@@ -0,0 +1,123 @@
+"""Mechanisms of the users' platform that a proof has to miss when they are taken out."""
+
+from springbridge_standins.mutant import LIBRARY, NODE, PLATFORM, Mutant
+
+REQUESTS = f"{PLATFORM}/requests_test.py"
+BOARD = f"{LIBRARY}/routing/engine_board_test.py"
+ASSIGNMENTS = f"{NODE}/peers/assignments_test.py"
+FOLLOWER = f"{NODE}/config/configuration_follower_test.py"
+
+USERS_PLATFORM = (
+    Mutant(
+        "only what an engine promised not to have run is sent again",
+        f"{NODE}/requests/outcomes.py",
+        "return not exchange.progress.may_have_run or is_repeatable(exchange.admitted)",
+        "return True",
+        f"{REQUESTS}::test_a_request_that_may_not_be_repeated_is_sent_once",
+    ),
+    Mutant(
+        "answers are matched by id",
+        f"{NODE}/requests/attempt.py",
+        'if answered in ("", request_id):',
+        "if True:",
+        f"{REQUESTS}::test_a_stale_answer_is_passed_over",
+    ),
+    Mutant(
+        "events that the caller has are dropped",
+        f"{NODE}/requests/attempt.py",
+        "return int(event_id) > int(progress.last_event)",
+        "return True",
+        f"{REQUESTS}::test_events_that_come_twice_are_passed_on_once",
+    ),
+    Mutant(
+        "an engine that is gone does not count",
+        f"{NODE}/requests/router.py",
+        "progress.misdirected += verdict.other_engine",
+        "pass",
+        f"{REQUESTS}::test_an_engine_that_is_gone_does_not_count_among_those_a_request_may_use",
+    ),
+    Mutant(
+        "repeats draw on the budget",
+        f"{NODE}/requests/router.py",
+        "return self._parts.budget.try_repeat(admitted.service.name)",
+        "return True",
+        f"{REQUESTS}::test_second_tries_stay_within_the_budget",
+    ),
+    Mutant(
+        "the grace of lapsed entries ends with the time to drain",
+        f"{LIBRARY}/routing/engine_board.py",
+        "min(LAPSE_GRACE_S, drain_s - DRAIN_MARGIN_S)",
+        "LAPSE_GRACE_S",
+        f"{BOARD}::test_lapsed_engines_get_nothing_once_the_time_to_drain_is_over",
+    ),
+    Mutant(
+        "a single engine that vanished has left",
+        f"{LIBRARY}/routing/engine_board.py",
+        "return {name for name in before if missing[name] * 2 > before[name]}",
+        "return set(before)",
+        f"{BOARD}::test_one_engine_that_vanished_over_an_outage_gets_nothing",
+    ),
+    Mutant(
+        "what is told on grows older",
+        f"{LIBRARY}/membership.py",
+        "since_s = now_s - known.heard_s",
+        "since_s = 0.0",
+        f"{LIBRARY}/membership_test.py::test_what_is_told_on_of_a_member_is_as_old_as_it_is",
+    ),
+    Mutant(
+        "only the confirmation of the version in force counts",
+        f"{NODE}/config/configuration_follower.py",
+        "if version == self.version:",
+        "if True:",
+        f"{FOLLOWER}::test_the_confirmation_of_another_version_does_not_count",
+    ),
+    Mutant(
+        "a node that nobody confirms reads the store",
+        f"{NODE}/config/configuration_follower.py",
+        "return self.age_s() > CONFIRMED_S or self._readers.include_me(FEED_READERS)",
+        "return self._readers.include_me(FEED_READERS)",
+        f"{FOLLOWER}::test_a_node_whose_version_nobody_confirms_reads_the_store",
+    ),
+    Mutant(
+        "attempts that nobody confirms are dropped",
+        f"{NODE}/peers/assignments.py",
+        "            if since_s > oldest_s:\n                return",
+        "            return",
+        f"{ASSIGNMENTS}::test_an_attempt_is_counted_once_and_only_while_it_is_confirmed",
+    ),
+    Mutant(
+        "a request is counted once",
+        f"{LIBRARY}/routing/engine_board.py",
+        "        if notice.attempt_id in state.loads:\n            return\n",
+        "",
+        f"{ASSIGNMENTS}::test_an_attempt_is_counted_once_and_only_while_it_is_confirmed",
+    ),
+    Mutant(
+        "a silent scheduler is left out",
+        f"{NODE}/peers/assignments.py",
+        "            self._found.avoid(address)\n",
+        "",
+        f"{ASSIGNMENTS}::test_a_silent_scheduler_is_left_out_and_the_next_one_asked",
+    ),
+    Mutant(
+        "the asker's own belief of an engine counts",
+        f"{NODE}/peers/assignments.py",
+        "usable = self._board.candidates(demand.service, tried)",
+        "usable = list(self._board._states.values()) or [None]",
+        f"{ASSIGNMENTS}::test_an_engine_that_the_asker_may_not_use_is_not_taken",
+    ),
+    Mutant(
+        "the least urgent are refused first",
+        f"{LIBRARY}/routing/overload.py",
+        "FULLEST_BY_PRIORITY = (1.5, 0.75, 0.5)",
+        "FULLEST_BY_PRIORITY = (1.5, 1.5, 1.5)",
+        f"{LIBRARY}/routing/overload_test.py",
+    ),
+    Mutant(
+        "a long backlog weighs as much as reading",
+        f"{LIBRARY}/routing/engine_choice.py",
+        "cost = state.prefill_tokens + (UNREAD_WEIGHT - 1) * beyond",
+        "cost = state.prefill_tokens",
+        f"{LIBRARY}/routing/engine_choice_test.py::test_long_prompts_use_the_quiet_engine_when_the_others_are_far_behind",
+    ),
+)
