--- a/packages/springbridge/springbridge/routing/admission.py
+++ b/packages/springbridge/springbridge/routing/admission.py
@@ -8,7 +8,6 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 from springbridge.routing.records import (
-    NO_PRIORITY,
     Admitted,
     Arrival,
     Configuration,
@@ -112,4 +111,4 @@
     """Return the rank of a request: the customer's outranks the route's."""
     if customer is not None and customer.priority is not None:
         return customer.priority
-    return route.priority if route.priority is not None else NO_PRIORITY
+    return route.priority
