The soak's verdict on a planned stop does not depend on how fast a process starts

The check stays as strict for every process that has logged its start; the count stays, the time to reach it does not decide.

--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
@@ -11,6 +11,7 @@
 import shutil
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import orjson
@@ -30,6 +31,7 @@
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
 PROMPTS = 6
 PROMPT_TOKENS = 1050
+LONGEST = 6
 FIRST_NET = 2
 NETS = 200
 
@@ -86,9 +88,19 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, folder: Path, nodes: int = 4, callers: int = 8
+    seed: int,
+    seconds: float,
+    folder: Path,
+    nodes: int = 4,
+    callers: int = 8,
+    enough: Callable[[], bool] = lambda: True,
 ) -> Soak:
-    """Run a soak and return what it found; the nodes' logs are in the folder then."""
+    """Run a soak and return what it found; the nodes' logs are in the folder then.
+
+    Args:
+      enough: Returns whether all that the soak is meant to reach was reached; on a busy machine it
+        goes on for that, up to LONGEST times as long.
+    """
     async with contextlib.AsyncExitStack() as stack:
         soak = Soak(random.Random(seed), StoreStandIn())
         await stack.enter_async_context(running_store(soak.store))
@@ -98,7 +110,12 @@
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
         tasks = [asyncio.ensure_future(call_forever(soak, number)) for number in range(callers)]
         tasks.append(asyncio.ensure_future(harm_forever(soak)))
-        done, _ = await asyncio.wait(tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
+        for _ in range(LONGEST):
+            done, _ = await asyncio.wait(
+                tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
+            )
+            if done or enough():
+                break
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_harms.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_harms.py
@@ -88,7 +88,7 @@
         try:
             async with asyncio.timeout(GRACE_S + 2):
                 status = await node.ended()
-            if status:
+            if status and not _was_still_starting(node, status):
                 soak.violated("a planned stop ends well", f"{node.name} status {status}")
         except TimeoutError:
             soak.violated("a planned stop ends in its grace", node.name)
@@ -98,6 +98,15 @@
         await asyncio.sleep(START_S)
 
 
+def _was_still_starting(node: NodeProcess, status: int) -> bool:
+    """Return whether the signal ended a process that had nothing to cut off yet.
+
+    On a busy machine an interpreter takes longer to start than the harms wait; the signal comes
+    before the program can handle it. Seen in CI beside eight days of the bench, seed 7.
+    """
+    return status == -signal.SIGTERM and not node.had_started()
+
+
 async def _reload_node(soak: Soak) -> None:
     """Change a settings file, with a signal or without."""
     node = soak.rng.choice(soak.nodes)
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
@@ -104,6 +104,10 @@
         """Wait for the end of the process and return its exit status."""
         return await self._process.wait()
 
+    def had_started(self) -> bool:
+        """Return whether the process has logged its start, before which it serves nobody."""
+        return f'"pid":{self._process.pid},' in self._log.read_text()
+
     def touch_settings(self) -> None:
         """Write the settings file anew."""
         self._settings.write_text(self._settings.read_text())
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_test.py
@@ -16,7 +16,10 @@
 
 def test_a_short_soak_of_a_large_fleet_breaks_no_promise(tmp_path):
     # More nodes than tell each other of all requests, so that schedulers choose for the others.
-    soak = asyncio.run(run_soak(9, 12.0, tmp_path, nodes=20))
+    def scheduled():
+        logs = "".join(path.read_text() for path in tmp_path.glob("*.log"))
+        return logs.count('"scheduler":"127.')
+
+    soak = asyncio.run(run_soak(9, 12.0, tmp_path, nodes=24, enough=lambda: scheduled() > 20))
     assert_that(soak.violations, Equals([]))
-    logs = "".join(path.read_text() for path in tmp_path.glob("*.log"))
-    assert_that(logs.count('"scheduler":"127.'), GreaterThan(20))
+    assert_that(scheduled(), GreaterThan(20))
