The engines that a request has used are counted in one place

That an engine which is gone does not count was mended where the route's limit is asked, not in the count, so that the time for a silent engine still took it for used: a request that met a gone engine and then a silent one waited to its deadline though a third could be asked. Change: Progress.engines_used, asked in both places.

--- a/packages/springbridge-node/springbridge_node/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/requests/attempt.py
@@ -91,6 +91,11 @@
     failure: HeldFailure | None = None
     load: SharedLoad | None = None
 
+    @property
+    def engines_used(self) -> int:
+        """Return the engines that count among those a route allows: not those that are gone."""
+        return self.sends - self.misdirected
+
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -160,8 +160,8 @@
 
     def _may_send_again(self, exchange: Exchange) -> bool:
         """Return whether route and budget allow another engine."""
-        admitted, progress = exchange.admitted, exchange.progress
-        if progress.sends - progress.misdirected >= admitted.route.max_engines:
+        admitted = exchange.admitted
+        if exchange.progress.engines_used >= admitted.route.max_engines:
             return False
         return self._parts.budget.try_repeat(admitted.service.name)
 
@@ -243,7 +243,7 @@
         admitted = exchange.admitted
         if admitted.route.streaming or not admitted.route.repeatable:
             return None
-        if exchange.progress.sends >= admitted.route.max_engines:
+        if exchange.progress.engines_used >= admitted.route.max_engines:
             return None
         return left_s * SILENCE_SHARE
 
