What stood twice stands once: usable engines, members heard, parts of a prompt; leaving is derived

Cause: read as a newcomer. The condition for an engine that may be used stood in candidates() and, turned round, in avoided(); the members that run in three lists; the parts of a prompt as they travel in two modules; Gateway kept 'leaving' beside the phase of its own member, from which it follows; _found did not say what it held.

--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -69,18 +69,13 @@
 
 
 class Gateway:
-    """One node.
-
-    Attributes:
-      leaving: Whether a planned stop has begun.
-    """
+    """One node."""
 
     def __init__(
         self, settings: GatewaySettings, outside: Outside, choose: Chooser | None = None
     ) -> None:
         """Join the parts; nothing is started yet."""
         self.settings = settings
-        self.leaving = False
         self._outside = outside
         self.telemetry = Telemetry()
         self.membership = Membership(_member(settings), time.monotonic, random.Random(), PACE)
@@ -168,12 +163,13 @@
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return (
-            not self.leaving and self.configuration.index is not None and self.board.revision >= 0
+            self.membership.is_live()
+            and self.configuration.index is not None
+            and self.board.revision >= 0
         )
 
     def leave(self) -> None:
         """Begin a planned stop: tell all peers, and let connections end with their answers."""
-        self.leaving = True
         self.membership.leave()
         self.presence.push_phase()
         self.listener.close_after_answers()
--- a/packages/springbridge-node/springbridge_node/peers/assignments.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments.py
@@ -15,9 +15,10 @@
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice, Chooser
 from springbridge.routing.load import LoadNotice, LoadPhase
-from springbridge.routing.records import Demand, PromptPart
+from springbridge.routing.records import Demand
 from springbridge.routing.selection import Selection, select, start_notice
 
+from springbridge_node.peers import prompt_rows
 from springbridge_node.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.peers.scheduler_set import SchedulerSet
 
@@ -108,10 +109,10 @@
 class AssignmentClient:
     """Asks schedulers."""
 
-    def __init__(self, board: EngineBoard, found: SchedulerSet) -> None:
+    def __init__(self, board: EngineBoard, schedulers: SchedulerSet) -> None:
         """Keep the board, for what this node believes of engines, and the schedulers."""
         self._board = board
-        self._found = found
+        self._schedulers = schedulers
         self._numbers = itertools.count()
         self._waiting: dict[int, asyncio.Future[Assignment]] = {}
         self._datagrams: PeerDatagrams | None = None
@@ -125,12 +126,12 @@
         self, demand: Demand, tried: Collection[str], attempt_id: str
     ) -> Selection | None:
         """Return what a scheduler selects, or None if this node has to choose alone."""
-        address = self._found.first(demand.service)
+        address = self._schedulers.first(demand.service)
         if address is None or self._datagrams is None:
             return None
         told = await self._answer(address, demand, tried, attempt_id)
         if told is None:
-            self._found.avoid(address)
+            self._schedulers.avoid(address)
             return None
         if told.overloaded:
             return Selection(None, overloaded=True)
@@ -175,7 +176,7 @@
         demand.place,
         demand.priority,
         demand.prompt_tokens,
-        [[part.part_id, part.tokens] for part in demand.prompt_parts],
+        prompt_rows.to_rows(demand.prompt_parts),
         demand.fetches,
     ]
 
@@ -183,5 +184,12 @@
 def _demand(row: list) -> Demand:
     """Return a demand from what travelled."""
     request_id, service, place, priority, prompt_tokens, parts, fetches = row
-    prompt_parts = tuple(PromptPart(part_id, tokens) for part_id, tokens in parts)
-    return Demand(request_id, service, place, priority, prompt_tokens, prompt_parts, fetches)
+    return Demand(
+        request_id,
+        service,
+        place,
+        priority,
+        prompt_tokens,
+        prompt_rows.from_rows(parts),
+        fetches,
+    )
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -12,9 +12,10 @@
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice
 from springbridge.routing.load import LoadNotice, LoadPhase
-from springbridge.routing.records import Demand, PromptPart
+from springbridge.routing.records import Demand
 from springbridge.routing.selection import start_notice
 
+from springbridge_node.peers import prompt_rows
 from springbridge_node.peers.datagrams import Kind, PeerDatagrams
 
 GATHER_S = 0.01
@@ -124,7 +125,7 @@
     """Return a notice as it travels."""
     row = [int(notice.phase), notice.attempt_id, notice.engine_id]
     if notice.phase is LoadPhase.STARTED:
-        parts = [[part.part_id, part.tokens] for part in notice.prompt_parts]
+        parts = prompt_rows.to_rows(notice.prompt_parts)
         row += [notice.prompt_tokens, parts, notice.fetched_tokens]
     return row
 
@@ -135,5 +136,5 @@
     if not started:
         return LoadNotice(LoadPhase(phase), attempt_id, engine_id)
     prompt_tokens, parts, fetched = started
-    prompt_parts = tuple(PromptPart(part_id, tokens) for part_id, tokens in parts)
+    prompt_parts = prompt_rows.from_rows(parts)
     return LoadNotice(LoadPhase(phase), attempt_id, engine_id, prompt_tokens, prompt_parts, fetched)
--- a/packages/springbridge-node/springbridge_node/requests/engine_selector.py
+++ b/packages/springbridge-node/springbridge_node/requests/engine_selector.py
@@ -19,7 +19,7 @@
         self,
         board: EngineBoard,
         loads: LoadSharing,
-        found: SchedulerSet,
+        schedulers: SchedulerSet,
         client: AssignmentClient,
         chooser: Chooser | None = None,
     ) -> None:
@@ -30,7 +30,7 @@
         """
         self._board = board
         self._loads = loads
-        self._found = found
+        self._schedulers = schedulers
         self._client = client
         self._chooser = chooser
 
@@ -38,7 +38,7 @@
         """Return the engine for the next attempt, or why there is none."""
         if self._chooser is not None:
             return select(self._board, demand, tried, self._chooser)
-        if self._found.includes_me(demand.service):
+        if self._schedulers.includes_me(demand.service):
             return select(self._board, demand, tried, by_token_cost)
         if demand.prompt_parts:
             attempt_id = self._loads.new_attempt_id()
--- a/packages/springbridge-node/springbridge_node/requests/scheduling.py
+++ b/packages/springbridge-node/springbridge_node/requests/scheduling.py
@@ -27,13 +27,13 @@
         Args:
           chooser: Decides at this node whatever it knows; left out, what suits the knowledge.
         """
-        found = SchedulerSet(membership)
+        schedulers = SchedulerSet(membership)
         self._server = AssignmentServer(board, chooser or by_token_cost)
-        self._client = AssignmentClient(board, found)
+        self._client = AssignmentClient(board, schedulers)
         self.loads = LoadSharing(
-            board, membership.me.incarnation, found.audience, self._server.heard
+            board, membership.me.incarnation, schedulers.audience, self._server.heard
         )
-        self.selector = EngineSelector(board, self.loads, found, self._client, chooser)
+        self.selector = EngineSelector(board, self.loads, schedulers, self._client, chooser)
 
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Begin to tell peers and to listen to them."""
--- a/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
@@ -95,7 +95,7 @@
     Mutant(
         "a silent scheduler is left out",
         f"{NODE}/peers/assignments.py",
-        "            self._found.avoid(address)\n",
+        "            self._schedulers.avoid(address)\n",
         "",
         f"{ASSIGNMENTS}::test_a_silent_scheduler_is_left_out_and_the_next_one_asked",
     ),
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -177,11 +177,7 @@
 
     def reachable(self) -> list[Member]:
         """Return the other members that still run, leaving ones included."""
-        return [
-            known.member
-            for known in self._known.values()
-            if known.member.phase is not Phase.GONE and self._is_heard(known)
-        ]
+        return [known.member for known in self._heard()]
 
     def find(self, incarnation: str) -> Member | None:
         """Return a member that is not known to be gone, however long it was silent."""
@@ -197,8 +193,7 @@
         now_s = self._clock()
         return [
             (known.member, known.member.listing.age_s + now_s - known.heard_s)
-            for known in self._known.values()
-            if known.member.phase is not Phase.GONE and self._is_heard(known)
+            for known in self._heard()
         ]
 
     def confirmations(self) -> list[tuple[Member, float]]:
@@ -206,8 +201,7 @@
         now_s = self._clock()
         return [
             (known.member, known.member.confirmed_ago_s + now_s - known.heard_s)
-            for known in self._known.values()
-            if known.member.phase is not Phase.GONE and self._is_heard(known)
+            for known in self._heard()
         ]
 
     def incarnations(self) -> list[str]:
@@ -271,6 +265,14 @@
             if known.member.phase is not Phase.GONE and not self._is_heard(known)
         }
 
+    def _heard(self) -> list[Known]:
+        """Return the other members that run, leaving ones included."""
+        return [
+            known
+            for known in self._known.values()
+            if known.member.phase is not Phase.GONE and self._is_heard(known)
+        ]
+
     def _is_heard(self, known: Known) -> bool:
         return self._clock() - known.heard_s <= self._suspect_s()
 
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -56,6 +56,14 @@
         """Return how many requests it has now."""
         return len(self.loads)
 
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether it may get a request, at rest or not."""
+        return not self.entry.draining and self.reachable and self.usable_until_s > now_s
+
+    def rests(self, now_s: float) -> bool:
+        """Return whether it gets a request only if there is no other engine."""
+        return self.rests_until_s > now_s
+
 
 class EngineBoard:
     """All engines that this node may use."""
@@ -180,12 +188,10 @@
             state
             for state in self._states.values()
             if state.entry.service == service
-            and not state.entry.draining
-            and state.reachable
-            and state.usable_until_s > now_s
+            and state.is_usable(now_s)
             and state.entry.engine_id not in tried
         ]
-        return [state for state in usable if state.rests_until_s <= now_s] or usable
+        return [state for state in usable if not state.rests(now_s)] or usable
 
     def avoided(self, service: str) -> list[str]:
         """Return the listed engines of a service that this instance keeps from using for now."""
@@ -195,9 +201,7 @@
             for state in self._states.values()
             if state.entry.service == service
             and not state.entry.draining
-            and not (
-                state.reachable and state.usable_until_s > now_s and state.rests_until_s <= now_s
-            )
+            and (state.rests(now_s) or not state.is_usable(now_s))
         ]
 
     def take_notice(self, notice: LoadNotice) -> None:
