The platform's folder translates and has no values of its own; a build lays out beside what runs

It decided nothing on requests, engines or nodes, but it had the values for fields that the platform leaves out (time limits, attempts, connections, budget, grace), some of them twice.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Lays out under target/ what a node needs to run: libraries, and the sources without their tests.
-# Nothing is touched if it is there already, since nodes may be running from it.
+# Nothing is touched if it is there already. What is new is laid out beside it and then put in its
+# place, since nodes may be starting from it: one that found half a program ended at its first import.
 set -eu
 if ! [ target/deps -nt deploy/requirements.txt ]; then
 	python3 -m pip install -q -U --disable-pip-version-check --target target/deps \
@@ -13,9 +14,14 @@
 if [ "$(cat target/app/stamp 2>/dev/null)" = "$stamp" ]; then
 	exit 0
 fi
-rm -rf target/app
-mkdir -p target/app
-cp -r $sources target/app/
-find target/app -name '*_test.py' -delete
-python3 -m compileall -q target/app
-echo "$stamp" > target/app/stamp
+rm -rf target/app.new target/app.old
+mkdir -p target/app.new
+cp -r $sources target/app.new/
+find target/app.new -name '*_test.py' -delete
+python3 -m compileall -q -s target/app.new -p target/app target/app.new
+echo "$stamp" > target/app.new/stamp
+if [ -e target/app ]; then
+	mv target/app target/app.old
+fi
+mv target/app.new target/app
+rm -rf target/app.old
--- a/packages/springbridge-node/springbridge_node/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway_settings.py
@@ -45,10 +45,10 @@
     addresses: Addresses
     gossip_port: int
     seeds: tuple[str, ...]
-    budget: BudgetTerms
-    grace_s: float
-    longest_ttl_s: float
-    drain_s: float
+    budget: BudgetTerms = BudgetTerms()
+    grace_s: float = 8.0
+    longest_ttl_s: float = 5.0
+    drain_s: float = 2.0
     asks_seeds_first: bool = False
 
     def __post_init__(self) -> None:
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -41,12 +41,12 @@
     streaming: bool
     repeatable: bool
     resumable: bool
-    timeout_s: float
-    target_s: float
-    pause_s: float
-    priority: int
-    max_engines: int
-    needs_key: bool
+    timeout_s: float = 60.0
+    target_s: float = 1.0
+    pause_s: float = 0.0
+    priority: int = NO_PRIORITY
+    max_engines: int = 1
+    needs_key: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +60,8 @@
     """
 
     name: str
-    health_path: str
-    max_connections: int
+    health_path: str = "/healthz"
+    max_connections: int = 100
     token_capacity: int = 0
     fetches: bool = False
 
--- a/packages/springbridge/springbridge/routing/shared_budget.py
+++ b/packages/springbridge/springbridge/routing/shared_budget.py
@@ -21,9 +21,9 @@
       slack: Repeats in a window beyond that.
     """
 
-    ratio: float
-    slack: float
-    window_s: float
+    ratio: float = 0.1
+    slack: float = 10.0
+    window_s: float = 10.0
 
 
 @dataclass
