--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/assembly.py
@@ -0,0 +1,16 @@
+"""Joins a node with the adapters of its platform."""
+
+import time
+
+from springbridge_node.engine_http import make_client
+from springbridge_node.node import Node
+from springbridge_node.platform_http import HttpInstanceList, HttpTableStore
+from springbridge_node.settings import Settings
+
+
+def make_node(settings: Settings) -> Node:
+    """Return a node with the platform's adapters."""
+    client = make_client()
+    store = HttpTableStore(settings.table_address, client, time.time)
+    listing = HttpInstanceList(settings.list_address, client)
+    return Node(settings, store, listing)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/engine_roles.py
@@ -0,0 +1,44 @@
+"""Which node schedules each engine, by hashing over the live members."""
+
+from collections.abc import Callable
+
+from springbridge.hashing import owner
+from springbridge.membership import Membership
+from springbridge.slots import ROLE_PREFIX
+
+from springbridge_node.config_sync import ConfigSync
+
+
+class EngineRoles:
+    """The schedulers of all engines, as of the last look at the members."""
+
+    def __init__(
+        self, config: ConfigSync, membership: Membership, changed: Callable[[], None]
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+          changed: Called when an engine's scheduler has changed.
+        """
+        self._config = config
+        self._membership = membership
+        self._changed = changed
+        self._roles: dict[str, str | None] = {}
+        self._roles_from: tuple[int, tuple[str, ...]] = (0, ())
+
+    def scheduler_of(self, engine: str) -> str | None:
+        """Return the incarnation that schedules an engine, None where nobody is known to."""
+        return self._roles.get(engine)
+
+    def check(self) -> None:
+        """Look at the members; move asks and slots when an engine's scheduler has changed."""
+        live = tuple(sorted(self._membership.incarnations()))
+        version = self._config.table.version
+        if (version, live) == self._roles_from:
+            return
+        self._roles_from = (version, live)
+        engines = self._config.table.engines
+        roles = {name: owner(ROLE_PREFIX + name, live) for name in engines}
+        if roles != self._roles:
+            self._roles = roles
+            self._changed()
--- a/packages/springbridge-node/springbridge_node/main.py
+++ b/packages/springbridge-node/springbridge_node/main.py
@@ -90,6 +90,6 @@
 
 async def _run(settings: Settings) -> None:
     """Run a node; it is imported here so that --help and --version stay quick."""
-    from springbridge_node.node import make_node
+    from springbridge_node.assembly import make_node
 
     await make_node(settings).run()
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/message_intake.py
@@ -0,0 +1,101 @@
+"""What a node does with each message of a peer."""
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from returns.result import Success
+from springbridge import request_ids
+from springbridge.decisions import (
+    Ask,
+    Grant,
+    Hold,
+    Inventory,
+    Preemption,
+    Queued,
+    Refusal,
+    Release,
+    Sample,
+)
+from springbridge.limits import Lease, LeaseAsk
+from springbridge.membership import Membership
+from springbridge.slots import ScheduledSlots
+
+from springbridge_node.config_sync import ConfigSync
+from springbridge_node.home import Home
+from springbridge_node.limit_gate import LimitGate
+from springbridge_node.messages import (
+    ConfigDelta,
+    ConfigPull,
+    Digest,
+    HandOver,
+    HandOverReply,
+    Message,
+)
+from springbridge_node.scheduler_host import SchedulerHost
+
+
+@dataclass(frozen=True)
+class IntakeParts:
+    """Who takes in messages."""
+
+    hosts: SchedulerHost
+    slots: ScheduledSlots
+    membership: Membership
+    config: ConfigSync
+    limits: LimitGate
+    home: Home
+
+
+class MessageIntake:
+    """Hands each message to the part that it is for."""
+
+    def __init__(self, parts: IntakeParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+
+    def take(self, message: Message) -> None:
+        """Take in a message from a peer or from this node itself."""
+        self._take(message)
+
+    @singledispatchmethod
+    def _take(self, message: object) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: Ask | Hold | Inventory | Release | Sample) -> None:
+        self._parts.hosts.take(message)
+
+    @_take.register
+    def _(self, message: Grant | Queued | Refusal | Preemption) -> None:
+        self._parts.slots.take(message)
+
+    @_take.register
+    def _(self, digest: Digest) -> None:
+        self._parts.membership.merge(digest.members)
+        self._parts.config.compare_with_peers()
+
+    @_take.register
+    def _(self, pull: ConfigPull) -> None:
+        self._parts.config.answer_pull(pull)
+
+    @_take.register
+    def _(self, delta: ConfigDelta) -> None:
+        self._parts.config.take_delta(delta)
+
+    @_take.register
+    def _(self, ask: LeaseAsk) -> None:
+        self._parts.limits.answer_ask(ask)
+
+    @_take.register
+    def _(self, lease: Lease) -> None:
+        self._parts.limits.take_lease(lease)
+
+    @_take.register
+    def _(self, ask: HandOver) -> None:
+        match request_ids.parse(ask.request_id):
+            case Success(request_id):
+                self._parts.home.answer_hand_over(ask, request_id)
+
+    @_take.register
+    def _(self, reply: HandOverReply) -> None:
+        self._parts.home.take_reply(reply)
--- a/packages/springbridge-node/springbridge_node/node.py
+++ b/packages/springbridge-node/springbridge_node/node.py
@@ -7,31 +7,18 @@
 import signal
 import time
 from collections.abc import Awaitable
-from functools import singledispatchmethod
 
 from grpclib.server import Server
 from returns.result import Failure, Success
-from springbridge import request_ids
-from springbridge.baselines import LeastLoadSlots, RoundRobinSlots
 from springbridge.binding import Bindings
 from springbridge.decisions import (
-    Ask,
-    Grant,
-    Hold,
     Inventory,
-    Preemption,
-    Queued,
-    Refusal,
-    Release,
-    Sample,
 )
-from springbridge.hashing import owner
 from springbridge.invariants import Invariants
-from springbridge.limits import Lease, LeaseAsk
 from springbridge.membership import GOSSIP_INTERVAL_S, Member, Membership
-from springbridge.ports import InstanceList, SlotSource, TableStore
+from springbridge.ports import InstanceList, TableStore
 from springbridge.records import EngineKind
-from springbridge.slots import ROLE_PREFIX, ScheduledSlots
+from springbridge.slots import ScheduledSlots
 from tornado.httpserver import HTTPServer
 
 from springbridge_node import logs, metrics
@@ -39,23 +26,21 @@
 from springbridge_node.config_sync import ConfigSync
 from springbridge_node.editing import Editor, Orders
 from springbridge_node.engine_http import ModelClient, ServiceClient, make_client
+from springbridge_node.engine_roles import EngineRoles
 from springbridge_node.home import Home
 from springbridge_node.http_app import make_application
 from springbridge_node.limit_gate import LimitGate
 from springbridge_node.load_reports import LoadReports
+from springbridge_node.message_intake import IntakeParts, MessageIntake
 from springbridge_node.messages import (
-    ConfigDelta,
-    ConfigPull,
     Digest,
-    HandOver,
-    HandOverReply,
     Message,
 )
 from springbridge_node.operators_http import OperatorServices
 from springbridge_node.peer_links import NODE_KEY, TOKEN_KEY, PeerLinks
 from springbridge_node.peer_server import PeerService
 from springbridge_node.periodic import every, guarded
-from springbridge_node.platform_http import HttpInstanceList, HttpTableStore
+from springbridge_node.policies import slot_source
 from springbridge_node.runner import Runner
 from springbridge_node.scheduler_host import TICK_S, SchedulerHost
 from springbridge_node.services import Services
@@ -97,12 +82,16 @@
         self.limits = LimitGate(self.membership, self.clock, lambda: self.config.table, self.send)
         metadata = {TOKEN_KEY: settings.peer_token, NODE_KEY: self.incarnation}
         self.links = PeerLinks(metadata, self._link_opened, self._link_broke)
+        self.roles = EngineRoles(self.config, self.membership, lambda: self.slots.resend())
         self.slots = ScheduledSlots(
-            self.incarnation, self.clock, self._route, self.send, self.invariants, random.Random()
+            self.incarnation,
+            self.clock,
+            self.roles.scheduler_of,
+            self.send,
+            self.invariants,
+            random.Random(),
         )
         self._wire_requests(metadata)
-        self._roles: dict[str, str | None] = {}
-        self._roles_from: tuple[int, tuple[str, ...]] = (0, ())
         self._tasks: list[asyncio.Task] = []
         self._stopping = asyncio.Event()
 
@@ -114,10 +103,20 @@
         bindings = Bindings(self.clock, time.time, self.invariants)
         answers = KeptAnswers(self.clock)
         self.load_reports = LoadReports(model_client, lambda: self.config.table)
-        self.runner = Runner(self._slot_source(), clients, bindings, self.clock)
+        self.runner = Runner(
+            slot_source(self.settings.policy, self.slots, self.load_reports),
+            clients,
+            bindings,
+            self.clock,
+        )
         self.home = Home(
             self.membership, bindings, answers, self.runner, self.store, self.send, metadata
         )
+        self.intake = MessageIntake(
+            IntakeParts(
+                self.hosts, self.slots, self.membership, self.config, self.limits, self.home
+            )
+        )
         self.services = Services(
             self.settings,
             self.clock,
@@ -146,14 +145,6 @@
             place=self.settings.place,
         )
 
-    def _slot_source(self) -> SlotSource:
-        """Return the policy that the settings name."""
-        if self.settings.policy == "round-robin":
-            return RoundRobinSlots()
-        if self.settings.policy == "least-load":
-            return LeastLoadSlots(self.load_reports.load)
-        return self.slots
-
     # Messages.
 
     def send(self, node: str, message: Message) -> None:
@@ -167,50 +158,7 @@
 
     def take(self, message: Message) -> None:
         """Take in a message from a peer or from this node itself."""
-        self._take(message)
-
-    @singledispatchmethod
-    def _take(self, message: object) -> None:
-        raise TypeError(f"unknown message {type(message).__name__}")
-
-    @_take.register
-    def _(self, message: Ask | Hold | Inventory | Release | Sample) -> None:
-        self.hosts.take(message)
-
-    @_take.register
-    def _(self, message: Grant | Queued | Refusal | Preemption) -> None:
-        self.slots.take(message)
-
-    @_take.register
-    def _(self, digest: Digest) -> None:
-        self.membership.merge(digest.members)
-        self.config.compare_with_peers()
-
-    @_take.register
-    def _(self, pull: ConfigPull) -> None:
-        self.config.answer_pull(pull)
-
-    @_take.register
-    def _(self, delta: ConfigDelta) -> None:
-        self.config.take_delta(delta)
-
-    @_take.register
-    def _(self, ask: LeaseAsk) -> None:
-        self.limits.answer_ask(ask)
-
-    @_take.register
-    def _(self, lease: Lease) -> None:
-        self.limits.take_lease(lease)
-
-    @_take.register
-    def _(self, ask: HandOver) -> None:
-        match request_ids.parse(ask.request_id):
-            case Success(request_id):
-                self.home.answer_hand_over(ask, request_id)
-
-    @_take.register
-    def _(self, reply: HandOverReply) -> None:
-        self.home.take_reply(reply)
+        self.intake.take(message)
 
     def _link_opened(self, address: str) -> None:
         """Introduce this node to the peer, then repeat what may have been lost."""
@@ -225,22 +173,6 @@
 
     # Roles.
 
-    def _route(self, engine: str) -> str | None:
-        """Return the incarnation that schedules an engine, as of the last look at the members."""
-        return self._roles.get(engine)
-
-    def _check_roles(self) -> None:
-        """Move asks and slots when an engine's scheduler has changed."""
-        live = tuple(sorted(self.membership.incarnations()))
-        if (self.config.table.version, live) == self._roles_from:
-            return
-        self._roles_from = (self.config.table.version, live)
-        engines = self.config.table.engines
-        roles = {name: owner(ROLE_PREFIX + name, live) for name in engines}
-        if roles != self._roles:
-            self._roles = roles
-            self.slots.resend()
-
     def _drop_silent(self) -> None:
         """Forget what entry nodes that went silent have at the schedulers here."""
         heard = {member.incarnation for member in self.membership.reachable()}
@@ -254,7 +186,7 @@
         """Forget what other nodes own now and members that are long gone."""
         self.membership.forget_old()
         self.limits.tidy()
-        self.hosts.keep_only(lambda engine: self._route(engine) == self.incarnation)
+        self.hosts.keep_only(lambda engine: self.roles.scheduler_of(engine) == self.incarnation)
 
     # Membership.
 
@@ -329,7 +261,7 @@
     async def _keep_house(self) -> None:
         """Do what is due now and then, all from one timer, since each wake-up costs time."""
         steps = {
-            self._check_roles: 1,
+            self.roles.check: 1,
             self.hosts.tick: 1,
             self.limits.renew_in_use: RENEW_TICKS,
             self._gossip: GOSSIP_TICKS,
@@ -364,11 +296,3 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.links.close()
-
-
-def make_node(settings: Settings) -> Node:
-    """Return a node with the platform's adapters."""
-    client = make_client()
-    store = HttpTableStore(settings.table_address, client, time.time)
-    listing = HttpInstanceList(settings.list_address, client)
-    return Node(settings, store, listing)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/policies.py
@@ -0,0 +1,16 @@
+"""The policies of scheduling that the settings can name."""
+
+from springbridge.baselines import LeastLoadSlots, RoundRobinSlots
+from springbridge.ports import SlotSource
+from springbridge.slots import ScheduledSlots
+
+from springbridge_node.load_reports import LoadReports
+
+
+def slot_source(policy: str, scheduled: ScheduledSlots, reports: LoadReports) -> SlotSource:
+    """Return where attempts get their slots under a policy."""
+    if policy == "round-robin":
+        return RoundRobinSlots()
+    if policy == "least-load":
+        return LeastLoadSlots(reports.load)
+    return scheduled
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/capacity_library.py
@@ -0,0 +1,167 @@
+"""Slopes of the library: what needs no processes."""
+
+import random
+from collections.abc import Callable
+from time import perf_counter
+
+from springbridge.binding import Bindings
+from springbridge.changes import Change, Edit, Snapshot, apply
+from springbridge.decisions import Ask, Inventory, Outcome, Release, Sample
+from springbridge.hashing import owner
+from springbridge.invariants import Invariants
+from springbridge.limits import LimitOwner, NodeLimit
+from springbridge.membership import Member, Membership
+from springbridge.records import Share, Tier
+from springbridge.request_ids import parse, prefix
+from springbridge.rows import build, updated
+from springbridge.scheduler import EngineScheduler
+from springbridge_node.messages import Digest
+from springbridge_node.peer_codec import decode, encode
+
+from springbridge_standins.capacity_fit import Slope, measure, memory
+
+
+def an_ask(name: str, tier: Tier = Tier.STANDARD) -> Ask:
+    """Return an ask for measurements."""
+    return Ask(
+        name, "node-1-0a1b2c3d", "engine-1", "claims", f"customer-{hash(name) % 50}", tier, 1.0, 3,
+        1e6, 1.0, 1.0, 0.065, 100, True, False,
+    )  # fmt: skip
+
+
+def a_scheduler(running: int, waiting: int) -> EngineScheduler:
+    """Return a scheduler with slots in use and asks in its queue."""
+    scheduler = EngineScheduler("me", "engine-1", 10**9, perf_counter, Invariants())
+    for limit in scheduler.limits.tiers.values():
+        limit.limit = float(running)
+        limit.learnt_s = perf_counter() + 3600
+    for number in range(running + waiting):
+        scheduler.ask(an_ask(f"fill-{number}"))
+    return scheduler
+
+
+def _turnover(scheduler: EngineScheduler) -> Callable[[], object]:
+    """Return a step in which one slot is released and one ask comes in."""
+    numbers = iter(range(10**9))
+
+    def step() -> None:
+        ask_id = next(iter(scheduler.running))
+        scheduler.release(Release(ask_id, Outcome.DONE, Sample(ask_id, 0.1, 0.02, 50)))
+        scheduler.ask(an_ask(f"more-{next(numbers)}"))
+
+    return step
+
+
+def a_membership(size: int) -> Membership:
+    """Return a view of a number of members, all alive."""
+    me = a_member(0)
+    view = Membership(me, lambda: 0.0, random.Random(1))
+    view.merge(a_member(number) for number in range(1, size))
+    return view
+
+
+def a_member(number: int) -> Member:
+    """Return a member."""
+    name = f"node-{number:03d}"
+    return Member(
+        f"{name}-0a1b2c3d", name, f"10.0.{number // 250}.{number % 250}:8001",
+        f"10.0.{number // 250}.{number % 250}:8000", f"place-{number % 4}", 1000,
+        config_version=9999, confirmed_ago_s=0.5,
+    )  # fmt: skip
+
+
+def table_rows(shares: int) -> dict[str, dict[str, str]]:
+    """Return rows of a table with a number of shares, eight to a customer."""
+    cells = {
+        "tier": "urgent", "target": "m", "first_token_ms": "1100", "between_tokens_ms": "65",
+        "max_wait_ms": "10000", "places": "a b", "repeatable": "no",
+    }  # fmt: skip
+    rows: dict[str, dict[str, str]] = {f"class/c{number}": cells for number in range(8)}
+    for number in range(shares // 8):
+        rows[f"customer/x{number}"] = {"places": "a b", "key_hashes": f"{number:064x}"}
+        for other in range(8):
+            share = {"weight": "1", "rate_per_s": "10", "concurrency": "10"}
+            rows[f"share/x{number}/c{other}"] = share
+    return rows
+
+
+def _change_step(shares: int) -> Callable[[], object]:
+    """Return a step that applies one change to a table of a size."""
+    rows = table_rows(shares)
+    snapshot = Snapshot(1, rows)
+    table, _ = build(1, rows)
+    key = next(key for key in rows if key.startswith("share/"))
+    edit = Edit(key, rows[key], {**rows[key], "weight": "2"})
+    change = Change(2, "id", "who", "when", (edit,))
+
+    def step() -> None:
+        apply(snapshot, change)
+        updated(table, 2, {key: edit.after})
+
+    return step
+
+
+def _codec_step(count: int) -> Callable[[], object]:
+    messages = [an_ask(f"node-1-0a1b2c3d/{number}") for number in range(count)]
+    return lambda: decode(encode(messages))
+
+
+def _digest_step(size: int) -> Callable[[], object]:
+    """Return a step in which one digest is made, sent, read and merged."""
+    view = a_membership(size)
+    return lambda: view.merge(decode(encode([Digest(tuple(view.digest()))]))[0].members)
+
+
+def _many_bindings(count: int) -> Bindings:
+    bindings = Bindings(lambda: 0.0, lambda: 0.0, Invariants())
+    for number in range(count):
+        bindings.admit(parse(prefix("node-1-0a1b2c3d", 0) + f"{number:012x}").unwrap(), "c/claims")
+    return bindings
+
+
+def _many_limits(count: int) -> LimitOwner:
+    limits = LimitOwner(lambda: 0.0)
+    for number in range(count):
+        share = Share(f"customer-{number}", "claims", 1.0, 10.0, 10)
+        limits.lease(NodeLimit(share).ask("node-1"), share, 380)
+    return limits
+
+
+def library_slopes() -> list[Slope]:
+    """Measure what needs no processes."""
+    members = [8, 24, 50, 100, 200, 380]
+    names = {size: [a_member(number).incarnation for number in range(size)] for size in members}
+    engines = [1, 4, 16, 64]
+    shares = [800, 4000, 16000, 57600]
+    return [
+        measure("scheduler turnover", "asks waiting", [0, 10, 100, 1000, 4000],
+                lambda size: _turnover(a_scheduler(16, size))),
+        measure("scheduler turnover", "slots in use", [4, 16, 64, 128],
+                lambda size: _turnover(a_scheduler(size, 10))),
+        measure("encode and decode", "messages in an envelope", [1, 4, 16, 64], _codec_step),
+        measure("digest made, sent, merged", "members", members, _digest_step, 100),
+        measure("live members", "members", members, lambda size: a_membership(size).live, 100),
+        measure("majority", "members", members, lambda size: a_membership(size).sees_majority, 100),
+        measure("owner of a role", "members", members,
+                lambda size: lambda: owner("engine/engine-1", names[size]), 100),
+        measure("change applied", "shares", shares, _change_step, 20),
+        measure("inventory at a scheduler", "slots in use", [4, 16, 64, 128],
+                lambda size: _inventory_step(a_scheduler(size, 0))),
+        measure("tick of schedulers", "engines", engines, _tick_step),
+        memory("scheduler", "asks waiting", [100, 400, 1600, 6400], lambda n: a_scheduler(16, n)),
+        memory("members", "members", members, a_membership),
+        memory("bindings", "requests", [1000, 4000, 8000, 16000], _many_bindings),
+        memory("owned limits", "limits", [100, 400, 1600, 6400], _many_limits),
+        memory("table in force", "shares", shares,
+               lambda size: (rows := table_rows(size), build(1, rows))),
+    ]  # fmt: skip
+
+
+def _inventory_step(scheduler: EngineScheduler) -> Callable[[], object]:
+    inventory = Inventory("node-1-0a1b2c3d", tuple(scheduler.running))
+    return lambda: scheduler.take_inventory(inventory)
+
+
+def _tick_step(count: int) -> Callable[[], object]:
+    schedulers = [a_scheduler(16, 0) for _ in range(count)]
+    return lambda: [scheduler.tick() for scheduler in schedulers]
--- a/packages/springbridge-standins/springbridge_standins/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants.py
@@ -108,9 +108,9 @@
     ),
     Mutant(
         "last slot stays preemptible",
-        f"{LIBRARY}/scheduler.py",
-        "if fixed and self._fixed_below_top() + 1",
-        "if False and self._fixed_below_top() + 1",
+        f"{LIBRARY}/slot_account.py",
+        "if fixed and self.fixed_below_top() + 1",
+        "if False and self.fixed_below_top() + 1",
         f"{LIBRARY}/scheduler_test.py::test_fixed_lower_work_leaves_the_last_slot",
     ),
     Mutant(
--- a/packages/springbridge-standins/springbridge_standins/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/soak.py
@@ -10,9 +10,7 @@
 import random
 import sys
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
 from time import monotonic
 from typing import Annotated
 
@@ -22,16 +20,13 @@
 from springbridge.invariants import ABORT_STATUS
 
 from springbridge_standins.load import Load, customers_of, fleet_streams
-from springbridge_standins.relay import Relay, running_relay
+from springbridge_standins.soak_faults import FAULTS
+from springbridge_standins.soak_state import NODES, Soak
 from springbridge_standins.world import (
     NO_REPLY,
-    NodeProcess,
-    World,
-    free_address,
     running_world,
 )
 
-NODES = 4
 LOAD_SCALE = 0.6
 RESENDS = 8
 SETTLE_S = 10.0
@@ -43,172 +38,6 @@
 MOST_LISTED = 10
 
 
-@dataclass
-class Soak:
-    """A running soak.
-
-    Attributes:
-      versions: Highest version seen of each incarnation.
-      findings: Violations, in words.
-    """
-
-    world: World
-    rng: random.Random
-    relays: dict[str, Relay]
-    stack: AsyncExitStack
-    started: int = NODES
-    edits: int = 0
-    accepted: list[int] = field(default_factory=list)
-    unknown: set[str] = field(default_factory=set)
-    versions: dict[str, int] = field(default_factory=dict)
-    drawn: Counter[str] = field(default_factory=Counter)
-    findings: list[str] = field(default_factory=list)
-    busy: set[str] = field(default_factory=set)
-
-    def pick_node(self) -> NodeProcess | None:
-        """Return a node that no other fault has in hand, so long as three others run."""
-        free = [
-            node
-            for node in self.world.nodes.values()
-            if node.running and not node.frozen and node.name not in self.busy
-        ]
-        return self.rng.choice(free) if len(free) >= NODES - 1 else None
-
-    async def add_node(self) -> NodeProcess:
-        """Start a node behind a relay of its own to the platform."""
-        self.started += 1
-        name = f"node-{self.started}"
-        address = free_address()
-        relay = running_relay(address, self.world.platform)
-        self.relays[name] = await self.stack.enter_async_context(relay)
-        place = self.rng.choice(self.world.places)
-        return await self.world.start_node(name, place, table=address)
-
-
-Fault = Callable[[Soak, float], Awaitable[None]]
-
-
-async def kill(soak: Soak, seconds: float) -> None:
-    """Kill a node and replace it after a while."""
-    node = soak.pick_node()
-    if node is not None:
-        await soak.world.kill(node)
-        await asyncio.sleep(seconds)
-        await soak.add_node()
-
-
-async def freeze(soak: Soak, seconds: float) -> None:
-    """Freeze a node and let it go on."""
-    node = soak.pick_node()
-    if node is not None:
-        soak.world.freeze(node)
-        await asyncio.sleep(seconds)
-        soak.world.thaw(node)
-
-
-async def replace(soak: Soak, seconds: float) -> None:
-    """Stop a node as planned while its replacement is there already."""
-    node = soak.pick_node()
-    if node is None:
-        return
-    soak.busy.add(node.name)
-    await soak.add_node()
-    await asyncio.sleep(seconds)
-    node.process.terminate()
-    status = await node.process.wait()
-    if status != 0:
-        soak.findings.append(f"{node.name} ended with status {status} after a planned stop")
-
-
-async def cut_from_table(soak: Soak, seconds: float) -> None:
-    """Cut one node off from the platform."""
-    node = soak.pick_node()
-    relay = soak.relays.get(node.name) if node is not None else None
-    if relay is not None:
-        relay.cut()
-        await asyncio.sleep(seconds)
-        relay.mend()
-
-
-async def table_out(soak: Soak, seconds: float) -> None:
-    """Take the platform's table away from everybody."""
-    await soak.world.fault(soak.world.platform, out=True)
-    await asyncio.sleep(2 * seconds)
-    await soak.world.fault(soak.world.platform, out=False)
-
-
-async def table_slow(soak: Soak, seconds: float) -> None:
-    """Slow the platform's table down."""
-    await soak.world.fault(soak.world.platform, slow_s=0.5)
-    await asyncio.sleep(seconds)
-    await soak.world.fault(soak.world.platform, slow_s=0.0)
-
-
-async def lost_replies(soak: Soak, seconds: float) -> None:
-    """Lose the replies of the next writes."""
-    await soak.world.fault(soak.world.platform, lose_replies=2)
-    await asyncio.sleep(seconds)
-
-
-async def late_write(soak: Soak, seconds: float) -> None:
-    """Let the next write take effect after its writer has given up."""
-    await soak.world.fault(soak.world.platform, late_writes=1)
-    await asyncio.sleep(seconds)
-
-
-async def _engine_fault(soak: Soak, seconds: float, on: dict, off: dict) -> None:
-    cells = soak.rng.choice(list(soak.world.engines("model").values()))
-    try:
-        await soak.world.fault(cells["address"], **on)
-        await asyncio.sleep(seconds)
-        await soak.world.fault(cells["address"], **off)
-    except OSError:
-        return
-
-
-async def slow_engine(soak: Soak, seconds: float) -> None:
-    """Slow an engine to a fifth."""
-    await _engine_fault(soak, seconds, {"slow": 5.0}, {"slow": 1.0})
-
-
-async def frozen_engine(soak: Soak, seconds: float) -> None:
-    """Freeze an engine."""
-    await _engine_fault(soak, seconds, {"frozen": True}, {"frozen": False})
-
-
-async def refusing_engine(soak: Soak, seconds: float) -> None:
-    """Let an engine turn everything away."""
-    await _engine_fault(soak, seconds, {"refuse": True}, {"refuse": False})
-
-
-async def garbling_engine(soak: Soak, seconds: float) -> None:
-    """Let an engine spoil its streams."""
-    kind = soak.rng.choice(["gap", "foreign", "repeat", "cut"])
-    await _engine_fault(soak, seconds, {"garble": kind}, {"garble": ""})
-
-
-async def crashed_engine(soak: Soak, seconds: float) -> None:
-    """Crash an engine, which comes back empty."""
-    await _engine_fault(soak, seconds + 1.0, {"crash": seconds}, {})
-
-
-FAULTS: tuple[Fault, ...] = (
-    kill,
-    freeze,
-    replace,
-    cut_from_table,
-    table_out,
-    table_slow,
-    lost_replies,
-    late_write,
-    slow_engine,
-    frozen_engine,
-    refusing_engine,
-    garbling_engine,
-    crashed_engine,
-)
-
-
 async def draw_faults(soak: Soak, end_s: float) -> None:
     """Draw one fault after another until the time is over; two of these run side by side."""
     while monotonic() < end_s:
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/soak_state.py
@@ -0,0 +1,57 @@
+"""A running soak: its world, what was drawn, and what it found."""
+
+import random
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+from springbridge_standins.relay import Relay, running_relay
+from springbridge_standins.world import (
+    NodeProcess,
+    World,
+    free_address,
+)
+
+NODES = 4
+
+
+@dataclass
+class Soak:
+    """A running soak.
+
+    Attributes:
+      versions: Highest version seen of each incarnation.
+      findings: Violations, in words.
+    """
+
+    world: World
+    rng: random.Random
+    relays: dict[str, Relay]
+    stack: AsyncExitStack
+    started: int = NODES
+    edits: int = 0
+    accepted: list[int] = field(default_factory=list)
+    unknown: set[str] = field(default_factory=set)
+    versions: dict[str, int] = field(default_factory=dict)
+    drawn: Counter[str] = field(default_factory=Counter)
+    findings: list[str] = field(default_factory=list)
+    busy: set[str] = field(default_factory=set)
+
+    def pick_node(self) -> NodeProcess | None:
+        """Return a node that no other fault has in hand, so long as three others run."""
+        free = [
+            node
+            for node in self.world.nodes.values()
+            if node.running and not node.frozen and node.name not in self.busy
+        ]
+        return self.rng.choice(free) if len(free) >= NODES - 1 else None
+
+    async def add_node(self) -> NodeProcess:
+        """Start a node behind a relay of its own to the platform."""
+        self.started += 1
+        name = f"node-{self.started}"
+        address = free_address()
+        relay = running_relay(address, self.world.platform)
+        self.relays[name] = await self.stack.enter_async_context(relay)
+        place = self.rng.choice(self.world.places)
+        return await self.world.start_node(name, place, table=address)
--- a/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
@@ -20,14 +20,14 @@
         f"{NODE}/requests/attempt.py",
         'if answered in ("", request_id):',
         "if True:",
-        f"{REQUESTS}::test_a_stale_answer_is_passed_over",
+        f"{PLATFORM}/answers_test.py::test_a_stale_answer_is_passed_over",
     ),
     Mutant(
         "events that the caller has are dropped",
         f"{NODE}/requests/attempt.py",
         "return int(event_id) > int(progress.last_event)",
         "return True",
-        f"{REQUESTS}::test_events_that_come_twice_are_passed_on_once",
+        f"{PLATFORM}/streams_test.py::test_events_that_come_twice_are_passed_on_once",
     ),
     Mutant(
         "an engine that is gone does not count",
--- a/packages/springbridge/springbridge/scheduler.py
+++ b/packages/springbridge/springbridge/scheduler.py
@@ -14,55 +14,34 @@
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from springbridge.concurrency import LATE_LIMIT, EngineLimits
 from springbridge.decisions import (
     Ask,
     Decision,
     Grant,
     Inventory,
-    Outcome,
     Preemption,
     Queued,
     Refusal,
     Release,
     Sample,
 )
-from springbridge.engine_health import EngineHealth
-from springbridge.estimates import RunningMean, RunningQuantile
 from springbridge.fair_queue import FairQueue
 from springbridge.invariants import Invariants
-from springbridge.minimum_share import MinimumShare
 from springbridge.records import Tier
+from springbridge.slot_account import Running, SlotAccount
 
 INVARIANT_TOP_TIER = "top tier refused last"
 INVARIANT_LAST_SLOT = "last slot stays preemptible"
 INVARIANT_TIER_ORDER = "preemption goes downward"
 
-FIRST_ANSWER_TOKENS = 64.0
-FIRST_SERVICE_S = 1.0
 LONGEST_RETRY_AFTER_S = 60.0
 SHORTEST_RETRY_AFTER_S = 0.1
 PREEMPT_TARGET_SHARE = 0.25
 INVENTORY_LAG_S = 2.0
 
 
-@dataclass
-class Running:
-    """An ask that holds a slot."""
-
-    ask: Ask
-    since_s: float
-    tokens: float
-    stopping: bool = False
-
-    @property
-    def yields(self) -> bool:
-        """Return whether the work may be preempted and has not been told to stop yet."""
-        return self.ask.preemptible and not self.stopping
-
-
 class EngineScheduler:
     """Queue and slots of one engine."""
 
@@ -84,15 +63,13 @@
         self._me = me
         self.engine = engine
         self.queue = FairQueue()
-        self.running: dict[str, Running] = {}
-        self.limits = EngineLimits()
-        self.health = EngineHealth()
-        self.share = MinimumShare()
-        self._token_capacity = token_capacity
+        self.slots = SlotAccount(self.queue, token_capacity, clock)
+        self.running = self.slots.running
+        self.limits = self.slots.limits
+        self.health = self.slots.health
+        self.share = self.slots.share
         self._clock = clock
         self._invariants = invariants
-        self._answer_tokens: dict[str, RunningQuantile] = {}
-        self._service_s = RunningMean(FIRST_SERVICE_S)
 
     def ask(self, ask: Ask) -> list[Decision]:
         """Take in an ask and return what follows from it."""
@@ -104,7 +81,7 @@
             return [Queued(ask.ask_id, ask.node, self._predicted_wait_queued_s(ask))]
         if ask.tier is not Tier.URGENT and self.share.pressed(now_s):
             return [self._ask_under_pressure(ask, now_s)]
-        self.queue.push(ask, self._tokens(ask), now_s)
+        self.queue.push(ask, self.slots.tokens(ask), now_s)
         decisions = list(self._grant_free_slots(now_s))
         if ask.ask_id in self.queue:
             decisions += self._place_waiting(ask, now_s)
@@ -115,7 +92,7 @@
     def hold(self, ask: Ask) -> None:
         """Take over a slot that the engine's former scheduler gave."""
         if ask.ask_id not in self.running:
-            self.running[ask.ask_id] = Running(ask, self._clock(), self._tokens(ask))
+            self.running[ask.ask_id] = Running(ask, self._clock(), self.slots.tokens(ask))
 
     def release(self, release: Release) -> list[Decision]:
         """Take a slot back, learn from how it was used and give it on."""
@@ -123,17 +100,17 @@
         running = self.running.get(release.ask_id)
         if running is None:
             return self._withdraw(release.ask_id, now_s)
-        self._learn_latency(running, release.sample, now_s)
+        self.slots.learn_latency(running, release.sample, now_s)
         del self.running[release.ask_id]
         self.share.release(release.ask_id)
-        self._learn_outcome(running, release, now_s)
+        self.slots.learn_outcome(running, release, now_s)
         return list(self._grant_free_slots(now_s))
 
     def sample(self, sample: Sample) -> None:
         """Learn from a slot that is still in use."""
         running = self.running.get(sample.ask_id)
         if running is not None:
-            self._learn_latency(running, sample, self._clock())
+            self.slots.learn_latency(running, sample, self._clock())
 
     def drop_node(self, node: str) -> list[Decision]:
         """Forget the asks and slots of an entry node that is gone."""
@@ -186,13 +163,7 @@
 
     def predicted_wait_s(self, tier: Tier) -> float:
         """Return how long a new ask of the tier would wait for a slot."""
-        now_s = self._clock()
-        suspended_s = max(0.0, self.health.suspended_until_s - now_s)
-        slots = max(1, self._slots(tier, now_s))
-        stopping = sum(run.stopping for run in self.running.values())
-        free = slots - self._used_slots() + stopping
-        behind = self.queue.load_ahead(tier) + 1 - free
-        return suspended_s + max(0.0, behind) * self._service_s.value / slots
+        return self.slots.predicted_wait_s(tier, self._clock())
 
     # Placing an ask that found no free slot.
 
@@ -201,7 +172,7 @@
         wait_s = self._predicted_wait_queued_s(ask)
         too_long = wait_s > ask.max_wait_s
         misses_target = wait_s > PREEMPT_TARGET_SHARE * ask.target_s
-        if too_long or (misses_target and ask.primary and self._one_short(ask.tier, now_s)):
+        if too_long or (misses_target and ask.primary and self.slots.is_one_short(ask.tier, now_s)):
             preemption = self._preempt_for(ask)
             if preemption is not None:
                 yield preemption
@@ -209,19 +180,14 @@
         if too_long:
             yield from self._give_up(ask, now_s)
 
-    def _one_short(self, tier: Tier, now_s: float) -> bool:
-        """Return whether one slot less in use would make room for the tier."""
-        stopping = sum(run.stopping for run in self.running.values())
-        return self._used_slots() - stopping <= self._slots(tier, now_s)
-
     def _predicted_wait_queued_s(self, ask: Ask) -> float:
         """Return the predicted wait of an ask that is already counted in the queue."""
         return max(0.0, self.predicted_wait_s(ask.tier) - self._service_share_s(ask))
 
     def _service_share_s(self, ask: Ask) -> float:
         """Return by how much an ask itself lengthens the predicted wait of its tier."""
-        slots = max(1, self._slots(ask.tier, self._clock()))
-        return self._service_s.value / slots / ask.fan
+        slots = max(1, self.slots.for_tier(ask.tier, self._clock()))
+        return self.slots.service_s.value / slots / ask.fan
 
     def _preempt_for(self, ask: Ask) -> Preemption | None:
         """Tell the lowest, youngest preemptible work below the ask's tier to stop.
@@ -271,11 +237,11 @@
 
     def _ask_under_pressure(self, ask: Ask, now_s: float) -> Decision:
         """Give a lower-tier ask the extra slot or refuse it at once; it may not wait."""
-        suspended = self._slots(ask.tier, now_s) == 0
+        suspended = self.slots.for_tier(ask.tier, now_s) == 0
         if suspended or not self.share.claim(ask.ask_id, ask.request_class, now_s):
             return self._refuse(ask)
         fixed = replace(ask, preemptible=False)
-        self.running[ask.ask_id] = Running(fixed, now_s, self._tokens(ask))
+        self.running[ask.ask_id] = Running(fixed, now_s, self.slots.tokens(ask))
         return self._grant(ask)
 
     def _check_top_tier(self) -> None:
@@ -294,9 +260,9 @@
         blocked: set[Tier] = set()
         while True:
             tier = self._next_tier(blocked)
-            if tier is None or not self._has_slot(tier, now_s):
+            if tier is None or not self.slots.is_free(tier, now_s):
                 return
-            if self._fits(self.queue.peek(tier)):
+            if self.slots.fits(self.queue.peek(tier)):
                 yield self._start(self.queue.pop(tier), now_s)
             else:
                 blocked.add(tier)
@@ -310,89 +276,22 @@
         return next(others, None)
 
     def _start(self, ask: Ask, now_s: float) -> Grant:
-        self.running[ask.ask_id] = Running(ask, now_s, self._tokens(ask))
+        self.running[ask.ask_id] = Running(ask, now_s, self.slots.tokens(ask))
         if not ask.preemptible and ask.tier is not Tier.URGENT:
             self._check_last_slot()
         return self._grant(ask)
 
     def _grant(self, ask: Ask) -> Grant:
-        used_share = self._used_slots() / max(1, self._slots(ask.tier, self._clock()))
+        used_share = self.slots.used() / max(1, self.slots.for_tier(ask.tier, self._clock()))
         return Grant(ask.ask_id, ask.node, self._me, used_share)
 
     def _check_last_slot(self) -> None:
         """Assert that work which may not be preempted leaves a slot to the top tier."""
-        holds = self._fixed_below_top() < self._slots_beside_fixed()
+        holds = self.slots.fixed_below_top() < self.slots.beside_fixed()
         self._invariants.check(INVARIANT_LAST_SLOT, holds, self.engine)
 
-    def _used_slots(self) -> int:
-        """Return the slots in use, without the extra one of the minimum share."""
-        return len(self.running) - (self.share.holder is not None)
-
-    def _slots(self, tier: Tier, now_s: float) -> int:
-        """Return how many slots there are for a tier beside the tiers that run now.
-
-        An engine too slow for a tier has none for it, until an ask has waited so long that late is
-        better than never.
-        """
-        present = {run.ask.tier for run in self.running.values()}
-        slots = self.limits.slots(now_s, present | {tier})
-        if self.queue.is_late(tier, now_s):
-            slots = max(int(LATE_LIMIT), slots)
-        return self.health.slots(now_s, slots)
-
-    def _slots_beside_fixed(self) -> int:
-        """Return the slots of which work that may not be preempted has to leave one."""
-        return max(2, self.limits.slots(self._clock(), set(Tier)))
-
-    def _has_slot(self, tier: Tier, now_s: float) -> bool:
-        return self._used_slots() < self._slots(tier, now_s)
-
-    def _fits(self, ask: Ask) -> bool:
-        """Return whether the ask fits the engine's memory and leaves the last slot."""
-        fixed = not ask.preemptible and ask.tier is not Tier.URGENT
-        if fixed and self._fixed_below_top() + 1 >= self._slots_beside_fixed():
-            return False
-        used = sum(run.tokens for run in self.running.values())
-        return not used or used + self._tokens(ask) <= self._token_capacity
-
-    def _fixed_below_top(self) -> int:
-        """Return the slots held by lower-tier work that may not be preempted."""
-        return sum(
-            not run.ask.preemptible and run.ask.tier is not Tier.URGENT
-            for ask_id, run in self.running.items()
-            if ask_id != self.share.holder
-        )
-
     def _withdraw(self, ask_id: str, now_s: float) -> list[Decision]:
         """Take back an ask that still waits."""
         if self.queue.discard(ask_id) is None:
             return []
         return list(self._grant_free_slots(now_s))
-
-    # Learning.
-
-    def _tokens(self, ask: Ask) -> float:
-        """Return the tokens that an ask is expected to take up."""
-        return ask.prompt_tokens + self._answer_quantile(ask.request_class).value
-
-    def _answer_quantile(self, request_class: str) -> RunningQuantile:
-        return self._answer_tokens.setdefault(request_class, RunningQuantile(FIRST_ANSWER_TOKENS))
-
-    def _learn_latency(self, running: Running, sample: Sample, now_s: float) -> None:
-        """Adjust the limits to the latencies of one slot."""
-        in_flight = self._used_slots()
-        if sample.between_tokens_s:
-            self.limits.learn_between(now_s, sample.between_tokens_s, in_flight)
-        if sample.first_token_s:
-            pressure = sample.first_token_s / running.ask.first_s
-            self.limits.learn_first(now_s, running.ask.tier, pressure, in_flight)
-
-    def _learn_outcome(self, running: Running, release: Release, now_s: float) -> None:
-        """Adjust health and estimates to how a slot ended."""
-        if release.outcome in (Outcome.ENGINE_FAILED, Outcome.ENGINE_REFUSED):
-            self.health.failure(now_s)
-        elif release.outcome is Outcome.DONE:
-            self.health.success()
-            self._answer_quantile(running.ask.request_class).add(release.sample.tokens)
-        if release.outcome is not Outcome.UNUSED:
-            self._service_s.add(now_s - running.since_s)
--- /dev/null
+++ b/packages/springbridge/springbridge/slot_account.py
@@ -0,0 +1,146 @@
+"""The slots of one engine: how many there are, which are in use, and what is learnt of them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from springbridge.concurrency import LATE_LIMIT, EngineLimits
+from springbridge.decisions import (
+    Ask,
+    Outcome,
+    Release,
+    Sample,
+)
+from springbridge.engine_health import EngineHealth
+from springbridge.estimates import RunningMean, RunningQuantile
+from springbridge.fair_queue import FairQueue
+from springbridge.minimum_share import MinimumShare
+from springbridge.records import Tier
+
+FIRST_ANSWER_TOKENS = 64.0
+FIRST_SERVICE_S = 1.0
+
+
+@dataclass
+class Running:
+    """An ask that holds a slot."""
+
+    ask: Ask
+    since_s: float
+    tokens: float
+    stopping: bool = False
+
+    @property
+    def yields(self) -> bool:
+        """Return whether the work may be preempted and has not been told to stop yet."""
+        return self.ask.preemptible and not self.stopping
+
+
+class SlotAccount:
+    """Slots of one engine.
+
+    Attributes:
+      running: The asks that hold a slot, by id.
+      limits: How many slots the engine bears beside each tier.
+      health: What its failures take away.
+      share: The extra slot of the minimum share.
+      service_s: Mean time for which a slot is held.
+    """
+
+    def __init__(self, queue: FairQueue, token_capacity: int, clock: Callable[[], float]) -> None:
+        """Start with all slots free.
+
+        Args:
+          token_capacity: Tokens of prompt and answer that the engine's memory holds.
+          clock: Monotonic time in seconds.
+        """
+        self.running: dict[str, Running] = {}
+        self.limits = EngineLimits()
+        self.health = EngineHealth()
+        self.share = MinimumShare()
+        self.service_s = RunningMean(FIRST_SERVICE_S)
+        self._queue = queue
+        self._token_capacity = token_capacity
+        self._clock = clock
+        self._answer_tokens: dict[str, RunningQuantile] = {}
+
+    def used(self) -> int:
+        """Return the slots in use, without the extra one of the minimum share."""
+        return len(self.running) - (self.share.holder is not None)
+
+    def for_tier(self, tier: Tier, now_s: float) -> int:
+        """Return how many slots there are for a tier beside the tiers that run now.
+
+        An engine too slow for a tier has none for it, until an ask has waited so long that late is
+        better than never.
+        """
+        present = {run.ask.tier for run in self.running.values()}
+        slots = self.limits.slots(now_s, present | {tier})
+        if self._queue.is_late(tier, now_s):
+            slots = max(int(LATE_LIMIT), slots)
+        return self.health.slots(now_s, slots)
+
+    def beside_fixed(self) -> int:
+        """Return the slots of which work that may not be preempted has to leave one."""
+        return max(2, self.limits.slots(self._clock(), set(Tier)))
+
+    def is_free(self, tier: Tier, now_s: float) -> bool:
+        """Return whether a tier has a slot now."""
+        return self.used() < self.for_tier(tier, now_s)
+
+    def fits(self, ask: Ask) -> bool:
+        """Return whether the ask fits the engine's memory and leaves the last slot."""
+        fixed = not ask.preemptible and ask.tier is not Tier.URGENT
+        if fixed and self.fixed_below_top() + 1 >= self.beside_fixed():
+            return False
+        used = sum(run.tokens for run in self.running.values())
+        return not used or used + self.tokens(ask) <= self._token_capacity
+
+    def fixed_below_top(self) -> int:
+        """Return the slots held by lower-tier work that may not be preempted."""
+        return sum(
+            not run.ask.preemptible and run.ask.tier is not Tier.URGENT
+            for ask_id, run in self.running.items()
+            if ask_id != self.share.holder
+        )
+
+    def tokens(self, ask: Ask) -> float:
+        """Return the tokens that an ask is expected to take up."""
+        return ask.prompt_tokens + self._answer_quantile(ask.request_class).value
+
+    def _answer_quantile(self, request_class: str) -> RunningQuantile:
+        return self._answer_tokens.setdefault(request_class, RunningQuantile(FIRST_ANSWER_TOKENS))
+
+    def learn_latency(self, running: Running, sample: Sample, now_s: float) -> None:
+        """Adjust the limits to the latencies of one slot."""
+        in_flight = self.used()
+        if sample.between_tokens_s:
+            self.limits.learn_between(now_s, sample.between_tokens_s, in_flight)
+        if sample.first_token_s:
+            pressure = sample.first_token_s / running.ask.first_s
+            self.limits.learn_first(now_s, running.ask.tier, pressure, in_flight)
+
+    def learn_outcome(self, running: Running, release: Release, now_s: float) -> None:
+        """Adjust health and estimates to how a slot ended."""
+        if release.outcome in (Outcome.ENGINE_FAILED, Outcome.ENGINE_REFUSED):
+            self.health.failure(now_s)
+        elif release.outcome is Outcome.DONE:
+            self.health.success()
+            self._answer_quantile(running.ask.request_class).add(release.sample.tokens)
+        if release.outcome is not Outcome.UNUSED:
+            self.service_s.add(now_s - running.since_s)
+
+    def predicted_wait_s(self, tier: Tier, now_s: float) -> float:
+        """Return how long a new ask of the tier would wait for a slot."""
+        suspended_s = max(0.0, self.health.suspended_until_s - now_s)
+        slots = max(1, self.for_tier(tier, now_s))
+        free = slots - self.used() + self._stopping()
+        behind = self._queue.load_ahead(tier) + 1 - free
+        return suspended_s + max(0.0, behind) * self.service_s.value / slots
+
+    def is_one_short(self, tier: Tier, now_s: float) -> bool:
+        """Return whether one slot less in use would make room for the tier."""
+        return self.used() - self._stopping() <= self.for_tier(tier, now_s)
+
+    def _stopping(self) -> int:
+        """Return the slots whose work was told to stop."""
+        return sum(run.stopping for run in self.running.values())
--- a/packages/springbridge/springbridge/slots.py
+++ b/packages/springbridge/springbridge/slots.py
@@ -10,7 +10,6 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 from returns.result import Failure, Result, Success
@@ -29,11 +28,18 @@
     Release,
     Sample,
 )
-from springbridge.hashing import ranking
 from springbridge.invariants import Invariants
 from springbridge.ports import Attempt, Slot
 from springbridge.problems import Problem
-from springbridge.records import Engine, Request, Tier
+from springbridge.records import Engine, Tier
+from springbridge.slot_asks import (
+    AskTerms,
+    Held,
+    Pending,
+    ask_for,
+    engine_named,
+    preferred,
+)
 
 INVARIANT_ASKED_EVERYWHERE = "top tier asked everywhere before refusal"
 
@@ -44,35 +50,11 @@
 EXPIRY_GRACE_S = 0.5
 PREFERENCE_BOUND = 0.5
 ROLE_PREFIX = "engine/"
-URGENT_PREFERENCE = "urgent"
-URGENT_PREFERRED = 2
 
 ToScheduler = Ask | Hold | Inventory | Release | Sample
 Send = Callable[[str, ToScheduler], None]
 
 
-@dataclass
-class Pending:
-    """An attempt that waits for its first grant."""
-
-    attempt: Attempt
-    granted: "asyncio.Future[Result[Slot, Problem]]"
-    started_s: float
-    asks: dict[str, Ask] = field(default_factory=dict)
-    asked: set[str] = field(default_factory=set)
-    refusals: dict[str, float] = field(default_factory=dict)
-    timers: list[asyncio.TimerHandle] = field(default_factory=list)
-
-
-@dataclass
-class Held:
-    """A slot in use."""
-
-    ask: Ask
-    scheduler: str | None
-    preempted: asyncio.Event = field(default_factory=asyncio.Event)
-
-
 class ScheduledSlots:
     """The slot source that asks the schedulers of the engines."""
 
@@ -184,7 +166,7 @@
         self._used_share[ask.engine, ask.tier] = grant.used_share
         self._schedulers.pop(grant.ask_id, None)
         self._held[grant.ask_id] = Held(ask, grant.scheduler)
-        engine = _engine_named(pending.attempt, ask.engine)
+        engine = engine_named(pending.attempt, ask.engine)
         pending.granted.set_result(Success(Slot(grant.ask_id, engine)))
 
     @_take.register
@@ -233,9 +215,9 @@
         """
         tier = attempt.request.request_class.tier
         names = {engine.name: 1.0 for engine in attempt.engines}
-        for name in _preferred(attempt.request, names):
+        for name in preferred(attempt.request, names):
             if self._used_share.get((name, tier), 0.0) < PREFERENCE_BOUND:
-                return _engine_named(attempt, name)
+                return engine_named(attempt, name)
         two = self._rng.sample(attempt.engines, min(2, len(attempt.engines)))
         return min(two, key=lambda engine: self._used_share.get((engine.name, tier), 0.0))
 
@@ -252,29 +234,8 @@
             self._ask(pending, engine, fan, primary=False)
 
     def _ask(self, pending: Pending, engine: Engine, fan: int, primary: bool) -> None:
-        request = pending.attempt.request
-        request_class = request.request_class
-        now_s = self._clock()
-        waited_s = now_s - pending.started_s
-        first_s = request_class.first_token_ms / 1000
-        target_s = first_s - (now_s - request.arrived_s)
-        ask = Ask(
-            ask_id=f"{self._me}/{next(self._numbers)}",
-            node=self._me,
-            engine=engine.name,
-            request_class=request_class.name,
-            customer=request.customer,
-            tier=request_class.tier,
-            weight=request.weight,
-            fan=fan,
-            max_wait_s=max(0.0, pending.attempt.wait_s - waited_s),
-            target_s=max(0.001, target_s),
-            first_s=first_s,
-            between_s=request_class.between_tokens_ms / 1000,
-            prompt_tokens=request.prompt_tokens,
-            primary=primary,
-            preemptible=pending.attempt.resumable and request_class.tier is not Tier.URGENT,
-        )
+        name = f"{self._me}/{next(self._numbers)}"
+        ask = ask_for(pending, AskTerms(name, self._me, engine, fan, primary), self._clock())
         pending.asked.add(engine.name)
         pending.asks[ask.ask_id] = ask
         self._pending[ask.ask_id] = pending
@@ -289,7 +250,7 @@
     def _ask_again_later(self, pending: Pending, ask: Ask) -> None:
         """Ask again at an engine that refused while others have not."""
         loop = asyncio.get_running_loop()
-        engine = _engine_named(pending.attempt, ask.engine)
+        engine = engine_named(pending.attempt, ask.engine)
         again = loop.call_later(ASK_AGAIN_S, self._ask_again, pending, engine)
         pending.timers.append(again)
 
@@ -335,17 +296,3 @@
         granted = pending.granted
         if not granted.done():
             granted.cancel()
-
-
-def _preferred(request: Request, names: dict[str, float]) -> list[str]:
-    """Return the engines that a request prefers, the best first."""
-    if request.request_class.tier is Tier.URGENT:
-        return ranking(URGENT_PREFERENCE, names)[:URGENT_PREFERRED]
-    if request.affinity:
-        return ranking(request.affinity, names)[:1]
-    return []
-
-
-def _engine_named(attempt: Attempt, name: str) -> Engine:
-    """Return the attempt's engine of that name."""
-    return next(engine for engine in attempt.engines if engine.name == name)
