Who asks its seeds first, and how long a call may take, is decided in the product

Cause: asked whether platform/ only translates: it left out the node's own address from the seeds, joined two fields into a decision on how to start, and had time limits of its own. Change: it passes on seeds and first start as they are; other_seeds, asks_seeds_first and the limits stand in the product. No behaviour changes; the tests of the platform, config and peers pass.

--- a/packages/springbridge-node/springbridge_node/config/ports.py
+++ b/packages/springbridge-node/springbridge_node/config/ports.py
@@ -7,6 +7,10 @@
 from springbridge.problems import Problem
 from springbridge.routing.records import Configuration, EngineListing
 
+# How long a call to the store may take, and how much longer than its wait one that waits.
+CALL_TIMEOUT_S = 1.2
+FEED_MARGIN_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationDocument:
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -89,7 +89,7 @@
             self._configuration_installed,
             self.readers,
         )
-        self.knowledge = PeerKnowledge(self.membership, lambda: list(self.settings.seeds))
+        self.knowledge = PeerKnowledge(self.membership, lambda: list(self.settings.other_seeds))
         self.engines = EngineFollower(
             outside.store,
             self.board,
--- a/packages/springbridge-node/springbridge_node/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway_settings.py
@@ -30,9 +30,8 @@
 
     Attributes:
       gossip_port: Port of the digests, alike on all nodes.
-      seeds: Peer addresses of others to begin with; they may be stale.
-      asks_seeds_first: Whether this node leaves the store to its seeds for a moment at its start,
-        as when the whole system starts at once and nobody waits for it yet.
+      seeds: Peer addresses to begin with, this node's own perhaps among them; they may be stale.
+      first_start: Whether the whole system starts for the first time, so that nobody waits for it.
       budget: What all nodes together may send to second engines.
       grace_s: Time between a planned stop and its end.
       longest_ttl_s: Longest time for which callers keep an answer of the directory.
@@ -49,7 +48,7 @@
     grace_s: float = 8.0
     longest_ttl_s: float = 5.0
     drain_s: float = 2.0
-    asks_seeds_first: bool = False
+    first_start: bool = False
 
     def __post_init__(self) -> None:
         """Check the values.
@@ -65,6 +64,16 @@
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name}: must be above 0")
 
+    @property
+    def other_seeds(self) -> tuple[str, ...]:
+        """Return the seeds that are not this node."""
+        return tuple(seed for seed in self.seeds if seed != self.addresses.peers)
+
+    @property
+    def asks_seeds_first(self) -> bool:
+        """Return whether this node leaves the store to its seeds for a moment at its start."""
+        return self.first_start and self.addresses.peers not in self.seeds
+
 
 def _check_address(name: str, address: str) -> None:
     """Check that an address is an IP number and a port."""
