An edit that changes nothing is refused: it was accepted beside the edit that won a race

An edit of 4 to 4 matched the row, was accepted as a version with a row of the trail that says nothing, and left the row as it was, so that a second edit of the same row was accepted as well. Ruled out: a conflict that the store missed (commit checks version and change id in one transaction). Change: check_edits refuses edits that leave the whole table as it is, with a code of its own (507); rows that are named unchanged beside a changed one are still allowed.

--- a/packages/springbridge/springbridge/changes.py
+++ b/packages/springbridge/springbridge/changes.py
@@ -83,12 +83,17 @@
 def check_edits(snapshot: Snapshot, edits: tuple[Edit, ...]) -> Result[Snapshot, list[Problem]]:
     """Check edits against the snapshot that they are to follow.
 
+    Edits that leave the table as it is are refused: accepted, they would use up a version and a row
+    of the audit trail, and a second edit of the same rows would not find them changed.
+
     Returns:
       The rows as they would be, or every problem that was found.
     """
     problems = _check_rows(snapshot, edits)
     change = Change(snapshot.version + 1, "", "", "", edits)
     after = apply(snapshot, change)
+    if not problems and after.rows == snapshot.rows:
+        return Failure([Problem(Code.NOTHING_CHANGED)])
     problems += check_references(after.rows)
     problems += check_key_owners(after.rows)
     if problems:
--- a/packages/springbridge/springbridge/codes.py
+++ b/packages/springbridge/springbridge/codes.py
@@ -57,6 +57,7 @@
     EDIT_UNKNOWN = 504
     NO_MAJORITY = 505
     ORDER_REFUSED = 506
+    NOTHING_CHANGED = 507
     SETTING_INVALID = 601
     NODE_UNREACHABLE = 602
 
@@ -144,6 +145,9 @@
         503, Fate.NOT_RUN, "This node does not see most of the others; use another node."
     ),
     Code.ORDER_REFUSED: Info(409, Fate.NOT_RUN, "Another holder has the lease on this engine."),
+    Code.NOTHING_CHANGED: Info(
+        400, Fate.NOT_RUN, "The table stands as you want it already; there is nothing to accept."
+    ),
     Code.SETTING_INVALID: Info(400, Fate.NOT_RUN, "Correct the setting that the message names."),
     Code.NODE_UNREACHABLE: Info(503, Fate.UNKNOWN, "Give the address of a node that runs."),
 }
--- a/packages/springbridge/springbridge/sheet_test.py
+++ b/packages/springbridge/springbridge/sheet_test.py
@@ -112,6 +112,22 @@
     assert_that(problems, HasLength(1))
 
 
+@pytest.mark.parametrize("guards", [0, 1, 2])
+def test_edit_that_leaves_the_table_as_it_is_is_refused(snapshot, guards):
+    """Accepted, it would use up a version and a row of the trail, and win beside the winner."""
+    keys = ["share/swan/claim-answers", "customer/swan"][:guards]
+    edits = tuple(Edit(key, snapshot.rows[key], snapshot.rows[key]) for key in keys)
+    problems = check_edits(snapshot, edits).failure()
+    assert_that([problem.code for problem in problems], Equals([Code.NOTHING_CHANGED]))
+
+
+def test_edit_may_name_unchanged_rows_beside_a_changed_one(snapshot):
+    guard = Edit("customer/swan", snapshot.rows["customer/swan"], snapshot.rows["customer/swan"])
+    row = snapshot.rows["share/swan/claim-answers"]
+    edit = Edit("share/swan/claim-answers", row, {**row, "weight": "5"})
+    assert_that(isinstance(check_edits(snapshot, (guard, edit)), Success), Is(True))
+
+
 def test_change_follows_its_version_only(snapshot):
     with pytest.raises(ValueError, match="cannot follow"):
         apply(snapshot, Change(5, "id", "who", "when", ()))
