Soak: callers keep their connections, and what an engine ran has to be answered

The soak opened a connection for each request, and counted requests without any answer without a verdict, so that a planned stop which cuts answers off could not be seen in it. Change: callers keep a connection until its end (a tenth of the requests on a new one). A request that an engine ran and that gets no answer from a node that was not killed breaks a promise, and so does one without an answer 10 s on. New harms: nodes stopped in turn while the ones before still end, five versions and reloads in quick succession, a store that is slow, that does and does not answer, that forgets its history.

--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak.py
@@ -14,79 +14,24 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import orjson
 import typer
 
-from springbridge_standins.users_platform.caller import ask
 from springbridge_standins.users_platform.engine import EngineStandIn
 from springbridge_standins.users_platform.fleet import configuration, free_ports
 from springbridge_standins.users_platform.proxy import LoopbackProxy
-from springbridge_standins.users_platform.soak_checks import check_answer, check_record
-from springbridge_standins.users_platform.soak_engine import SoakScript, digest
+from springbridge_standins.users_platform.soak_callers import call_forever
+from springbridge_standins.users_platform.soak_checks import check_record
+from springbridge_standins.users_platform.soak_engine import SoakScript
 from springbridge_standins.users_platform.soak_harms import START_S, harm_forever
 from springbridge_standins.users_platform.soak_nodes import NodeProcess, Ports
-from springbridge_standins.users_platform.soak_state import Asked, Soak, list_engine
+from springbridge_standins.users_platform.soak_state import Soak, list_engine
 from springbridge_standins.users_platform.store import StoreStandIn, running_store
 
-PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
-PROMPTS = 6
-PROMPT_TOKENS = 1050
 LONGEST = 6
 FIRST_NET = 2
 NETS = 200
 
 
-async def call_forever(soak: Soak, number: int) -> None:
-    """Send requests one after another as one caller does."""
-    count = 0
-    while True:
-        count += 1
-        request_id = f"c{number}-{count}"
-        path = soak.rng.choice(PATHS)
-        body = bytes(soak.rng.randrange(256) for _ in range(soak.rng.randrange(1, 400)))
-        soak.asked[request_id] = Asked(path, digest(body))
-        address = await _address(soak)
-        try:
-            got = await ask(
-                address,
-                path,
-                method="POST",
-                body=body,
-                Request_Id=request_id,
-                Tenant="forged",
-                **_prompt_headers(soak, path, count),
-            )
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-            soak.counts[f"{path} no answer"] += 1
-            await asyncio.sleep(0.1)
-            continue
-        soak.counts[f"{path} {got.status}"] += 1
-        check_answer(soak, path, request_id, body, got)
-        await asyncio.sleep(soak.rng.random() * 0.05)
-
-
-def _prompt_headers(soak: Soak, path: str, count: int) -> dict[str, str]:
-    """Return what a caller says of its prompt, nothing for plain services."""
-    if path not in ("/stream/x", "/single/x"):
-        return {}
-    shared = soak.rng.randrange(PROMPTS)
-    return {
-        "Prefix_Hash": f"{shared:x}:800,{count:x}f:250",
-        "Token_Usage": f"{PROMPT_TOKENS},80",
-    }
-
-
-async def _address(soak: Soak) -> str:
-    """Return the address of a node as the directory of some node tells it."""
-    for node in soak.rng.sample(soak.nodes, len(soak.nodes)):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-            async with asyncio.timeout(0.5):
-                told = await ask(node.directory, "/v1/resolve?name=desk.example&zone=perth-a")
-            if told.status == 200:
-                return soak.rng.choice(orjson.loads(told.body)["addresses"])
-    return soak.rng.choice(soak.nodes).callers
-
-
 async def run_soak(
     seed: int,
     seconds: float,
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_callers.py
@@ -0,0 +1,99 @@
+"""Callers of the soak: each keeps its connection, and uses it until the other side ends it.
+
+A caller knows nothing of harms. It asks the directory of some node for an address only when it
+needs a new connection, so that nodes in their planned stop still get requests on old ones.
+"""
+
+import asyncio
+import contextlib
+
+import orjson
+
+from springbridge_standins.users_platform.caller import CallerConnection, ask
+from springbridge_standins.users_platform.soak_checks import check_answer, check_no_answer
+from springbridge_standins.users_platform.soak_engine import digest
+from springbridge_standins.users_platform.soak_state import Asked, Soak
+
+PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
+PROMPTS = 6
+PROMPT_TOKENS = 1050
+RENEWED_SHARE = 0.1
+LONGEST_REST_S = 0.05
+PAUSE_AFTER_NONE_S = 0.1
+DIRECTORY_S = 0.5
+
+
+async def call_forever(soak: Soak, number: int) -> None:
+    """Send requests one after another as one caller does."""
+    connection: CallerConnection | None = None
+    count = 0
+    try:
+        while True:
+            count += 1
+            if connection is None or soak.rng.random() < RENEWED_SHARE:
+                connection = await _renewed(soak, connection)
+            if connection is not None:
+                await _call(soak, connection, f"c{number}-{count}", count)
+            if connection is not None and not connection.may_be_kept:
+                connection.close()
+                connection = None
+            rest_s = soak.rng.random() * LONGEST_REST_S
+            await asyncio.sleep(rest_s if connection else PAUSE_AFTER_NONE_S)
+    finally:
+        if connection is not None:
+            connection.close()
+
+
+async def _call(soak: Soak, connection: CallerConnection, request_id: str, count: int) -> None:
+    """Send one request and check what comes of it."""
+    path = soak.rng.choice(PATHS)
+    body = bytes(soak.rng.randrange(256) for _ in range(soak.rng.randrange(1, 400)))
+    soak.asked[request_id] = Asked(path, digest(body))
+    node = soak.node_at(connection.address)
+    kills_before = node.kills
+    try:
+        got = await connection.ask(
+            path,
+            method="POST",
+            body=body,
+            Request_Id=request_id,
+            Tenant="forged",
+            **_prompt_headers(soak, path, count),
+        )
+    except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError) as exc:
+        soak.counts[f"{path} no answer"] += 1
+        check_no_answer(soak, path, request_id, node.kills > kills_before, exc)
+        return
+    soak.counts[f"{path} {got.status}"] += 1
+    check_answer(soak, path, request_id, body, got)
+
+
+async def _renewed(soak: Soak, old: CallerConnection | None) -> CallerConnection | None:
+    """Return a new connection in place of an old one, or None if none came up."""
+    if old is not None:
+        old.close()
+    with contextlib.suppress(OSError):
+        return await CallerConnection.open(await _address(soak))
+    return None
+
+
+def _prompt_headers(soak: Soak, path: str, count: int) -> dict[str, str]:
+    """Return what a caller says of its prompt, nothing for plain services."""
+    if path not in ("/stream/x", "/single/x"):
+        return {}
+    shared = soak.rng.randrange(PROMPTS)
+    return {
+        "Prefix_Hash": f"{shared:x}:800,{count:x}f:250",
+        "Token_Usage": f"{PROMPT_TOKENS},80",
+    }
+
+
+async def _address(soak: Soak) -> str:
+    """Return the address of a node as the directory of some node tells it."""
+    for node in soak.rng.sample(soak.nodes, len(soak.nodes)):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(DIRECTORY_S):
+                told = await ask(node.directory, "/v1/resolve?name=desk.example&zone=perth-a")
+            if told.status == 200:
+                return soak.rng.choice(orjson.loads(told.body)["addresses"])
+    return soak.rng.choice(soak.nodes).callers
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_checks.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_checks.py
@@ -25,6 +25,22 @@
             soak.violated("time to come back", f"{request_id} {path}")
 
 
+def check_no_answer(
+    soak: Soak, path: str, request_id: str, node_was_killed: bool, exc: Exception
+) -> None:
+    """Check a request to which no answer came; only a killed node owes none to what it passed on.
+
+    Args:
+      exc: How the caller saw that none came.
+    """
+    if node_was_killed:
+        return
+    if isinstance(exc, TimeoutError):
+        soak.violated("an answer by the deadline", f"{request_id} {path}")
+    elif soak.record.runs[request_id]:
+        soak.violated("what runs is answered", f"{request_id} {path} {type(exc).__name__}")
+
+
 def check_record(soak: Soak) -> None:
     """Check what the engines saw."""
     for request_id, runs in soak.record.runs.items():
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_harms.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_harms.py
@@ -13,6 +13,9 @@
 
 START_S = 2.0
 GRACE_S = 6.0
+NO_FAULT = StoreFault.NONE
+HISTORY_LOST_SHARE = 0.3
+CHANGES_IN_SERIES = 5
 
 
 async def harm_forever(soak: Soak) -> None:
@@ -26,6 +29,8 @@
         _stop_node,
         _reload_node,
         _change_configuration,
+        _change_in_series,
+        _stop_nodes_in_turn,
         _drain_engine,
     )
     async with asyncio.TaskGroup() as group:
@@ -54,7 +59,9 @@
 
 async def _harm_store(soak: Soak) -> None:
     """Let the store fail for all."""
-    soak.store.fault = soak.rng.choice([StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT])
+    soak.store.fault = soak.rng.choice([fault for fault in StoreFault if fault is not NO_FAULT])
+    if soak.rng.random() < HISTORY_LOST_SHARE:
+        soak.store.history_lost_before = soak.store.version
     await asyncio.sleep(soak.rng.random() * 3)
     soak.store.fault = StoreFault.NONE
 
@@ -121,6 +128,22 @@
     await soak.store.put("op", "config", configuration(soak.version))
 
 
+async def _change_in_series(soak: Soak) -> None:
+    """Write versions and send reload signals in quick succession."""
+    for _ in range(CHANGES_IN_SERIES):
+        await _change_configuration(soak)
+        await _reload_node(soak)
+        await asyncio.sleep(soak.rng.random() * 0.2)
+
+
+async def _stop_nodes_in_turn(soak: Soak) -> None:
+    """Stop one node after another, the next while the one before still ends."""
+    async with asyncio.TaskGroup() as group:
+        for _ in soak.nodes:
+            group.create_task(_stop_node(soak))
+            await asyncio.sleep(soak.rng.random() * 1.5)
+
+
 async def _drain_engine(soak: Soak) -> None:
     """Let an engine say that it leaves, and come back."""
     name = soak.rng.choice(sorted(soak.engines))
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_nodes.py
@@ -48,6 +48,7 @@
 
     Attributes:
       busy: Whether a signal's consequences are still being played.
+      kills: How often it was killed, each of which excuses answers that did not come.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.name = f"node-{number}"
         self.ports = ports
         self.busy = False
+        self.kills = 0
         self._settings = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -97,6 +99,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
+        self.kills += number is signal.SIGKILL
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
--- a/packages/springbridge-standins/springbridge_standins/users_platform/soak_state.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/soak_state.py
@@ -41,6 +41,10 @@
     counts: Counter = field(default_factory=Counter)
     version: int = 1
 
+    def node_at(self, callers: str) -> NodeProcess:
+        """Return the node with an address for callers."""
+        return next(node for node in self.nodes if node.callers == callers)
+
     def violated(self, promise: str, detail: str) -> None:
         """Note a broken promise."""
         self.violations.append(f"{promise}: {detail}")
--- a/packages/springbridge-standins/springbridge_standins/users_platform/store.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/store.py
@@ -12,6 +12,9 @@
 
 from springbridge_standins.users_platform.wire import Connection, RawRequest, answer, read_request
 
+SILENT_S = 3600.0
+SLOW_S = 0.4
+
 
 class StoreFault(Enum):
     """How the store fails."""
@@ -20,6 +23,8 @@
     SILENT = "silent"
     BUSY = "busy"
     RESET = "reset"
+    SLOW = "slow"
+    LOST = "done, and not answered"
 
 
 @dataclass(frozen=True)
@@ -86,15 +91,19 @@
         refused = not self.refused_from or peer in self.refused_from
         fault = self.fault if refused else StoreFault.NONE
         if fault is StoreFault.SILENT:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(SILENT_S)
         if fault is StoreFault.RESET:
             connection.reset()
             return
         if fault is StoreFault.BUSY:
             await connection.send(answer("", b"{}", 503, signature=""))
             return
+        if fault is StoreFault.SLOW:
+            await asyncio.sleep(SLOW_S)
         query = dict(parse_qsl(urlsplit(request.target).query))
         status, body = await self._call(path, query, request)
+        if fault is StoreFault.LOST:
+            await asyncio.sleep(SILENT_S)
         await connection.send(answer("", orjson.dumps(body), status, signature=""))
 
     async def _call(self, path: str, query: dict, request: RawRequest) -> tuple[int, dict]:
