Nodes that stand in for the readers of the store take turns

Ruled out: the readers by role (7 nodes, two calls a second each). Who missed changes (a stall, a version that peers have and do not give) reads at once as before, and so do nodes without a list or a configuration. Tests: engine_follower_test.py and store_readers_test.py are new, four more in configuration_follower_test.py; those on turns and rounds failed before. Two mutants more.

--- a/packages/springbridge-node/springbridge_node/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower.py
@@ -2,11 +2,12 @@
 
 A version is never followed by an older one. A few nodes wait at the store's feed, which tells of
 changes at once, and tell the others. Digests carry how long ago the version in force was known to
-be the newest; a node that no peer confirms in time reads the store itself. Peers also help a node
-that the store turns away.
+be the newest; a node that no peer confirms reads the store itself when its turn comes. Peers also
+help a node that the store turns away.
 """
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 
@@ -62,6 +63,7 @@
         self._confirmed_s = float("-inf")
         self._dependency = Dependency("configuration feed")
         self._watch: asyncio.Task | None = None
+        self._missed_changes = asyncio.Event()
         self.index: RouteIndex | None = None
         self.document: ConfigurationDocument | None = None
 
@@ -100,17 +102,31 @@
             if not self._has_to_read():
                 await asyncio.sleep(LOOK_S)
                 continue
+            self._missed_changes.clear()
             self._watch = asyncio.ensure_future(self._follow())
             await asyncio.wait([self._watch])
             self._feed_is_up = False
             if not self._watch.cancelled() and self._watch.exception():
                 logs.fault(self._watch.exception(), "configuration feed")
-            await asyncio.sleep(RETRY_S if not self._watch.cancelled() else 0)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before the next reading, unless changes may have been missed."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_s()):
+                await self._missed_changes.wait()
+
+    def _pause_s(self) -> float:
+        """Return how long to wait: after a failure, until all others have had a turn as well."""
+        if self._dependency.up or self.index is None or self._readers.include_me(FEED_READERS):
+            return RETRY_S
+        return max(RETRY_S, self._readers.round_s())
 
     def refresh(self) -> None:
         """Read anew at once, after a time in which changes may have been missed."""
         self._feed_is_up = False
         self._confirmed_s = float("-inf")
+        self._missed_changes.set()
         if self._watch is not None:
             self._watch.cancel()
 
@@ -118,7 +134,8 @@
         """Return whether the store has to be read here, as a reader or for want of one."""
         if self.index is None:
             return not self._readers.seeds_come_first()
-        return self.age_s() > CONFIRMED_S or self._readers.include_me(FEED_READERS)
+        turn_s = self._readers.turn_s(FEED_READERS)
+        return self.age_s() > CONFIRMED_S + turn_s or self._readers.include_me(FEED_READERS)
 
     async def catch_up(self, newest: int, fetch: FetchFromPeers) -> None:
         """Take a version that peers have and this node has not, from the store if none gives it."""
--- a/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
@@ -1,13 +1,11 @@
-"""Tests of configuration_follower.py and store_readers.py: who reads the store, and when."""
+"""Tests of configuration_follower.py: what is in force, and when the store is read for it."""
 
 import asyncio
-import random
 
 import orjson
 import pytest
 from returns.result import Failure, Success
 from springbridge.codes import Code
-from springbridge.membership import Member, Membership
 from springbridge.problems import Problem
 from springbridge.routing.records import Configuration
 from testtools.assertions import assert_that
@@ -19,7 +17,6 @@
     ConfigurationFollower,
 )
 from springbridge_node.config.ports import ConfigurationDocument, ConfigurationNews
-from springbridge_node.config.store_readers import ASK_SEEDS_FIRST_S, StoreReaders
 
 VERSION = 3
 FOREVER_S = 60.0
@@ -58,11 +55,13 @@
 
 
 class Readers:
-    """Whether this node reads for all."""
+    """Whether this node reads for all, and how long it leaves that to others."""
 
-    def __init__(self, reads_for_all=False, is_starting=False):
+    def __init__(self, reads_for_all=False, is_starting=False, turn_s=0.0, round_s=0.0):
         self.reads_for_all = reads_for_all
         self.is_starting = is_starting
+        self._turn_s = turn_s
+        self._round_s = round_s
 
     def include_me(self, count):
         """Return the set value."""
@@ -72,6 +71,14 @@
         """Return the set value."""
         return self.is_starting
 
+    def turn_s(self, count):
+        """Return the set value."""
+        return self._turn_s
+
+    def round_s(self):
+        """Return the set value."""
+        return self._round_s
+
 
 def document(version):
     return ConfigurationDocument(version, orjson.dumps({"version": version}))
@@ -203,20 +210,51 @@
     assert_that(follower.age_s(), GreaterThan(CONFIRMED_S))
 
 
-def test_few_of_many_nodes_read(clock):
-    members = [Member(f"n{number}", f"n{number}", "", "", "a") for number in range(40)]
-    reading = 0
-    for me in members:
-        membership = Membership(me, clock, random.Random(1))
-        membership.merge(member for member in members if member is not me)
-        reading += StoreReaders(membership, False, clock).include_me(5)
-    assert_that(reading, Equals(5))
+def test_an_unconfirmed_node_leaves_the_store_to_those_whose_turn_comes_first(clock):
+    store = Store()
+    before, after = [], []
+
+    def unconfirmed(follower):
+        clock.now_s += CONFIRMED_S + 0.3
+        before.append(store.reads)
+
+    def its_turn(follower):
+        before.append(store.reads)
+        clock.now_s += 0.3
+        after.append(follower)
+
+    run(store, Readers(turn_s=0.5), clock, [unconfirmed, its_turn])
+    assert_that((before, store.reads), Equals(([1, 1], 2)))
+
+
+def test_a_node_that_failed_to_read_lets_all_others_try_before_it_tries_again(clock):
+    store = Store()
+
+    def down(follower):
+        store.up = False
+        clock.now_s += CONFIRMED_S + 0.1
+
+    run(store, Readers(round_s=FOREVER_S), clock, [down, *[lambda follower: None] * 4])
+    assert_that(store.reads, Equals(2))
+
+
+def test_a_node_that_reads_for_all_tries_again_soon(clock):
+    store = Store()
+    store.up = False
+    run(store, Readers(reads_for_all=True, round_s=FOREVER_S), clock, [lambda follower: None] * 4)
+    assert_that(store.reads, GreaterThan(2))
+
+
+def test_a_node_that_missed_changes_reads_at_once_whosever_turn_it_is(clock):
+    store = Store()
+
+    def down(follower):
+        store.up = False
+        clock.now_s += CONFIRMED_S + 10.0
 
+    def stalled(follower):
+        store.up = True
+        follower.refresh()
 
-def test_only_a_node_that_asks_seeds_first_waits_for_them(clock):
-    membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
-    waits = [StoreReaders(membership, asks, clock).seeds_come_first() for asks in (True, False)]
-    assert_that(waits, Equals([True, False]))
-    readers = StoreReaders(membership, True, clock)
-    clock.now_s += ASK_SEEDS_FIRST_S
-    assert_that(readers.seeds_come_first(), Equals(False))
+    run(store, Readers(turn_s=5.0, round_s=FOREVER_S), clock, [down, stalled])
+    assert_that(store.reads, Equals(3))
--- a/packages/springbridge-node/springbridge_node/config/engine_follower.py
+++ b/packages/springbridge-node/springbridge_node/config/engine_follower.py
@@ -1,6 +1,7 @@
 """Keeps the list of engines fresh: a few nodes read the store, the others follow them."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -36,7 +37,8 @@
 
     Every call to the store costs, so a few nodes, chosen by hashing over the live members, read it
     for all. The others see in the readers' digests whether their list is still the newest, and
-    fetch a changed one from a peer. A node that no peer confirms in time reads for itself.
+    fetch a changed one from a peer. A node that no peer confirms reads for itself when its turn
+    comes, and after a failure not again before all others had theirs.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         changed: Callable[[], None],
         regained: Callable[[], None],
         interval_s: float,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Keep what to read from and where to put it.
 
@@ -69,6 +72,8 @@
         self._changed = changed
         self._regained = regained
         self._interval_s = interval_s
+        self._clock = clock
+        self._next_turn_s = float("-inf")
         self.dependency = Dependency("store")
 
     def seen(self) -> ListingSeen:
@@ -79,7 +84,7 @@
         """Keep the list fresh for one interval."""
         if self._readers.seeds_come_first() and await self._has_list_of_a_seed():
             await asyncio.sleep(LOOK_S)
-        elif self._readers.include_me(READERS) or not await self._is_kept_fresh_by_peers():
+        elif self._readers.include_me(READERS) or await self._has_to_stand_in():
             await self._read_store()
             await asyncio.sleep(self._interval_s)
         else:
@@ -93,22 +98,27 @@
                 self._install(aged, "seed")
         return self._board.age_s() < CONFIRMED_S or self._readers.seeds_come_first()
 
-    async def _is_kept_fresh_by_peers(self) -> bool:
-        """Return whether a peer shows that the list in use is the newest, or gives a newer one."""
+    async def _has_to_stand_in(self) -> bool:
+        """Return whether this node has to read: no peer confirms its list or gives a newer one."""
         listings = self._membership.listings()
         youngest, age_s = min(listings, key=lambda pair: pair[1], default=(None, CONFIRMED_S))
-        if age_s >= CONFIRMED_S:
-            return False
+        if age_s >= CONFIRMED_S or age_s >= self._board.age_s():
+            return self._is_its_turn()
         if youngest.listing.mark == self._board.mark:
             self._board.confirm(age_s)
-            return True
-        if age_s >= self._board.age_s():
-            return self._board.age_s() < CONFIRMED_S
+            return False
         aged = await self._fetch(youngest.peer_address)
         if aged is None:
-            return False
+            return True
         self._install(aged, "peer")
-        return True
+        return False
+
+    def _is_its_turn(self) -> bool:
+        """Return whether the list is so old that this node reads among those that stand in."""
+        if self._board.revision < 0:
+            return True
+        is_old = self._board.age_s() >= CONFIRMED_S + self._readers.turn_s(READERS)
+        return is_old and self._clock() >= self._next_turn_s
 
     async def _read_store(self) -> None:
         """Read once; ask a peer where the list has grown old."""
@@ -120,6 +130,7 @@
                     self._regained()
             case Failure(problem):
                 self.dependency.failed(problem.detail)
+                self._next_turn_s = self._clock() + self._readers.round_s()
                 await self._ask_any_peer()
 
     async def _ask_any_peer(self) -> None:
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/config/engine_follower_test.py
@@ -0,0 +1,181 @@
+"""Tests of engine_follower.py: when the list of engines is read from the store."""
+
+import asyncio
+import random
+
+import pytest
+from returns.result import Failure, Success
+from springbridge.codes import Code
+from springbridge.membership import ListingSeen, Member, Membership
+from springbridge.problems import Problem
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.records import EngineEntry, EngineListing
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from springbridge_node.config.engine_follower import CONFIRMED_S, AgedListing, EngineFollower
+
+LISTING = EngineListing(7, (EngineEntry("e1", "model", "127.0.0.1:1", "a", 4, False),))
+TURN_S = 0.5
+ROUND_S = 4.0
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now_s
+
+
+class Store:
+    """A store that counts its calls and answers or does not."""
+
+    def __init__(self):
+        self.up = True
+        self.reads = 0
+
+    async def read_engines(self):
+        """Return the list."""
+        self.reads += 1
+        if not self.up:
+            return Failure(Problem(Code.TABLE_UNAVAILABLE, "down"))
+        return Success(LISTING)
+
+
+class Readers:
+    """Whether this node reads for all, and how long it leaves that to others."""
+
+    def __init__(self, reads_for_all):
+        self.reads_for_all = reads_for_all
+
+    def include_me(self, count):
+        """Return the set value."""
+        return self.reads_for_all
+
+    def seeds_come_first(self):
+        """Return that this node has run for long."""
+        return False
+
+    def turn_s(self, count):
+        """Return the time to the turn of a node that does not read for all."""
+        return 0.0 if self.reads_for_all else TURN_S
+
+    def round_s(self):
+        """Return the time in which each node has a turn."""
+        return ROUND_S
+
+
+class World:
+    """A follower with a store, a peer and a clock."""
+
+    def __init__(self, reads_for_all):
+        self.clock = Clock()
+        self.store = Store()
+        self.board = EngineBoard(self.clock)
+        self.membership = Membership(Member("me", "me", "", "", "a"), self.clock, random.Random(1))
+        self.peer_list = AgedListing(LISTING, 0.0)
+        self.follower = EngineFollower(
+            self.store,
+            self.board,
+            self.membership,
+            Readers(reads_for_all),
+            dict,
+            self._fetch,
+            lambda: None,
+            lambda: None,
+            interval_s=0.0,
+            clock=self.clock,
+        )
+
+    async def _fetch(self, address):
+        return self.peer_list
+
+    def heard(self, age_s, mark=None):
+        """Hear from a peer that has the same list, or one with another mark."""
+        seen = ListingSeen(self.board.mark if mark is None else mark, age_s)
+        peer = Member("peer", "peer", "p", "", "a", heartbeat=1, listing=seen)
+        self.membership.merge([peer])
+
+    def steps(self, count=1):
+        """Take steps and return how often the store was read in them."""
+        before = self.store.reads
+
+        async def body():
+            for _ in range(count):
+                await self.follower.step()
+
+        asyncio.run(body())
+        return self.store.reads - before
+
+
+@pytest.fixture
+def reader():
+    """Return the world of a node that reads for all."""
+    return World(True)
+
+
+@pytest.fixture
+def other():
+    """Return the world of a node that does not, with a list that it read at its start."""
+    world = World(False)
+    assert_that(world.steps(), Equals(1))
+    return world
+
+
+def test_a_reader_reads_at_every_step(reader):
+    assert_that(reader.steps(3), Equals(3))
+
+
+def test_a_confirmed_node_leaves_the_store_alone(other):
+    other.clock.now_s += CONFIRMED_S + TURN_S
+    other.heard(0.1)
+    assert_that(other.steps(2), Equals(0))
+
+
+def test_an_unconfirmed_node_reads_when_its_turn_comes(other):
+    other.clock.now_s += CONFIRMED_S + TURN_S - 0.1
+    assert_that(other.steps(), Equals(0))
+    other.clock.now_s += 0.2
+    assert_that(other.steps(), Equals(1))
+
+
+def test_a_node_that_failed_to_read_lets_all_others_try_before_it_tries_again(other):
+    other.store.up = False
+    other.clock.now_s += CONFIRMED_S + TURN_S + 0.1
+    assert_that(other.steps(3), Equals(1))
+    other.clock.now_s += ROUND_S
+    assert_that(other.steps(3), Equals(1))
+
+
+def test_a_reader_goes_on_trying_while_the_store_is_out(reader):
+    reader.steps()
+    reader.store.up = False
+    reader.clock.now_s += CONFIRMED_S
+    assert_that(reader.steps(3), Equals(3))
+
+
+def test_a_node_without_a_list_reads_at_once_and_goes_on_trying(other):
+    world = World(False)
+    world.store.up = False
+    world.peer_list = None
+    assert_that(world.steps(), GreaterThan(0))
+    world.clock.now_s += 0.1
+    assert_that(world.steps(), GreaterThan(0))
+
+
+def test_a_node_that_no_peer_gives_the_newer_list_reads_at_once(other):
+    other.clock.now_s += 0.3
+    other.heard(0.1, mark=1)
+    other.peer_list = None
+    assert_that(other.steps(), Equals(1))
+
+
+def test_after_a_failed_read_a_younger_list_of_a_peer_is_taken(other):
+    other.store.up = False
+    other.clock.now_s += 10.0
+    other.steps()
+    assert_that(other.board.age_s(), Equals(0.0))
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/config/store_readers_test.py
@@ -0,0 +1,70 @@
+"""Tests of store_readers.py: who reads the store for all, and who stands in when."""
+
+import random
+
+import pytest
+from springbridge.membership import Member, Membership
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge_node.config.store_readers import ASK_SEEDS_FIRST_S, TURN_S, StoreReaders
+
+NODES = 40
+READERS = 5
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    """Return a clock at rest."""
+    return Clock()
+
+
+@pytest.fixture
+def fleet(clock):
+    """Return the readers as each node of a fleet sees them."""
+    members = [Member(f"n{number}", f"n{number}", "", "", "a") for number in range(NODES)]
+    views = []
+    for me in members:
+        membership = Membership(me, clock, random.Random(1))
+        membership.merge(member for member in members if member is not me)
+        views.append(StoreReaders(membership, False, clock))
+    return views
+
+
+def test_few_of_many_nodes_read(fleet):
+    assert_that(sum(view.include_me(READERS) for view in fleet), Equals(READERS))
+
+
+def test_the_others_take_turns_and_those_that_read_need_none(fleet):
+    turns_s = sorted(view.turn_s(READERS) for view in fleet)
+    wanted_s = [0.0] * READERS + [TURN_S * rank for rank in range(NODES - READERS)]
+    assert_that([round(turn_s, 6) for turn_s in turns_s], Equals([round(s, 6) for s in wanted_s]))
+
+
+def test_a_round_gives_each_node_a_turn(fleet):
+    assert_that({round(view.round_s(), 6) for view in fleet}, Equals({round(TURN_S * NODES, 6)}))
+
+
+def test_a_node_without_peers_has_its_turn_at_once(clock):
+    alone = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
+    assert_that(StoreReaders(alone, False, clock).turn_s(0), Equals(0.0))
+
+
+def test_only_a_node_that_asks_seeds_first_waits_for_them(clock):
+    membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
+    waits = [StoreReaders(membership, asks, clock).seeds_come_first() for asks in (True, False)]
+    assert_that(waits, Equals([True, False]))
+    readers = StoreReaders(membership, True, clock)
+    clock.now_s += ASK_SEEDS_FIRST_S
+    assert_that(readers.seeds_come_first(), Equals(False))
--- a/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
@@ -74,10 +74,25 @@
     Mutant(
         "a node that nobody confirms reads the store",
         f"{NODE}/config/configuration_follower.py",
-        "return self.age_s() > CONFIRMED_S or self._readers.include_me(FEED_READERS)",
+        "return self.age_s() > CONFIRMED_S + turn_s or self._readers.include_me(FEED_READERS)",
         "return self._readers.include_me(FEED_READERS)",
         f"{FOLLOWER}::test_a_node_whose_version_nobody_confirms_reads_the_store",
     ),
+    Mutant(
+        "nodes that stand in for the readers of the store take turns",
+        f"{NODE}/config/configuration_follower.py",
+        "turn_s = self._readers.turn_s(FEED_READERS)",
+        "turn_s = 0.0",
+        f"{FOLLOWER}::test_an_unconfirmed_node_leaves_the_store_to_those_whose_turn_comes_first",
+    ),
+    Mutant(
+        "a node that failed to read the list waits for a round of all",
+        f"{NODE}/config/engine_follower.py",
+        "return is_old and self._clock() >= self._next_turn_s",
+        "return is_old",
+        f"{NODE}/config/engine_follower_test.py"
+        "::test_a_node_that_failed_to_read_lets_all_others_try_before_it_tries_again",
+    ),
     Mutant(
         "attempts that nobody confirms are dropped",
         f"{NODE}/peers/assignments.py",
