Requests are refused when every engine is too far behind for them, the least urgent first

Refusal looked at slots only (32 of 64 and more), which long prompts never reach. Ruled out: the reading speed being unlike the usual one (40 tokens a ms fit). Change: engines' reading speed is learnt from what they read of a backlog (reading_speed.py); a request is refused while every engine is full, or is behind by more than its priority and its route's target allow: the target, a half and 0.15 of it, within bounds that do not overlap, so that the urgent never wait less. EngineState is a module. Tests: overload_test.py, reading_speed_test.py; three mutants. The old refusal has no notion of a backlog.

--- a/packages/springbridge-node/springbridge_node/engines/prober.py
+++ b/packages/springbridge-node/springbridge_node/engines/prober.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from springbridge.routing.engine_board import EngineBoard, EngineState
+from springbridge.routing.engine_board import EngineBoard
+from springbridge.routing.engine_state import EngineState
 
 from springbridge_node import logs
 from springbridge_node.engines.pool import EnginePool
--- a/packages/springbridge-node/springbridge_node/peers/assignments.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments.py
@@ -175,6 +175,7 @@
         demand.service,
         demand.place,
         demand.priority,
+        demand.target_s,
         demand.prompt_tokens,
         prompt_rows.to_rows(demand.prompt_parts),
         demand.fetches,
@@ -183,12 +184,13 @@
 
 def _demand(row: list) -> Demand:
     """Return a demand from what travelled."""
-    request_id, service, place, priority, prompt_tokens, parts, fetches = row
+    request_id, service, place, priority, target_s, prompt_tokens, parts, fetches = row
     return Demand(
         request_id,
         service,
         place,
         priority,
+        target_s,
         prompt_tokens,
         prompt_rows.from_rows(parts),
         fetches,
--- a/packages/springbridge-node/springbridge_node/peers/assignments_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments_test.py
@@ -22,7 +22,8 @@
 from springbridge_node.peers.scheduler_set import AVOIDED_S, SchedulerSet
 
 PARTS = (PromptPart("shared", 13_000), PromptPart("own", 3_000))
-DEMAND = Demand("q", "model", "a", 1, 16_000, PARTS, True)
+TARGET_S = 2.5
+DEMAND = Demand("q", "model", "a", 1, TARGET_S, 16_000, PARTS, True)
 PLACES = ("a", "b", "c")
 NODES = 30
 MODEL = "model"
@@ -185,7 +186,9 @@
 
 def test_questions_at_the_same_moment_are_spread(clock):
     server = AssignmentServer(make_board(clock), by_token_cost, clock)
-    short = [Demand(f"q{number}", "model", "a", 1, 4_000, (), False) for number in range(4)]
+    short = [
+        Demand(f"q{number}", "model", "a", 1, TARGET_S, 4_000, (), False) for number in range(4)
+    ]
     named = {server.assign(demand, (), demand.request_id).engine_id for demand in short}
     assert_that(len(named), Equals(4))
 
@@ -210,7 +213,7 @@
     for number in range(4 * 40):
         board.take_notice(LoadNotice(LoadPhase.STARTED, f"x{number}", f"e{number % 4}"))
     server = AssignmentServer(board, by_token_cost, clock)
-    told = server.assign(Demand("q", "model", "a", 2, 16_000, PARTS, True), (), "x")
+    told = server.assign(Demand("q", "model", "a", 2, TARGET_S, 16_000, PARTS, True), (), "x")
     assert_that((told.engine_id, told.overloaded), Equals(("", True)))
 
 
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing_test.py
@@ -18,7 +18,7 @@
 from springbridge_node.peers.scheduler_set import MOST_EQUALS, SchedulerSet
 
 ENTRY = EngineEntry("e1", "model", "10.1.0.1:80", "perth-a", 4, False)
-DEMAND = Demand("q", "model", "perth-a", 2)
+DEMAND = Demand("q", "model", "perth-a", 2, 2.5)
 
 
 class RecordingDatagrams(PeerDatagrams):
--- a/packages/springbridge-node/springbridge_node/requests/journal.py
+++ b/packages/springbridge-node/springbridge_node/requests/journal.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict
 
 from springbridge.problems import Problem
-from springbridge.routing.engine_board import EngineState
+from springbridge.routing.engine_state import EngineState
 from springbridge.routing.records import Arrival
 
 from springbridge_node import logs
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -14,8 +14,9 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex, admit
-from springbridge.routing.engine_board import EngineBoard, EngineState
+from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice
+from springbridge.routing.engine_state import EngineState
 from springbridge.routing.records import Demand
 from springbridge.routing.shared_budget import SharedRetryBudget
 
--- a/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/users_platform/mutants.py
@@ -102,8 +102,8 @@
     ),
     Mutant(
         "a request is counted once",
-        f"{LIBRARY}/routing/engine_board.py",
-        "        if notice.attempt_id in state.loads:\n            return\n",
+        f"{LIBRARY}/routing/engine_state.py",
+        "        if notice.attempt_id in self.loads:\n            return\n",
         "",
         f"{ASSIGNMENTS}::test_an_attempt_is_counted_once_and_only_while_it_is_confirmed",
     ),
@@ -128,6 +128,29 @@
         "FULLEST_BY_PRIORITY = (1.5, 1.5, 1.5)",
         f"{LIBRARY}/routing/overload_test.py",
     ),
+    Mutant(
+        "who would wait too long is refused",
+        f"{LIBRARY}/routing/overload.py",
+        "_is_full(state, demand) or _is_behind(state, demand) for",
+        "_is_full(state, demand) for",
+        f"{LIBRARY}/routing/overload_test.py"
+        "::test_who_would_wait_too_long_for_its_target_is_refused",
+    ),
+    Mutant(
+        "the urgent wait longer than the less urgent",
+        f"{LIBRARY}/routing/overload.py",
+        "return min(self.most_s, max(self.least_s, self.targets * target_s))",
+        "return self.targets * target_s",
+        f"{LIBRARY}/routing/overload_test.py"
+        "::test_a_more_urgent_request_waits_longer_whatever_the_targets",
+    ),
+    Mutant(
+        "an engine's speed is learnt",
+        f"{LIBRARY}/routing/reading_speed.py",
+        "self.tokens_per_s += NEW_SHARE * (bounded - self.tokens_per_s)",
+        "pass",
+        f"{LIBRARY}/routing/reading_speed_test.py::test_a_steady_speed_is_learnt",
+    ),
     Mutant(
         "a long backlog weighs as much as reading",
         f"{LIBRARY}/routing/engine_choice.py",
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -8,12 +8,11 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
 import xxhash
 
-from springbridge.routing.load import Load, LoadNotice, LoadPhase
-from springbridge.routing.prefix_cache import PrefixCache
+from springbridge.routing.engine_state import EngineState
+from springbridge.routing.load import LoadNotice, LoadPhase
 from springbridge.routing.records import EngineEntry, EngineListing
 
 FAILURES_TO_EJECT = 3
@@ -23,48 +22,10 @@
 # Entries that lapsed over an outage are back within about two seconds if their engines live.
 LAPSE_GRACE_S = 1.9
 DRAIN_MARGIN_S = 0.1
-LONGEST_LOAD_S = 20.0
-LONGEST_READ_S = 8.0
 MARK_SHIFT = 32
 OUTAGE_S = 1.0
 
 
-@dataclass
-class EngineState:
-    """One engine as this node sees it.
-
-    Attributes:
-      loads: The requests that it has now, of all nodes as far as this node knows.
-      prefill_tokens: Prompt tokens of those that it has still to read.
-      failures: Failures in a row.
-      rests_until_s: No request goes there before this moment unless there is no other engine.
-      reachable: Whether the last attempt to connect succeeded; if not, no request goes there.
-      usable_until_s: When an engine that is no longer listed gets its last request.
-    """
-
-    entry: EngineEntry
-    loads: dict[str, Load] = field(default_factory=dict)
-    prefill_tokens: int = 0
-    failures: int = 0
-    rests_until_s: float = 0.0
-    reachable: bool = True
-    usable_until_s: float = float("inf")
-    cache: PrefixCache = field(default_factory=PrefixCache)
-
-    @property
-    def in_flight(self) -> int:
-        """Return how many requests it has now."""
-        return len(self.loads)
-
-    def is_usable(self, now_s: float) -> bool:
-        """Return whether it may get a request, at rest or not."""
-        return not self.entry.draining and self.reachable and self.usable_until_s > now_s
-
-    def rests(self, now_s: float) -> bool:
-        """Return whether it gets a request only if there is no other engine."""
-        return self.rests_until_s > now_s
-
-
 class EngineBoard:
     """All engines that this node may use."""
 
@@ -210,44 +171,20 @@
         if state is None:
             return
         if notice.phase is LoadPhase.STARTED:
-            self._add_load(state, notice)
+            state.started(notice, self._clock())
         elif notice.phase is LoadPhase.READ:
-            self._mark_read(state, notice.attempt_id)
+            state.read(notice.attempt_id, self._clock())
         elif notice.phase is LoadPhase.ENDED:
-            self._mark_read(state, notice.attempt_id)
-            state.loads.pop(notice.attempt_id, None)
+            state.ended(notice.attempt_id)
         elif notice.phase is LoadPhase.UNREACHED:
             self.unreachable(state)
         else:
             self.misnamed(state)
 
-    def _add_load(self, state: EngineState, notice: LoadNotice) -> None:
-        """Add a request to an engine's load, once."""
-        if notice.attempt_id in state.loads:
-            return
-        kept = max(state.cache.kept_tokens(notice.prompt_parts), notice.fetched_tokens)
-        prefill = max(0, notice.prompt_tokens - kept)
-        state.cache.note(notice.prompt_parts)
-        state.loads[notice.attempt_id] = Load(prefill, self._clock())
-        state.prefill_tokens += prefill
-
-    def _mark_read(self, state: EngineState, attempt_id: str) -> None:
-        """Note that an engine has read a prompt."""
-        load = state.loads.get(attempt_id)
-        if load is not None and load.prefill_tokens:
-            state.prefill_tokens -= load.prefill_tokens
-            state.loads[attempt_id] = Load(0, load.since_s)
-
     def expire_loads(self) -> None:
-        """Drop loads whose end was never heard of, since its notice was lost or its node died."""
-        oldest_s = self._clock() - LONGEST_LOAD_S
-        longest_read_s = self._clock() - LONGEST_READ_S
+        """Drop loads whose end was never heard of."""
         for state in self._states.values():
-            for attempt_id, load in list(state.loads.items()):
-                if load.since_s < longest_read_s:
-                    self._mark_read(state, attempt_id)
-                if load.since_s < oldest_s:
-                    del state.loads[attempt_id]
+            state.expire_loads(self._clock())
 
     def succeeded(self, state: EngineState) -> None:
         """Note that an engine answered as it should."""
--- a/packages/springbridge/springbridge/routing/overload.py
+++ b/packages/springbridge/springbridge/routing/overload.py
@@ -1,26 +1,74 @@
 """When a request is refused at once, because its engines have more than they can bring to an end.
 
 An engine that runs too many requests at a time brings none of them to its end: each token takes
-longer, and all miss their deadlines together. So a request is refused while every engine that it
-may use is full beyond the share that its priority allows, the least urgent first. The most urgent
-are refused last, when the engines' own queues are long as well.
+longer, and all miss their deadlines together. An engine with a long backlog of prompts answers
+nobody in time: what comes now is read when its caller no longer profits from it, and everything
+behind it waits for that. So a request is refused while every engine that it may use is too full or
+too far behind for its priority, the least urgent first. The most urgent are refused last, when the
+engines' own queues are long as well.
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
-from springbridge.routing.engine_board import EngineState
+from springbridge.routing.engine_state import EngineState
+from springbridge.routing.records import Demand
 
 # Share of an engine's slots that may be taken when a request of a priority is still sent there.
 FULLEST_BY_PRIORITY = (1.5, 0.75, 0.5)
 RETRY_AFTER_S = 2.0
 
 
-def is_refused(states: Sequence[EngineState], priority: int) -> bool:
-    """Return whether a request finds all its engines too full.
+@dataclass(frozen=True, slots=True)
+class WaitLimit:
+    """The longest backlog behind which a request of a priority is still sent.
+
+    It follows the target of the request's route within bounds that do not overlap, so that a more
+    urgent request never waits less than a less urgent one, however their targets differ.
+
+    Attributes:
+      targets: The limit in times of the target.
+    """
+
+    targets: float
+    least_s: float
+    most_s: float
+
+    def seconds(self, target_s: float) -> float:
+        """Return the limit for a route with a target."""
+        return min(self.most_s, max(self.least_s, self.targets * target_s))
+
+
+WAIT_LIMITS = (
+    WaitLimit(1.0, 1.2, 60.0),
+    WaitLimit(0.5, 0.6, 1.2),
+    WaitLimit(0.15, 0.25, 0.6),
+)
+
+
+def is_refused(states: Sequence[EngineState], demand: Demand) -> bool:
+    """Return whether a request finds all its engines too full or too far behind.
 
     Args:
       states: The engines that it may use; none is not an overload.
-      priority: Rank of the request, 0 first.
     """
-    fullest = FULLEST_BY_PRIORITY[min(max(priority, 0), len(FULLEST_BY_PRIORITY) - 1)]
-    return bool(states) and all(state.in_flight >= fullest * state.entry.slots for state in states)
+    return bool(states) and all(
+        _is_full(state, demand) or _is_behind(state, demand) for state in states
+    )
+
+
+def _is_full(state: EngineState, demand: Demand) -> bool:
+    """Return whether an engine has too many requests for another of a priority."""
+    fullest = FULLEST_BY_PRIORITY[_rank(demand.priority, len(FULLEST_BY_PRIORITY))]
+    return state.in_flight >= fullest * state.entry.slots
+
+
+def _is_behind(state: EngineState, demand: Demand) -> bool:
+    """Return whether an engine would begin to read a prompt too late for it."""
+    limit = WAIT_LIMITS[_rank(demand.priority, len(WAIT_LIMITS))]
+    return state.backlog_s > limit.seconds(demand.target_s)
+
+
+def _rank(priority: int, ranks: int) -> int:
+    """Return the rank of a priority where all beyond the last rank count as that."""
+    return min(max(priority, 0), ranks - 1)
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -176,6 +176,7 @@
     Attributes:
       place: Failure domain of the instance that will send it.
       priority: Rank of its route, 0 first.
+      target_s: Time to the first event that the operators aim at.
       fetches: Whether an engine of the service can take what another keeps of a prompt.
     """
 
@@ -183,6 +184,7 @@
     service: str
     place: str
     priority: int
+    target_s: float
     prompt_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     fetches: bool = False
@@ -196,6 +198,7 @@
             service=admitted.service.name,
             place=place,
             priority=admitted.route.priority,
+            target_s=admitted.route.target_s,
             prompt_tokens=arrival.prompt_tokens,
             prompt_parts=arrival.prompt_parts,
             fetches=admitted.service.fetches,
--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -40,7 +40,7 @@
     """
     if demand.prompt_parts and not tried:
         states = board.candidates(demand.service, ())
-        if is_refused(states, demand.priority):
+        if is_refused(states, demand):
             return Selection(None, overloaded=True)
     states = board.candidates(demand.service, {*tried, *avoided})
     return Selection(choose(states, demand) if states else None)
