While the store is out, a node without a configuration tells callers to come back later

An outage lasts for seconds, a start does not. Change: 0.5 s at a start as before, 3 s once the store has failed a call. Test: test_callers_come_back_later_while_the_store_is_out, and one of admit; the way to say it did not exist before.

--- a/bench/own_days.py
+++ b/bench/own_days.py
@@ -80,6 +80,15 @@
             fault("herd_kill", 18, share=1.0, for_s=3, how="power"),
         ],
     ),
+    "all-killed-in-an-outage": (
+        [fault("config_change", 20, how="route")],
+        [
+            fault("platform_down", 6, for_s=6, how="reset", share=0.0),
+            fault("herd_kill", 8, share=1.0, for_s=1.5, how="power"),
+            fault("platform_down", 22, for_s=6, how="silent", share=0.0),
+            fault("herd_kill", 24, share=1.0, for_s=1.5, how="power"),
+        ],
+    ),
     "all-dark": (
         [],
         [
--- a/packages/springbridge-node/springbridge_node/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower.py
@@ -30,6 +30,9 @@
 LOOK_S = 0.2
 FEED_READERS = 5
 CONFIRMED_S = 1.1
+# When a first configuration is likely to be here: at a start, and while the store is out.
+DUE_AT_START_S = 0.5
+DUE_IN_OUTAGE_S = 3.0
 STORE = "store"
 PEER = "peer"
 
@@ -76,6 +79,13 @@
         """Return how long ago the version in force was known to be the newest, in seconds."""
         return 0.0 if self._feed_is_up else self._clock() - self._confirmed_s
 
+    def due_s(self) -> float:
+        """Return when a caller should come back to a node without a configuration, in seconds.
+
+        An outage lasts for seconds, and many callers come back only once.
+        """
+        return DUE_AT_START_S if self._dependency.up else DUE_IN_OUTAGE_S
+
     def confirm(self, version: int, age_s: float) -> None:
         """Note that a peer knew a version to be the newest so long ago."""
         if version == self.version:
--- a/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
@@ -258,3 +258,12 @@
 
     run(store, Readers(turn_s=5.0, round_s=FOREVER_S), clock, [down, stalled])
     assert_that(store.reads, Equals(3))
+
+
+def test_callers_come_back_later_while_the_store_is_out(clock):
+    silent = Store()
+    silent.up = False
+    starting = run(Store(), Readers(is_starting=True), clock)
+    waiting = run(silent, Readers(), clock)
+    assert_that((starting.index, waiting.index), Equals((None, None)))
+    assert_that(waiting.due_s(), GreaterThan(2 * starting.due_s()))
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -105,6 +105,7 @@
         self.router = RequestRouter(
             RouterParts(
                 lambda: self.configuration.index,
+                self.configuration.due_s,
                 self.board,
                 self.pool,
                 self.budget,
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -64,10 +64,12 @@
 
     Attributes:
       index: Returns the newest configuration, or None before the first.
+      configuration_due_s: Returns when callers should come back before the first.
       place: Failure domain of this node.
     """
 
     index: Callable[[], RouteIndex | None]
+    configuration_due_s: Callable[[], float]
     board: EngineBoard
     pool: EnginePool
     budget: SharedRetryBudget
@@ -88,7 +90,7 @@
     async def serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
         """Serve one request; on return its answer has ended."""
         arrival = self._parts.wire_format.read_arrival(request)
-        match admit(self._parts.index(), arrival):
+        match admit(self._parts.index(), arrival, self._parts.configuration_due_s()):
             case Failure(problem):
                 self._parts.journal.refused(arrival, problem, self._version())
                 await answer.refuse(problem)
--- a/packages/springbridge/springbridge/routing/admission.py
+++ b/packages/springbridge/springbridge/routing/admission.py
@@ -69,20 +69,20 @@
     return next(service.name for service in reversed(route.services) if service.weight > 0)
 
 
-def admit(index: RouteIndex | None, arrival: Arrival) -> Result[Admitted, Problem]:
+def admit(
+    index: RouteIndex | None,
+    arrival: Arrival,
+    configuration_due_s: float = RETRY_WITHOUT_CONFIGURATION_S,
+) -> Result[Admitted, Problem]:
     """Return the request as the configuration allows it, or why it is refused.
 
     Args:
       index: The newest configuration, or None while the node knows none.
+      configuration_due_s: When to come back in that case, in seconds from now.
     """
     if index is None:
-        return Failure(
-            Problem(
-                Code.CONFIG_NOT_FRESH,
-                "no configuration yet",
-                retry_after_s=RETRY_WITHOUT_CONFIGURATION_S,
-            )
-        )
+        detail = "no configuration yet"
+        return Failure(Problem(Code.CONFIG_NOT_FRESH, detail, retry_after_s=configuration_due_s))
     route = find_route(index, arrival.host, arrival.path)
     if route is None:
         return Failure(Problem(Code.UNKNOWN_PATH, "no route"))
--- a/packages/springbridge/springbridge/routing/admission_test.py
+++ b/packages/springbridge/springbridge/routing/admission_test.py
@@ -43,6 +43,7 @@
 
 def test_before_the_first_configuration_the_refusal_says_when_to_come_back():
     assert_that(admit(None, make_arrival()).failure().retry_after_s, GreaterThan(0.0))
+    assert_that(admit(None, make_arrival(), 3.0).failure().retry_after_s, Equals(3.0))
 
 
 def test_a_public_route_needs_no_key_and_has_no_customer():
