A refusal for overload tells what decided it, and to come back once the backlog is short

Cause: `request.ended` of a refused request said OVERLOADED and nothing of the backlog or the limit that decided, in a large fleet not even at the scheduler; and the time to come back was 2 s whatever the backlog. Change: overload() returns the shortest backlog, the longest wait and the least requests in flight; schedulers send them along; `request.ended` has a `reason`. The time to come back is 2 s and what the backlog is beyond the limit. Tests: overload_test.py, assignments_test.py (a refusal by a scheduler comes with what decided it), failed before for want of the fields.

--- a/packages/springbridge-node/springbridge_node/peers/assignments.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments.py
@@ -15,6 +15,7 @@
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice, Chooser
 from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.overload import Overload
 from springbridge.routing.records import Demand
 from springbridge.routing.selection import Selection, select, start_notice
 
@@ -34,13 +35,13 @@
       engine_id: The engine, "" if there is none.
       source_id: The engine to fetch more of the prompt from, "" for none.
       fetched_tokens: Tokens of the prompt that it keeps.
-      overloaded: Whether the request is to be refused because its engines are too full.
+      overload: Why the request is to be refused, if its engines have too much; else None.
     """
 
     engine_id: str
     source_id: str
     fetched_tokens: int
-    overloaded: bool
+    overload: Overload | None
 
 
 class AssignmentServer:
@@ -77,12 +78,12 @@
         selection = select(self._board, demand, tried, self._choose, avoided)
         choice = selection.choice
         if choice is None:
-            return Assignment("", "", 0, selection.overloaded)
+            return Assignment("", "", 0, selection.overload)
         engine_id = choice.state.entry.engine_id
         self._board.take_notice(start_notice(choice, demand, attempt_id))
         self._unconfirmed[attempt_id] = (engine_id, self._clock())
         source_id = choice.source.entry.engine_id if choice.source else ""
-        return Assignment(engine_id, source_id, choice.fetched_tokens, False)
+        return Assignment(engine_id, source_id, choice.fetched_tokens, None)
 
     def heard(self, notice: LoadNotice) -> None:
         """Take a node's own notice of an attempt as the confirmation."""
@@ -133,8 +134,8 @@
         if told is None:
             self._schedulers.avoid(address)
             return None
-        if told.overloaded:
-            return Selection(None, overloaded=True)
+        if told.overload is not None:
+            return Selection(None, told.overload)
         usable = self._board.candidates(demand.service, tried)
         state = next((each for each in usable if each.entry.engine_id == told.engine_id), None)
         if state is None:
@@ -165,7 +166,14 @@
         number, *told = rows
         fut = self._waiting.get(number)
         if fut is not None and not fut.done():
-            fut.set_result(Assignment(*told))
+            fut.set_result(_assignment(told))
+
+
+def _assignment(row: list) -> Assignment:
+    """Return an answer from what travelled; an overload travels as a list of its fields."""
+    engine_id, source_id, fetched_tokens, overload = row
+    refusal = None if overload is None else Overload(*overload)
+    return Assignment(engine_id, source_id, fetched_tokens, refusal)
 
 
 def _demand_row(demand: Demand) -> list:
--- a/packages/springbridge-node/springbridge_node/peers/assignments_test.py
+++ b/packages/springbridge-node/springbridge_node/peers/assignments_test.py
@@ -214,7 +214,21 @@
         board.take_notice(LoadNotice(LoadPhase.STARTED, f"x{number}", f"e{number % 4}"))
     server = AssignmentServer(board, by_token_cost, clock)
     told = server.assign(Demand("q", "model", "a", 2, TARGET_S, 16_000, PARTS, True), (), "x")
-    assert_that((told.engine_id, told.overloaded), Equals(("", True)))
+    assert_that((told.engine_id, told.overload.in_flight), Equals(("", 40)))
+
+
+def test_a_refusal_by_a_scheduler_comes_with_what_decided_it(fleet, clock):
+    wire = Wire()
+    board = make_board(clock)
+    for number in range(4 * 60):
+        board.take_notice(LoadNotice(LoadPhase.STARTED, f"x{number}", f"e{number % 4}"))
+    for member in schedulers(fleet.live(), MODEL):
+        AssignmentServer(board, by_token_cost, clock).connect(wire.end(member.peer_address))
+    client = AssignmentClient(make_board(clock), SchedulerSet(fleet, clock))
+    client.connect(wire.end(fleet.me.peer_address))
+    selection = asyncio.run(client.ask(DEMAND, (), "me/0"))
+    assert_that(selection.choice, Is(None))
+    assert_that((selection.overload.in_flight, selection.overload.backlog_s), Equals((60, 0.0)))
 
 
 def test_in_a_small_fleet_every_node_schedules(clock):
--- a/packages/springbridge-node/springbridge_node/requests/journal.py
+++ b/packages/springbridge-node/springbridge_node/requests/journal.py
@@ -1,7 +1,7 @@
 """What is logged and counted of requests: one line for each decision, never any content."""
 
 import time
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 from springbridge.problems import Problem
 from springbridge.routing.engine_state import EngineState
@@ -12,6 +12,23 @@
 from springbridge_node.telemetry import Telemetry
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a request ended.
+
+    Attributes:
+      result: What it counts as.
+      reason: What decided that, "" where the result says all.
+    """
+
+    result: str
+    reason: str = ""
+
+
+SERVED = Ending("served")
+CALLER_LEFT = Ending("caller left")
+
+
 class RequestJournal:
     """Writes decisions on requests to the log and the metrics."""
 
@@ -65,7 +82,7 @@
             after_ms=_age_ms(exchange),
         )
 
-    def ended(self, exchange: Exchange, result: str, list_age_s: float) -> None:
+    def ended(self, exchange: Exchange, ending: Ending, list_age_s: float) -> None:
         """Note the end of a request, with what decided it."""
         admitted, progress = exchange.admitted, exchange.progress
         first_ms = None
@@ -73,7 +90,7 @@
             first_s = progress.first_piece_s - admitted.arrival.arrived_s
             first_ms = round(first_s * 1000)
             self._telemetry.first_piece.labels(admitted.route.name).observe(first_s)
-        self._telemetry.requests.labels(admitted.route.name, result).inc()
+        self._telemetry.requests.labels(admitted.route.name, ending.result).inc()
         logs.event(
             "request.ended",
             request_id=admitted.arrival.request_id,
@@ -84,7 +101,8 @@
             list_age_ms=round(min(list_age_s, 1e6) * 1000),
             engines=[asdict(chosen) for chosen in progress.chosen],
             sends=progress.sends,
-            result=result,
+            result=ending.result,
+            reason=ending.reason,
             first_ms=first_ms,
             total_ms=_age_ms(exchange),
         )
--- a/packages/springbridge-node/springbridge_node/requests/outcomes.py
+++ b/packages/springbridge-node/springbridge_node/requests/outcomes.py
@@ -3,7 +3,7 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 from springbridge.routing.engine_choice import Choice
-from springbridge.routing.overload import RETRY_AFTER_S
+from springbridge.routing.overload import Overload
 from springbridge.routing.records import Admitted
 
 from springbridge_node.requests.attempt import ChosenEngine, End, Exchange
@@ -70,6 +70,8 @@
     return Problem(Code.NO_ENGINE, detail, retry_after_s=retry_after_s)
 
 
-def overload_problem() -> Problem:
-    """Return the refusal of a request whose engines are too full for its priority."""
-    return Problem(Code.OVERLOADED, "engines full", retry_after_s=RETRY_AFTER_S)
+def overload_problem(overload: Overload) -> Problem:
+    """Return the refusal of a request whose engines have too much for its priority."""
+    waits = f"backlog {overload.backlog_s:.2f} s, longest wait {overload.longest_wait_s:.2f} s"
+    detail = f"engines: least {waits}, least in flight {overload.in_flight}"
+    return Problem(Code.OVERLOADED, detail, retry_after_s=overload.retry_after_s)
--- a/packages/springbridge-node/springbridge_node/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/requests/router.py
@@ -39,7 +39,7 @@
     within,
 )
 from springbridge_node.requests.engine_selector import EngineSelector
-from springbridge_node.requests.journal import RequestJournal
+from springbridge_node.requests.journal import CALLER_LEFT, SERVED, Ending, RequestJournal
 from springbridge_node.requests.outcomes import (
     chosen_engine,
     is_repeatable,
@@ -107,14 +107,14 @@
     async def _serve_admitted(self, exchange: Exchange) -> None:
         """Serve a request that the configuration allows."""
         self._parts.budget.fresh(exchange.admitted.service.name)
-        result = "caller left"
+        ending = CALLER_LEFT
         try:
             problem = await self._until_deadline(exchange)
-            result = "served" if problem is None else problem.code.name
+            ending = SERVED if problem is None else Ending(problem.code.name, problem.detail)
             if problem is not None:
                 await self._give_up(exchange, problem)
         finally:
-            self._parts.journal.ended(exchange, result, self._parts.board.age_s())
+            self._parts.journal.ended(exchange, ending, self._parts.board.age_s())
 
     async def _until_deadline(self, exchange: Exchange) -> Problem | None:
         """Make attempts until the answer is whole, there are no more, or time is up."""
@@ -141,8 +141,8 @@
         unreached = 0
         while True:
             selection = await self._parts.selector.select(exchange.demand, progress.tried)
-            if selection.overloaded:
-                return overload_problem()
+            if selection.overload is not None:
+                return overload_problem(selection.overload)
             choice = selection.choice
             if choice is None or unreached > UNREACHED_ENGINES:
                 return no_engine_problem(exchange)
--- a/packages/springbridge/springbridge/routing/overload.py
+++ b/packages/springbridge/springbridge/routing/overload.py
@@ -16,6 +16,7 @@
 
 # Share of an engine's slots that may be taken when a request of a priority is still sent there.
 FULLEST_BY_PRIORITY = (1.5, 0.75, 0.5)
+# Bursts last for seconds, and many callers come back only once.
 RETRY_AFTER_S = 2.0
 
 
@@ -46,17 +47,49 @@
 )
 
 
-def is_refused(states: Sequence[EngineState], demand: Demand) -> bool:
-    """Return whether a request finds all its engines too full or too far behind.
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """Why a request is refused: its engines have too much.
+
+    Attributes:
+      backlog_s: What the engine with the shortest backlog has still to read, in seconds.
+      longest_wait_s: The longest backlog behind which the request would be sent.
+      in_flight: Requests that the emptiest engine has.
+    """
+
+    backlog_s: float
+    longest_wait_s: float
+    in_flight: int
+
+    @property
+    def retry_after_s(self) -> float:
+        """Return when to come back: once the backlog is short enough, and a burst may be over."""
+        return RETRY_AFTER_S + max(0.0, self.backlog_s - self.longest_wait_s)
+
+
+def overload(states: Sequence[EngineState], demand: Demand) -> Overload | None:
+    """Return why a request is refused if all its engines are too full or too far behind, else None.
 
     Args:
       states: The engines that it may use; none is not an overload.
     """
-    return bool(states) and all(
-        _is_full(state, demand) or _is_behind(state, demand) for state in states
+    if not states:
+        return None
+    if not all(_is_full(state, demand) or _is_behind(state, demand) for state in states):
+        return None
+    return Overload(
+        min(state.backlog_s for state in states),
+        longest_wait_s(demand),
+        min(state.in_flight for state in states),
     )
 
 
+def longest_wait_s(demand: Demand) -> float:
+    """Return the longest backlog behind which a request is still sent, in seconds."""
+    limit = WAIT_LIMITS[_rank(demand.priority, len(WAIT_LIMITS))]
+    return limit.seconds(demand.target_s)
+
+
 def _is_full(state: EngineState, demand: Demand) -> bool:
     """Return whether an engine has too many requests for another of a priority."""
     fullest = FULLEST_BY_PRIORITY[_rank(demand.priority, len(FULLEST_BY_PRIORITY))]
@@ -65,8 +98,7 @@
 
 def _is_behind(state: EngineState, demand: Demand) -> bool:
     """Return whether an engine would begin to read a prompt too late for it."""
-    limit = WAIT_LIMITS[_rank(demand.priority, len(WAIT_LIMITS))]
-    return state.backlog_s > limit.seconds(demand.target_s)
+    return state.backlog_s > longest_wait_s(demand)
 
 
 def _rank(priority: int, ranks: int) -> int:
--- a/packages/springbridge/springbridge/routing/overload_test.py
+++ b/packages/springbridge/springbridge/routing/overload_test.py
@@ -8,7 +8,7 @@
 
 from springbridge.routing.conftest import MODEL, make_demand
 from springbridge.routing.load import LoadNotice, LoadPhase
-from springbridge.routing.overload import is_refused
+from springbridge.routing.overload import RETRY_AFTER_S, overload
 
 SLOTS = 64
 ALL = ("e0", "e1", "e2", "e3", "e4")
@@ -34,7 +34,7 @@
     """Return the priorities that are refused."""
     states = board.candidates(MODEL, ())
     demands = [make_demand(priority=priority, target_s=target_s) for priority in (0, 1, 2, 5)]
-    return [demand.priority for demand in demands if is_refused(states, demand)]
+    return [demand.priority for demand in demands if overload(states, demand)]
 
 
 @pytest.mark.parametrize(
@@ -68,7 +68,10 @@
     states = engines.candidates(MODEL, ())
     targets_s = (0.05, 0.3, 1.0, 5.0, 30.0, 600.0)
     refused_by_priority = [
-        [is_refused(states, make_demand(priority=priority, target_s=each)) for each in targets_s]
+        [
+            bool(overload(states, make_demand(priority=priority, target_s=each)))
+            for each in targets_s
+        ]
         for priority in (0, 1, 2)
     ]
     for urgent, less_urgent in itertools.pairwise(refused_by_priority):
@@ -107,4 +110,13 @@
 
 
 def test_no_engine_is_no_overload():
-    assert_that(is_refused([], make_demand(priority=5)), Equals(False))
+    assert_that(overload([], make_demand(priority=5)), Equals(None))
+
+
+@pytest.mark.parametrize(("backlog_s", "due_s"), [(0.4, 0.1), (5.3, 5.0)])
+def test_a_refusal_tells_what_decided_it_and_when_to_come_back(engines, backlog_s, due_s):
+    leave_behind(engines, backlog_s)
+    refusal = overload(engines.candidates(MODEL, ()), make_demand(priority=2, target_s=2.0))
+    told = (refusal.backlog_s, refusal.longest_wait_s, refusal.in_flight)
+    assert_that([round(each, 2) for each in told], Equals([backlog_s, 0.3, 1]))
+    assert_that(round(refusal.retry_after_s - RETRY_AFTER_S, 2), Equals(due_s))
--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -6,7 +6,7 @@
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice, Chooser
 from springbridge.routing.load import LoadNotice, LoadPhase
-from springbridge.routing.overload import is_refused
+from springbridge.routing.overload import Overload, overload
 from springbridge.routing.records import Demand
 
 
@@ -16,11 +16,11 @@
 
     Attributes:
       choice: The engine, or None if no engine may get the request.
-      overloaded: Whether the request is refused because all its engines are too full.
+      overload: Why the request is refused, if its engines have too much; else None.
     """
 
     choice: Choice | None
-    overloaded: bool = False
+    overload: Overload | None = None
 
 
 def select(
@@ -40,8 +40,9 @@
     """
     if demand.prompt_parts and not tried:
         states = board.candidates(demand.service, ())
-        if is_refused(states, demand):
-            return Selection(None, overloaded=True)
+        refusal = overload(states, demand)
+        if refusal is not None:
+            return Selection(None, refusal)
     states = board.candidates(demand.service, {*tried, *avoided})
     return Selection(choose(states, demand) if states else None)
 
--- a/packages/springbridge/springbridge/routing/selection_test.py
+++ b/packages/springbridge/springbridge/routing/selection_test.py
@@ -33,10 +33,10 @@
     fill(engines, 40)
     refused = select(engines, make_demand(PROMPT, priority=2), (), least_in_flight)
     urgent = select(engines, make_demand(PROMPT, priority=0), (), least_in_flight)
-    assert_that((refused.overloaded, urgent.overloaded), Equals((True, False)))
+    assert_that((refused.overload.in_flight, urgent.overload), Equals((40, None)))
 
 
 def test_a_request_that_was_sent_once_is_not_refused_for_overload(engines):
     fill(engines, 40)
     selection = select(engines, make_demand(PROMPT, priority=2), {"e0"}, least_in_flight)
-    assert_that(selection.overloaded, Equals(False))
+    assert_that(selection.overload, Equals(None))
