In a fleet larger than an answer holds, callers of each host are told of other nodes

Cause: found by reading, for fleets of 300: an answer of the directory holds 64 addresses, sorted by the caller's failure domain and the instance's name. With 100 nodes in a domain the 36 last by name were told to nobody there. Change: they are chosen by hash of host and failure domain, alike at all nodes, since callers close connections to addresses that a new answer lacks. Fleets of up to 64 nodes are told whole as before. Tests: directory_test.py is new; that callers of different hosts are told of different nodes failed before (64 of 100).

--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/callers/directory_test.py
@@ -0,0 +1,52 @@
+"""Tests of directory.py: callers are told of live nodes, and in a large fleet all get some."""
+
+import random
+
+import pytest
+from springbridge.membership import Member, Membership
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength
+
+from springbridge_node.callers.directory import MOST_ADDRESSES, AddressBook
+
+PLACES = ("perth-a", "perth-b", "perth-c")
+HOSTS = ("desk.example", "council.example", "airport.example", "transit.example")
+
+
+def book_of(count, me=0):
+    """Return the directory of one of so many nodes, a third in each place."""
+    members = [
+        Member(f"i{number}", f"n{number:03}", "", f"10.0.{number}.1:80", PLACES[number % 3])
+        for number in range(count)
+    ]
+    membership = Membership(members[me], lambda: 100.0, random.Random(me))
+    others = members[:me] + members[me + 1 :]
+    membership.merge(random.Random(me).sample(others, len(others)))
+    return AddressBook(membership, 1.0)
+
+
+@pytest.mark.parametrize("count", [1, 7, MOST_ADDRESSES])
+def test_a_fleet_that_fits_is_told_whole(count):
+    told = book_of(count).addresses_for("perth-a", "desk.example")
+    assert_that(set(told), HasLength(count))
+
+
+def test_a_large_fleet_is_told_in_part_the_nodes_of_the_caller_s_place_first():
+    told = book_of(300).addresses_for("perth-b", "desk.example")
+    assert_that(told, HasLength(MOST_ADDRESSES))
+    places = {PLACES[int(address.split(".")[2]) % 3] for address in told}
+    assert_that(places, Equals({"perth-b"}))
+
+
+def test_all_nodes_tell_the_same_so_that_callers_keep_their_connections():
+    answers = {
+        tuple(sorted(book_of(300, me).addresses_for("perth-a", "desk.example")))
+        for me in (0, 1, 150, 299)
+    }
+    assert_that(answers, HasLength(1))
+
+
+def test_callers_of_different_hosts_are_told_of_different_nodes():
+    book = book_of(300)
+    told = {address for host in HOSTS for address in book.addresses_for("perth-a", host)}
+    assert_that(len(told), GreaterThan(90))
