What is told of members ends with their silence, so that members that ended are forgotten

Cause: found by reading. A digest named every member a node knew, silent ones and ended ones too, ended and leaving ones first. Change: a digest names only members that were heard of within the time to suspicion; that a member leaves or has ended counts as hearing of it. Tests: membership_test.py, five cases that failed before (six nodes, three times the time to forget: all of them still knew the ended member).

--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -152,6 +152,7 @@
             known.heard_s = now_s
         elif phase != known.member.phase:
             known.member = replace(known.member, phase=phase)
+            known.heard_s = now_s
 
     def set_listed(self, peer_addresses: Iterable[str]) -> None:
         """Take in the platform's list of peer addresses, without those listed as leaving."""
@@ -221,8 +222,12 @@
         return 2 * (len(heard) + 1) > len(possible) + 1
 
     def digest(self) -> list[Member]:
-        """Return what to send to a peer: this node, leaving members, and a bounded rest."""
-        known = list(self._known.values())
+        """Return what to send to a peer: this node, leaving members, and a bounded rest.
+
+        Only what was heard of a moment ago is told on. Who told more would teach the others anew
+        what they have forgotten, and members that ended would be known for ever.
+        """
+        known = [entry for entry in self._known.values() if self._is_heard(entry)]
         self._rng.shuffle(known)
         known.sort(key=lambda entry: entry.member.phase is Phase.LIVE)
         now_s = self._clock()
--- a/packages/springbridge/springbridge/membership_test.py
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -130,6 +130,46 @@
     assert_that(view.find("a"), Equals(None))
 
 
+def names_told(view):
+    """Return the incarnations that a node's next digest names, itself left out."""
+    return {told.incarnation for told in view.digest()} - {view.me.incarnation}
+
+
+def test_a_silent_member_is_not_told_on(make_view, clock):
+    view = make_view("me")
+    view.merge([member("a", heartbeat=1), member("b", heartbeat=1)])
+    clock.advance(SUSPECT_S + 0.1)
+    view.merge([member("b", heartbeat=2)])
+    assert_that(names_told(view), Equals({"b"}))
+
+
+def test_that_a_member_has_ended_is_told_for_a_moment(make_view, clock):
+    view = make_view("me")
+    view.merge([member("a", heartbeat=1)])
+    clock.advance(SUSPECT_S + 0.1)
+    view.merge([member("a", heartbeat=1, phase=Phase.GONE)])
+    assert_that(names_told(view), Equals({"a"}))
+    clock.advance(SUSPECT_S + 0.1)
+    assert_that(names_told(view), Equals(set()))
+
+
+@pytest.mark.parametrize("phase", [Phase.LIVE, Phase.LEAVING, Phase.GONE])
+def test_a_member_that_ended_does_not_come_back_by_hearsay(make_view, clock, phase):
+    # Each node forgot it in its own time and learnt of it again from the others, for ever; what was
+    # told of members that had ended filled the digests in the end.
+    views = listed_views(make_view, 6)
+    gossip(views, 6, clock)
+    last = member("ended", heartbeat=9, phase=phase)
+    views[0].merge([last])
+    rounds = round(3 * FORGET_S / GOSSIP_INTERVAL_S)
+    for _ in range(rounds):
+        gossip(views, 1, clock)
+        for view in views:
+            view.forget_old()
+    assert_that([view.find("ended") for view in views], Equals([None] * 6))
+    assert_that(any("ended" in names_told(view) for view in views), Equals(False))
+
+
 def test_digest_is_bounded(make_view, clock):
     view = make_view("me")
     view.merge(member(f"n{number}", heartbeat=1) for number in range(400))
