--- a/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/config/configuration_follower_test.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import orjson
-import pytest
 from returns.result import Failure, Success
 from springbridge.codes import Code
 from springbridge.problems import Problem
@@ -22,17 +21,6 @@
 FOREVER_S = 60.0
 
 
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        """Return the time."""
-        return self.now_s
-
-
 class Store:
     """A store that counts its calls and answers or does not."""
 
@@ -88,12 +76,6 @@
     return Configuration(orjson.loads(raw)["version"], (), {}, ())
 
 
-@pytest.fixture
-def clock():
-    """Return a clock at rest."""
-    return Clock()
-
-
 def run(store, readers, clock, steps=()):
     """Run a follower, taking steps one look apart, and return it."""
     follower = ConfigurationFollower(store, read, lambda index, source: None, readers, clock)
--- a/packages/springbridge-node/springbridge_node/config/engine_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/config/engine_follower_test.py
@@ -13,6 +13,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
 
+from springbridge_node.config.conftest import Clock
 from springbridge_node.config.engine_follower import CONFIRMED_S, AgedListing, EngineFollower
 
 LISTING = EngineListing(7, (EngineEntry("e1", "model", "127.0.0.1:1", "a", 4, False),))
@@ -20,17 +21,6 @@
 ROUND_S = 4.0
 
 
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        """Return the time."""
-        return self.now_s
-
-
 class Store:
     """A store that counts its calls and answers or does not."""
 
--- a/packages/springbridge-node/springbridge_node/config/store_readers_test.py
+++ b/packages/springbridge-node/springbridge_node/config/store_readers_test.py
@@ -13,23 +13,6 @@
 READERS = 5
 
 
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        """Return the time."""
-        return self.now_s
-
-
-@pytest.fixture
-def clock():
-    """Return a clock at rest."""
-    return Clock()
-
-
 @pytest.fixture
 def fleet(clock):
     """Return the readers as each node of a fleet sees them."""
--- a/packages/springbridge-node/springbridge_node/configuration_test.py
+++ b/packages/springbridge-node/springbridge_node/configuration_test.py
@@ -6,8 +6,8 @@
 from springbridge.changes import Edit
 from springbridge.codes import Code
 from springbridge_standins.caller import until
+from springbridge_standins.free_addresses import free_address
 from springbridge_standins.relay import running_relay
-from springbridge_standins.world import free_address
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is
 
--- a/packages/springbridge-node/springbridge_node/peer_links_test.py
+++ b/packages/springbridge-node/springbridge_node/peer_links_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from springbridge_standins.world import free_address
+from springbridge_standins.free_addresses import free_address
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
--- a/packages/springbridge-node/springbridge_node/platform_test.py
+++ b/packages/springbridge-node/springbridge_node/platform_test.py
@@ -9,8 +9,8 @@
 from springbridge.ports import OrderKind
 from springbridge.records import Engine, EngineKind
 from springbridge_standins.engine import ModelEngine
+from springbridge_standins.free_addresses import free_address
 from springbridge_standins.platform import Platform
-from springbridge_standins.world import free_address
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
--- a/packages/springbridge-standins/springbridge_standins/world.py
+++ b/packages/springbridge-standins/springbridge_standins/world.py
@@ -1,10 +1,8 @@
 """Starts nodes and stand-ins as processes on loopback and stops them, for tests and bench."""
 
 import asyncio
-import itertools
 import os
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Mapping
@@ -20,45 +18,16 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from springbridge_standins.caller import Caller, control, until
+from springbridge_standins.free_addresses import free_address
 
 PEER_TOKEN = "peer-token-for-tests"
 OPERATOR_TOKEN = "operator-token-for-tests"
 READY_S = 20.0
 STOP_S = 30.0
 NO_REPLY = -1
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-PORTS_PER_PROCESS = 200
 EXAMPLES = Path(__file__).parents[3] / "examples"
 
 
-def _candidate_ports():
-    """Yield ports below the range that outgoing connections use, others in each process."""
-    blocks = (LAST_PORT - FIRST_PORT) // PORTS_PER_PROCESS
-    start = FIRST_PORT + os.getpid() % blocks * PORTS_PER_PROCESS
-    yield from itertools.cycle(range(start, start + PORTS_PER_PROCESS))
-
-
-_ports = _candidate_ports()
-
-
-def free_port() -> int:
-    """Return a port on loopback that is free now and that no world beside this one takes."""
-    for port in _ports:
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no port is free")
-
-
-def free_address() -> str:
-    """Return an address on loopback that is free now."""
-    return f"127.0.0.1:{free_port()}"
-
-
 @dataclass
 class NodeProcess:
     """A node process and how it was started."""
