A prompt that was never read no longer slows the estimate of an engine's reading speed

Cause: found by reading. Where neither the reading nor the end of a prompt is heard of for 8 s (a lost notice, a node that died) it is taken out of the backlog, but the sample of the speed went on; the next prompts were taken for all that the engine had read in that time, which can bring the estimate from 40,000 to 22,000 tokens a second and refuse requests for nothing. Change: the sample ends when nothing is left to read, for whatever reason. Test: engine_state_test.py, "expired", failed before (22,000 for 40,000).

--- a/packages/springbridge/springbridge/routing/engine_state.py
+++ b/packages/springbridge/springbridge/routing/engine_state.py
@@ -72,15 +72,13 @@
     def read(self, attempt_id: str, now_s: float) -> None:
         """Note that the engine has read a prompt."""
         self.speed.was_read(self._drop_prefill(attempt_id), now_s)
-        if not self.prefill_tokens:
-            self.speed.is_idle()
+        self._note_idle()
 
     def ended(self, attempt_id: str) -> None:
         """Drop a request from the load, read or not."""
         self._drop_prefill(attempt_id)
         self.loads.pop(attempt_id, None)
-        if not self.prefill_tokens:
-            self.speed.is_idle()
+        self._note_idle()
 
     def expire_loads(self, now_s: float) -> None:
         """Drop loads whose end was never heard of, since its notice was lost or its node died."""
@@ -89,6 +87,12 @@
                 self.ended(attempt_id)
             elif load.since_s < now_s - LONGEST_READ_S:
                 self._drop_prefill(attempt_id)
+        self._note_idle()
+
+    def _note_idle(self) -> None:
+        """Tell the estimate of the speed if there is nothing left to read."""
+        if not self.prefill_tokens:
+            self.speed.is_idle()
 
     def _drop_prefill(self, attempt_id: str) -> int:
         """Take a prompt out of what is still to read and return its tokens."""
--- /dev/null
+++ b/packages/springbridge/springbridge/routing/engine_state_test.py
@@ -0,0 +1,63 @@
+"""Tests of engine_state.py: the load of an engine, and what it says of its reading speed."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from springbridge.routing.engine_state import LONGEST_LOAD_S, LONGEST_READ_S, EngineState
+from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.reading_speed import LEAST_SAMPLE_TOKENS, USUAL_TOKENS_PER_S
+from springbridge.routing.records import EngineEntry
+
+LONG_PROMPT = LEAST_SAMPLE_TOKENS
+ONE_S = LONG_PROMPT / USUAL_TOKENS_PER_S
+
+
+@pytest.fixture
+def state():
+    """Return an engine without a load."""
+    return EngineState(EngineEntry("e0", "model", "10.0.0.1:80", "perth-a", 64, False))
+
+
+def start(state, attempt_id, now_s, tokens=LONG_PROMPT):
+    state.started(LoadNotice(LoadPhase.STARTED, attempt_id, "e0", tokens), now_s)
+
+
+def test_the_backlog_is_what_is_still_to_read(state):
+    start(state, "a", 0.0)
+    start(state, "b", 0.0)
+    assert_that(state.backlog_s, Equals(2 * ONE_S))
+    state.read("a", ONE_S)
+    assert_that((state.backlog_s, state.in_flight), Equals((ONE_S, 2)))
+    state.ended("a")
+    state.ended("b")
+    assert_that((state.backlog_s, state.in_flight), Equals((0.0, 0)))
+
+
+def test_a_load_whose_end_is_never_heard_of_expires(state):
+    start(state, "a", 0.0)
+    state.expire_loads(LONGEST_READ_S + 1)
+    assert_that((state.prefill_tokens, state.in_flight), Equals((0, 1)))
+    state.expire_loads(LONGEST_LOAD_S + 1)
+    assert_that(state.in_flight, Equals(0))
+
+
+@pytest.mark.parametrize("lost", ["expired", "failed"])
+def test_a_prompt_that_was_never_read_says_nothing_of_the_speed(state, lost):
+    start(state, "lost", 0.0)
+    if lost == "expired":
+        state.expire_loads(LONGEST_READ_S + 1)
+    else:
+        state.ended("lost")
+    start(state, "later", 100.0)
+    state.read("later", 100.0 + ONE_S)
+    assert_that(round(state.speed.tokens_per_s), Equals(round(USUAL_TOKENS_PER_S)))
+
+
+def test_an_engine_that_reads_quickly_is_less_behind(state):
+    start(state, "a", 0.0)
+    start(state, "b", 0.0)
+    before_s = state.backlog_s
+    state.read("a", ONE_S / 4)
+    start(state, "c", ONE_S / 4)
+    assert_that(before_s, GreaterThan(state.backlog_s))
