The load of a silent node is dropped from what is believed of engines

Cause: found by reading, after refusals came to depend on the backlog: a node that is cut off from its peers keeps what they had at engines when the cut came, for 8 s as unread and 20 s as running, and may refuse requests for a backlog that was read long ago. The same holds for what a killed node had. Change: loads of incarnations that are no longer heard of are dropped every 2 s; an attempt's name tells whose it is (load.py). Test: engine_state_test.py; there was no such way before.

--- a/bench/own_days.py
+++ b/bench/own_days.py
@@ -134,6 +134,15 @@
             fault("revoke", 19, count=2, gap_s=0.5),
         ],
     ),
+    "nodes-cut-in-a-burst": (
+        [],
+        [
+            fault("burst", 4, x=3.0, for_s=5),
+            fault("node_cut", 8, share=0.5, for_s=7, how="all"),
+            fault("burst", 20, x=3.0, for_s=5),
+            fault("node_cut", 24, share=0.5, for_s=7, how="all"),
+        ],
+    ),
     "answers-spoilt": (
         [],
         [
--- a/packages/springbridge-node/springbridge_node/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway.py
@@ -247,6 +247,8 @@
         """Drop what belongs to engines and members that are gone."""
         self.pool.keep_only(self.board.known_ids())
         self.board.expire_loads()
+        heard = {member.incarnation for member in self.membership.reachable()}
+        self.board.keep_loads_of(heard | {self.membership.me.incarnation})
         self.presence.forget_gone()
 
 
--- a/packages/springbridge-node/springbridge_node/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/peers/load_sharing.py
@@ -11,7 +11,7 @@
 
 from springbridge.routing.engine_board import EngineBoard
 from springbridge.routing.engine_choice import Choice
-from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.load import LoadNotice, LoadPhase, attempt_name
 from springbridge.routing.records import Demand
 from springbridge.routing.selection import start_notice
 
@@ -73,7 +73,7 @@
     def new_attempt_id(self) -> str:
         """Return a name for an attempt, new among those of all nodes."""
         self._count += 1
-        return f"{self._incarnation}/{self._count}"
+        return attempt_name(self._incarnation, self._count)
 
     @contextlib.contextmanager
     def attempt(self, choice: Choice, demand: Demand) -> Iterator[SharedLoad]:
--- a/packages/springbridge/springbridge/routing/engine_board.py
+++ b/packages/springbridge/springbridge/routing/engine_board.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import xxhash
 
@@ -186,6 +186,11 @@
         for state in self._states.values():
             state.expire_loads(self._clock())
 
+    def keep_loads_of(self, incarnations: Set[str]) -> None:
+        """Drop the loads of nodes that are not heard of."""
+        for state in self._states.values():
+            state.keep_loads_of(incarnations)
+
     def succeeded(self, state: EngineState) -> None:
         """Note that an engine answered as it should."""
         state.failures = 0
--- a/packages/springbridge/springbridge/routing/engine_state.py
+++ b/packages/springbridge/springbridge/routing/engine_state.py
@@ -1,12 +1,14 @@
 """One engine as an instance sees it: its entry, its load, how it fails, and what it reads.
 
 The load is that of all instances as far as their notices came. Notices may be lost, so a load whose
-end is never heard of expires.
+end is never heard of expires, and that of an instance that is silent is dropped: what an engine had
+to read when a cut came would count as its backlog long after it was read.
 """
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 
-from springbridge.routing.load import Load, LoadNotice
+from springbridge.routing.load import Load, LoadNotice, teller_of
 from springbridge.routing.prefix_cache import PrefixCache
 from springbridge.routing.reading_speed import ReadingSpeed
 from springbridge.routing.records import EngineEntry
@@ -89,6 +91,12 @@
                 self._drop_prefill(attempt_id)
         self._note_idle()
 
+    def keep_loads_of(self, incarnations: Set[str]) -> None:
+        """Drop the loads of nodes that are not heard of: nobody would tell of their end."""
+        for attempt_id in list(self.loads):
+            if teller_of(attempt_id) not in incarnations:
+                self.ended(attempt_id)
+
     def _note_idle(self) -> None:
         """Tell the estimate of the speed if there is nothing left to read."""
         if not self.prefill_tokens:
--- a/packages/springbridge/springbridge/routing/engine_state_test.py
+++ b/packages/springbridge/springbridge/routing/engine_state_test.py
@@ -5,7 +5,7 @@
 from testtools.matchers import Equals, GreaterThan
 
 from springbridge.routing.engine_state import LONGEST_LOAD_S, LONGEST_READ_S, EngineState
-from springbridge.routing.load import LoadNotice, LoadPhase
+from springbridge.routing.load import LoadNotice, LoadPhase, attempt_name
 from springbridge.routing.reading_speed import LEAST_SAMPLE_TOKENS, USUAL_TOKENS_PER_S
 from springbridge.routing.records import EngineEntry
 
@@ -61,3 +61,10 @@
     state.read("a", ONE_S / 4)
     start(state, "c", ONE_S / 4)
     assert_that(before_s, GreaterThan(state.backlog_s))
+
+
+def test_the_load_of_a_silent_node_is_dropped(state):
+    start(state, attempt_name("me", 1), 0.0)
+    start(state, attempt_name("silent", 1), 0.0)
+    state.keep_loads_of({"me", "other"})
+    assert_that((set(state.loads), state.backlog_s), Equals(({attempt_name("me", 1)}, ONE_S)))
--- a/packages/springbridge/springbridge/routing/load.py
+++ b/packages/springbridge/springbridge/routing/load.py
@@ -10,6 +10,18 @@
 
 from springbridge.routing.records import PromptPart
 
+NAME_SEPARATOR = "/"
+
+
+def attempt_name(incarnation: str, count: int) -> str:
+    """Return a name for an attempt of a node, new among those of all nodes."""
+    return f"{incarnation}{NAME_SEPARATOR}{count}"
+
+
+def teller_of(attempt_id: str) -> str:
+    """Return the incarnation of the node that tells of an attempt."""
+    return attempt_id.partition(NAME_SEPARATOR)[0]
+
 
 class LoadPhase(IntEnum):
     """What happened to a request at an engine.
