The test of rounds of the list's readers no longer passes without its mechanism

Cause: the mutant 'a node that failed to read the list waits for a round of all' passed: after the failed read the test's node took a younger list from its peer, so that it had no reason to read again.

--- a/packages/springbridge-node/springbridge_node/config/engine_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/config/engine_follower_test.py
@@ -135,6 +135,7 @@
 
 def test_a_node_that_failed_to_read_lets_all_others_try_before_it_tries_again(other):
     other.store.up = False
+    other.peer_list = None
     other.clock.now_s += CONFIRMED_S + TURN_S + 0.1
     assert_that(other.steps(3), Equals(1))
     other.clock.now_s += ROUND_S
