A leaving node reads the store for nobody, as before turns were taken

Change: only a live node is a reader. Test: test_a_leaving_node_reads_for_nobody, failed before (1 failed, 28 passed).

--- a/packages/springbridge-node/springbridge_node/config/store_readers.py
+++ b/packages/springbridge-node/springbridge_node/config/store_readers.py
@@ -37,7 +37,7 @@
 
     def include_me(self, count: int) -> bool:
         """Return whether this node is one of so many that read for all."""
-        return self._rank() < count
+        return self._membership.is_live() and self._rank() < count
 
     def turn_s(self, count: int) -> float:
         """Return how long this node leaves the store to others, in seconds, once nobody confirms.
--- a/packages/springbridge-node/springbridge_node/config/store_readers_test.py
+++ b/packages/springbridge-node/springbridge_node/config/store_readers_test.py
@@ -39,6 +39,14 @@
     assert_that({round(view.round_s(), 6) for view in fleet}, Equals({round(TURN_S * NODES, 6)}))
 
 
+def test_a_leaving_node_reads_for_nobody(clock):
+    membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
+    readers = StoreReaders(membership, False, clock)
+    assert_that(readers.include_me(READERS), Equals(True))
+    membership.leave()
+    assert_that(readers.include_me(READERS), Equals(False))
+
+
 def test_a_node_without_peers_has_its_turn_at_once(clock):
     alone = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
     assert_that(StoreReaders(alone, False, clock).turn_s(0), Equals(0.0))
