--- a/packages/springbridge-standins/springbridge_standins/free_addresses.py
+++ b/packages/springbridge-standins/springbridge_standins/free_addresses.py
@@ -3,6 +3,9 @@
 import itertools
 import os
 import socket
+from collections.abc import Mapping
+
+from springbridge.rows import Cells
 
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
@@ -34,3 +37,11 @@
 def free_address() -> str:
     """Return an address on loopback that is free now."""
     return f"127.0.0.1:{free_port()}"
+
+
+def with_free_addresses(rows: Mapping[str, Cells]) -> dict[str, Cells]:
+    """Return the rows with a free address for each engine."""
+    return {
+        key: {**cells, "address": free_address()} if key.startswith("engine/") else cells
+        for key, cells in rows.items()
+    }
