--- a/packages/springbridge/springbridge/routing/endpoint_cost.py
+++ b/packages/springbridge/springbridge/routing/endpoint_cost.py
@@ -24,8 +24,8 @@
 # Cost of a prompt token that the endpoint fetches from another one, for each second of the target
 # of the request's route: a fetch saves a wait, which matters by the share of the target that it
 # takes, and each copy takes memory from the prompts of others. 12 runs with a target of 0.6 s, mean
-# served value 0.736 with 2, 0.734 with 2.8, 0.728 with 1 whatever the target; 12 runs with targets of 1.5 and
-# 2.5 s 0.826 with 2, 0.823 with 2.8.
+# served value 0.736 with 2, 0.734 with 2.8, 0.728 with 1 whatever the target; 12 runs with targets
+# of 1.5 and 2.5 s 0.826 with 2, 0.823 with 2.8.
 FETCH_PER_TARGET_S = 2.0
 # Most that such a token costs: as much as one that is read. Measured with the weight above.
 MOST_FETCH_WEIGHT = UNREAD_WEIGHT
