--- a/packages/springbridge/springbridge/routing/__init__.py
+++ b/packages/springbridge/springbridge/routing/__init__.py
@@ -19,6 +19,6 @@
 planned_stop         when a stopping instance tells its peers, refuses requests, and ends
 
 What they work with: `records` (configuration, endpoints, a request's facts), `endpoint_registry`
-and `endpoint_state` (what an instance knows of endpoints), `load_notices`, `prefix_cache`,
-`reading_speed` and `event_stream`.
+and `endpoint_state` (what an instance knows of endpoints), `load_notices`, `prompt_load`,
+`prefix_cache`, `reading_speed` and `event_stream`.
 """
