--- a/packages/springbridge/springbridge/routing/endpoint_state_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state_test.py
@@ -6,6 +6,7 @@
 
 from springbridge.routing.endpoint_state import LONGEST_LOAD_S, LONGEST_READ_S, EndpointState
 from springbridge.routing.load_notices import LoadNotice, LoadPhase, attempt_name
+from springbridge.routing.prompt_load import SHORT_PROMPT_TOKENS
 from springbridge.routing.reading_speed import LEAST_SAMPLE_TOKENS, USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry
 
@@ -34,6 +35,18 @@
     assert_that((state.backlog_s, state.in_flight), Equals((0.0, 0)))
 
 
+def test_requests_are_counted_by_the_size_of_their_prompt_until_they_end(state):
+    start(state, "long", 0.0)
+    start(state, "short", 0.0, SHORT_PROMPT_TOKENS)
+    start(state, "short", 0.0, SHORT_PROMPT_TOKENS)
+    state.read("short", 0.1)
+    assert_that((state.short.running, state.long.running), Equals((1, 1)))
+    state.ended("short")
+    state.ended("short")
+    state.expire_loads(LONGEST_LOAD_S + 1)
+    assert_that((state.short.running, state.long.running), Equals((0, 0)))
+
+
 def test_a_load_whose_end_is_never_heard_of_expires(state):
     start(state, "a", 0.0)
     state.expire_loads(LONGEST_READ_S + 1)
--- a/packages/springbridge/springbridge/routing/reserved_endpoints.py
+++ b/packages/springbridge/springbridge/routing/reserved_endpoints.py
@@ -6,10 +6,10 @@
 Outcome: a set of endpoint ids, and a cost in prompt tokens that the choice of endpoint adds.
 Why: an endpoint reads a long prompt in pieces between the tokens of the streams that it runs, and
 several pieces in a row make one pause that is longer than callers accept. Streams with short
-prompts last longest and suffer most. Of 901 of them in one run, 143 had such a pause: none of 422
-at the endpoint that was reserved then, and 143 of 479 at the others. The endpoints are divided by
-the work that either size brings, so that neither waits while the other has room. It is a cost
-rather than a ban, so that idle endpoints can still be used.
+prompts last longest and suffer most: of 901 of them in one run, 143 had such a pause, none of 422
+at the endpoint that was reserved and 143 of 479 at the others. The endpoints are divided by the
+work that prompts of either size bring, so that neither kind waits while the other has room. It is a
+cost rather than a ban, so that idle endpoints can still be used.
 Numbers: 8 runs with bursts or faults, mean served value 0.730 with a fifth reserved whatever the
 work and costs of 12,000 and 1,500, and 0.742 as below.
 """
@@ -22,14 +22,15 @@
 from springbridge.routing.prompt_load import PromptLoad, is_short
 
 # Share of a service's endpoints that is reserved while there is next to no work to divide them by.
-# Not measured on its own.
+# Not measured on its own; it is the share that was reserved before the work was counted.
 IDLE_SHARE = 0.2
-# Work in endpoints below which a service counts as idle. Not measured; chosen as a fiftieth of one.
+# Work of all endpoints below which a service counts as idle, where 1 is what one endpoint can do.
+# Not measured; chosen as a fiftieth of that.
 IDLE_WORK = 0.02
-# Share of an endpoint that a request takes which uses one of its slots, over the slots: a batch of
-# half the slots is as much as an endpoint runs at nearly full speed. 8 runs, mean served value
-# 0.757 with 0.3, 0.766 with 0.5, 0.761 with 0.8.
-SLOT_WEIGHT = 0.5
+# Work of a full batch, as a share of what an endpoint can do: one that runs a request in each slot
+# still has time to read prompts. 8 runs, mean served value 0.757 with 0.3, 0.766 with 0.5, 0.761
+# with 0.8.
+FULL_BATCH_WORK = 0.5
 # Endpoints that a service needs before any is reserved. Not measured; with three, long prompts have
 # at least one endpoint to themselves.
 LEAST_ENDPOINTS_TO_RESERVE = 3
@@ -87,7 +88,7 @@
 
 def _work(state: EndpointState, load: PromptLoad, now_s: float) -> float:
     """Return the work of requests of one size at an endpoint, as a share of what it can do."""
-    batch = SLOT_WEIGHT * load.running / max(1, state.entry.slots)
+    batch = FULL_BATCH_WORK * load.running / max(1, state.entry.slots)
     return batch + load.tokens_per_s(now_s) / state.speed.tokens_per_s
 
 
