--- a/packages/springbridge/springbridge/routing/endpoint_cost.py
+++ b/packages/springbridge/springbridge/routing/endpoint_cost.py
@@ -1,8 +1,9 @@
 """What a request costs at an endpoint, where the load of all instances is known.
 
 Decided: the cost by which endpoint_choice.by_token_cost compares endpoints.
-Inputs: an endpoint's unread prompt tokens and running requests; the request's prompt in tokens; how
-many of them the endpoint keeps, and how many some other endpoint keeps.
+Inputs: an endpoint's unread prompt tokens, running requests and slots; the request's prompt in
+tokens and the target of its route in seconds; how many of the tokens the endpoint keeps, and how
+many some other endpoint keeps.
 Outcome: the cost in prompt tokens, that is in units of the time an endpoint takes to read a token.
 Why: a new prompt waits for those that the endpoint has still to read, and what is read or fetched
 again takes time and memory from everything else that the endpoint runs.
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -47,8 +47,8 @@
     Attributes:
       loads: Its requests by attempt id, those of all instances as far as notices arrived.
       prefill_tokens: Prompt tokens of those that it has still to read.
-      short: Those with a short prompt, and how much they bring to read.
-      long: The same of those with a long prompt.
+      short: How many of its requests have a short prompt, and what such prompts bring to read.
+      long: The same of long prompts.
       speed: How fast it reads prompts.
       failures: Failures in a row.
       ejected_until_s: Before this moment it gets a request only if there is no other endpoint.
