--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -153,8 +153,6 @@
         """Return whether this node has to read the store now."""
         if self.index is None:
             return not self._readers.seeds_come_first()
-        if self._readers.is_settling():
-            return self._readers.include_me(FEED_READERS)
         turn_s = self._readers.turn_s(FEED_READERS)
         return reads_configuration(
             self.age_s(), turn_s, is_reader=self._readers.include_me(FEED_READERS)
--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower_test.py
@@ -45,7 +45,6 @@
 
     def __init__(self, reads_for_all=False, is_starting=False, turn_s=0.0, round_s=0.0):
         self.reads_for_all = reads_for_all
-        self.settling = False
         self.is_starting = is_starting
         self._turn_s = turn_s
         self._round_s = round_s
@@ -54,10 +53,6 @@
         """Return the set value."""
         return self.reads_for_all
 
-    def is_settling(self):
-        """Return whether this node started a moment ago."""
-        return self.settling
-
     def seeds_come_first(self):
         """Return the set value."""
         return self.is_starting
@@ -144,27 +139,6 @@
     assert_that(store.reads, Equals(2))
 
 
-def test_a_node_that_a_peer_gave_its_first_version_leaves_the_store_alone_until_it_settles(clock):
-    store = Store()
-    readers = Readers(is_starting=True)
-    readers.settling = True
-
-    def told(follower):
-        follower.offer(document(VERSION), Source.PEER)
-
-    def no_longer(follower):
-        readers.is_starting = False
-
-    run(store, readers, clock, [told, no_longer])
-    assert_that(store.reads, Equals(0))
-
-    def has_settled(follower):
-        readers.settling = False
-
-    run(store, readers, clock, [told, no_longer, has_settled])
-    assert_that(store.reads, Equals(1))
-
-
 def test_a_starting_node_leaves_the_store_to_its_seeds(clock):
     store = Store()
     readers = Readers(is_starting=True)
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -164,8 +164,6 @@
         """Return whether this node reads in place of the readers now."""
         if self._registry.revision < 0:
             return True
-        if self._readers.is_settling():
-            return False
         is_old = is_overdue(self._registry.age_s(), self._readers.turn_s(SNAPSHOT_READERS))
         return is_old and self._clock() >= self._next_turn_s
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
@@ -49,16 +49,11 @@
 
     def __init__(self, reads_for_all):
         self.reads_for_all = reads_for_all
-        self.settling = False
 
     def include_me(self, count):
         """Return the set value."""
         return self.reads_for_all
 
-    def is_settling(self):
-        """Return whether this node started a moment ago."""
-        return self.settling
-
     def seeds_come_first(self):
         """Return that this node is not starting."""
         return False
@@ -81,12 +76,11 @@
         self.registry = EndpointRegistry(self.clock)
         self.membership = Membership(Member("me", "me", "", "", "a"), self.clock, random.Random(1))
         self.peer_list = AgedSnapshot(LISTING, 0.0)
-        self.readers = Readers(reads_for_all)
         self.follower = EndpointFollower(
             self.store,
             self.registry,
             self.membership,
-            self.readers,
+            Readers(reads_for_all),
             FollowerHooks(dict, self._fetch, lambda: None, lambda: None),
             interval_s=0.0,
             clock=self.clock,
@@ -133,14 +127,6 @@
     assert_that(reader.steps(3), Equals(3))
 
 
-def test_a_node_that_still_settles_leaves_the_store_to_the_seeds(other):
-    other.readers.settling = True
-    other.clock.now_s += CONFIRMED_S + 2 * TURN_S
-    assert_that(other.steps(2), Equals(0))
-    other.readers.settling = False
-    assert_that(other.steps(1), Equals(1))
-
-
 def test_a_confirmed_node_leaves_the_store_alone(other):
     other.clock.now_s += CONFIRMED_S + TURN_S
     other.heard(0.1)
--- a/packages/springbridge-node/springbridge_node/gateway/config/store_readers_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/store_readers_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 from springbridge.membership import Member, Membership
-from springbridge.routing.store_freshness import ASK_SEEDS_FIRST_S, SETTLE_S, TURN_S
+from springbridge.routing.store_freshness import ASK_SEEDS_FIRST_S, TURN_S
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -14,14 +14,6 @@
 READERS = 5
 
 
-def settled(membership, clock):
-    """Return the view of a node that started long ago."""
-    clock.now_s -= SETTLE_S
-    readers = StoreReaders(membership, False, False, clock)
-    clock.now_s += SETTLE_S
-    return readers
-
-
 @pytest.fixture
 def fleet(clock):
     """Return the readers as each node of a fleet sees them."""
@@ -30,7 +22,7 @@
     for me in members:
         membership = Membership(me, clock, random.Random(1))
         membership.merge(member for member in members if member is not me)
-        views.append(settled(membership, clock))
+        views.append(StoreReaders(membership, False, clock))
     return views
 
 
@@ -50,7 +42,7 @@
 
 def test_a_leaving_node_reads_for_nobody(clock):
     membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
-    readers = settled(membership, clock)
+    readers = StoreReaders(membership, False, clock)
     assert_that(readers.include_me(READERS), Equals(True))
     membership.leave()
     assert_that(readers.include_me(READERS), Equals(False))
@@ -58,25 +50,13 @@
 
 def test_a_node_without_peers_has_its_turn_at_once(clock):
     alone = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
-    assert_that(settled(alone, clock).turn_s(0), Equals(0.0))
+    assert_that(StoreReaders(alone, False, clock).turn_s(0), Equals(0.0))
 
 
 def test_only_a_node_that_asks_seeds_first_waits_for_them(clock):
     membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
-    waits = [
-        StoreReaders(membership, asks, False, clock).seeds_come_first() for asks in (True, False)
-    ]
+    waits = [StoreReaders(membership, asks, clock).seeds_come_first() for asks in (True, False)]
     assert_that(waits, Equals([True, False]))
-    readers = StoreReaders(membership, True, False, clock)
+    readers = StoreReaders(membership, True, clock)
     clock.now_s += ASK_SEEDS_FIRST_S
     assert_that(readers.seeds_come_first(), Equals(False))
-
-
-@pytest.mark.parametrize("is_seed", [True, False])
-def test_while_a_fleet_starts_only_its_seeds_read_for_all(clock, is_seed):
-    # Each of 87 nodes saw itself alone, and all of them read both tables and waited at the feed.
-    alone = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
-    readers = StoreReaders(alone, False, is_seed, clock)
-    assert_that((readers.include_me(READERS), readers.is_settling()), Equals((is_seed, True)))
-    clock.now_s += SETTLE_S
-    assert_that((readers.include_me(READERS), readers.is_settling()), Equals((True, False)))
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -104,7 +104,7 @@
         self.selection_parts = SelectionParts(self.registry, self.membership)
         self.pool = ConnectionPool(self._live_nodes)
         self.budget = SharedRetryBudget(settings.budget, self._live_nodes, time.monotonic)
-        self.readers = StoreReaders(self.membership, settings.asks_seeds_first, settings.is_seed)
+        self.readers = StoreReaders(self.membership, settings.asks_seeds_first)
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.configuration = self._configuration_follower()
         self.endpoints = self._endpoint_follower()
--- a/packages/springbridge-node/springbridge_node/gateway/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway_settings.py
@@ -69,18 +69,13 @@
         """Return the seeds that are not this node."""
         return tuple(seed for seed in self.seeds if seed != self.addresses.peers)
 
-    @property
-    def is_seed(self) -> bool:
-        """Return whether the settings name this node as one that others ask at their start."""
-        return self.addresses.peers in self.seeds
-
     @property
     def asks_seeds_first(self) -> bool:
         """Return whether this node asks its seeds before the store when it starts.
 
         When a whole fleet starts, the seeds read the store and the others wait for them.
         """
-        return self.first_start and not self.is_seed
+        return self.first_start and self.addresses.peers not in self.seeds
 
 
 def _check_address(name: str, address: str) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_discovery_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_discovery_test.py
@@ -8,7 +8,6 @@
 from springbridge.codes import Code
 from springbridge.membership import Member, Membership
 from springbridge.problems import Problem
-from springbridge.routing.store_freshness import SETTLE_S
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
@@ -57,8 +56,7 @@
 @pytest.fixture
 def discovery(store, membership, clock):
     """Return the discovery of a node with one seed."""
-    readers = StoreReaders(membership, False, False, clock)
-    clock.now_s += SETTLE_S
+    readers = StoreReaders(membership, False, clock)
     return PeerDiscovery(membership, store, readers, lambda: (SEED,))
 
 
--- a/packages/springbridge/springbridge/routing/store_freshness.py
+++ b/packages/springbridge/springbridge/routing/store_freshness.py
@@ -43,10 +43,6 @@
 # start of 78 nodes without it, 401 of 731 calls came in the first second. The value itself was not
 # measured.
 ASK_SEEDS_FIRST_S = 1.5
-# Seconds after its start in which a node that is no seed reads for nobody: it knows only itself at
-# first, and most of its peers after 1.3 to 2.2 s, so it would take itself for a reader. Its seeds
-# read meanwhile. Without it, two starts of 87 nodes made 914 of the 1,697 calls of one run.
-SETTLE_S = 2.5
 # Age in seconds of the endpoint list at which a node whose read failed asks any peer for a younger
 # one. Not measured; above CONFIRMED_S, so that peers' digests get to confirm the list first.
 ASK_PEERS_AFTER_S = 1.5
