A member that falls silent or is heard again leaves a line at each peer

Cause: views were compared around each digest, and silence is the absence of one, so that the record of the incident could not tell a late heartbeat from a node that stood still. Change: the members are compared at each beat; lines have the age of the last heartbeat and the peer that told of it. No decision changes.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -10,7 +10,6 @@
 
 from springbridge.membership import Member, Membership
 
-from springbridge_node import logs
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 
@@ -65,10 +64,9 @@
 
     def _take(self, rows: list, sender: str) -> None:
         """Merge a peer's digest."""
-        before = set(self._membership.incarnations())
         members = [codec.read_member(row, self._membership.find) for row in rows]
-        self._membership.merge([member for member in members if member is not None])
-        self._log_changes(before)
+        known = [member for member in members if member is not None]
+        self._membership.merge(known, told_by=rows[0][0])
         self._received()
 
     def _is_new(self, member: Member) -> bool:
@@ -84,11 +82,3 @@
             for incarnation, first_s in self._first_sent_s.items()
             if self._membership.find(incarnation) is not None
         }
-
-    def _log_changes(self, before: set[str]) -> None:
-        """Log the members that came to life or were lost with a digest."""
-        now = set(self._membership.incarnations())
-        for incarnation in sorted(now - before):
-            logs.event("member.joined", incarnation=incarnation)
-        for incarnation in sorted(before - now):
-            logs.event("member.left", incarnation=incarnation)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
@@ -16,6 +16,7 @@
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.peers.gossip import Gossip
+from springbridge_node.gateway.peers.member_log import MemberLog
 
 # Seconds between two heartbeats. Not measured; chosen so that four beats fit into the 1.2 s after
 # which a silent member is suspected.
@@ -49,6 +50,7 @@
         self._catch_up = catch_up
         self._is_ready = is_ready
         self._gossip: Gossip | None = None
+        self._member_log = MemberLog(membership)
         self._last_beat_s = time.monotonic()
 
     def connect(self, datagrams: PeerDatagrams) -> None:
@@ -69,6 +71,7 @@
     async def beat(self) -> None:
         """Send a digest to a few peers, unless this node is still starting."""
         self._notice_stall()
+        self._member_log.check()
         for member, age_s in self._membership.confirmations():
             self._configuration.confirm(member.config_version, age_s)
         if self._is_ready() or not self._membership.is_live():
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_log_test.py
@@ -0,0 +1,59 @@
+"""Tests of member_log.py: which lines the comings and goings of members leave."""
+
+import random
+
+import pytest
+from springbridge.membership import Member, Membership, Pace, Phase
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge_node import logs
+from springbridge_node.gateway.peers.member_log import MemberLog
+
+SUSPECT_S = 1.2
+
+
+def peer(heartbeat, phase=Phase.LIVE):
+    return Member("p", "peer", "10.0.0.2:1", "", "a", heartbeat=heartbeat, phase=phase)
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    """Return the log lines that are written."""
+    found = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: found.append((name, fields)))
+    return found
+
+
+@pytest.fixture
+def membership(clock):
+    """Return the view of a node that knows nobody yet."""
+    me = Member("me", "me", "10.0.0.1:1", "", "a")
+    return Membership(me, clock, random.Random(1), Pace(suspect_s=SUSPECT_S))
+
+
+def test_a_member_that_falls_silent_and_is_heard_again_leaves_a_line_each(membership, clock, lines):
+    member_log = MemberLog(membership)
+    membership.merge([peer(1)], told_by="p")
+    member_log.check()
+    clock.now_s += SUSPECT_S + 0.1
+    member_log.check()
+    member_log.check()
+    membership.merge([peer(2)], told_by="third")
+    member_log.check()
+    expected = [
+        ("member.joined", 0, "p"),
+        ("member.silent", 1300, "p"),
+        ("member.heard", 0, "third"),
+    ]
+    told = [(name, fields["heard_ms_ago"], fields["told_by"]) for name, fields in lines]
+    assert_that(told, Equals(expected))
+
+
+def test_a_member_that_leaves_is_not_called_silent(membership, lines):
+    member_log = MemberLog(membership)
+    membership.merge([peer(1)], told_by="p")
+    member_log.check()
+    membership.merge([peer(2, Phase.LEAVING)], told_by="p")
+    member_log.check()
+    assert_that([name for name, _ in lines], Equals(["member.joined", "member.left"]))
--- a/packages/springbridge/springbridge/digest.py
+++ b/packages/springbridge/springbridge/digest.py
@@ -27,10 +27,12 @@
 
     Attributes:
       at_s: When its heartbeat or phase last moved on, by this node's clock.
+      told_by: Incarnation of the peer that told of it, empty where that is not known.
     """
 
     member: Member
     at_s: float
+    told_by: str = ""
 
 
 def digest_members(
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -28,6 +28,7 @@
     "FORGET_S",
     "GOSSIP_INTERVAL_S",
     "SUSPECT_S",
+    "LastHeard",
     "Member",
     "Membership",
     "Pace",
@@ -56,6 +57,20 @@
     suspect_s: float = SUSPECT_S
 
 
+@dataclass(frozen=True)
+class LastHeard:
+    """How a member was last heard of.
+
+    Attributes:
+      ago_s: Seconds since its last sign of life.
+      told_by: Incarnation of the peer that told of it, the member's own if it did so itself.
+    """
+
+    member: Member
+    ago_s: float
+    told_by: str
+
+
 class Membership:
     """This node's view of all nodes, itself included."""
 
@@ -104,25 +119,31 @@
         """Mark this node as gone, for a last message to the others."""
         self.me = replace(self.me, phase=Phase.GONE, heartbeat=self.me.heartbeat + 1)
 
-    def merge(self, members: Iterable[Member]) -> None:
-        """Take in a digest: the higher heartbeat wins, and phases only move forward."""
+    def merge(self, members: Iterable[Member], told_by: str = "") -> None:
+        """Take in a digest: the higher heartbeat wins, and phases only move forward.
+
+        Args:
+          told_by: Incarnation of the peer that sent it, for last_heard().
+        """
         now_s = self._clock()
         for member in members:
             if member.incarnation != self.me.incarnation:
-                self._merge_one(member, now_s)
+                self._merge_one(member, now_s, told_by)
 
-    def _merge_one(self, member: Member, now_s: float) -> None:
+    def _merge_one(self, member: Member, now_s: float, told_by: str) -> None:
         observed = self._observed.get(member.incarnation)
         if observed is None:
-            self._observed[member.incarnation] = Observation(member, now_s)
+            self._observed[member.incarnation] = Observation(member, now_s, told_by)
             return
         phase = max(observed.member.phase, member.phase)
         if member.heartbeat > observed.member.heartbeat:
             observed.member = replace(member, phase=phase)
-            observed.at_s = now_s
         elif phase != observed.member.phase:
             observed.member = replace(observed.member, phase=phase)
-            observed.at_s = now_s
+        else:
+            return
+        observed.at_s = now_s
+        observed.told_by = told_by
 
     def set_listed(self, peer_addresses: Iterable[str]) -> None:
         """Take in the platform's list of peer addresses, without those listed as leaving."""
@@ -159,6 +180,13 @@
             return None
         return observed.member
 
+    def last_heard(self, incarnation: str) -> LastHeard | None:
+        """Return how another member was last heard of, or None if it is not known."""
+        observed = self._observed.get(incarnation)
+        if observed is None:
+            return None
+        return LastHeard(observed.member, self._clock() - observed.at_s, observed.told_by)
+
     def snapshot_ages(self) -> list[tuple[Member, float]]:
         """Return the other members that run, and the age of their endpoint lists in seconds."""
         now_s = self._clock()
