A failing test of callers sent to a node that lost power, listed as known red

Cause: reproduced without stall, loss or delay, so a stall of the naming node is ruled out. Late second-hand heartbeats count as new; ended incarnations stretch the time to suspicion further.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -275,11 +275,23 @@
 
 
 def _member(settings: GatewaySettings) -> Member:
-    """Return this node as its peers will know it, with an incarnation new at each start."""
+    """Return this node as its peers will know it."""
+    return new_member(
+        settings.name,
+        settings.addresses.peers,
+        settings.addresses.callers,
+        settings.failure_domain,
+    )
+
+
+def new_member(
+    instance: str, peer_address: str, caller_address: str, failure_domain: str
+) -> Member:
+    """Return the member of a node that starts now, with an incarnation new at each start."""
     return Member(
         incarnation=os.urandom(5).hex(),
-        instance=settings.name,
-        peer_address=settings.addresses.peers,
-        caller_address=settings.addresses.callers,
-        failure_domain=settings.failure_domain,
+        instance=instance,
+        peer_address=peer_address,
+        caller_address=caller_address,
+        failure_domain=failure_domain,
     )
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/known_red_test.py
@@ -0,0 +1,46 @@
+"""Tests of known_red.py: which failing tests are passed over."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from springbridge_standins.known_red import find, read_known_red
+
+LINE = "some_test.py::test_it | a cause | issue 1"
+
+
+@pytest.fixture
+def write(tmp_path):
+    """Return a function that writes the list, beside a file with one test."""
+    (tmp_path / "some_test.py").write_text("def test_it():\n    pass\n")
+
+    def write(*lines):
+        (tmp_path / "KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
+        return tmp_path
+
+    return write
+
+
+def test_without_a_list_nothing_is_passed_over(tmp_path):
+    assert_that(read_known_red(tmp_path), Equals(()))
+
+
+def test_all_cases_of_a_listed_test_are_passed_over_and_no_other(write):
+    entries = read_known_red(write(LINE))
+    assert_that(find(entries, "some_test.py::test_it[3]"), Is(entries[0]))
+    assert_that(find(entries, "some_test.py::test_it_not"), Is(None))
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["some_test.py::test_it | a cause"],
+        ["some_test.py::test_gone | a cause | issue 1"],
+        ["gone_test.py::test_it | a cause | issue 1"],
+        [LINE] * 4,
+    ],
+)
+def test_a_list_that_is_wrong_is_refused(write, lines):
+    root = write(*lines)
+    with pytest.raises(ValueError):
+        read_known_red(root)
