serve: an order without an answer ends with OUTCOME_UNKNOWN

Cause: tornado's HTTPTimeoutError and HTTPStreamClosedError are an HTTPClientError, and only TimeoutError and OSError were caught, so the operator was told of an internal fault. Change: both are caught; the order may have been taken, and the code says so.

--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/orders.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/orders.py
@@ -10,6 +10,7 @@
 from springbridge.classes.ports import OrderKind, OrderLease, TableStore
 from springbridge.codes import Code
 from springbridge.problems import Problem
+from tornado.httpclient import HTTPClientError
 
 from springbridge_node import logs
 from springbridge_node.class_router.endpoints.model_client import ModelClient
@@ -64,7 +65,9 @@
     ) -> Result[int, Problem]:
         try:
             reply = await self._client.order(endpoint, kind, argument, lease)
-        except (TimeoutError, OSError) as exc:
+        except (HTTPClientError, OSError) as exc:
+            # Silence and a connection that is closed without an answer are an HTTPClientError: the
+            # order may have been taken, which the operator has to know.
             return Failure(Problem(Code.OUTCOME_UNKNOWN, type(exc).__name__, endpoint.name))
         if not reply.taken:
             return Failure(Problem(Code.ORDER_REFUSED, reply.text, endpoint.name))
