serve: a peer that takes no connection is reported to the membership

Cause: a connection that did not come up and a link that was idle ended with the same TimeoutError. Change: an idle link has an exception of its own; the other case is reported as a broken stream is. Measured: peer_links_test.py, failed before; an idle link is still not reported.

--- a/packages/springbridge-node/springbridge_node/class_router/peers/peer_links.py
+++ b/packages/springbridge-node/springbridge_node/class_router/peers/peer_links.py
@@ -45,6 +45,10 @@
     bytes: int
 
 
+class IdleLinkError(Exception):
+    """A link carried nothing for IDLE_CLOSE_S."""
+
+
 class PeerLink:
     """The stream to one peer address."""
 
@@ -71,10 +75,13 @@
         while True:
             try:
                 await self._talk(on_open)
+            except IdleLinkError:
+                return
             except TimeoutError:
-                # Idle for IDLE_CLOSE_S, or no connection within CONNECT_TIMEOUT_S. The link ends
-                # with what it had queued, and the next message opens a new one. A peer that takes
-                # no connection is left to the membership, which hears no heartbeat from it.
+                # No connection within CONNECT_TIMEOUT_S. The link ends with what it had queued, and
+                # the next message opens a new one. The report takes half off the time to suspicion,
+                # as a refused connection does.
+                on_break()
                 return
             except Exception:
                 # A peer that is gone breaks its streams in many ways, several times a second. Not
@@ -101,8 +108,11 @@
     async def _send_all(self, stream: Stream, ended: asyncio.Task) -> None:
         """Send what is queued until the peer ends the stream or it breaks."""
         while not ended.done():
-            async with asyncio.timeout(IDLE_CLOSE_S):
-                await self._waiting.wait()
+            try:
+                async with asyncio.timeout(IDLE_CLOSE_S):
+                    await self._waiting.wait()
+            except TimeoutError as exc:
+                raise IdleLinkError from exc
             self._waiting.clear()
             messages = list(self._queue)
             self._queue.clear()
--- a/packages/springbridge-node/springbridge_node/class_router/peers/peer_links_test.py
+++ b/packages/springbridge-node/springbridge_node/class_router/peers/peer_links_test.py
@@ -6,8 +6,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from springbridge_node.class_router.peers import peer_links
 from springbridge_node.class_router.peers.messages import Digest
-from springbridge_node.class_router.peers.peer_links import PeerLinks
+from springbridge_node.class_router.peers.peer_links import PeerLink, PeerLinks
 
 TRIES = 400
 
@@ -30,3 +31,47 @@
         return ended
 
     assert_that(asyncio.run(scenario()), Equals(TRIES))
+
+
+class UnansweredChannel:
+    """A channel to a peer behind a cut that drops packets: its connecting never ends."""
+
+    def __init__(self, host, port):
+        """Take the peer's address."""
+
+    async def __connect__(self):  # noqa: N807 (grpclib's name)
+        await asyncio.Event().wait()
+
+    def close(self):
+        """Close nothing."""
+
+
+def test_a_peer_that_takes_no_connection_is_reported(monkeypatch):
+    # It was taken for a link that had been idle, so that the peer was suspected after the whole
+    # silence; a refused connection takes half of that off.
+    monkeypatch.setattr(peer_links, "CONNECT_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(peer_links, "Channel", UnansweredChannel)
+    broken = []
+
+    async def scenario():
+        links = PeerLinks({}, lambda address: None, broken.append)
+        links.send("127.0.0.1:1", Digest(()))
+        await asyncio.sleep(0.5)
+        await links.close()
+
+    asyncio.run(scenario())
+    assert_that(broken, Equals(["127.0.0.1:1"]))
+
+
+def test_a_link_that_was_idle_is_not_reported(monkeypatch):
+    monkeypatch.setattr(peer_links, "IDLE_CLOSE_S", 0.05)
+    broken = []
+
+    async def scenario():
+        link = PeerLink("127.0.0.1:1", {})
+        never = asyncio.get_running_loop().create_future()
+        monkeypatch.setattr(link, "_talk", lambda on_open: link._send_all(None, never))
+        await link.run(lambda: None, lambda: broken.append("broken"))
+
+    asyncio.run(scenario())
+    assert_that(broken, Equals([]))
