--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -61,10 +61,26 @@
     Mutant(
         "what is told on grows older",
         f"{LIBRARY}/digest.py",
-        "each.member.aged(now_s - each.at_s)",
-        "each.member",
+        "observed.member.aged(now_s - observed.stated_s)",
+        "observed.member",
         f"{LIBRARY}/membership_test.py::test_what_is_told_on_of_a_member_is_as_old_as_it_is",
     ),
+    Mutant(
+        "a third node's heartbeat counts from when it was sent",
+        f"{LIBRARY}/membership.py",
+        "heard_s = now_s - member.heard_ago_s",
+        "heard_s = now_s",
+        f"{LIBRARY}/membership_test.py"
+        "::test_a_heartbeat_that_was_long_on_its_way_is_no_new_sign_of_life",
+    ),
+    Mutant(
+        "a plain digest tells no age of a node that sends ages",
+        f"{NODE}/gateway/peers/gossip.py",
+        "NEVER_S if codec.heartbeat_of(row) >= FIRST_HEARTBEAT else 0.0",
+        "0.0",
+        f"{NODE}/gateway/peers/gossip_test.py"
+        "::test_a_plain_digest_tells_no_age_of_a_node_that_sends_ages",
+    ),
     Mutant(
         "only the confirmation of the version in force counts",
         f"{NODE}/gateway/config/configuration_follower.py",
--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -179,15 +179,15 @@
     Mutant(
         "leaving is final",
         f"{LIBRARY}/membership.py",
-        "            observed.member = replace(member, phase=phase)",
-        "            observed.member = member",
+        "observed.member = member if phase is member.phase else replace(member, phase=phase)",
+        "observed.member = member",
         f"{LIBRARY}/membership_test.py::test_leaving_is_final_and_spreads",
     ),
     Mutant(
         "silent nodes left out",
         f"{LIBRARY}/membership.py",
-        "        return observed.member.phase is Phase.LIVE and not self._is_suspected(observed)",
-        "        return observed.member.phase is Phase.LIVE",
+        "return [each for each in self._observed.values() if each.heard_s >= limit_s]",
+        "return list(self._observed.values())",
         f"{LIBRARY}/membership_test.py::test_silent_node_is_left_out_whatever_the_list_says",
     ),
     Mutant(
