serve: who is refused for concurrency is told when a running request is likely to end

Cause: the time to come back was derived from the rate alone, so while the rate allowed a start it was 0.1 s however long the running requests take, and the caller came back ten times a second. Change: the mean time that requests run at this node, divided by those that run; 0.1 s until one has ended. Measured: limits_test.py, two tests failed before; a share with four running requests of 6 s gives 1.5 s in place of 0.1 s.

--- a/packages/springbridge-node/springbridge_node/class_router/callers/work_handler.py
+++ b/packages/springbridge-node/springbridge_node/class_router/callers/work_handler.py
@@ -140,7 +140,7 @@
             case Failure(problem):
                 self.refuse(self.promised(problem))
             case Success(limit):
-                with finishing(limit), self.node.in_flight():
+                with finishing(limit, self.node.clock), self.node.in_flight():
                     await self._run(self.admitted)
 
     async def _run(self, admitted: Admitted) -> None:
--- a/packages/springbridge-node/springbridge_node/class_router/requests/limit_gate.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/limit_gate.py
@@ -144,9 +144,15 @@
 
 
 @contextmanager
-def finishing(limit: NodeLimit) -> Iterator[None]:
-    """Give the request's place under the limit back at the end."""
+def finishing(limit: NodeLimit, clock: Callable[[], float]) -> Iterator[None]:
+    """Give the request's place under the limit back at the end, and note how long it ran.
+
+    Args:
+      clock: Monotonic time in seconds.
+    """
+    start_s = clock()
     try:
         yield
     finally:
         limit.finish()
+        limit.note_run(clock() - start_s)
--- a/packages/springbridge/springbridge/classes/limits.py
+++ b/packages/springbridge/springbridge/classes/limits.py
@@ -39,6 +39,10 @@
 # former owner. The half lease beyond that was not measured.
 OWNER_GRACE_S = 1.5 * LEASE_S
 
+# Share of the last request in the mean time that requests run. Not measured; chosen so that about
+# ten requests set it.
+RUN_WEIGHT = 0.2
+
 assert OWNER_GRACE_S > LEASE_S, "a new owner must outwait the leases of the former one"
 
 
@@ -154,7 +158,9 @@
       valid_until_s: When the lease or the equal part ends.
       own_part: Whether the node admits its equal part, without a lease.
       refilled_s: When the equal part was last filled.
+      retry_after_s: When the rate will allow a start again.
       demand: Requests that asked to start since the last ask to the owner.
+      mean_run_s: How long requests run, weighted to the last ones; 0 until one has ended here.
     """
 
     share: Share
@@ -166,6 +172,7 @@
     refilled_s: float = 0.0
     retry_after_s: float = retry_times.SHORTEST_S
     demand: int = 0
+    mean_run_s: float = 0.0
 
     def try_start(self, now_s: float) -> bool:
         """Start one request if the lease or the equal part allows it; finish() has to follow."""
@@ -185,12 +192,26 @@
         """Note that a request which started here has ended."""
         self.in_use -= 1
 
+    def note_run(self, run_s: float) -> None:
+        """Note for how many seconds a request ran that has ended."""
+        if self.mean_run_s:
+            self.mean_run_s += RUN_WEIGHT * (run_s - self.mean_run_s)
+        else:
+            self.mean_run_s = run_s
+
     def refusal(self) -> Problem:
-        """Return the problem of a request that could not start: which limit, when to come back."""
-        code = Code.RATE_LIMITED if self.starts < 1 else Code.CONCURRENCY_LIMITED
+        """Return the problem of a request that could not start: which limit, when to come back.
+
+        One that ran into the concurrency may come back when the next of the running requests is
+        likely to have ended.
+        """
         source = f"{self.share.customer}/{self.share.request_class}"
-        retry_after_s = max(retry_times.SHORTEST_S, self.retry_after_s)
-        return Problem(code, source=source, retry_after_s=retry_after_s)
+        if self.starts < 1:
+            retry_after_s = max(retry_times.SHORTEST_S, self.retry_after_s)
+            return Problem(Code.RATE_LIMITED, source=source, retry_after_s=retry_after_s)
+        next_end_s = self.mean_run_s / max(1, self.in_use)
+        retry_after_s = retry_times.after_wait(max(self.retry_after_s, next_end_s))
+        return Problem(Code.CONCURRENCY_LIMITED, source=source, retry_after_s=retry_after_s)
 
     def ask(self, node: str) -> LeaseAsk:
         """Return what to ask the owner for, from the demand since the last ask."""
--- a/packages/springbridge/springbridge/classes/limits_test.py
+++ b/packages/springbridge/springbridge/classes/limits_test.py
@@ -121,6 +121,23 @@
     assert_that(full.source, Equals("findwell/claims"))
 
 
+def test_who_is_refused_for_concurrency_is_told_when_a_running_request_is_likely_to_end():
+    # Callers were told 0.1 s however long the running requests took, and came back ten times a
+    # second.
+    limit = NodeLimit(SHARE, starts=2.0, concurrency=4, in_use=4, retry_after_s=0.0)
+    limit.note_run(6.0)
+    assert_that(limit.refusal().retry_after_s, Equals(6.0 / 4))
+    for _ in range(40):
+        limit.note_run(2.0)
+    assert_that(round(limit.refusal().retry_after_s, 2), Equals(2.0 / 4))
+
+
+def test_who_is_refused_for_the_rate_is_told_of_the_rate_alone():
+    limit = NodeLimit(SHARE, starts=0.5, concurrency=4, in_use=4, retry_after_s=3.0)
+    limit.note_run(60.0)
+    assert_that(limit.refusal().retry_after_s, Equals(3.0))
+
+
 def test_silent_node_loses_its_places(clock):
     owner = LimitOwner(clock)
     settle(owner, clock)
