--- a/bench/silence.py
+++ b/bench/silence.py
@@ -1,12 +1,13 @@
 """Measures for how long a node that ended is still named, by the size of the fleet.
 
-    python bench/silence.py [--seeds K] [SIZE ...]
+    python bench/silence.py [--seeds K] [--settle-s S] [SIZE ...]
 
 Prints a row for each size and condition: seconds until no running node counts the ended one (least
-and most over the seeds), the share of running pairs of which one wrongly does not count the other,
-and bytes and processor time of membership for each node. The fleets are simulated
-(springbridge_standins.gateway.simulated_fleet): real membership and gossip, one clock, no stalls.
-Bytes are those that a node sends, without the headers of UDP and IP.
+and most over the seeds), the share of running pairs of which one does not count the other (it does
+not know it yet, or wrongly takes it for silent), and bytes and processor time of membership for
+each node. The fleets are simulated (springbridge_standins.gateway.simulated_fleet): real membership
+and gossip, one clock, no stalls. Bytes are those that a node sends, without the headers of UDP and
+IP.
 """
 
 from collections.abc import Callable
@@ -17,8 +18,9 @@
 from springbridge_standins.gateway.simulated_fleet import SimulatedFleet, simulated_time
 
 SIZES = [9, 30, 78, 380]
-# Seconds in which a fleet finds itself, and for which it is watched before a node ends.
+# Seconds in which a fleet of up to 78 nodes finds itself; 380 nodes have not within that time.
 SETTLE_S = 15.0
+# Seconds for which a fleet is watched before a node ends.
 WATCHED_S = 5.0
 # Share of the datagrams that a bad network loses.
 LOST = 0.1
@@ -26,19 +28,18 @@
 BEATS_BETWEEN_RESTARTS = 2
 
 
-def stay_calm(fleet: SimulatedFleet) -> None:
-    """Let the fleet run."""
-    fleet.run(WATCHED_S)
+def stay_calm(fleet: SimulatedFleet, settle_s: float) -> None:
+    """Leave the fleet alone."""
 
 
-def restart_all(fleet: SimulatedFleet) -> None:
+def restart_all(fleet: SimulatedFleet, settle_s: float) -> None:
     """Start every node anew at the same moment, and let them find each other."""
     for number in range(fleet.size):
         fleet.restart(number)
-    fleet.run(SETTLE_S)
+    fleet.run(settle_s)
 
 
-def restart_in_turn(fleet: SimulatedFleet) -> None:
+def restart_in_turn(fleet: SimulatedFleet, settle_s: float) -> None:
     """Start nodes anew one after the other, without the last one, which ends after that."""
     for number in range(min(fleet.size - 1, round(WATCHED_S / BEAT_S) // BEATS_BETWEEN_RESTARTS)):
         fleet.restart(number)
@@ -54,7 +55,7 @@
     """
 
     name: str
-    before: Callable[[SimulatedFleet], None]
+    before: Callable[[SimulatedFleet, float], None]
     loss: float = 0.0
 
 
@@ -83,12 +84,12 @@
     core: float
 
 
-def sample(condition: Condition, size: int, seed: int) -> Sample:
+def sample(condition: Condition, size: int, seed: int, settle_s: float) -> Sample:
     """Run one fleet and end its last node."""
     with simulated_time() as clock:
         fleet = SimulatedFleet(clock, size, seed, condition.loss)
-        fleet.run(SETTLE_S)
-        condition.before(fleet)
+        fleet.run(settle_s)
+        condition.before(fleet, settle_s)
         bytes_before, processor_before_s = fleet.network.sent_bytes, fleet.processor_s
         shares = []
         for _ in range(round(WATCHED_S / BEAT_S)):
@@ -103,13 +104,15 @@
         )
 
 
-def main(sizes: list[int] = typer.Argument(None), seeds: int = 3) -> None:
+def main(
+    sizes: list[int] = typer.Argument(None), seeds: int = 3, settle_s: float = SETTLE_S
+) -> None:
     """Print the table."""
     print("| nodes | condition | named for, s | left out | B/s a node | core a node |")
     print("| --- | --- | --- | --- | --- | --- |")
     for size in sizes or SIZES:
         for condition in CONDITIONS:
-            samples = [sample(condition, size, seed) for seed in range(1, seeds + 1)]
+            samples = [sample(condition, size, seed, settle_s) for seed in range(1, seeds + 1)]
             named = [each.named_s for each in samples]
             left_out = sum(each.left_out for each in samples) / seeds
             bytes_per_s = sum(each.bytes_per_s for each in samples) / seeds
