--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -46,8 +46,8 @@
     "stretch_by_hops",
 ]
 
-# Seconds for which a heartbeat may stand still before its member is suspected. Not measured; five
-# gossip intervals, so that a few lost digests do not make a live member suspect.
+# Age in seconds of a last heartbeat beyond which its member is suspected. Not measured; five gossip
+# intervals, so that a few lost digests do not make a live member suspect.
 SUSPECT_S = 2.5
 # Seconds of silence after which a member is forgotten. Not measured; chosen far above SUSPECT_S,
 # because a member behind a cut has to be tried again, and counts for the majority meanwhile.
