--- a/bench/silence.py
+++ b/bench/silence.py
@@ -3,11 +3,11 @@
     python bench/silence.py [--seeds K] [--settle-s S] [SIZE ...]
 
 Prints a row for each size and condition: seconds until no running node counts the ended one (least
-and most over the seeds), the share of running pairs of which one does not count the other (it does
-not know it yet, or wrongly takes it for silent), and bytes and processor time of membership for
-each node. The fleets are simulated (springbridge_standins.gateway.simulated_fleet): real membership
-and gossip, one clock, no stalls. Bytes are those that a node sends, without the headers of UDP and
-IP.
+and most over the seeds), the share of running pairs of which one does not count the other, the part
+of it in which it wrongly takes it for silent (in the rest it does not know it yet), and bytes and
+processor time of membership for each node. The fleets are simulated
+(springbridge_standins.gateway.simulated_fleet): real membership and gossip, one clock, no stalls.
+Bytes are those that a node sends, without the headers of UDP and IP.
 """
 
 from collections.abc import Callable
@@ -74,12 +74,14 @@
     Attributes:
       named_s: Seconds for which the ended node was named.
       left_out: Share of running pairs of which one did not count the other, while watched.
+      silent: The part of it in which one knew the other and took it for silent.
       bytes_per_s: Sent by each node.
       core: Share of a core for each node, on this machine.
     """
 
     named_s: float
     left_out: float
+    silent: float
     bytes_per_s: float
     core: float
 
@@ -92,14 +94,17 @@
         condition.before(fleet, settle_s)
         bytes_before, processor_before_s = fleet.network.sent_bytes, fleet.processor_s
         shares = []
+        silent = []
         for _ in range(round(WATCHED_S / BEAT_S)):
             fleet.run(BEAT_S)
             shares.append(fleet.share_left_out())
+            silent.append(fleet.share_taken_for_silent())
         node_seconds = WATCHED_S * size
         return Sample(
             bytes_per_s=(fleet.network.sent_bytes - bytes_before) / node_seconds,
             core=(fleet.processor_s - processor_before_s) / node_seconds,
             left_out=sum(shares) / len(shares),
+            silent=sum(silent) / len(silent),
             named_s=fleet.seconds_named(size - 1),
         )
 
@@ -108,18 +113,19 @@
     sizes: list[int] = typer.Argument(None), seeds: int = 3, settle_s: float = SETTLE_S
 ) -> None:
     """Print the table."""
-    print("| nodes | condition | named for, s | left out | B/s a node | core a node |")
-    print("| --- | --- | --- | --- | --- | --- |")
+    print("| nodes | condition | named for, s | left out | silent | B/s a node | core a node |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
     for size in sizes or SIZES:
         for condition in CONDITIONS:
             samples = [sample(condition, size, seed, settle_s) for seed in range(1, seeds + 1)]
             named = [each.named_s for each in samples]
             left_out = sum(each.left_out for each in samples) / seeds
+            silent = sum(each.silent for each in samples) / seeds
             bytes_per_s = sum(each.bytes_per_s for each in samples) / seeds
             core = sum(each.core for each in samples) / seeds
             print(
                 f"| {size} | {condition.name} | {min(named):.1f} to {max(named):.1f} "
-                f"| {left_out:.3%} | {bytes_per_s:,.0f} | {core:.2%} |",
+                f"| {left_out:.3%} | {silent:.3%} | {bytes_per_s:,.0f} | {core:.2%} |",
                 flush=True,
             )
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
@@ -188,6 +188,15 @@
         running = [node.membership.me.incarnation for node in self.nodes.values()]
         return 1 - sum(counted[incarnation] for incarnation in running) / len(running) ** 2
 
+    def share_taken_for_silent(self) -> float:
+        """Return the share of pairs of running nodes of which one knows the other as silent."""
+        running = {node.membership.me.incarnation for node in self.nodes.values()}
+        silent = 0
+        for node in self.nodes.values():
+            left_out = running - set(node.membership.incarnations())
+            silent += sum(node.membership.find(each) is not None for each in left_out)
+        return silent / len(running) ** 2
+
 
 def _beat(node: SimulatedNode) -> None:
     """Send a node's heartbeat, as a ready node does."""
