--- a/packages/springbridge-node/springbridge_node/gateway/peers/age_vector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/age_vector.py
@@ -17,6 +17,7 @@
 # beyond the time to suspicion of 380 nodes, 2.8 s. An age is rounded up, since one that got younger
 # with each node that passes it on would keep a member alive that has ended.
 STEP_S = 0.02
+# Steps that the byte of an entry holds.
 MOST_STEPS = 255
 # Hash of the incarnation (4 bytes) and steps of the age (1 byte). Two of 500 incarnations have the
 # same hash in one of 30,000 fleets; then the younger age counts for both.
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -32,14 +32,17 @@
 # Seconds for which a member is sent whole after this node first sent it, since peers may not know
 # it yet. Not measured; chosen as longer than the time between two whole digests.
 NEW_FOR_S = 4.0
-# Rows of other members in a plain digest, and in one with ages that is not whole. Not measured by
-# themselves; with ages two rows less make room for the ages of a small fleet.
+# Rows of other members in a plain digest. Not measured by itself; it was part of the same change as
+# WHOLE_EVERY.
 OTHERS_IN_PLAIN_DIGEST = 4
+# Rows of other members in a digest with ages that is not whole. Two rows less than in a plain one
+# make room for the ages: 3.8 kB a second for each of 9 nodes, 3.9 kB before (simulated).
 OTHERS_WITH_AGES = 2
-# Ages in a digest: this many at least, and a third of a larger fleet. Simulated with a tenth of
-# the datagrams lost: 48 among 78 nodes leave a view older than the time to suspicion 0.01% of the
-# time, and 127 among 380 nodes 0.06%; 24 among 78 do 1.2%.
+# Ages in a digest, at the least. Simulated with a tenth of the datagrams lost: 48 among 78 nodes
+# leave a view older than the time to suspicion 0.01% of the time; 24 among 78 do 1.2%.
 AGES_AT_LEAST = 48
+# Ages in a digest, as a share of a larger fleet. Simulated as above, 127 among 380 nodes that know
+# each other leave a view too old 0.06% of the time.
 AGES_SHARE = 1 / 3
 
 
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -11,10 +11,10 @@
 long its last heartbeats are passed on. With the moment of arrival in its place an ended node was
 counted for 11.5 s among 78 nodes (simulated).
 
-digest.py has what nodes send each other, and to whom; member.py has the records.
+digest.py has what nodes send each other, and to whom; suspicion.py says how old a last heartbeat
+may be; member.py has the records.
 """
 
-import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
@@ -22,13 +22,13 @@
 from springbridge.digest import (
     DIGEST_LIMIT,
     GOSSIP_INTERVAL_S,
-    GOSSIP_PEERS,
     Observation,
     digest_members,
     digest_receivers,
     freshest,
 )
 from springbridge.member import HeartbeatAge, Member, Phase, SnapshotStatus
+from springbridge.suspicion import SUSPECT_S, Pace, stretch_by_digests, stretch_by_hops
 
 __all__ = [
     "DIGEST_LIMIT",
@@ -46,53 +46,11 @@
     "stretch_by_hops",
 ]
 
-# Age in seconds of a last heartbeat beyond which its member is suspected. Not measured; five gossip
-# intervals, so that a few lost digests do not make a live member suspect.
-SUSPECT_S = 2.5
 # Seconds of silence after which a member is forgotten. Not measured; chosen far above SUSPECT_S,
 # because a member behind a cut has to be tried again, and counts for the majority meanwhile.
 FORGET_S = 60.0
 
 
-# Growth of the time to suspicion for each doubling of a fleet beyond one digest, where digests have
-# the ages of a third of the fleet. Simulated with a tenth of the datagrams lost: 78 running nodes
-# count each other as silent 0.04% of the time, and views of 380 nodes are too old 0.06% of it.
-GROWTH_PER_DOUBLING = 0.33
-
-
-def stretch_by_digests(nodes: int) -> float:
-    """Return by how much suspicion is put off where digests name at most DIGEST_LIMIT members.
-
-    Each member is named less often in a larger fleet. It is long for the largest: 40 s with the
-    default pace and 380 nodes.
-    """
-    return max(1.0, nodes / DIGEST_LIMIT)
-
-
-def stretch_by_hops(nodes: int) -> float:
-    """Return by how much suspicion is put off where digests have the ages of most members.
-
-    What is left to wait for are the hops from node to node, whose number grows with the logarithm
-    of the fleet: 1.2 s among up to 24 nodes are 1.9 s among 78 and 2.8 s among 380.
-    """
-    return 1.0 + GROWTH_PER_DOUBLING * max(0.0, math.log2(nodes / DIGEST_LIMIT))
-
-
-@dataclass(frozen=True)
-class Pace:
-    """How fast news travels and silence counts.
-
-    Attributes:
-      peers: Random peers that get each digest.
-      suspect_s: Age in seconds of a last heartbeat beyond which its member is suspected.
-      stretch: Returns the factor on suspect_s for a number of nodes, which is at least 1.
-    """
-
-    peers: int = GOSSIP_PEERS
-    suspect_s: float = SUSPECT_S
-    stretch: Callable[[int], float] = stretch_by_digests
-
-
 @dataclass(frozen=True)
 class LastHeard:
     """How a member was last heard of.
--- a/packages/springbridge/springbridge/membership_test.py
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -19,7 +19,6 @@
     Pace,
     Phase,
     SnapshotStatus,
-    stretch_by_hops,
 )
 
 
@@ -294,11 +293,6 @@
     assert_that(view.incarnations(), Equals(["me"]))
 
 
-@pytest.mark.parametrize(("nodes", "seconds"), [(2, 1.2), (24, 1.2), (78, 1.9), (380, 2.8)])
-def test_with_ages_suspicion_grows_by_the_hops(nodes, seconds):
-    assert_that(round(1.2 * stretch_by_hops(nodes), 1), Equals(seconds))
-
-
 def test_one_digest_crosses_the_border_and_the_others_stay(clock):
     me = member("m")
     view = Membership(me, clock, random.Random(1), Pace(peers=3))
