Entries of other writers hide no endpoint; a restart under an id is a new incarnation

Cause: the list of endpoints was read as one piece, so that an entry without a field, or bytes that are no JSON, made all of it unreadable: no node took over a later list, and a node that started had none. An entry with a field of another type or an unknown state was used. An endpoint that started again under its id kept the loads, the estimate of cached prompts, the reading speed, failures, ejection and idle connections of the process before.

Change: each entry is read for itself into an endpoint or a typed reason, logged once for each content and counted. An entry that turns unreadable has left. A configuration that tells no version counts as read: the store is not asked anew four times a second for it. What peers reply is read where failures are logged. The start of an endpoint's process is read; with another start it is a new incarnation with a new state and new connections, and the fingerprint of the list differs. The starts travel beside the rows that older builds read.

--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -27,7 +27,6 @@
 from springbridge_node.gateway.config.dependency import Dependency
 from springbridge_node.gateway.config.platform_store import (
     ConfigurationDocument,
-    ConfigurationNews,
     ConfigurationReader,
     PlatformStore,
 )
@@ -68,6 +67,7 @@
         self._readers = readers
         self._clock = clock
         self._feed_is_up = False
+        self._unreadable = ""
         self._confirmed_s = float("-inf")
         self._dependency = Dependency("configuration feed")
         self._watch: asyncio.Task | None = None
@@ -187,14 +187,21 @@
           The cursor for the next call at the feed, or None if the whole must be read again.
         """
         match result:
-            case Success(ConfigurationNews(cursor, document)):
+            case Success(news):
                 self._dependency.answered()
                 self._confirmed_s = self._clock()
-                if document is not None:
-                    self.offer(document, Source.STORE)
-                return cursor
+                self._note_unreadable(news.unreadable)
+                if news.document is not None:
+                    self.offer(news.document, Source.STORE)
+                return news.cursor
             case Failure(problem):
                 self._feed_is_up = False
                 if problem.code is not Code.VERSION_CONFLICT:
                     self._dependency.failed(problem.detail)
                 return None
+
+    def _note_unreadable(self, reason: str) -> None:
+        """Log a configuration that tells no version, once as long as the reason stays the same."""
+        if reason and reason != self._unreadable:
+            logs.event("configuration.unreadable", version=0, kind=reason)
+        self._unreadable = reason
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
 from springbridge.membership import Membership, SnapshotStatus
@@ -30,6 +30,7 @@
 from springbridge_node.gateway.config.platform_store import PlatformStore
 from springbridge_node.gateway.config.source import Source
 from springbridge_node.gateway.config.store_readers import StoreReaders
+from springbridge_node.gateway.config.unreadable_entries import UnreadableEntryLog
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,19 @@
     snapshot: SnapshotStatus
 
 
+@dataclass(frozen=True, slots=True)
+class _SameContent:
+    """Fingerprints of two lists that hold the same, made by builds that hash differently."""
+
+    own: int
+    peer: int
+
+
+# Seconds for which a peer's other fingerprint counts as the same content. Not measured; during a
+# rollout it saves four of five fetches. Longer would hide for as long a list that changed while it
+# was fetched, from callers of endpoints that left.
+SAME_CONTENT_S = 1.0
+
 FetchSnapshot = Callable[[str | None], Awaitable[AgedSnapshot | None]]
 
 
@@ -77,6 +91,7 @@
 
     Attributes:
       dependency: Whether the store answered the last read by this node.
+      unreadable: The entries of the store's list that name no endpoint.
     """
 
     def __init__(
@@ -103,7 +118,10 @@
         self._interval_s = interval_s
         self._clock = clock
         self._next_turn_s = float("-inf")
+        self._same_content: _SameContent | None = None
+        self._same_until_s = float("-inf")
         self.dependency = Dependency("store")
+        self.unreadable = UnreadableEntryLog()
 
     def seen(self) -> SnapshotStatus:
         """Return the status of the list in use, for digests to peers."""
@@ -134,13 +152,13 @@
         """Return whether this node has to read because no peer confirms or delivers the list."""
         own = SnapshotStatus(self._registry.fingerprint, self._registry.age_s())
         peer = self._peer_with_youngest()
-        youngest = peer.snapshot if peer else None
+        youngest = self._in_own_terms(own, peer.snapshot) if peer else None
         match compare_with_peer(own, youngest):
             case PeerSnapshot.CONFIRMS:
                 self._registry.confirm(youngest.age_s)
                 return False
             case PeerSnapshot.DIFFERS:
-                return not await self._fetch_from(peer.address)
+                return not await self._fetch_from(peer)
             case PeerSnapshot.NO_HELP:
                 return self._is_its_turn()
 
@@ -153,12 +171,27 @@
         snapshot = SnapshotStatus(member.endpoint_snapshot.fingerprint, age_s)
         return _PeerStatus(member.peer_address, snapshot)
 
-    async def _fetch_from(self, peer_address: str) -> bool:
+    def _in_own_terms(self, own: SnapshotStatus, peer: SnapshotStatus) -> SnapshotStatus:
+        """Return a peer's status, with this node's fingerprint if the content is the same.
+
+        During a rollout builds may hash a list differently. Without this each node would fetch the
+        list of a peer of the other build at every look.
+        """
+        is_same = self._same_content == _SameContent(own.fingerprint, peer.fingerprint)
+        if is_same and self._clock() < self._same_until_s:
+            return replace(peer, fingerprint=own.fingerprint)
+        return peer
+
+    async def _fetch_from(self, peer: _PeerStatus) -> bool:
         """Install the list of a peer and return whether the peer delivered one."""
-        aged = await self._hooks.fetch(peer_address)
-        if aged is not None:
-            self._install(aged, Source.PEER)
-        return aged is not None
+        aged = await self._hooks.fetch(peer.address)
+        if aged is None:
+            return False
+        if not self._install(aged, Source.PEER):
+            own_fingerprint = self._registry.fingerprint
+            self._same_content = _SameContent(own_fingerprint, peer.snapshot.fingerprint)
+            self._same_until_s = self._clock() + SAME_CONTENT_S
+        return True
 
     def _is_its_turn(self) -> bool:
         """Return whether this node reads in place of the readers now."""
@@ -171,6 +204,7 @@
         """Read once; if the store fails and the list has grown old, ask a peer."""
         match await self._store.read_endpoints():
             case Success(snapshot):
+                self.unreadable.note(snapshot.unreadable)
                 if self._install(AgedSnapshot(snapshot, 0.0), Source.STORE):
                     self._hooks.changed()
                 if self.dependency.answered():
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
@@ -17,6 +17,7 @@
 
 from springbridge_node.gateway.config.conftest import Clock
 from springbridge_node.gateway.config.endpoint_follower import (
+    SAME_CONTENT_S,
     AgedSnapshot,
     EndpointFollower,
     FollowerHooks,
@@ -76,6 +77,8 @@
         self.registry = EndpointRegistry(self.clock)
         self.membership = Membership(Member("me", "me", "", "", "a"), self.clock, random.Random(1))
         self.peer_list = AgedSnapshot(LISTING, 0.0)
+        self.fetches = 0
+        self.beats = 0
         self.follower = EndpointFollower(
             self.store,
             self.registry,
@@ -87,6 +90,7 @@
         )
 
     async def _fetch(self, address):
+        self.fetches += 1
         return self.peer_list
 
     def heard(self, age_s, fingerprint=None):
@@ -94,7 +98,8 @@
         seen = SnapshotStatus(
             self.registry.fingerprint if fingerprint is None else fingerprint, age_s
         )
-        peer = Member("peer", "peer", "p", "", "a", heartbeat=1, endpoint_snapshot=seen)
+        self.beats += 1
+        peer = Member("peer", "peer", "p", "", "a", heartbeat=self.beats, endpoint_snapshot=seen)
         self.membership.merge([peer])
 
     def steps(self, count=1):
@@ -172,6 +177,19 @@
     assert_that(other.steps(), Equals(1))
 
 
+def test_a_peer_that_hashes_the_same_list_differently_is_asked_once_in_a_while(other):
+    other.clock.now_s += 0.3
+    for _ in range(4):
+        other.heard(0.0, fingerprint=1)
+        assert_that(other.steps(), Equals(0))
+        other.clock.now_s += 0.05
+    assert_that(other.fetches, Equals(1))
+    other.clock.now_s += SAME_CONTENT_S
+    other.heard(0.0, fingerprint=1)
+    other.steps()
+    assert_that(other.fetches, Equals(2))
+
+
 def test_after_a_failed_read_a_younger_list_of_a_peer_is_taken(other):
     other.store.up = False
     other.clock.now_s += 10.0
--- a/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
@@ -31,11 +31,13 @@
 
     Attributes:
       cursor: Where the next wait continues.
-      document: The newest configuration, or None if there is no new one.
+      document: The newest configuration, or None if there is no new one that can be read.
+      unreadable: Why there is one that does not even tell its version; "" if there is none.
     """
 
     cursor: int
     document: ConfigurationDocument | None
+    unreadable: str = ""
 
 
 class PlatformStore(Protocol):
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -6,10 +6,10 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 
-from springbridge.routing.records import EndpointEntry, Service
+from springbridge.routing.records import EndpointEntry, EndpointIncarnation, Service
 
 from springbridge_node.gateway.http.http_connection import HttpConnection, connect
 
@@ -55,8 +55,8 @@
 class ConnectionPool:
     """All connections of this node to endpoints.
 
-    A connection belongs to one incarnation of an endpoint, so that an address which is used again
-    never gets a connection of the endpoint before.
+    A connection belongs to one incarnation of an endpoint, so that neither an address which is used
+    again nor an endpoint that has started again gets a connection to the process before.
     """
 
     def __init__(self, nodes: Callable[[], int]) -> None:
@@ -66,8 +66,8 @@
           nodes: Returns how many nodes share an endpoint's connections.
         """
         self._nodes = nodes
-        self._idle: dict[str, list[HttpConnection]] = {}
-        self._open: dict[str, int] = {}
+        self._idle: dict[EndpointIncarnation, list[HttpConnection]] = {}
+        self._open: dict[EndpointIncarnation, int] = {}
 
     async def acquire(
         self, entry: EndpointEntry, service: Service, repeatable: bool
@@ -82,13 +82,14 @@
           EndpointBusyError: This node has its share of the endpoint's connections.
         """
         limit = REPEATABLE_IDLE if repeatable else UNREPEATABLE_IDLE
-        idle = self._idle.get(entry.endpoint_id, [])
+        incarnation = entry.incarnation
+        idle = self._idle.get(incarnation, [])
         while idle:
             conn = idle.pop()
             if conn.can_carry(limit.max_s, limit.keep_alive_share):
                 return conn
-            self.discard(entry.endpoint_id, conn)
-        if self._open.get(entry.endpoint_id, 0) >= connection_cap(service, self._nodes()):
+            self.discard(incarnation, conn)
+        if self._open.get(incarnation, 0) >= connection_cap(service, self._nodes()):
             raise EndpointBusyError(entry.endpoint_id)
         return await self._connect(entry)
 
@@ -99,50 +100,50 @@
           ConnectFailedError: The endpoint cannot be reached.
         """
         conn = await self._connect(entry)
-        self._idle.setdefault(entry.endpoint_id, []).append(conn)
+        self._idle.setdefault(entry.incarnation, []).append(conn)
 
     async def _connect(self, entry: EndpointEntry) -> HttpConnection:
         """Open a connection and count it."""
-        self._open[entry.endpoint_id] = self._open.get(entry.endpoint_id, 0) + 1
+        self._open[entry.incarnation] = self._open.get(entry.incarnation, 0) + 1
         try:
             return await connect(entry.address, CONNECT_TIMEOUT_S)
         except BaseException:
-            self._count_closed(entry.endpoint_id)
+            self._count_closed(entry.incarnation)
             raise
 
-    def release(self, endpoint_id: str, conn: HttpConnection) -> None:
+    def release(self, incarnation: EndpointIncarnation, conn: HttpConnection) -> None:
         """Take a connection back after its answer was read whole, or close it if it is unfit."""
         if not conn.may_be_kept:
-            self.discard(endpoint_id, conn)
+            self.discard(incarnation, conn)
             return
-        self._idle.setdefault(endpoint_id, []).append(conn)
+        self._idle.setdefault(incarnation, []).append(conn)
 
-    def discard(self, endpoint_id: str, conn: HttpConnection) -> None:
+    def discard(self, incarnation: EndpointIncarnation, conn: HttpConnection) -> None:
         """Close a connection."""
         conn.abort()
-        self._count_closed(endpoint_id)
+        self._count_closed(incarnation)
 
-    def keep_only(self, endpoint_ids: set[str]) -> None:
+    def keep_only(self, incarnations: Set[EndpointIncarnation]) -> None:
         """Close the idle connections of all other endpoints, and those idle for too long."""
         now_s = time.monotonic()
-        for endpoint_id in list(self._idle):
+        for incarnation in list(self._idle):
             kept = []
-            for conn in self._idle[endpoint_id]:
-                if endpoint_id in endpoint_ids and now_s - conn.idle_since_s <= CLOSE_IDLE_S:
+            for conn in self._idle[incarnation]:
+                if incarnation in incarnations and now_s - conn.idle_since_s <= CLOSE_IDLE_S:
                     kept.append(conn)
                 else:
-                    self.discard(endpoint_id, conn)
-            self._idle[endpoint_id] = kept
+                    self.discard(incarnation, conn)
+            self._idle[incarnation] = kept
             if not kept:
-                del self._idle[endpoint_id]
+                del self._idle[incarnation]
 
-    def _count_closed(self, endpoint_id: str) -> None:
+    def _count_closed(self, incarnation: EndpointIncarnation) -> None:
         """Count a connection as closed; an endpoint without connections is forgotten."""
-        left = self._open.get(endpoint_id, 0) - 1
+        left = self._open.get(incarnation, 0) - 1
         if left > 0:
-            self._open[endpoint_id] = left
+            self._open[incarnation] = left
         else:
-            self._open.pop(endpoint_id, None)
+            self._open.pop(incarnation, None)
 
 
 def connection_cap(service: Service, nodes: int) -> int:
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -247,6 +247,7 @@
         """Return the metrics as text, with the gauges as they are now."""
         self.telemetry.nodes.set(self._live_nodes())
         self.telemetry.endpoints.set(len(self.registry.entries()))
+        self.telemetry.unreadable_endpoints.set(self.endpoints.unreadable.count)
         self.telemetry.config_version.set(self.configuration.version)
         self.telemetry.store_up.set(int(self.endpoints.dependency.up))
         self.telemetry.dropped_lines.set(bounded_log.dropped())
@@ -268,7 +269,7 @@
 
     async def _sweep(self) -> None:
         """Drop what belongs to endpoints and peers that are gone."""
-        self.pool.keep_only(self.registry.known_ids())
+        self.pool.keep_only(self.registry.known_incarnations())
         self.registry.expire_loads()
         heard = {member.incarnation for member in self.membership.reachable()}
         self.registry.keep_loads_of(heard | {self.membership.me.incarnation})
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -25,6 +25,8 @@
 # Decimals of an age in seconds. Not measured; chosen as far finer than the 1.1 s for which a
 # configuration or endpoint list counts as confirmed.
 AGE_DECIMALS = 2
+# Phases of notices about an endpoint itself, which name no attempt.
+ABOUT_ENDPOINT = (LoadPhase.UNREACHED, LoadPhase.GONE)
 # Level of zlib, its fastest: bodies are sent rarely, to many nodes at the same moment. Not
 # measured against other levels.
 COMPRESSION_LEVEL = 1
@@ -88,6 +90,9 @@
 def notice_row(notice: LoadNotice) -> list:
     """Return the row of a load notice; only one of a start has the facts of the prompt."""
     row = [int(notice.phase), notice.attempt_id, notice.endpoint_id]
+    if notice.phase in ABOUT_ENDPOINT and notice.born_ms is not None:
+        # Older builds read no attempt in such a row, and no row with a further field.
+        row[1] = str(notice.born_ms)
     if notice.phase is LoadPhase.STARTED:
         parts = _prompt_rows(notice.prompt_parts)
         row += [notice.prompt_tokens, parts, notice.fetched_tokens]
@@ -97,6 +102,9 @@
 def read_notice(row: list) -> LoadNotice:
     """Return the load notice of a row."""
     phase, attempt_id, endpoint_id, *prompt = row
+    if phase in ABOUT_ENDPOINT:
+        born_ms = int(attempt_id) if attempt_id else None
+        return LoadNotice(LoadPhase(phase), "", endpoint_id, born_ms=born_ms)
     if not prompt:
         return LoadNotice(LoadPhase(phase), attempt_id, endpoint_id)
     prompt_tokens, parts, fetched_tokens = prompt
@@ -191,18 +199,21 @@
 
 def snapshot_body(aged: AgedSnapshot) -> bytes:
     """Return the compressed body that holds a list of endpoints and its age."""
-    return _compress(
-        {
-            "revision": aged.snapshot.revision,
-            "age_s": aged.age_s,
-            "entries": [_endpoint_row(entry) for entry in aged.snapshot.entries],
-        }
-    )
+    entries = aged.snapshot.entries
+    body = {
+        "revision": aged.snapshot.revision,
+        "age_s": aged.age_s,
+        "entries": [_endpoint_row(entry) for entry in entries],
+    }
+    # Beside the rows, because older builds take rows of six fields only and pass over the rest.
+    starts = {entry.endpoint_id: entry.born_ms for entry in entries if entry.born_ms is not None}
+    return _compress(body | {"born": starts} if starts else body)
 
 
 def read_snapshot(body: dict) -> AgedSnapshot:
     """Return the list of endpoints of a decompressed body."""
-    entries = tuple(EndpointEntry(*row) for row in body["entries"])
+    starts = body.get("born", {})
+    entries = tuple(EndpointEntry(*row, starts.get(row[0])) for row in body["entries"])
     return AgedSnapshot(EndpointSnapshot(body["revision"], entries), body["age_s"])
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec_test.py
@@ -32,6 +32,7 @@
 STARTED = LoadNotice(LoadPhase.STARTED, "0a/1", "e1", 1210, PARTS, 800)
 READ = LoadNotice(LoadPhase.READ, "0a/1", "e1")
 GONE = LoadNotice(LoadPhase.GONE, "", "e1")
+GONE_OF_A_START = LoadNotice(LoadPhase.GONE, "", "e1", born_ms=1_760_000_000_123)
 DEMAND = Demand("q", "model", "perth-a", 1, 2.5, 1210, PARTS, True)
 REQUEST = SelectionRequest(5, "0a/1", ["e1"], ["e2"], DEMAND)
 CHOSEN = SelectionReply(5, "e1", "e2", 800, None)
@@ -57,6 +58,7 @@
         (codec.notice_row(STARTED), STARTED_BYTES),
         (codec.notice_row(READ), b'[1,"0a/1","e1"]'),
         (codec.notice_row(GONE), b'[4,"","e1"]'),
+        (codec.notice_row(GONE_OF_A_START), b'[4,"1760000000123","e1"]'),
         (codec.request_row(REQUEST), REQUEST_BYTES),
         (codec.reply_row(CHOSEN), b'[5,"e1","e2",800,null]'),
         (codec.reply_row(REFUSED), b'[5,"","",0,[1.25,0.5,60]]'),
@@ -72,6 +74,7 @@
         (codec.read_notice, STARTED_BYTES, STARTED),
         (codec.read_notice, b'[1,"0a/1","e1"]', READ),
         (codec.read_notice, b'[4,"","e1"]', GONE),
+        (codec.read_notice, b'[4,"1760000000123","e1"]', GONE_OF_A_START),
         (codec.read_request, REQUEST_BYTES, REQUEST),
         (codec.read_reply, b'[5,"e1","e2",800,null]', CHOSEN),
         (codec.read_reply, b'[5,"","",0,[1.25,0.5,60]]', REFUSED),
@@ -114,3 +117,11 @@
     )
     assert_that(zlib.decompress(body), Equals(expected))
     assert_that(codec.read_snapshot(codec.decompress(body)), Equals(aged))
+
+
+def test_the_starts_of_endpoints_travel_beside_rows_that_older_builds_read():
+    entry = EndpointEntry("e1", "model", "10.9.0.1:80", "perth-a", 64, True, 1_760_000_000_123)
+    aged = AgedSnapshot(EndpointSnapshot(9, (entry,)), 0.5)
+    body = codec.decompress(codec.snapshot_body(aged))
+    assert_that([len(row) for row in body["entries"]], Equals([6]))
+    assert_that(codec.read_snapshot(body), Equals(aged))
--- a/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
@@ -11,8 +11,13 @@
 
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.endpoint_registry import EndpointRegistry
-from springbridge.routing.load_notices import LoadNotice, LoadPhase, attempt_name
-from springbridge.routing.records import Demand
+from springbridge.routing.load_notices import (
+    LoadNotice,
+    LoadPhase,
+    attempt_name,
+    endpoint_notice,
+)
+from springbridge.routing.records import Demand, EndpointEntry
 from springbridge.routing.selection import start_notice
 
 from springbridge_node.gateway.peers import codec
@@ -90,13 +95,13 @@
         finally:
             self.publish(LoadNotice(LoadPhase.ENDED, attempt_id, endpoint_id))
 
-    def unreached(self, endpoint_id: str) -> None:
+    def unreached(self, entry: EndpointEntry) -> None:
         """Note that no connection to an endpoint came up, so that no peer has to find out."""
-        self.publish(LoadNotice(LoadPhase.UNREACHED, "", endpoint_id))
+        self.publish(endpoint_notice(LoadPhase.UNREACHED, entry))
 
-    def gone(self, endpoint_id: str) -> None:
+    def gone(self, entry: EndpointEntry) -> None:
         """Note that another endpoint has the address of this one."""
-        self.publish(LoadNotice(LoadPhase.GONE, "", endpoint_id))
+        self.publish(endpoint_notice(LoadPhase.GONE, entry))
 
     def publish(self, notice: LoadNotice) -> None:
         """Take in a notice here and send it to peers within GATHER_S."""
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
@@ -7,6 +7,7 @@
 import random
 import zlib
 from collections.abc import Callable
+from typing import TypeVar
 
 from springbridge.membership import Membership
 
@@ -25,6 +26,10 @@
 TIMEOUT_S = 0.8
 # The status of a peer that has what was asked for.
 OK = 200
+# What codec.py raises on a body that no node sends.
+UNREADABLE = (ValueError, TypeError, KeyError, IndexError)
+
+T = TypeVar("T")
 
 
 class PeerClient:
@@ -43,9 +48,9 @@
             if member.config_version > version
         ]
         for address in _sample(ahead or self._seeds()):
-            body = await _fetch(address, CONFIGURATION_PATH)
-            if body is not None and body["version"] > version:
-                return codec.read_configuration(body)
+            document = await _fetch(address, CONFIGURATION_PATH, codec.read_configuration)
+            if document is not None and document.version > version:
+                return document
         return None
 
     async def endpoints(self, peer: str | None) -> AgedSnapshot | None:
@@ -56,8 +61,8 @@
         """
         peers = [member.peer_address for member in self._membership.reachable()] or self._seeds()
         asked = [peer] if peer else _sample(peers)
-        bodies = [await _fetch(address, ENDPOINTS_PATH) for address in asked]
-        snapshots = [codec.read_snapshot(body) for body in bodies if body is not None]
+        replies = [await _fetch(address, ENDPOINTS_PATH, codec.read_snapshot) for address in asked]
+        snapshots = [aged for aged in replies if aged is not None]
         return min(snapshots, key=lambda aged: aged.age_s, default=None)
 
 
@@ -66,8 +71,8 @@
     return random.sample(addresses, min(PEERS_ASKED, len(addresses)))
 
 
-async def _fetch(address: str, path: str) -> dict | None:
-    """Return what a peer replies, or None.
+async def _fetch(address: str, path: str, read: Callable[[dict], T]) -> T | None:
+    """Return what a peer replies, or None if it gives nothing or nothing that can be read.
 
     A failure is logged: at most PEERS_ASKED lines for each step of the task that asks, and those
     steps are 0.2 s apart or more.
@@ -76,8 +81,8 @@
     try:
         answer = await client.call("GET", path, timeout_s=TIMEOUT_S)
         # No line for another status: the peer has started a moment ago and has nothing to give.
-        return codec.decompress(answer.body) if answer.status == OK else None
-    except (CallFailedError, zlib.error, ValueError) as exc:
+        return read(codec.decompress(answer.body)) if answer.status == OK else None
+    except (CallFailedError, zlib.error, *UNREADABLE) as exc:
         logs.event("peers.fetch_failed", address=address, path=path, detail=str(exc))
         return None
     finally:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -148,7 +148,7 @@
                 state.entry, exchange.admitted.service, repeatable
             )
         except ConnectFailedError as exc:
-            self._parts.loads.unreached(endpoint_id)
+            self._parts.loads.unreached(state.entry)
             self._parts.request_log.unreachable(exchange, endpoint_id, str(exc))
         except EndpointBusyError:
             # Not logged: under load this is usual, and the end of the request is logged.
@@ -162,19 +162,19 @@
 
         No await may come before the send; see `attempt._send`.
         """
-        endpoint_id = choice.state.entry.endpoint_id
+        incarnation = choice.state.entry.incarnation
         exchange.progress.chosen.append(ChosenEndpoint.from_choice(choice, exchange.demand))
         try:
             with self._parts.loads.attempt(choice, exchange.demand) as load:
                 exchange.progress.load = load
                 end = await make_attempt(exchange, choice, connection, self._parts.codec)
         except BaseException:
-            self._parts.pool.discard(endpoint_id, connection)
+            self._parts.pool.discard(incarnation, connection)
             raise
         if end in (End.BROKEN, End.SILENT):
-            self._parts.pool.discard(endpoint_id, connection)
+            self._parts.pool.discard(incarnation, connection)
         else:
-            self._parts.pool.release(endpoint_id, connection)
+            self._parts.pool.release(incarnation, connection)
         self._record(exchange, choice.state, end)
         return end
 
@@ -184,7 +184,7 @@
             self._parts.registry.succeeded(state)
             return
         if end is End.OTHER_ENDPOINT:
-            self._parts.loads.gone(state.entry.endpoint_id)
+            self._parts.loads.gone(state.entry)
         elif end in ENDPOINT_FAILURES and self._parts.registry.failed(state):
             self._parts.request_log.endpoint_ejected(state, end)
         self._parts.request_log.attempt_failed(exchange, state.entry.endpoint_id, end)
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -37,6 +37,11 @@
             "springbridge_config_version", "Version in force", registry=self.registry
         )
         self.endpoints = Gauge("springbridge_engines", "Engines listed", registry=self.registry)
+        self.unreadable_endpoints = Gauge(
+            "springbridge_unreadable_engines",
+            "Entries of the engine list, as this node last read it, that name no engine",
+            registry=self.registry,
+        )
         self.nodes = Gauge("springbridge_live_nodes", "Nodes alive", registry=self.registry)
         self.store_up = Gauge(
             "springbridge_store_up", "1 while the store answers", registry=self.registry
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -50,24 +50,32 @@
             if service in name:
                 await engine.start("127.0.0.1")
 
-    async def list_engine(self, name: str, service: str, state: str = "ready") -> None:
-        """Write an engine's entry into the platform's list."""
-        await list_engine(self.store, name, service, self.engines[name].address, state)
+    async def list_engine(self, name: str, service: str, state: str = "ready", **more: int) -> None:
+        """Write an engine's entry into the platform's list, with further fields if any."""
+        await list_engine(self.store, name, service, self.engines[name].address, state, **more)
 
 
 async def list_engine(
-    store: StoreStandIn, name: str, service: str, address: str, state: str, slots: int = 4
+    store: StoreStandIn,
+    name: str,
+    service: str,
+    address: str,
+    state: str,
+    slots: int = 4,
+    **more: int,
 ) -> None:
-    """Write an engine's entry into the platform's list."""
+    """Write an engine's entry into the platform's list, with further fields if there are any."""
     entry = {
         "service": service,
         "address": address,
         "zone": "perth-a",
+        "version": "v1",
         "slots": slots,
         "state": state,
         "sequence": 1,
+        "coldRemainingMs": 0,
     }
-    await store.put("servers", name, entry)
+    await store.put("servers", name, entry | more)
 
 
 def route(name: str, kind: str, service: str, **fields: object) -> dict:
--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -61,7 +61,11 @@
 
     async def put(self, table: str, key: str, document: dict) -> None:
         """Write a document as the platform or the operator would."""
-        await self._write(table, key, orjson.dumps(document))
+        await self.put_content(table, key, orjson.dumps(document))
+
+    async def put_content(self, table: str, key: str, content: bytes) -> None:
+        """Write any content, as another writer may."""
+        await self._write(table, key, content)
 
     async def remove(self, table: str, key: str) -> None:
         """Remove a row."""
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable, Collection, Set
+from dataclasses import replace
 
 import xxhash
 
@@ -15,7 +16,7 @@
 from springbridge.routing.ejection import ejection_s
 from springbridge.routing.endpoint_state import LISTED, EndpointState
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
-from springbridge.routing.records import EndpointEntry, EndpointSnapshot
+from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
 
 # Bits dropped from the 64-bit hash of a list. Heartbeats carry the rest, and all instances of a
 # mixed fleet compare it, so that its length is fixed.
@@ -86,11 +87,11 @@
         changed = False
         for endpoint_id, entry in listed.items():
             state = self._states.get(endpoint_id)
-            if state is None:
+            if state is None or has_started_again(state.entry, entry):
                 state = self._states[endpoint_id] = EndpointState(entry)
                 changed = True
-            elif state.entry != entry:
-                state.entry = entry
+            elif state.entry != _with_known_start(entry, state.entry):
+                state.entry = _with_known_start(entry, state.entry)
                 changed = True
             state.usable_until_s = LISTED
             state.cache.capacity = capacities.get(entry.service, 0)
@@ -122,9 +123,9 @@
         """Return the endpoints that are listed now."""
         return tuple(state.entry for state in self._states.values() if state.is_listed)
 
-    def known_ids(self) -> set[str]:
-        """Return the ids of all endpoints that are listed or still have requests."""
-        return set(self._states)
+    def known_incarnations(self) -> set[EndpointIncarnation]:
+        """Return the incarnations of all endpoints that are listed or still have requests."""
+        return {state.entry.incarnation for state in self._states.values()}
 
     def candidates(self, service: str, tried: Collection[str]) -> list[EndpointState]:
         """Return the endpoints of a service that may get a request.
@@ -159,9 +160,9 @@
                 state.read(notice.attempt_id, self._clock())
             case LoadPhase.ENDED:
                 state.ended(notice.attempt_id)
-            case LoadPhase.UNREACHED:
+            case LoadPhase.UNREACHED if _is_about(notice, state.entry):
                 self.unreachable(state)
-            case LoadPhase.GONE:
+            case LoadPhase.GONE if _is_about(notice, state.entry):
                 self.gone(state)
 
     def expire_loads(self) -> None:
@@ -203,10 +204,36 @@
         state.usable_until_s = self._clock()
 
 
+def has_started_again(known: EndpointEntry, listed: EndpointEntry) -> bool:
+    """Return whether an endpoint under the same id is another process than the one known.
+
+    The new process holds nothing of the old one: no request, no cached prompt, no connection. Where
+    either entry does not tell its start, nothing can be concluded.
+    """
+    starts = (known.born_ms, listed.born_ms)
+    return None not in starts and starts[0] != starts[1]
+
+
+def _is_about(notice: LoadNotice, entry: EndpointEntry) -> bool:
+    """Return whether a notice may be about the process that is listed now."""
+    return None in (notice.born_ms, entry.born_ms) or notice.born_ms == entry.born_ms
+
+
+def _with_known_start(listed: EndpointEntry, known: EndpointEntry) -> EndpointEntry:
+    """Return a listed entry with the start that is known where it tells none.
+
+    Instances of an older build pass lists on without the starts.
+    """
+    return listed if listed.born_ms is not None else replace(listed, born_ms=known.born_ms)
+
+
 def _fingerprint(snapshot: EndpointSnapshot) -> int:
     """Return a hash of a list's content, whatever its revision and order."""
-    rows = sorted(
-        f"{entry.endpoint_id} {entry.service} {entry.address} {entry.draining}"
-        for entry in snapshot.entries
-    )
+    rows = sorted(_fingerprint_row(entry) for entry in snapshot.entries)
     return xxhash.xxh3_64_intdigest("\n".join(rows).encode()) >> FINGERPRINT_SHIFT
+
+
+def _fingerprint_row(entry: EndpointEntry) -> str:
+    """Return the text of an entry; without a start it is that of builds which read none."""
+    row = f"{entry.endpoint_id} {entry.service} {entry.address} {entry.draining}"
+    return row if entry.born_ms is None else f"{row} {entry.born_ms}"
--- a/packages/springbridge/springbridge/routing/endpoint_registry_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry_test.py
@@ -7,6 +7,11 @@
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
 
 
+def known_ids(registry):
+    """Return the ids of the endpoints that are listed or still have requests."""
+    return {incarnation.endpoint_id for incarnation in registry.known_incarnations()}
+
+
 def test_an_older_list_changes_nothing(registry):
     registry.install(make_snapshot(5, "a"), {}, 0.0)
     assert_that(registry.install(make_snapshot(4, "a", "b"), {}, 0.0), Equals(False))
@@ -24,7 +29,7 @@
 def test_an_endpoint_that_is_no_longer_listed_is_known_until_its_requests_end(registry):
     registry.take_notice(LoadNotice(LoadPhase.STARTED, "me/1", "a"))
     registry.install(make_snapshot(2, "b", "c", "d"), {}, 0.0)
-    assert_that(registry.known_ids(), Equals({"a", "b", "c", "d"}))
+    assert_that(known_ids(registry), Equals({"a", "b", "c", "d"}))
     registry.take_notice(LoadNotice(LoadPhase.ENDED, "me/1", "a"))
     registry.install(make_snapshot(3, "b", "c", "d"), {}, 0.0)
-    assert_that(registry.known_ids(), Equals({"b", "c", "d"}))
+    assert_that(known_ids(registry), Equals({"b", "c", "d"}))
--- a/packages/springbridge/springbridge/routing/load_notices.py
+++ b/packages/springbridge/springbridge/routing/load_notices.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from springbridge.routing.records import PromptPart
+from springbridge.routing.records import EndpointEntry, PromptPart
 
 # Between incarnation and count in an attempt id. Attempt ids travel between instances, so that all
 # instances of a mixed fleet must agree on it.
@@ -51,6 +51,8 @@
 
     Attributes:
       attempt_id: Id of the attempt, unique in the fleet; "" with UNREACHED and GONE.
+      born_ms: Start of the endpoint's process that the notice is about, if it is known; only with
+        UNREACHED and GONE. A process that started later is not concerned.
       prompt_tokens: Length of the prompt; only with STARTED.
       prompt_parts: Parts of the prompt, which the endpoint will keep; only with STARTED.
       fetched_tokens: Tokens of the prompt that the endpoint to fetch from keeps; 0 if there is
@@ -63,3 +65,9 @@
     prompt_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     fetched_tokens: int = 0
+    born_ms: int | None = None
+
+
+def endpoint_notice(phase: LoadPhase, entry: EndpointEntry) -> LoadNotice:
+    """Return a notice about an endpoint itself, UNREACHED or GONE."""
+    return LoadNotice(phase, "", entry.endpoint_id, born_ms=entry.born_ms)
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -121,6 +121,19 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointIncarnation:
+    """One run of an endpoint's process: an endpoint may start again under its id.
+
+    Attributes:
+      born_ms: Unix time of its start in milliseconds, by the endpoint's clock; None if it does not
+        say. Only compared for equality, never with another clock.
+    """
+
+    endpoint_id: str
+    born_ms: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
     """One incarnation of an endpoint, as it is on the platform's list.
@@ -129,6 +142,7 @@
       address: IP number and port. Another endpoint may have it later.
       slots: Requests that the endpoint runs at a time.
       draining: Whether the endpoint is about to leave and takes no new requests.
+      born_ms: See EndpointIncarnation.
     """
 
     endpoint_id: str
@@ -137,14 +151,40 @@
     failure_domain: str
     slots: int
     draining: bool
+    born_ms: int | None = None
+
+    @property
+    def incarnation(self) -> EndpointIncarnation:
+        """Return which run of the endpoint's process the entry is about."""
+        return EndpointIncarnation(self.endpoint_id, self.born_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableEntry:
+    """An entry of the list that names no endpoint, because it cannot be read.
+
+    Attributes:
+      key: Where the entry stands on the list.
+      reason: What is wrong with it, without its content.
+      content_hash: Hash of its content, so that a changed entry can be told from the same one.
+    """
+
+    key: str
+    reason: str
+    content_hash: int
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointSnapshot:
-    """The platform's list of endpoints at one revision; revisions only grow."""
+    """The platform's list of endpoints at one revision; revisions only grow.
+
+    Attributes:
+      unreadable: Entries that the reader of the store had to pass over; not passed on to peers.
+    """
 
     revision: int
     entries: tuple[EndpointEntry, ...]
+    unreadable: tuple[UnreadableEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
