Members are looked up by name, and who runs is kept until it changes

Cause: a digest names a third of a large fleet by hash but has rows of a few members only, so that a node which starts learns of the others a few rows at a time. And who runs was worked out anew, over all members, for each digest, look at the store and request; ranks for the store's readers took a hash of every member each time.

Change: a node asks the teller of a digest for members that it does not know, and a new sender gets a digest at once. Rows to peers that ask leave out what does not change. Who runs is kept until a member changes it or the first one falls silent; the rank is kept until other nodes are live.

--- a/packages/springbridge-node/springbridge_node/gateway/config/store_readers.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/store_readers.py
@@ -27,6 +27,8 @@
         """
         self._membership = membership
         self._clock = clock
+        self._ranked_version = -1
+        self._kept_rank = 0
         self._ask_seeds_until_s = clock() + (
             store_freshness.ASK_SEEDS_FIRST_S if asks_seeds_first else 0.0
         )
@@ -45,14 +47,22 @@
 
     def round_s(self) -> float:
         """Return the time in which each live node has a turn, in seconds."""
-        return store_freshness.round_s(len(self._membership.incarnations()))
+        return store_freshness.round_s(self._membership.live_count())
 
     def seeds_come_first(self) -> bool:
         """Return whether this node has just started and leaves the store to its seeds."""
         return self._clock() < self._ask_seeds_until_s
 
     def _rank(self) -> int:
-        """Return how many live nodes come before this one."""
-        return store_freshness.rank(
-            self._membership.me.incarnation, self._membership.incarnations()
-        )
+        """Return how many live nodes come before this one.
+
+        The rank is kept until other nodes are live: it takes a hash of each of them, and each look
+        at the store asks for it several times.
+        """
+        version = self._membership.live_version()
+        if version != self._ranked_version:
+            self._ranked_version = version
+            self._kept_rank = store_freshness.rank(
+                self._membership.me.incarnation, self._membership.incarnations()
+            )
+        return self._kept_rank
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -38,8 +38,8 @@
 from springbridge_node.gateway.http.small_server import TEXT, Handler, Reply, serve_small
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
-from springbridge_node.gateway.peers.gossip import FIRST_HEARTBEAT
 from springbridge_node.gateway.peers.heartbeats import BEAT_S, Heartbeats
+from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
 from springbridge_node.gateway.peers.peer_client import PeerClient
 from springbridge_node.gateway.peers.peer_discovery import (
     DISCOVERY_DELAY_S,
@@ -255,7 +255,7 @@
 
     def _live_nodes(self) -> int:
         """Return how many nodes share the retry budget and the connections to endpoints."""
-        return max(1, len(self.membership.live()))
+        return max(1, self.membership.live_count())
 
     def _configuration_installed(self, index: RouteIndex, source: Source) -> None:
         """Apply the new limits to callers, and push a version that the store delivered."""
--- a/packages/springbridge-node/springbridge_node/gateway/peers/age_vector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/age_vector.py
@@ -10,6 +10,7 @@
 import struct
 import zlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 from springbridge.membership import HeartbeatAge
 
@@ -22,8 +23,12 @@
 # Hash of the incarnation (4 bytes) and steps of the age (1 byte). Two of 500 incarnations have the
 # same hash in one of 30,000 fleets; then the younger age counts for both.
 ENTRY = struct.Struct("<IB")
+# Hashes that are kept, the latest ones. Not measured; chosen above the incarnations that a fleet of
+# 380 nodes has in the minute for which ended ones are known.
+KEYS_KEPT = 2048
 
 
+@lru_cache(maxsize=KEYS_KEPT)
 def key_of(incarnation: str) -> int:
     """Return the hash that stands for an incarnation; equal at all nodes."""
     return zlib.crc32(incarnation.encode())
--- a/packages/springbridge-node/springbridge_node/gateway/peers/coordinator_set.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/coordinator_set.py
@@ -81,7 +81,7 @@
         if now_s - self._refreshed_s < ROLES_KEPT_S:
             return
         self._refreshed_s = now_s
-        self._all_equal = len(self._membership.live()) <= MAX_EQUAL_NODES
+        self._all_equal = self._membership.live_count() <= MAX_EQUAL_NODES
         self._by_service = {}
         self._avoided_until_s = {
             address: until_s
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -30,6 +30,7 @@
     SELECTION_REQUEST = 3
     SELECTION_REPLY = 4
     AGED_DIGEST = 5
+    MEMBERS_REQUEST = 6
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -2,33 +2,32 @@
 
 A digest may be lost without harm, since the next one supersedes it. It has a few members as rows,
 the sender first, and the ages of most members' heartbeats (age_vector.py), by which peers tell who
-is alive. To save bytes between failure domains, a row has what does not change of a member
-(addresses, failure domain) only while the member is new and in every WHOLE_EVERYth digest; the
-others have its heartbeat, phase and versions.
+is alive. To save bytes between failure domains, rows leave out what does not change of a member
+(addresses, failure domain). A peer that does not know a member asks for it (member_lookup.py).
 
-Nodes of builds before ages, and addresses that nobody is known at, get a plain digest: rows alone.
-What such a digest tells of a third node that does send ages is no sign of life.
+Peers of builds that do not ask get whole rows of new members, and of many in every WHOLE_EVERYth
+digest. Nodes of builds before ages, and addresses that nobody is known at, get a plain digest: rows
+alone. What such a digest tells of a third node that does send ages is no sign of life.
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from springbridge.member import NEVER_S
 from springbridge.membership import HeartbeatAge, Member, Membership
 
 from springbridge_node.gateway.peers import age_vector, codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.gateway.peers.member_lookup import MemberLookup
+from springbridge_node.gateway.peers.peer_builds import Build, build_of
 
-# Heartbeat that a node starts from, so that peers know from its number that it reads ages. Nodes of
-# builds before ages count from 0 and do not come near it: four beats a second for eight years.
-FIRST_HEARTBEAT = 1_000_000_000
 # Peers that get news at once, whatever the size of the fleet. Not measured; chosen to bound the
 # burst of datagrams. The digests of the next beats reach the others.
 PUSHED_PEERS = 64
 # One digest in so many has all members whole, about every third second. Measured with short rows
 # in the others: the charge for bytes between failure domains fell from 0.0785 to 0.0448 of the
 # served value on 8 nodes, and from 0.0093 to 0.0064 on 7.
-WHOLE_EVERY = 12
+WHOLE_EVERY = 60
 # Seconds for which a member is sent whole after this node first sent it, since peers may not know
 # it yet. Not measured; chosen as longer than the time between two whole digests.
 NEW_FOR_S = 4.0
@@ -63,33 +62,44 @@
         self._sent = 0
         self._first_sent_s: dict[str, float] = {}
         self._names: dict[int, str] = {}
+        self._own_key = age_vector.key_of(membership.me.incarnation)
+        self._lookup = MemberLookup(membership, datagrams)
         datagrams.handle(Kind.DIGEST, self._take_plain)
         datagrams.handle(Kind.AGED_DIGEST, self._take_with_ages)
 
     def send(self, peer_addresses: list[str]) -> None:
-        """Send this node's digest to peers, with ages to those that read them."""
-        readers = self._readers_of_ages()
-        with_ages = [address for address in peer_addresses if address in readers]
-        if with_ages:
-            self._send_with_ages(with_ages)
-        plain = [address for address in peer_addresses if address not in readers]
-        if plain:
+        """Send this node's digest to peers, to each in the form that its build reads."""
+        builds = self._builds()
+        by_build: dict[Build, list[str]] = {}
+        for address in peer_addresses:
+            by_build.setdefault(builds.get(address, Build.ROWS), []).append(address)
+        if Build.LOOKUPS in by_build:
+            self._send_short(by_build[Build.LOOKUPS])
+        if Build.AGES in by_build:
+            self._send_whole_in_turn(by_build[Build.AGES])
+        if Build.ROWS in by_build:
             members = self._membership.digest(OTHERS_IN_PLAIN_DIGEST + 1)
             rows = [codec.member_row(member) for member in members]
-            self._datagrams.send(Kind.DIGEST, rows, plain)
+            self._datagrams.send(Kind.DIGEST, rows, by_build[Build.ROWS])
 
     def push(self) -> None:
         """Send what this node states of itself to up to PUSHED_PEERS peers, if it must not wait."""
         peer_addresses = self._datagrams.sample_peers(PUSHED_PEERS)
         self._datagrams.send(Kind.DIGEST, self._rows([self._membership.me]), peer_addresses)
 
-    def _readers_of_ages(self) -> set[str]:
-        """Return the addresses of the running peers that read ages."""
+    def _builds(self) -> dict[str, Build]:
+        """Return the builds of the running peers by their addresses."""
         peers = self._membership.reachable()
-        return {peer.peer_address for peer in peers if peer.heartbeat >= FIRST_HEARTBEAT}
+        return {peer.peer_address: build_of(peer.heartbeat) for peer in peers}
 
-    def _send_with_ages(self, peer_addresses: list[str]) -> None:
-        """Send a digest with ages."""
+    def _send_short(self, peer_addresses: list[str]) -> None:
+        """Send a digest with ages to peers that ask for the members that they do not know."""
+        me, *others = self._membership.digest(OTHERS_WITH_AGES + 1)
+        rows = self._rows([me]) + [codec.state_row(member) for member in others]
+        self._send_with_ages([me, *others], rows, peer_addresses)
+
+    def _send_whole_in_turn(self, peer_addresses: list[str]) -> None:
+        """Send a digest with ages to peers that do not ask."""
         self._sent += 1
         if self._sent % WHOLE_EVERY == 1:
             members = self._membership.digest()
@@ -97,6 +107,12 @@
         else:
             members = self._membership.digest(OTHERS_WITH_AGES + 1)
             rows = self._rows(members)
+        self._send_with_ages(members, rows, peer_addresses)
+
+    def _send_with_ages(
+        self, members: list[Member], rows: list[list], peer_addresses: list[str]
+    ) -> None:
+        """Send the rows of members and the ages of most members."""
         text = age_vector.encode(self._ages(members))
         self._datagrams.send(Kind.AGED_DIGEST, [text, *rows], peer_addresses)
 
@@ -117,13 +133,14 @@
 
     def _take_plain(self, rows: list, sender: str) -> None:
         """Merge a digest without ages."""
-        self._merge(rows, _ago_s_without_ages)
+        self._merge(rows, sender, _ago_s_without_ages)
 
     def _take_with_ages(self, rows: list, sender: str) -> None:
         """Merge a digest with ages."""
         text, *member_rows = rows
         ages = age_vector.decode(text)
-        self._merge(member_rows, lambda row: ages.get(age_vector.key_of(row[0]), NEVER_S))
+        self._merge(member_rows, sender, lambda row: ages.get(age_vector.key_of(row[0]), NEVER_S))
+        self._ask_for_unknown(ages, member_rows[0], sender)
         named = [
             HeartbeatAge(self._names[key], ago_s)
             for key, ago_s in ages.items()
@@ -131,14 +148,24 @@
         ]
         self._membership.merge_ages(named, told_by=member_rows[0][0])
 
-    def _merge(self, rows: list, heard_ago_s: Callable[[list], float]) -> None:
-        """Merge the members of rows, the sender's first.
+    def _ask_for_unknown(self, keys: Iterable[int], teller: list, sender: str) -> None:
+        """Ask the sender of a digest for itself and the members that only its ages name."""
+        if build_of(codec.heartbeat_of(teller)) is not Build.LOOKUPS:
+            return
+        named = [age_vector.key_of(teller[0]), *keys]
+        unknown = [key for key in named if key not in self._names and key != self._own_key]
+        if unknown:
+            self._lookup.ask(unknown, sender)
+
+    def _merge(self, rows: list, sender: str, heard_ago_s: Callable[[list], float]) -> None:
+        """Merge the members of rows, the sender's first, and greet a sender that is new.
 
         Args:
           heard_ago_s: Returns the age of the heartbeat in another member's row.
         """
         find = self._membership.find
         teller, *others = rows
+        is_new = find(teller[0]) is None
         read = [codec.read_member(teller, find)]
         read += [codec.read_member(row, find, heard_ago_s(row)) for row in others]
         members = [member for member in read if member is not None]
@@ -146,6 +173,9 @@
             self._names[age_vector.key_of(member.incarnation)] = member.incarnation
         self._membership.merge(members, told_by=teller[0])
         self._received()
+        if is_new and build_of(codec.heartbeat_of(teller)) is Build.LOOKUPS:
+            # A node that starts would wait for seconds until it is drawn as a receiver.
+            self._send_short([sender])
 
     def _is_new(self, member: Member) -> bool:
         """Return whether this node first sent a member so recently that peers may not know it."""
@@ -160,6 +190,7 @@
             for incarnation, first_s in self._first_sent_s.items()
             if self._membership.find(incarnation) is not None
         }
+        self._lookup.forget_asked()
         self._names = {
             key: incarnation
             for key, incarnation in self._names.items()
@@ -173,4 +204,4 @@
     A node that sends ages is heard of by them. Of one that does not, nothing better is known than
     that the news came now.
     """
-    return NEVER_S if codec.heartbeat_of(row) >= FIRST_HEARTBEAT else 0.0
+    return 0.0 if build_of(codec.heartbeat_of(row)) is Build.ROWS else NEVER_S
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip_test.py
@@ -9,7 +9,8 @@
 
 from springbridge_node.gateway.peers import age_vector, codec
 from springbridge_node.gateway.peers.datagrams import Kind
-from springbridge_node.gateway.peers.gossip import FIRST_HEARTBEAT, Gossip
+from springbridge_node.gateway.peers.gossip import Gossip
+from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
 
 SUSPECT_S = 1.2
 
@@ -57,6 +58,8 @@
     found = Gossip(membership, sent, lambda: None)
     rows = [codec.member_row(member("new")), codec.member_row(member("old", heartbeat=7))]
     sent.handlers[Kind.DIGEST](rows, "")
+    # Without the digest by which a new sender is greeted.
+    sent.kinds.clear()
     return found
 
 
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup_test.py
@@ -0,0 +1,134 @@
+"""Tests of member_lookup.py: a node asks for the members that a digest names by hash only."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from springbridge.member import HeartbeatAge
+from springbridge.membership import Member, Membership, Pace
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from springbridge_node.gateway.peers import age_vector, codec, member_lookup
+from springbridge_node.gateway.peers.datagrams import Kind
+from springbridge_node.gateway.peers.gossip import Gossip
+from springbridge_node.gateway.peers.member_lookup import (
+    ASK_AGAIN_S,
+    ASKED_AT_ONCE,
+    TOLD_IN_DATAGRAM,
+)
+from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT, FIRST_HEARTBEAT_WITH_AGES
+
+TELLER = "10.0.0.9:7000"
+
+
+def member(name, heartbeat=FIRST_HEARTBEAT):
+    return Member(name, name, f"{name}:1", f"{name}:2", "a", heartbeat=heartbeat)
+
+
+class Sent:
+    """Datagrams that are kept in place of being sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.handlers = {}
+
+    def handle(self, kind, handler):
+        """Keep a handler, for tests to call."""
+        self.handlers[kind] = handler
+
+    def send(self, kind, rows, peer_addresses):
+        """Keep what was sent."""
+        self.sent.append((kind, rows, peer_addresses))
+
+    def of(self, kind):
+        """Return rows and receivers of a kind."""
+        return [(rows, receivers) for each, rows, receivers in self.sent if each is kind]
+
+
+@pytest.fixture
+def sent(monkeypatch, clock):
+    """Return the datagrams of a node, whose lookups go by the tests' clock."""
+    monkeypatch.setattr(member_lookup, "time", SimpleNamespace(monotonic=clock))
+    return Sent()
+
+
+@pytest.fixture
+def membership(clock):
+    """Return the view of a node that has just started."""
+    return Membership(member("me"), clock, random.Random(1), Pace(suspect_s=1.2))
+
+
+@pytest.fixture
+def gossip(membership, sent):
+    """Return the gossip of that node."""
+    return Gossip(membership, sent, lambda: None)
+
+
+def take_digest(sent, names, heartbeat=FIRST_HEARTBEAT):
+    """Let the node get a digest whose ages name some members."""
+    ages = [HeartbeatAge(name, 0.1) for name in names]
+    teller = codec.member_row(member("teller", heartbeat))
+    sent.handlers[Kind.AGED_DIGEST]([age_vector.encode(ages), teller], TELLER)
+
+
+def keys(names):
+    return [age_vector.key_of(name) for name in names]
+
+
+def test_members_that_only_ages_name_are_asked_for_at_their_teller(gossip, sent):
+    take_digest(sent, ["x", "y", "me"])
+    assert_that(sent.of(Kind.MEMBERS_REQUEST), Equals([(keys(["x", "y"]), [TELLER])]))
+
+
+def test_a_request_is_repeated_after_a_while_and_not_before(gossip, sent, clock):
+    take_digest(sent, ["x"])
+    take_digest(sent, ["x"])
+    assert_that(sent.of(Kind.MEMBERS_REQUEST), HasLength(1))
+    clock.now_s += ASK_AGAIN_S
+    take_digest(sent, ["x"])
+    assert_that(sent.of(Kind.MEMBERS_REQUEST), HasLength(2))
+
+
+def test_a_request_is_bounded_and_the_next_digest_asks_for_the_rest(gossip, sent):
+    names = [f"x{number}" for number in range(ASKED_AT_ONCE + 5)]
+    take_digest(sent, names)
+    take_digest(sent, names)
+    sizes = [len(rows) for rows, _ in sent.of(Kind.MEMBERS_REQUEST)]
+    assert_that(sizes, Equals([ASKED_AT_ONCE, 5]))
+
+
+def test_peers_of_earlier_builds_are_not_asked(gossip, sent):
+    take_digest(sent, ["x"], heartbeat=FIRST_HEARTBEAT_WITH_AGES)
+    assert_that(sent.of(Kind.MEMBERS_REQUEST), Equals([]))
+
+
+def test_a_peer_is_told_whole_rows_of_the_members_that_it_asks_for(gossip, membership, sent):
+    membership.merge([member(f"x{number}") for number in range(TOLD_IN_DATAGRAM + 2)])
+    asked = keys([*(f"x{number}" for number in range(TOLD_IN_DATAGRAM + 1)), "stranger"])
+    sent.handlers[Kind.MEMBERS_REQUEST](asked, TELLER)
+    told = sent.of(Kind.AGED_DIGEST)
+    assert_that([len(rows) - 2 for rows, _ in told], Equals([TOLD_IN_DATAGRAM, 1]))
+    assert_that({receivers[0] for _, receivers in told}, Equals({TELLER}))
+    read = [codec.read_member(row, lambda name: None) for rows, _ in told for row in rows[1:]]
+    named = {each.incarnation for each in read}
+    assert_that(named, Equals({"me", *(f"x{number}" for number in range(TOLD_IN_DATAGRAM + 1))}))
+
+
+def test_a_node_that_is_asked_for_itself_answers(gossip, sent):
+    sent.handlers[Kind.MEMBERS_REQUEST](keys(["me"]), TELLER)
+    ((rows, receivers),) = sent.of(Kind.AGED_DIGEST)
+    assert_that(rows[1], Equals(codec.member_row(member("me"))))
+
+
+def test_a_sender_that_only_tells_its_state_is_asked_who_it_is(gossip, sent):
+    teller = codec.state_row(member("teller"))
+    sent.handlers[Kind.AGED_DIGEST](["", teller], TELLER)
+    assert_that(sent.of(Kind.MEMBERS_REQUEST), Equals([(keys(["teller"]), [TELLER])]))
+
+
+def test_a_new_sender_gets_a_digest_at_once_and_a_known_one_does_not(gossip, sent):
+    take_digest(sent, [])
+    assert_that([receivers for _, receivers in sent.of(Kind.AGED_DIGEST)], Equals([[TELLER]]))
+    take_digest(sent, [])
+    assert_that(sent.of(Kind.AGED_DIGEST), HasLength(1))
--- a/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
@@ -17,6 +17,7 @@
 from springbridge.membership import Membership, SnapshotStatus
 from springbridge_node.gateway import gateway
 from springbridge_node.gateway.peers import gossip as gossip_module
+from springbridge_node.gateway.peers import member_lookup
 from springbridge_node.gateway.peers.datagrams import Kind
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.heartbeats import BEAT_S
@@ -216,5 +217,9 @@
 def simulated_time() -> Iterator[SimulatedClock]:
     """Let gossip go by a simulated clock meanwhile."""
     clock = SimulatedClock()
-    with mock.patch.object(gossip_module, "time", SimpleNamespace(monotonic=clock)):
+    time = SimpleNamespace(monotonic=clock)
+    with (
+        mock.patch.object(gossip_module, "time", time),
+        mock.patch.object(member_lookup, "time", time),
+    ):
         yield clock
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -61,7 +61,7 @@
     Mutant(
         "what is told on grows older",
         f"{LIBRARY}/digest.py",
-        "observed.member.aged(now_s - observed.stated_s)",
+        "observed.member.aged(now_s - observed.stated_s, now_s - observed.heard_s)",
         "observed.member",
         f"{LIBRARY}/membership_test.py::test_what_is_told_on_of_a_member_is_as_old_as_it_is",
     ),
@@ -76,7 +76,7 @@
     Mutant(
         "a plain digest tells no age of a node that sends ages",
         f"{NODE}/gateway/peers/gossip.py",
-        "NEVER_S if codec.heartbeat_of(row) >= FIRST_HEARTBEAT else 0.0",
+        "0.0 if build_of(codec.heartbeat_of(row)) is Build.ROWS else NEVER_S",
         "0.0",
         f"{NODE}/gateway/peers/gossip_test.py"
         "::test_a_plain_digest_tells_no_age_of_a_node_that_sends_ages",
--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -179,15 +179,15 @@
     Mutant(
         "leaving is final",
         f"{LIBRARY}/membership.py",
-        "observed.member = member if phase is member.phase else replace(member, phase=phase)",
-        "observed.member = member",
+        "stated = member if phase is member.phase else replace(member, phase=phase)",
+        "stated = member",
         f"{LIBRARY}/membership_test.py::test_leaving_is_final_and_spreads",
     ),
     Mutant(
         "silent nodes left out",
-        f"{LIBRARY}/membership.py",
-        "return [each for each in self._observed.values() if each.heard_s >= limit_s]",
-        "return list(self._observed.values())",
+        f"{LIBRARY}/observations.py",
+        "heard = [each for each in self.all() if each.heard_s >= limit_s]",
+        "heard = list(self.all())",
         f"{LIBRARY}/membership_test.py::test_silent_node_is_left_out_whatever_the_list_says",
     ),
     Mutant(
--- a/packages/springbridge/springbridge/digest.py
+++ b/packages/springbridge/springbridge/digest.py
@@ -7,10 +7,11 @@
 random numbers.
 """
 
-import heapq
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from operator import attrgetter
+from typing import TypeVar
 
 from springbridge.member import HeartbeatAge, Member, Phase
 
@@ -23,8 +24,10 @@
 # Peers that get each digest; measured together with GOSSIP_INTERVAL_S.
 GOSSIP_PEERS = 2
 
+T = TypeVar("T")
 
-@dataclass
+
+@dataclass(slots=True)
 class Observation:
     """A member as it last stated itself, and when it last gave a sign of life.
 
@@ -59,16 +62,17 @@
       limit: Most members in the digest, the sender included.
     """
     candidates = list(observed)
-    rng.shuffle(candidates)
-    candidates.sort(key=lambda each: each.member.phase is Phase.LIVE)
-    chosen = candidates[: limit - 1]
-    return [me, *(_as_told(each, now_s) for each in chosen)]
+    ending = [each for each in candidates if each.member.phase is not Phase.LIVE]
+    chosen = _sample(rng, ending, limit - 1)
+    if len(chosen) < limit - 1:
+        live = [each for each in candidates if each.member.phase is Phase.LIVE]
+        chosen += _sample(rng, live, limit - 1 - len(chosen))
+    return [me, *(as_told(each, now_s) for each in chosen)]
 
 
-def _as_told(observed: Observation, now_s: float) -> Member:
+def as_told(observed: Observation, now_s: float) -> Member:
     """Return a member with all its ages counted on to the present."""
-    stated = observed.member.aged(now_s - observed.stated_s)
-    return replace(stated, heard_ago_s=now_s - observed.heard_s)
+    return observed.member.aged(now_s - observed.stated_s, now_s - observed.heard_s)
 
 
 def freshest(observed: Iterable[Observation], limit: int, now_s: float) -> list[HeartbeatAge]:
@@ -77,7 +81,7 @@
     These are what a peer most likely does not know yet. Simulated with 32 ages among 78 nodes:
     views are older than 1.9 s 0.15% of the time, and 0.6% where the choice is random.
     """
-    latest = heapq.nlargest(limit, observed, key=lambda each: each.heard_s)
+    latest = sorted(observed, key=attrgetter("heard_s"), reverse=True)[:limit]
     return [HeartbeatAge(each.member.incarnation, now_s - each.heard_s) for each in latest]
 
 
@@ -95,6 +99,11 @@
     """
     near = [peer for peer in peers if peer.failure_domain == me.failure_domain]
     far = [peer for peer in peers if peer.failure_domain != me.failure_domain]
-    rng.shuffle(near)
-    rng.shuffle(far)
-    return [*far[:1], *near, *far[1:]][:count]
+    # A shuffle of all peers would cost several times as much as all else here.
+    far = _sample(rng, far, count)
+    return [*far[:1], *_sample(rng, near, count), *far[1:]][:count]
+
+
+def _sample(rng: random.Random, candidates: Sequence[T], count: int) -> list[T]:
+    """Return a number of candidates drawn at random, or all of them if there are no more."""
+    return rng.sample(candidates, min(count, len(candidates)))
--- a/packages/springbridge/springbridge/member.py
+++ b/packages/springbridge/springbridge/member.py
@@ -73,11 +73,17 @@
     endpoint_snapshot: SnapshotStatus = SnapshotStatus()
     heard_ago_s: float = 0.0
 
-    def aged(self, by_s: float) -> "Member":
-        """Return the member with the ages of what it stated counted on by some seconds."""
+    def aged(self, by_s: float, heard_ago_s: float) -> "Member":
+        """Return the member as it is told of some seconds after it stated itself.
+
+        Args:
+          by_s: Seconds by which the ages of what it stated count on.
+          heard_ago_s: Age of its last sign of life.
+        """
         snapshot = self.endpoint_snapshot
         return replace(
             self,
             confirmed_ago_s=self.confirmed_ago_s + by_s,
-            endpoint_snapshot=replace(snapshot, age_s=snapshot.age_s + by_s),
+            endpoint_snapshot=SnapshotStatus(snapshot.fingerprint, snapshot.age_s + by_s),
+            heard_ago_s=heard_ago_s,
         )
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -11,8 +11,8 @@
 long its last heartbeats are passed on. With the moment of arrival in its place an ended node was
 counted for 11.5 s among 78 nodes (simulated).
 
-digest.py has what nodes send each other, and to whom; suspicion.py says how old a last heartbeat
-may be; member.py has the records.
+observations.py has who counts as running; digest.py has what nodes send each other, and to whom;
+suspicion.py says how old a last heartbeat may be; member.py has the records.
 """
 
 import random
@@ -23,11 +23,13 @@
     DIGEST_LIMIT,
     GOSSIP_INTERVAL_S,
     Observation,
+    as_told,
     digest_members,
     digest_receivers,
     freshest,
 )
 from springbridge.member import HeartbeatAge, Member, Phase, SnapshotStatus
+from springbridge.observations import Observations
 from springbridge.suspicion import SUSPECT_S, Pace, stretch_by_digests, stretch_by_hops
 
 __all__ = [
@@ -80,7 +82,7 @@
         self._pace = pace or Pace()
         self._clock = clock
         self._rng = rng
-        self._observed: dict[str, Observation] = {}
+        self._others = Observations(clock, self._pace)
         self._listed: set[str] = set()
         self._list_was_read = False
 
@@ -126,19 +128,20 @@
 
     def _merge_one(self, member: Member, now_s: float, told_by: str) -> None:
         heard_s = now_s - member.heard_ago_s
-        observed = self._observed.get(member.incarnation)
+        observed = self._others.find(member.incarnation)
         if observed is None:
-            self._observed[member.incarnation] = Observation(member, now_s, heard_s, told_by)
+            self._others.add(Observation(member, now_s, heard_s, told_by))
             return
         phase = max(observed.member.phase, member.phase)
         if member.heartbeat > observed.member.heartbeat:
-            observed.member = member if phase is member.phase else replace(member, phase=phase)
+            stated = member if phase is member.phase else replace(member, phase=phase)
+            self._others.state(observed, stated)
             observed.stated_s = now_s
         elif phase != observed.member.phase:
-            observed.member = replace(observed.member, phase=phase)
+            self._others.state(observed, replace(observed.member, phase=phase))
         else:
             return
-        _note_heard(observed, heard_s, told_by)
+        self._others.hear(observed, heard_s, told_by)
 
     def merge_ages(self, ages: Iterable[HeartbeatAge], told_by: str) -> None:
         """Take in the ages of heartbeats as a peer knows them; the younger one counts.
@@ -149,9 +152,9 @@
         """
         now_s = self._clock()
         for age in ages:
-            observed = self._observed.get(age.incarnation)
+            observed = self._others.find(age.incarnation)
             if observed is not None:
-                _note_heard(observed, now_s - age.ago_s, told_by)
+                self._others.hear(observed, now_s - age.ago_s, told_by)
 
     def set_listed(self, peer_addresses: Iterable[str]) -> None:
         """Take in the platform's list of peer addresses, without those listed as leaving."""
@@ -160,9 +163,9 @@
 
     def lost_contact(self, incarnation: str) -> None:
         """Note that the connection to a member broke: half the time to suspicion is over."""
-        observed = self._observed.get(incarnation)
+        observed = self._others.find(incarnation)
         if observed is not None:
-            observed.heard_s = min(observed.heard_s, self._clock() - self._pace.suspect_s / 2)
+            self._others.doubt(observed, self._clock() - self._pace.suspect_s / 2)
 
     def is_live(self) -> bool:
         """Return whether this node itself is neither leaving nor gone."""
@@ -170,27 +173,37 @@
 
     def live(self) -> list[Member]:
         """Return the members that run and are not leaving, this node included if it is."""
-        found = [each.member for each in self._running() if each.member.phase is Phase.LIVE]
+        found = [each.member for each in self._others.live()]
         if self.is_live():
             found.append(self.me)
         return found
 
+    def live_count(self) -> int:
+        """Return how many members live() has."""
+        return len(self._others.live()) + self.is_live()
+
+    def live_version(self) -> int:
+        """Return a number that changes whenever the other members in live() do."""
+        # Asking who is live notices the changes that time alone makes.
+        self._others.live()
+        return self._others.version
+
     def reachable(self) -> list[Member]:
         """Return the other members that still run, leaving ones included."""
-        return [each.member for each in self._running()]
+        return [each.member for each in self._others.running()]
 
     def find(self, incarnation: str) -> Member | None:
         """Return a member unless it is known to be gone, however long it was silent."""
         if incarnation == self.me.incarnation:
             return self.me
-        observed = self._observed.get(incarnation)
+        observed = self._others.find(incarnation)
         if observed is None or observed.member.phase is Phase.GONE:
             return None
         return observed.member
 
     def last_heard(self, incarnation: str) -> LastHeard | None:
         """Return how another member was last heard of, or None if it is not known."""
-        observed = self._observed.get(incarnation)
+        observed = self._others.find(incarnation)
         if observed is None:
             return None
         return LastHeard(observed.member, self._clock() - observed.heard_s, observed.told_by)
@@ -200,7 +213,7 @@
         now_s = self._clock()
         return [
             (each.member, each.member.endpoint_snapshot.age_s + now_s - each.stated_s)
-            for each in self._running()
+            for each in self._others.running()
         ]
 
     def confirmations(self) -> list[tuple[Member, float]]:
@@ -208,7 +221,7 @@
         now_s = self._clock()
         return [
             (each.member, each.member.confirmed_ago_s + now_s - each.stated_s)
-            for each in self._running()
+            for each in self._others.running()
         ]
 
     def incarnations(self) -> list[str]:
@@ -233,11 +246,17 @@
         Args:
           limit: Most members in it, this node included.
         """
-        return digest_members(self.me, self._heard(), self._rng, self._clock(), limit)
+        return digest_members(self.me, self._others.heard(), self._rng, self._clock(), limit)
+
+    def tell_of(self, incarnations: Iterable[str]) -> list[Member]:
+        """Return some of the other members as this node tells of them, without unknown ones."""
+        found = [self._others.find(incarnation) for incarnation in incarnations]
+        now_s = self._clock()
+        return [as_told(observed, now_s) for observed in found if observed is not None]
 
     def heartbeat_ages(self, limit: int) -> list[HeartbeatAge]:
         """Return the youngest ages of other members that run, at most a number of them."""
-        return freshest(self._running(), limit, self._clock())
+        return freshest(self._others.running(), limit, self._clock())
 
     def gossip_targets(self) -> list[str]:
         """Return the peer addresses to send the next digest to, one of them perhaps silent."""
@@ -248,49 +267,14 @@
     def _address_to_retry(self) -> set[str]:
         """Return one listed or suspected address, so that a lost or new peer is found again."""
         reachable = {member.peer_address for member in self.reachable()}
-        known = {each.member.peer_address for each in self._observed.values()}
+        known = {each.member.peer_address for each in self._others.all()}
         candidates = sorted((self._listed | known) - reachable - {self.me.peer_address})
         return {self._rng.choice(candidates)} if candidates else set()
 
     def forget_old(self) -> None:
         """Drop members that were silent for FORGET_S."""
-        limit_s = self._clock() - FORGET_S
-        self._observed = {
-            name: observed
-            for name, observed in self._observed.items()
-            if observed.heard_s > limit_s
-        }
+        self._others.forget_before(self._clock() - FORGET_S)
 
     def _suspected_addresses(self) -> set[str]:
         """Return the addresses of suspected members that are not known to be gone."""
-        limit_s = self._heard_limit_s()
-        return {
-            each.member.peer_address
-            for each in self._observed.values()
-            if each.member.phase is not Phase.GONE and each.heard_s < limit_s
-        }
-
-    def _running(self) -> list[Observation]:
-        """Return the other members that run, leaving ones included."""
-        return [each for each in self._heard() if each.member.phase is not Phase.GONE]
-
-    def _heard(self) -> list[Observation]:
-        """Return the other members that are not suspected, those that ended included."""
-        limit_s = self._heard_limit_s()
-        return [each for each in self._observed.values() if each.heard_s >= limit_s]
-
-    def _heard_limit_s(self) -> float:
-        """Return the time before which a last heartbeat makes its member suspect.
-
-        Ended incarnations of a node that was started anew do not count as further nodes: they
-        doubled the time to suspicion for a minute after a restart of all.
-        """
-        nodes = len({each.member.peer_address for each in self._observed.values()}) + 1
-        return self._clock() - self._pace.suspect_s * self._pace.stretch(nodes)
-
-
-def _note_heard(observed: Observation, heard_s: float, told_by: str) -> None:
-    """Note a sign of life, unless a later one is known."""
-    if heard_s > observed.heard_s:
-        observed.heard_s = heard_s
-        observed.told_by = told_by
+        return {each.member.peer_address for each in self._others.suspected()}
--- /dev/null
+++ b/packages/springbridge/springbridge/observations_test.py
@@ -0,0 +1,126 @@
+"""Tests of observations.py: who runs, asked for often and worked out seldom.
+
+The load: a calm fleet in which each node is asked who runs at every digest, at every look at the
+store and for every request, while heartbeats of all others keep coming. Its figures: 195 members,
+12 digests a second with the ages of a third of them, and 60 questions a second, as counted on a
+node of such a fleet.
+"""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from springbridge.digest import Observation
+from springbridge.member import Member, Phase
+from springbridge.observations import Observations
+from springbridge.suspicion import Pace, stretch_by_hops
+
+MEMBERS = 195
+DIGESTS_PER_S = 12
+QUESTIONS_PER_S = 60
+WATCHED_S = 10
+SUSPECT_S = 1.2
+
+
+class CountedStretch:
+    """The growth of the time to suspicion, which is asked for whenever the answer is worked out."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def __call__(self, nodes):
+        """Return the factor."""
+        self.calls += 1
+        return stretch_by_hops(nodes)
+
+
+@pytest.fixture
+def stretch():
+    """Return a stretch that counts its calls."""
+    return CountedStretch()
+
+
+@pytest.fixture
+def others(clock, stretch):
+    """Return the members of a large fleet, all just heard of."""
+    found = Observations(clock, Pace(suspect_s=SUSPECT_S, stretch=stretch))
+    for number in range(MEMBERS):
+        found.add(Observation(member(number), clock.now_s, clock.now_s))
+    return found
+
+
+def member(number, phase=Phase.LIVE):
+    """Return a member of a fleet."""
+    return Member(f"n{number}", f"n{number}", f"10.0.0.{number}:1", "", "a", phase=phase)
+
+
+def found_one_by_one(others, now_s):
+    """Return who is heard, runs and is live, by a look at every member."""
+    addresses = {each.member.peer_address for each in others.all()}
+    limit_s = now_s - SUSPECT_S * stretch_by_hops(len(addresses) + 1)
+    heard = [each for each in others.all() if each.heard_s >= limit_s]
+    running = [each for each in heard if each.member.phase is not Phase.GONE]
+    live = [each for each in running if each.member.phase is Phase.LIVE]
+    return heard, running, live
+
+
+def change_something(others, rng, clock):
+    """Let one thing happen that may change who runs."""
+    known = list(others.all())
+    one = rng.choice(known)
+    match rng.randrange(7):
+        case 0:
+            clock.advance(rng.random() * 2.0)
+        case 1 | 2:
+            for each in rng.sample(known, len(known) // 3):
+                others.hear(each, clock.now_s - rng.random(), "teller")
+        case 3:
+            others.doubt(one, clock.now_s - 0.6)
+        case 4:
+            phase = Phase(max(one.member.phase, rng.randrange(3)))
+            number = int(one.member.incarnation.removeprefix("n"))
+            others.state(one, member(number, phase))
+        case 5:
+            number = MEMBERS + rng.randrange(1000)
+            others.add(Observation(member(number), clock.now_s, clock.now_s - rng.random()))
+        case 6:
+            others.forget_before(clock.now_s - 30.0)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_kept_answers_are_those_of_a_look_at_every_member(others, clock, seed):
+    rng = random.Random(seed)
+    for _ in range(200):
+        change_something(others, rng, clock)
+        found = (others.heard(), others.running(), others.live())
+        assert_that(found, Equals(found_one_by_one(others, clock.now_s)))
+
+
+def test_a_calm_fleet_is_looked_at_seldom(others, clock, stretch):
+    rng = random.Random(1)
+    known = list(others.all())
+    for _ in range(WATCHED_S * DIGESTS_PER_S):
+        clock.advance(1 / DIGESTS_PER_S)
+        for each in rng.sample(known, MEMBERS // 3):
+            others.hear(each, clock.now_s - rng.random() * 0.5, "teller")
+        for _ in range(QUESTIONS_PER_S // DIGESTS_PER_S):
+            others.live()
+    # At most once in the second or so for which the longest silent member still counts.
+    assert_that(stretch.calls / WATCHED_S, LessThan(2.0))
+
+
+def test_the_version_changes_with_who_is_live_and_not_with_heartbeats(others, clock):
+    others.live()
+    before = others.version
+    first, second, *_ = others.all()
+    others.hear(first, clock.now_s + 1.0, "teller")
+    others.live()
+    assert_that(others.version, Equals(before))
+    others.state(second, member(1, Phase.LEAVING))
+    others.live()
+    assert_that(others.version, Equals(before + 1))
+    clock.advance(10.0)
+    others.live()
+    assert_that(others.version, Equals(before + 2))
