Rows of peers are checked field by field

Cause: a row with a field of another type was taken in, and broke later what compares it: a heartbeat that is a text ended each later digest about that member in an exception, and an incarnation that is none one that nothing caught.

Change: codec.py checks the type of each field that it reads; what is not as nodes write it is a datagram that is dropped and logged, as others are.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -20,6 +20,7 @@
 
 from springbridge_node.gateway.config.endpoint_follower import AgedSnapshot
 from springbridge_node.gateway.config.platform_store import ConfigurationDocument
+from springbridge_node.gateway.peers.row_fields import number, text, texts, whole
 from springbridge_node.gateway.peers.selection_messages import SelectionReply, SelectionRequest
 
 # Decimals of an age in seconds. Not measured; chosen as far finer than the 1.1 s for which a
@@ -64,8 +65,9 @@
       None for the state of a member that this node does not know; the next whole row adds it.
     """
     incarnation, heartbeat, phase, version, confirmed_ago_s, fingerprint, age_s, *fixed = row
+    text(incarnation)
     if fixed:
-        instance, peer_address, caller_address, failure_domain = fixed
+        instance, peer_address, caller_address, failure_domain = texts(fixed)
         known = Member(incarnation, instance, peer_address, caller_address, failure_domain)
     else:
         known = find(incarnation)
@@ -73,18 +75,23 @@
         return None
     return replace(
         known,
-        heartbeat=heartbeat,
-        phase=Phase(phase),
-        config_version=version,
-        confirmed_ago_s=confirmed_ago_s,
-        endpoint_snapshot=SnapshotStatus(fingerprint, age_s),
+        heartbeat=whole(heartbeat),
+        phase=Phase(whole(phase)),
+        config_version=whole(version),
+        confirmed_ago_s=number(confirmed_ago_s),
+        endpoint_snapshot=SnapshotStatus(whole(fingerprint), number(age_s)),
         heard_ago_s=heard_ago_s,
     )
 
 
 def heartbeat_of(row: list) -> int:
     """Return the heartbeat in a member's row of either kind."""
-    return row[1]
+    return whole(row[1])
+
+
+def incarnation_of(row: list) -> str:
+    """Return the incarnation in a member's row of either kind."""
+    return text(row[0])
 
 
 def notice_row(notice: LoadNotice) -> list:
@@ -104,17 +111,17 @@
     phase, attempt_id, endpoint_id, *prompt = row
     if phase in ABOUT_ENDPOINT:
         born_ms = int(attempt_id) if attempt_id else None
-        return LoadNotice(LoadPhase(phase), "", endpoint_id, born_ms=born_ms)
+        return LoadNotice(LoadPhase(phase), "", text(endpoint_id), born_ms=born_ms)
     if not prompt:
-        return LoadNotice(LoadPhase(phase), attempt_id, endpoint_id)
+        return LoadNotice(LoadPhase(phase), text(attempt_id), text(endpoint_id))
     prompt_tokens, parts, fetched_tokens = prompt
     return LoadNotice(
         phase=LoadPhase(phase),
-        attempt_id=attempt_id,
-        endpoint_id=endpoint_id,
-        prompt_tokens=prompt_tokens,
+        attempt_id=text(attempt_id),
+        endpoint_id=text(endpoint_id),
+        prompt_tokens=whole(prompt_tokens),
         prompt_parts=_read_prompt(parts),
-        fetched_tokens=fetched_tokens,
+        fetched_tokens=whole(fetched_tokens),
     )
 
 
@@ -139,22 +146,24 @@
 
 def read_request(row: list) -> SelectionRequest:
     """Return the request of a row."""
-    number, attempt_id, tried, avoided, *demand = row
-    return SelectionRequest(number, attempt_id, tried, avoided, _read_demand(demand))
+    count, attempt_id, tried, avoided, *demand = row
+    return SelectionRequest(
+        whole(count), text(attempt_id), texts(tried), texts(avoided), _read_demand(demand)
+    )
 
 
 def _read_demand(row: list) -> Demand:
     """Return the demand at the end of a request's row."""
     request_id, service, failure_domain, priority, target_s, prompt_tokens, parts, fetches = row
     return Demand(
-        request_id=request_id,
-        service=service,
-        failure_domain=failure_domain,
-        priority=priority,
-        target_s=target_s,
-        prompt_tokens=prompt_tokens,
+        request_id=text(request_id),
+        service=text(service),
+        failure_domain=text(failure_domain),
+        priority=whole(priority),
+        target_s=number(target_s),
+        prompt_tokens=whole(prompt_tokens),
         prompt_parts=_read_prompt(parts),
-        fetches=fetches,
+        fetches=bool(fetches),
     )
 
 
@@ -166,9 +175,11 @@
 
 def read_reply(row: list) -> SelectionReply:
     """Return the reply of a row."""
-    number, endpoint_id, source_id, fetched_tokens, refusal = row
-    overload = None if refusal is None else Overload(*refusal)
-    return SelectionReply(number, endpoint_id, source_id, fetched_tokens, overload)
+    count, endpoint_id, source_id, fetched_tokens, refusal = row
+    overload = None if refusal is None else Overload(*(number(field) for field in refusal))
+    return SelectionReply(
+        whole(count), text(endpoint_id), text(source_id), whole(fetched_tokens), overload
+    )
 
 
 def _overload_row(overload: Overload) -> list:
@@ -183,7 +194,7 @@
 
 def _read_prompt(rows: list[list]) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt from their rows."""
-    return tuple(PromptPart(part_id, tokens) for part_id, tokens in rows)
+    return tuple(PromptPart(text(part_id), whole(tokens)) for part_id, tokens in rows)
 
 
 def configuration_body(document: ConfigurationDocument) -> bytes:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -139,7 +139,11 @@
         """Merge a digest with ages."""
         text, *member_rows = rows
         ages = age_vector.decode(text)
-        self._merge(member_rows, sender, lambda row: ages.get(age_vector.key_of(row[0]), NEVER_S))
+        self._merge(
+            member_rows,
+            sender,
+            lambda row: ages.get(age_vector.key_of(codec.incarnation_of(row)), NEVER_S),
+        )
         self._ask_for_unknown(ages, member_rows[0], sender)
         named = [
             HeartbeatAge(self._names[key], ago_s)
@@ -152,7 +156,7 @@
         """Ask the sender of a digest for itself and the members that only its ages name."""
         if build_of(codec.heartbeat_of(teller)) is not Build.LOOKUPS:
             return
-        named = [age_vector.key_of(teller[0]), *keys]
+        named = [age_vector.key_of(codec.incarnation_of(teller)), *keys]
         unknown = [key for key in named if key not in self._names and key != self._own_key]
         if unknown:
             self._lookup.ask(unknown, sender)
@@ -165,7 +169,7 @@
         """
         find = self._membership.find
         teller, *others = rows
-        is_new = find(teller[0]) is None
+        is_new = find(codec.incarnation_of(teller)) is None
         read = [codec.read_member(teller, find)]
         read += [codec.read_member(row, find, heard_ago_s(row)) for row in others]
         members = [member for member in read if member is not None]
