--- a/packages/springbridge-node/springbridge_node/gateway/config/store_readers.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/store_readers.py
@@ -19,14 +19,17 @@
         membership: Membership,
         asks_seeds_first: bool,
         clock: Callable[[], float] = time.monotonic,
+        roles_after_s: float = 0.0,
     ) -> None:
-        """Start the time in which the seeds are asked first.
+        """Start the times in which the seeds are asked first and no role is taken.
 
         Args:
-          asks_seeds_first: Whether there is such a time.
+          asks_seeds_first: Whether there is a time in which the seeds are asked first.
+          roles_after_s: Seconds for which this node reads for nobody else.
         """
         self._membership = membership
         self._clock = clock
+        self._roles_from_s = clock() + roles_after_s
         self._ranked_version = -1
         self._kept_rank = 0
         self._ask_seeds_until_s = clock() + (
@@ -35,6 +38,8 @@
 
     def include_me(self, count: int) -> bool:
         """Return whether this node is among the first nodes of the ranking, which read for all."""
+        if self._clock() < self._roles_from_s:
+            return False
         return self._membership.is_live() and self._rank() < count
 
     def turn_s(self, count: int) -> float:
--- a/packages/springbridge-node/springbridge_node/gateway/config/store_readers_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/store_readers_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 from springbridge.membership import Member, Membership
-from springbridge.routing.store_freshness import ASK_SEEDS_FIRST_S, TURN_S
+from springbridge.routing.store_freshness import ASK_SEEDS_FIRST_S, ROLES_AFTER_S, TURN_S
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -60,3 +60,12 @@
     readers = StoreReaders(membership, True, clock)
     clock.now_s += ASK_SEEDS_FIRST_S
     assert_that(readers.seeds_come_first(), Equals(False))
+
+
+def test_a_node_that_has_just_started_reads_for_nobody_else(clock):
+    # Every node of a fleet that starts together knows itself only, and would take all roles.
+    membership = Membership(Member("n", "n", "", "", "a"), clock, random.Random(1))
+    readers = StoreReaders(membership, False, clock, roles_after_s=ROLES_AFTER_S)
+    assert_that(readers.include_me(READERS), Equals(False))
+    clock.now_s += ROLES_AFTER_S
+    assert_that(readers.include_me(READERS), Equals(True))
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import os
 import random
 import time
 from collections.abc import Callable, Coroutine, Mapping
@@ -20,7 +19,7 @@
 from springbridge.routing.records import CallerLimits
 from springbridge.routing.retry_after import while_leaving
 from springbridge.routing.shared_retry_budget import SharedRetryBudget
-from springbridge.routing.store_freshness import snapshot_interval_s
+from springbridge.routing.store_freshness import ROLES_AFTER_S, snapshot_interval_s
 
 from springbridge_node import logs
 from springbridge_node.gateway import bounded_log
@@ -39,7 +38,7 @@
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.peers.heartbeats import BEAT_S, Heartbeats
-from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
+from springbridge_node.gateway.peers.own_member import new_member
 from springbridge_node.gateway.peers.peer_client import PeerClient
 from springbridge_node.gateway.peers.peer_discovery import (
     DISCOVERY_DELAY_S,
@@ -105,7 +104,11 @@
         self.selection_parts = SelectionParts(self.registry, self.membership)
         self.pool = ConnectionPool(self._live_nodes)
         self.budget = SharedRetryBudget(settings.budget, self._live_nodes, time.monotonic)
-        self.readers = StoreReaders(self.membership, settings.asks_seeds_first)
+        self.readers = StoreReaders(
+            self.membership,
+            settings.asks_seeds_first,
+            roles_after_s=ROLES_AFTER_S if settings.other_seeds else 0.0,
+        )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.configuration = self._configuration_follower()
         self.endpoints = self._endpoint_follower()
@@ -284,17 +287,3 @@
         settings.addresses.callers,
         settings.failure_domain,
     )
-
-
-def new_member(
-    instance: str, peer_address: str, caller_address: str, failure_domain: str
-) -> Member:
-    """Return the member of a node that starts now, with an incarnation new at each start."""
-    return Member(
-        incarnation=os.urandom(5).hex(),
-        instance=instance,
-        peer_address=peer_address,
-        caller_address=caller_address,
-        failure_domain=failure_domain,
-        heartbeat=FIRST_HEARTBEAT,
-    )
--- a/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
@@ -21,6 +21,7 @@
 from springbridge_node.gateway.peers.datagrams import Kind
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.heartbeats import BEAT_S
+from springbridge_node.gateway.peers.own_member import new_member
 
 FAILURE_DOMAINS = ("a", "b", "c", "d", "e")
 # Addresses that every node starts from, as the platform's settings give them.
@@ -133,7 +134,7 @@
         self._started += 1
         address = _peer_address(number)
         failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
-        me = gateway.new_member(f"n{number}", address, _caller_address(number), failure_domain)
+        me = new_member(f"n{number}", address, _caller_address(number), failure_domain)
         me = replace(me, incarnation=f"{self._started:010x}")
         membership = Membership(me, self._clock, random.Random(self._rng.random()), gateway.PACE)
         membership.set_listed(_peer_address(seed) for seed in range(SEEDS))
--- a/packages/springbridge/springbridge/routing/store_freshness.py
+++ b/packages/springbridge/springbridge/routing/store_freshness.py
@@ -43,6 +43,11 @@
 # start of 78 nodes without it, 401 of 731 calls came in the first second. The value itself was not
 # measured.
 ASK_SEEDS_FIRST_S = 1.5
+# Seconds after its start for which a node with seeds reads for itself only. Until digests have come
+# it knows no other node and would take every role: of a fleet that starts together each node would
+# wait at the feed and read the list for all. Not measured by itself; two beats, in which a node
+# learns of half of a fleet of 195 (simulated).
+ROLES_AFTER_S = 0.5
 # Age in seconds of the endpoint list at which a node whose read failed asks any peer for a younger
 # one. Not measured; above CONFIRMED_S, so that peers' digests get to confirm the list first.
 ASK_PEERS_AFTER_S = 1.5
