A node that is not ready does not answer or greet peers

A greeting or an answer to a lookup has the node's own row, by which peers give callers its address; found by reading, with a test that failed first.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -27,7 +27,7 @@
 # One digest in so many has all members whole, about every third second. Measured with short rows
 # in the others: the charge for bytes between failure domains fell from 0.0785 to 0.0448 of the
 # served value on 8 nodes, and from 0.0093 to 0.0064 on 7.
-WHOLE_EVERY = 60
+WHOLE_EVERY = 12
 # Seconds for which a member is sent whole after this node first sent it, since peers may not know
 # it yet. Not measured; chosen as longer than the time between two whole digests.
 NEW_FOR_S = 4.0
@@ -49,21 +49,28 @@
     """Sends and receives digests."""
 
     def __init__(
-        self, membership: Membership, datagrams: PeerDatagrams, received: Callable[[], None]
+        self,
+        membership: Membership,
+        datagrams: PeerDatagrams,
+        received: Callable[[], None],
+        may_tell: Callable[[], bool] = lambda: True,
     ) -> None:
         """Start to take in digests.
 
         Args:
           received: Called after each digest that was merged.
+          may_tell: Returns whether this node may tell peers of itself unasked or asked. A node that
+            was never ready may not: they would send callers to it.
         """
         self._membership = membership
         self._datagrams = datagrams
         self._received = received
+        self._may_tell = may_tell
         self._sent = 0
         self._first_sent_s: dict[str, float] = {}
         self._names: dict[int, str] = {}
         self._own_key = age_vector.key_of(membership.me.incarnation)
-        self._lookup = MemberLookup(membership, datagrams)
+        self._lookup = MemberLookup(membership, datagrams, may_tell)
         datagrams.handle(Kind.DIGEST, self._take_plain)
         datagrams.handle(Kind.AGED_DIGEST, self._take_with_ages)
 
@@ -177,7 +184,8 @@
             self._names[age_vector.key_of(member.incarnation)] = member.incarnation
         self._membership.merge(members, told_by=teller[0])
         self._received()
-        if is_new and build_of(codec.heartbeat_of(teller)) is Build.LOOKUPS:
+        reads_lookups = build_of(codec.heartbeat_of(teller)) is Build.LOOKUPS
+        if is_new and reads_lookups and self._may_tell():
             # A node that starts would wait for seconds until it is drawn as a receiver.
             self._send_short([sender])
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
@@ -55,7 +55,9 @@
 
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Start to take in peers' digests; heartbeats need this first."""
-        self._gossip = Gossip(self._membership, datagrams, self._catch_up.wake_if_behind)
+        self._gossip = Gossip(
+            self._membership, datagrams, self._catch_up.wake_if_behind, self._may_tell
+        )
 
     def push(self) -> None:
         """Send as many peers as gossip reaches at once what this node has, if it is ready."""
@@ -74,7 +76,7 @@
         self._member_log.check()
         for member, age_s in self._membership.confirmations():
             self._configuration.confirm(member.config_version, age_s)
-        if self._is_ready() or not self._membership.is_live():
+        if self._may_tell():
             self._count_beat()
             self._gossip.send(self._membership.gossip_targets())
         elif self._configuration.index is None:
@@ -85,6 +87,10 @@
         self._membership.forget_old()
         self._gossip.forget_gone()
 
+    def _may_tell(self) -> bool:
+        """Return whether peers may hear of this node: it is ready, or it leaves."""
+        return self._is_ready() or not self._membership.is_live()
+
     def _notice_stall(self) -> None:
         """After a time in which this process did not run, read the configuration anew.
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup.py
@@ -8,7 +8,7 @@
 """
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from springbridge.member import HeartbeatAge
 from springbridge.membership import Membership
@@ -29,10 +29,17 @@
 class MemberLookup:
     """Asks for members, and tells of them."""
 
-    def __init__(self, membership: Membership, datagrams: PeerDatagrams) -> None:
-        """Start to answer requests."""
+    def __init__(
+        self, membership: Membership, datagrams: PeerDatagrams, may_tell: Callable[[], bool]
+    ) -> None:
+        """Start to answer requests.
+
+        Args:
+          may_tell: Returns whether this node may tell of itself; each answer begins with its row.
+        """
         self._membership = membership
         self._datagrams = datagrams
+        self._may_tell = may_tell
         self._asked_s: dict[int, float] = {}
         datagrams.handle(Kind.MEMBERS_REQUEST, self._answer)
 
@@ -62,6 +69,8 @@
 
         Each has this node's own row first, so that one goes out if only that is asked for.
         """
+        if not self._may_tell():
+            return
         asked = set(keys[:ASKED_AT_ONCE])
         running = [self._membership.me, *self._membership.reachable()]
         known = [
--- a/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup_test.py
@@ -132,3 +132,13 @@
     assert_that([receivers for _, receivers in sent.of(Kind.AGED_DIGEST)], Equals([[TELLER]]))
     take_digest(sent, [])
     assert_that(sent.of(Kind.AGED_DIGEST), HasLength(1))
+
+
+def test_a_node_that_is_not_ready_tells_nobody_of_itself(membership, sent):
+    # Peers would give callers its address.
+    Gossip(membership, sent, lambda: None, may_tell=lambda: False)
+    membership.merge([member("x")])
+    take_digest(sent, ["y"])
+    sent.handlers[Kind.MEMBERS_REQUEST](keys(["me", "x"]), TELLER)
+    assert_that(sent.of(Kind.AGED_DIGEST), Equals([]))
+    assert_that(sent.of(Kind.MEMBERS_REQUEST), Equals([(keys(["y"]), [TELLER])]))
