--- a/packages/springbridge-node/springbridge_node/gateway/bounded_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/bounded_log.py
@@ -66,8 +66,9 @@
             # The pipe is full; the lines wait, and write() bounds how many.
             return
         except OSError:
-            # The reader of the log is gone, so there is nowhere to report this to.
+            # The reader of the log is gone; the count is for the metrics.
             written = len(self._unwritten)
+            self.dropped += self._unwritten.count(b"\n")
         self._unwritten = self._unwritten[written:]
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/bounded_log_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/bounded_log_test.py
@@ -70,3 +70,12 @@
         return os.read(reader, 1 << 20)
     except BlockingIOError:
         return b""
+
+
+def test_lines_that_wait_when_the_reader_is_gone_are_counted(pipe):
+    reader, output = pipe
+    os.close(reader)
+    output.write("one\n")
+    output.write("two\n")
+    assert_that(output.dropped, Equals(2))
+    os.dup2(os.open(os.devnull, os.O_RDONLY), reader)
--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -196,7 +196,9 @@
                 return news.cursor
             case Failure(problem):
                 self._feed_is_up = False
-                if problem.code is not Code.VERSION_CONFLICT:
+                if problem.code is Code.VERSION_CONFLICT:
+                    logs.event("configuration.history_gone", version=self.version)
+                else:
                     self._dependency.failed(problem.detail)
                 return None
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower_test.py
@@ -9,8 +9,9 @@
 from springbridge.routing.records import Configuration
 from springbridge.routing.store_freshness import CONFIRMED_S, LOOK_S
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Contains, Equals, GreaterThan
 
+from springbridge_node import logs
 from springbridge_node.gateway.config.configuration_follower import ConfigurationFollower
 from springbridge_node.gateway.config.platform_store import ConfigurationDocument, ConfigurationNews
 from springbridge_node.gateway.config.source import Source
@@ -245,3 +246,19 @@
     waiting = run(silent, Readers(), clock)
     assert_that((starting.index, waiting.index), Equals((None, None)))
     assert_that(waiting.due_s(), GreaterThan(2 * starting.due_s()))
+
+
+def test_history_that_the_store_has_lost_leaves_a_line(clock, monkeypatch):
+    store = Store()
+    lines = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append((name, fields)))
+
+    async def lost(cursor, wait_s):
+        store.waits += 1
+        if store.waits > 1:
+            await asyncio.sleep(FOREVER_S)
+        return Failure(Problem(Code.VERSION_CONFLICT, "history gone"))
+
+    store.await_configuration = lost
+    run(store, Readers(reads_for_all=True), clock)
+    assert_that(lines, Contains(("configuration.history_gone", {"version": VERSION})))
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -242,7 +242,7 @@
     async def _serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
         """Serve a request, or refuse it near the end of a planned stop."""
         if self._refusing:
-            await answer.refuse(LEAVING)
+            await self.router.refuse(request, answer, LEAVING)
         else:
             await self.router.serve(request, answer)
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -64,7 +64,7 @@
     Attributes:
       tried: Endpoints that no further attempt goes to.
       chosen: The endpoints it was sent to, in order.
-      sends, misdirected, unreached, may_have_run, last_event: See `Attempts`.
+      sends, misdirected, unreached, busy, may_have_run, last_event: See `Attempts`.
       first_piece_s: When the caller got the first piece of the answer, on the monotonic clock;
         None before.
       failure: The last failure that an endpoint answered with and that was held back.
@@ -76,6 +76,7 @@
     sends: int = 0
     misdirected: int = 0
     unreached: int = 0
+    busy: int = 0
     may_have_run: bool = False
     last_event: str | None = None
     first_piece_s: float | None = None
@@ -110,6 +111,7 @@
             sends=progress.sends,
             misdirected=progress.misdirected,
             unreached=progress.unreached,
+            busy=progress.busy,
             may_have_run=progress.may_have_run,
             answer_started=self.answer.started,
             last_event=progress.last_event,
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -45,7 +45,7 @@
         self._telemetry = telemetry
 
     def refused(self, arrival: Arrival, problem: Problem, version: int) -> None:
-        """Log a request that the configuration does not allow."""
+        """Log a request that is refused before it is admitted."""
         self._telemetry.requests.labels("", problem.code.name).inc()
         logs.event(
             "request.refused",
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -77,13 +77,20 @@
         arrival = self._parts.codec.read_arrival(request)
         match admit(self._parts.index(), arrival, self._parts.configuration_due_s()):
             case Failure(problem):
-                self._parts.request_log.refused(arrival, problem, self._version())
-                await answer.refuse(problem)
+                await self.refuse(request, answer, problem)
             case Success(admitted):
                 demand = Demand.from_admitted(admitted, self._parts.failure_domain)
                 exchange = Exchange(request, admitted, demand, answer, Progress())
                 await self._serve_admitted(exchange)
 
+    async def refuse(
+        self, request: IncomingRequest, answer: CallerAnswer, problem: Problem
+    ) -> None:
+        """Refuse a request whatever the configuration says of it."""
+        arrival = self._parts.codec.read_arrival(request)
+        self._parts.request_log.refused(arrival, problem, self._version())
+        await answer.refuse(problem)
+
     def _version(self) -> int:
         """Return the version of the configuration that decides now, 0 before the first."""
         index = self._parts.index()
@@ -152,7 +159,7 @@
             self._parts.request_log.unreachable(exchange, endpoint_id, str(exc))
         except EndpointBusyError:
             # Not logged: under load this is usual, and the end of the request is logged.
-            pass
+            exchange.progress.busy += 1
         exchange.progress.unreached += 1
         exchange.progress.tried.add(endpoint_id)
         return None
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -73,6 +73,9 @@
         return Problem(Code.ENGINE_FAILED, "no further engine")
     if attempts.sends:
         return _turned_away(route, "no further engine")
+    if attempts.busy:
+        # A connection is free again within the time of an answer, long before endpoints restart.
+        return _turned_away(route, "connections in use")
     return Problem(Code.NO_ENGINE, "no engine", retry_after_s=while_endpoints_restart())
 
 
--- a/packages/springbridge/springbridge/routing/giving_up_test.py
+++ b/packages/springbridge/springbridge/routing/giving_up_test.py
@@ -15,6 +15,7 @@
 # A target of 2 s: a tenth of it is the time to come back.
 ROUTE = make_route(target_s=2.0)
 NOT_SENT = Attempts()
+ALL_BUSY = Attempts(unreached=2, busy=2)
 NOT_RUN = Attempts(sends=1)
 MAY_HAVE_RUN = Attempts(sends=1, may_have_run=True)
 
@@ -27,6 +28,7 @@
     ("attempts", "expected"),
     [
         (NOT_SENT, (Code.NO_ENGINE, "no engine", 4.0, True)),
+        (ALL_BUSY, (Code.NO_ENGINE, "connections in use", 0.2, True)),
         (NOT_RUN, (Code.NO_ENGINE, "no further engine", 0.2, True)),
         (MAY_HAVE_RUN, (Code.ENGINE_FAILED, "no further engine", None, False)),
     ],
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -54,6 +54,7 @@
       sends: Times that it was sent.
       misdirected: Sends that met another endpoint than the one meant, which is gone.
       unreached: Endpoints that it could not be sent to for want of a connection.
+      busy: Those of them that are there, but all connections to them are in use.
       may_have_run: Whether an endpoint may have run it.
       answer_started: Whether the caller has got the beginning of an answer.
       last_event: Id of the last event that the caller has got, or None.
@@ -62,6 +63,7 @@
     sends: int = 0
     misdirected: int = 0
     unreached: int = 0
+    busy: int = 0
     may_have_run: bool = False
     answer_started: bool = False
     last_event: str | None = None
