--- a/packages/springbridge-node/springbridge_node/periodic.py
+++ b/packages/springbridge-node/springbridge_node/periodic.py
@@ -2,8 +2,8 @@
 
 A step that fails is logged by type and line, and the next one is taken as usual, so that one fault
 does not end a background task for the rest of the process's life. Tasks that sleep until the next
-tick share a wake-up: each costs a system call and a turn of the event loop, and an idle node made
-42 of them a second, two thirds for its own looks and beats.
+tick share a wake-up: each costs a system call and a turn of the event loop. Worked out, not
+measured: an idle node made 42 of them a second, two thirds for its own looks and beats.
 
 Owns the offset of this process's ticks.
 """
