Lines of failed attempts tell which of them are tries of the same request

Sight for the incident: a request's id is new at each try, so the log could not show that one request stands behind the endings of many endpoints.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -69,6 +69,8 @@
         None before.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
+      fingerprint: What the request has in common with other tries of the same; "" until it is
+        needed, see request_fingerprint.py.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -82,6 +84,7 @@
     first_piece_s: float | None = None
     failure: HeldFailure | None = None
     load: SharedLoad | None = None
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -13,6 +13,7 @@
 
 from springbridge_node import logs
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange
+from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
 from springbridge_node.gateway.telemetry import Telemetry
 
 # Seconds. Bounds the logged age of the endpoint list, which is infinite before the first list and
@@ -65,6 +66,7 @@
             engine=endpoint_id,
             end=end.value,
             sends=exchange.progress.sends,
+            fingerprint=fingerprint_of(exchange),
             last_event=exchange.progress.last_event,
             after_ms=_age_ms(exchange),
         )
