Requests that end the endpoints which run them are kept from them

Cause: a node kept nothing of a request beyond its end, so that one which came again under a new id was sent to two more endpoints each time, at any node. Class: a limit that counts for an id its caller chooses (query of death). Now a fingerprint of customer, host, path and body is remembered with each endpoint that ended under it: after two such crashes the request is sent one at a time in the fleet, as a trial granted by one coordinator for the service; after a failed trial it is refused with 503 and QUARANTINED (210) until the next one, 20 s later and then ever more seldom. A good end acquits it. An end counts only if the endpoint refuses a connection right after, so resets, cuts and spoilt answers do not. First crashes are told to two coordinators, suspects to all nodes; a failed trial leaves one row in the store.

--- a/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
@@ -40,6 +40,18 @@
     unreadable: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class StoredCrashes:
+    """A request in quarantine as the store keeps it.
+
+    Attributes:
+      crashes: Ids of the crashes that count against it; see springbridge/crash_records.py.
+    """
+
+    fingerprint: str
+    crashes: tuple[int, ...]
+
+
 class PlatformStore(Protocol):
     """The platform's store; a failed call returns TABLE_UNAVAILABLE unless its text says more."""
 
@@ -65,6 +77,15 @@
     async def announce(self, peer_address: str) -> Result[None, Problem]:
         """Announce this node's peer address to nodes that start later."""
 
+    async def read_crashes(self) -> Result[list[StoredCrashes], Problem]:
+        """Return the requests in quarantine."""
+
+    async def write_crashes(self, stored: StoredCrashes) -> Result[None, Problem]:
+        """Keep a request in quarantine, in place of what was kept of it."""
+
+    async def remove_crashes(self, fingerprint: str) -> Result[None, Problem]:
+        """Keep nothing of a request any more."""
+
 
 class ConfigurationReader(Protocol):
     """Parses a configuration as the operators wrote it."""
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
@@ -0,0 +1,109 @@
+"""Keeps requests in quarantine in the platform's store, so that a loss of all nodes loses none.
+
+Without it a fleet that starts anew would learn of each such request by the loss of three further
+endpoints. Few calls: a row for each request that gets into quarantine, written by the node whose
+trial failed, and read once by the nodes that read the store for all. The row goes when a trial ends
+well, or when nothing has happened to the request for so long that all nodes forget it.
+
+How old a row is it does not say, since nodes share no clock; a node that reads one counts the
+crashes from then on, unless peers know better.
+"""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+from springbridge.crash_records import CrashRecords, ToldCrash, ToldRecord
+from springbridge.problems import Problem
+from springbridge.routing.store_freshness import SNAPSHOT_READERS
+
+from springbridge_node import logs
+from springbridge_node.gateway.config.platform_store import PlatformStore, StoredCrashes
+from springbridge_node.gateway.config.store_readers import StoreReaders
+
+# Seconds between two looks at what has to be written or read. Not measured; chosen as short beside
+# the seconds until a request in quarantine is tried again.
+LOOK_S = 1.0
+# Rows that are waiting to be written or removed. Bounds the memory while the store is out. Not
+# measured; chosen as a share of the records that a node keeps.
+MOST_WAITING = 64
+
+
+class StoredQuarantine:
+    """Writes, reads and removes the rows."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        readers: StoreReaders,
+        records: CrashRecords,
+        adopt: Callable[[ToldRecord], None],
+    ) -> None:
+        """Start without anything to do but to read.
+
+        Args:
+          adopt: Takes in a record of the store and tells peers of it.
+        """
+        self._store = store
+        self._readers = readers
+        self._records = records
+        self._adopt = adopt
+        self._was_read = False
+        self._to_write: dict[str, None] = {}
+        self._to_remove: dict[str, None] = {}
+
+    def entered(self, fingerprint: str) -> None:
+        """Write the row of a request soon."""
+        self._to_remove.pop(fingerprint, None)
+        self._to_write[fingerprint] = None
+        _bound(self._to_write)
+
+    def left(self, fingerprint: str) -> None:
+        """Remove the row of a request soon."""
+        self._to_write.pop(fingerprint, None)
+        self._to_remove[fingerprint] = None
+        _bound(self._to_remove)
+
+    def expired(self, fingerprint: str) -> None:
+        """Remove the row of a request that all nodes forget at about the same moment."""
+        if self._readers.include_me(1):
+            self.left(fingerprint)
+
+    async def step(self) -> None:
+        """Do what is due; what fails is tried again at the next look."""
+        if not self._was_read and self._readers.include_me(SNAPSHOT_READERS):
+            await self._read()
+        for fingerprint in list(self._to_write):
+            record = self._records.find(fingerprint)
+            crashes = tuple(record.counted) if record else ()
+            written = await self._store.write_crashes(StoredCrashes(fingerprint, crashes))
+            if _is_done("write", written):
+                self._to_write.pop(fingerprint, None)
+        for fingerprint in list(self._to_remove):
+            if _is_done("remove", await self._store.remove_crashes(fingerprint)):
+                self._to_remove.pop(fingerprint, None)
+
+    async def _read(self) -> None:
+        """Take in the rows of the store."""
+        found = await self._store.read_crashes()
+        if not _is_done("read", found):
+            return
+        self._was_read = True
+        for stored in found.unwrap():
+            crashes = tuple(ToldCrash(name, 0.0, on_trial=True) for name in stored.crashes)
+            self._adopt(ToldRecord(stored.fingerprint, crashes))
+
+
+def _is_done(call: str, result: Result[object, Problem]) -> bool:
+    """Return whether a call to the store succeeded, and log it if not."""
+    match result:
+        case Success(_):
+            return True
+        case Failure(problem):
+            logs.event("quarantine.store_failed", call=call, detail=problem.detail)
+    return False
+
+
+def _bound(waiting: dict[str, None]) -> None:
+    """Drop the oldest entry beyond MOST_WAITING."""
+    if len(waiting) > MOST_WAITING:
+        del waiting[next(iter(waiting))]
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -31,6 +31,7 @@
 from springbridge_node.gateway.config.platform_store import ConfigurationReader, PlatformStore
 from springbridge_node.gateway.config.source import Source
 from springbridge_node.gateway.config.store_readers import StoreReaders
+from springbridge_node.gateway.config.stored_quarantine import LOOK_S as QUARANTINE_LOOK_S
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S, EndpointProber
 from springbridge_node.gateway.gateway_settings import GatewaySettings
@@ -46,6 +47,7 @@
     PeerDiscovery,
 )
 from springbridge_node.gateway.peers.peer_handlers import peer_handlers
+from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 from springbridge_node.gateway.requests.request_log import RequestLog
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
@@ -109,6 +111,14 @@
             settings.asks_seeds_first,
             roles_after_s=ROLES_AFTER_S if settings.other_seeds else 0.0,
         )
+        self.quarantine_parts = QuarantineParts(
+            self.membership,
+            self.registry,
+            self.pool,
+            outside.store,
+            self.readers,
+            self.telemetry,
+        )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.configuration = self._configuration_follower()
         self.endpoints = self._endpoint_follower()
@@ -162,6 +172,7 @@
             selector=self.selection_parts.selector,
             request_log=RequestLog(self.telemetry),
             loads=self.selection_parts.loads,
+            gate=self.quarantine_parts.gate,
             failure_domain=self.settings.failure_domain,
         )
 
@@ -189,6 +200,7 @@
         )
         self.heartbeats.connect(self.datagrams)
         self.selection_parts.connect(self.datagrams)
+        self.quarantine_parts.connect(self.datagrams)
 
     def _periodic_work(self) -> tuple[Coroutine[None, None, None], ...]:
         """Return the work of all tasks, none of which ends by itself."""
@@ -197,6 +209,8 @@
             every(0.0, self.endpoints.step),
             every_tick(PROBE_INTERVAL_S, EndpointProber(self.registry, self.pool).step),
             every_tick(BEAT_S, self.heartbeats.beat),
+            every_tick(BEAT_S, self.quarantine_parts.sharing.beat),
+            every_tick(QUARANTINE_LOOK_S, self.quarantine_parts.stored.step),
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
             every(0.0, self.catch_up.step),
             every_tick(SWEEP_S, self._sweep),
@@ -249,6 +263,7 @@
     def _metrics(self, query: dict[str, str]) -> Reply:
         """Return the metrics as text, with the gauges as they are now."""
         self.telemetry.nodes.set(self._live_nodes())
+        self.telemetry.quarantined.set(self.quarantine_parts.quarantined_count())
         self.telemetry.endpoints.set(len(self.registry.entries()))
         self.telemetry.unreadable_endpoints.set(self.endpoints.unreadable.count)
         self.telemetry.config_version.set(self.configuration.version)
@@ -277,6 +292,7 @@
         heard = {member.incarnation for member in self.membership.reachable()}
         self.registry.keep_loads_of(heard | {self.membership.me.incarnation})
         self.heartbeats.forget_gone()
+        self.quarantine_parts.gate.forget_old()
 
 
 def _member(settings: GatewaySettings) -> Member:
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -42,7 +42,15 @@
 
 
 class ConnectFailedError(Exception):
-    """The connection did not come up, so nothing was sent."""
+    """The connection did not come up, so nothing was sent.
+
+    Attributes:
+      refused: Whether the host answered that nobody listens there: the process has ended.
+    """
+
+    def __init__(self, detail: str, refused: bool = False):
+        super().__init__(detail)
+        self.refused = refused
 
 
 async def connect(address: str, timeout_s: float) -> "HttpConnection":
@@ -64,7 +72,9 @@
             await stream.connect((host, int(port)))
     except (OSError, StreamClosedError, TimeoutError) as exc:
         stream.close()
-        raise ConnectFailedError(f"{type(exc).__name__}") from exc
+        cause = getattr(exc, "real_error", None) or exc
+        refused = isinstance(cause, ConnectionRefusedError)
+        raise ConnectFailedError(type(cause).__name__, refused) from exc
     except asyncio.CancelledError:
         stream.close()
         raise
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -31,6 +31,10 @@
     SELECTION_REPLY = 4
     AGED_DIGEST = 5
     MEMBERS_REQUEST = 6
+    CRASHES = 7
+    TRIAL_REQUEST = 8
+    TRIAL_REPLY = 9
+    TRIAL_ENDED = 10
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -69,6 +69,9 @@
         None before.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
+      avoided: Endpoints that it must not go to now because of other requests on trial there.
+      on_trial: Whether the current attempt is a trial; see quarantine_gate.py.
+      held_since_s: When it began to wait for a trial, on the monotonic clock; 0 before.
       fingerprint: What the request has in common with other tries of the same; "" until it is
         needed, see request_fingerprint.py.
     """
@@ -84,6 +87,9 @@
     first_piece_s: float | None = None
     failure: HeldFailure | None = None
     load: SharedLoad | None = None
+    avoided: set[str] = field(default_factory=set)
+    on_trial: bool = False
+    held_since_s: float = 0.0
     fingerprint: str = ""
 
 
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -0,0 +1,189 @@
+"""Keeps requests that end endpoints from them, and records what each attempt showed of its request.
+
+The rules are `springbridge.quarantine` and `springbridge.trials`; this module asks them before each
+attempt. While no endpoint ends there are no records, and a request costs one comparison here.
+"""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from springbridge.crash_records import CrashRecords, crash_id
+from springbridge.problems import Problem
+from springbridge.quarantine import Quarantine, Standing
+from springbridge.routing import giving_up
+from springbridge.routing.endpoint_choice import Choice
+from springbridge.routing.endpoint_state import EndpointState
+from springbridge.routing.retries import End
+from springbridge.trials import Answer
+
+from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
+from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
+from springbridge_node.gateway.peers.crash_sharing import CrashSharing
+from springbridge_node.gateway.peers.trial_permits import TrialPermits
+from springbridge_node.gateway.requests.exchange import Exchange
+from springbridge_node.gateway.requests.quarantine_log import QuarantineLog
+from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
+
+# Seconds between two questions of a request that waits for a trial. Not measured; chosen as a small
+# share of the time that a request takes.
+LOOK_S = 0.05
+# Ends after which the endpoint went on, so that the request does not end endpoints.
+GOOD_ENDS = frozenset({End.DELIVERED, End.ENDPOINT_ERROR})
+
+
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """Whether an attempt may be made now.
+
+    Attributes:
+      may_send: It may; if not and there is no problem, an endpoint has to be selected anew.
+      on_trial: It may as a trial, whose end has to be told.
+      problem: Why the request is given up, or None.
+    """
+
+    may_send: bool = False
+    on_trial: bool = False
+    problem: Problem | None = None
+
+
+CLEAR = Clearance(may_send=True)
+LOOK_AGAIN = Clearance()
+
+
+@dataclass(frozen=True)
+class GateParts:
+    """What the gate works with."""
+
+    quarantine: Quarantine
+    sharing: CrashSharing
+    permits: TrialPermits
+    confirmation: CrashConfirmation
+    stored: StoredQuarantine
+    log: QuarantineLog
+
+
+class QuarantineGate:
+    """Asks before each attempt, and notes what it showed."""
+
+    def __init__(self, parts: GateParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._records: CrashRecords = parts.quarantine.records
+        self._refused_until_s: dict[str, float] = {}
+
+    async def clear(self, exchange: Exchange, choice: Choice | None) -> Clearance:
+        """Return whether a request may be sent to the selected endpoint.
+
+        Args:
+          choice: None if there is no endpoint, or none but those that have enough trials.
+        """
+        if not len(self._records):
+            return CLEAR
+        fingerprint = fingerprint_of(exchange)
+        if self._parts.quarantine.verdict(fingerprint).standing is Standing.FREE:
+            return CLEAR
+        if choice is None:
+            return await self._hold(exchange) if exchange.progress.avoided else CLEAR
+        wait_s = self._refused_until_s.get(fingerprint, 0.0) - self._records.now_s()
+        if wait_s > 0:
+            return self._refused(exchange, wait_s)
+        return await self._ask(exchange, choice)
+
+    async def _ask(self, exchange: Exchange, choice: Choice) -> Clearance:
+        """Ask for a trial."""
+        fingerprint = fingerprint_of(exchange)
+        endpoint_id = choice.state.entry.endpoint_id
+        left_s = exchange.admitted.deadline_s - time.monotonic()
+        permission = await self._parts.permits.ask(
+            fingerprint, exchange.demand.service, endpoint_id, left_s
+        )
+        match permission.answer:
+            case Answer.GRANTED:
+                return Clearance(may_send=True, on_trial=True)
+            case Answer.ANOTHER_ENDPOINT:
+                exchange.progress.avoided |= set(permission.avoided) | {endpoint_id}
+                return LOOK_AGAIN
+            case Answer.WAIT:
+                return await self._hold(exchange)
+            case Answer.QUARANTINED:
+                until_s = self._records.now_s() + permission.wait_s
+                self._refused_until_s[fingerprint] = until_s
+                return self._refused(exchange, permission.wait_s)
+
+    async def _hold(self, exchange: Exchange) -> Clearance:
+        """Wait a moment for a trial to end; give the request up if it has waited for too long."""
+        progress = exchange.progress
+        now_s = time.monotonic()
+        progress.held_since_s = progress.held_since_s or now_s
+        if now_s - progress.held_since_s > giving_up.longest_hold_s(exchange.route):
+            problem = giving_up.while_tried(exchange.attempts())
+            return Clearance(problem=problem)
+        progress.avoided.clear()
+        await asyncio.sleep(LOOK_S)
+        return LOOK_AGAIN
+
+    def _refused(self, exchange: Exchange, wait_s: float) -> Clearance:
+        """Return that the request is given up."""
+        crashes = self._parts.quarantine.verdict(fingerprint_of(exchange)).crashes
+        problem = giving_up.in_quarantine(exchange.attempts(), crashes, wait_s)
+        return Clearance(problem=problem)
+
+    @contextlib.contextmanager
+    def attempt(self, exchange: Exchange, clearance: Clearance) -> Iterator[None]:
+        """Let a trial run for as long as the block does."""
+        exchange.progress.on_trial = clearance.on_trial
+        try:
+            yield
+        finally:
+            if clearance.on_trial:
+                exchange.progress.on_trial = False
+                self._parts.permits.end(fingerprint_of(exchange), exchange.demand.service)
+
+    async def note_end(self, exchange: Exchange, state: EndpointState, end: End) -> None:
+        """Record what an attempt showed of its request."""
+        if end in GOOD_ENDS and len(self._records):
+            self._acquit(exchange)
+        if end is End.BROKEN and await self._parts.confirmation.has_crashed(state):
+            self._note_crash(exchange, state)
+
+    def _acquit(self, exchange: Exchange) -> None:
+        """Note a good end."""
+        fingerprint = fingerprint_of(exchange)
+        before = self._parts.quarantine.verdict(fingerprint)
+        if not self._records.acquit(fingerprint):
+            return
+        was_known = before.standing is not Standing.FREE
+        self._parts.sharing.spread(fingerprint, exchange.demand.service, was_known)
+        self._refused_until_s.pop(fingerprint, None)
+        if was_known:
+            self._parts.log.acquitted(exchange, before)
+        if before.standing is Standing.QUARANTINED:
+            self._parts.stored.left(fingerprint)
+
+    def _note_crash(self, exchange: Exchange, state: EndpointState) -> None:
+        """Note that the endpoint ended while it ran the request."""
+        fingerprint = fingerprint_of(exchange)
+        entry = state.entry
+        crash = crash_id(entry.endpoint_id, entry.born_ms)
+        was = self._parts.quarantine.verdict(fingerprint).standing
+        if not self._records.note_crash(fingerprint, crash, exchange.progress.on_trial):
+            return
+        self._parts.sharing.spread(fingerprint, exchange.demand.service)
+        found = self._parts.quarantine.verdict(fingerprint)
+        self._parts.log.crashed(exchange, entry.endpoint_id, found)
+        is_new = was is not Standing.QUARANTINED
+        if found.standing is Standing.QUARANTINED and is_new:
+            self._parts.stored.entered(fingerprint)
+
+    def forget_old(self) -> None:
+        """Drop what is too old to count."""
+        now_s = self._records.now_s()
+        self._refused_until_s = {
+            name: until_s for name, until_s in self._refused_until_s.items() if until_s > now_s
+        }
+        for record in self._records.forget_old():
+            if record.failed_trials:
+                self._parts.stored.expired(record.fingerprint)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
@@ -0,0 +1,39 @@
+"""Logs and counts what is held of requests that were running when endpoints ended."""
+
+from springbridge.quarantine import Verdict
+
+from springbridge_node import logs
+from springbridge_node.gateway.requests.exchange import Exchange
+from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
+from springbridge_node.gateway.telemetry import Telemetry
+
+
+class QuarantineLog:
+    """Writes the lines by which a request's id leads to the crashes that it was part of."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        """Keep the metrics."""
+        self._telemetry = telemetry
+
+    def crashed(self, exchange: Exchange, endpoint_id: str, found: Verdict) -> None:
+        """Log that an endpoint ended while it ran a request of this node."""
+        self._telemetry.crashes.labels(found.standing.value).inc()
+        logs.event(
+            "request.crashed_engine",
+            request_id=exchange.request_id,
+            fingerprint=fingerprint_of(exchange),
+            engine=endpoint_id,
+            crashes=found.crashes,
+            standing=found.standing.value,
+            on_trial=exchange.progress.on_trial,
+        )
+
+    def acquitted(self, exchange: Exchange, before: Verdict) -> None:
+        """Log that a request which was under suspicion came to a good end."""
+        logs.event(
+            "request.acquitted",
+            request_id=exchange.request_id,
+            fingerprint=fingerprint_of(exchange),
+            crashes=before.crashes,
+            standing=before.standing.value,
+        )
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -0,0 +1,80 @@
+"""Joins what keeps requests that end endpoints from them; see quarantine_gate.py."""
+
+import time
+from collections.abc import Callable
+
+from springbridge.crash_records import CrashRecords, ToldRecord
+from springbridge.membership import Membership
+from springbridge.quarantine import Quarantine, Standing
+from springbridge.routing.endpoint_registry import EndpointRegistry
+
+from springbridge_node.gateway.config.platform_store import PlatformStore
+from springbridge_node.gateway.config.store_readers import StoreReaders
+from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
+from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
+from springbridge_node.gateway.endpoints.pool import ConnectionPool
+from springbridge_node.gateway.peers.crash_sharing import CrashSharing
+from springbridge_node.gateway.peers.datagrams import PeerDatagrams
+from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
+from springbridge_node.gateway.peers.trial_permits import TrialPermits
+from springbridge_node.gateway.requests.quarantine_gate import GateParts, QuarantineGate
+from springbridge_node.gateway.requests.quarantine_log import QuarantineLog
+from springbridge_node.gateway.telemetry import Telemetry
+
+
+class QuarantineParts:
+    """The parts of the quarantine.
+
+    Attributes:
+      sharing: Tells peers of crashes; its beat is due at each heartbeat.
+      stored: Keeps the quarantine in the store; its step is due now and then.
+      gate: Asked before each attempt.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        registry: EndpointRegistry,
+        pool: ConnectionPool,
+        store: PlatformStore,
+        readers: StoreReaders,
+        telemetry: Telemetry,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Join the parts."""
+        self._records = CrashRecords(clock)
+        self._quarantine = Quarantine(self._records)
+        coordinators = TrialCoordinators(membership)
+        self.sharing = CrashSharing(self._records, membership, coordinators)
+        self._permits = TrialPermits(
+            self._quarantine,
+            self.sharing,
+            coordinators,
+            lambda service: len(registry.candidates(service, ())),
+        )
+        self.stored = StoredQuarantine(store, readers, self._records, self._adopt)
+        self.gate = QuarantineGate(
+            GateParts(
+                self._quarantine,
+                self.sharing,
+                self._permits,
+                CrashConfirmation(pool),
+                self.stored,
+                QuarantineLog(telemetry),
+            )
+        )
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Begin to exchange records and trials with peers."""
+        self.sharing.connect(datagrams)
+        self._permits.connect(datagrams)
+
+    def quarantined_count(self) -> int:
+        """Return how many requests are in quarantine."""
+        verdicts = (self._quarantine.verdict(each.fingerprint) for each in self._records.all())
+        return sum(found.standing is Standing.QUARANTINED for found in verdicts)
+
+    def _adopt(self, told: ToldRecord) -> None:
+        """Take in a record of the store and tell peers of it."""
+        self._records.merge(told)
+        self.sharing.spread(told.fingerprint, "", was_known=True)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -115,6 +115,7 @@
             list_age_ms=round(min(list_age_s, LONGEST_AGE_S) * 1000),
             engines=[_log_row(chosen) for chosen in progress.chosen],
             sends=progress.sends,
+            fingerprint=progress.fingerprint,
             result=ending.result,
             reason=ending.reason,
             first_ms=first_ms,
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -29,6 +29,7 @@
 from springbridge_node.gateway.requests.attempt import make_attempt
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
+from springbridge_node.gateway.requests.quarantine_gate import QuarantineGate
 from springbridge_node.gateway.requests.relay import relay_failure
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 from springbridge_node.gateway.requests.request_log import (
@@ -58,6 +59,7 @@
     selector: EndpointSelector
     request_log: RequestLog
     loads: LoadSharing
+    gate: QuarantineGate
     failure_domain: str
 
 
@@ -120,20 +122,38 @@
         """Try endpoint after endpoint; return None once the answer is out, else why it is not."""
         route, progress = exchange.route, exchange.progress
         while True:
-            selection = await self._parts.selector.select(exchange.demand, progress.tried)
+            left_out = progress.tried | progress.avoided
+            selection = await self._parts.selector.select(exchange.demand, left_out)
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
-            choice = selection.choice
-            if choice is None or not self._may_send(exchange):
-                return giving_up.without_endpoint(route, exchange.attempts())
-            connection = await self._connect(exchange, choice.state)
-            if connection is None:
+            clearance = await self._parts.gate.clear(exchange, selection.choice)
+            if clearance.problem is not None:
+                return clearance.problem
+            if not clearance.may_send:
                 continue
-            end = await self._attempt(exchange, choice, connection)
-            if end is End.DELIVERED:
+            with self._parts.gate.attempt(exchange, clearance):
+                outcome = await self._send(exchange, selection.choice)
+            if isinstance(outcome, Problem):
+                return outcome
+            if outcome is End.DELIVERED:
                 return None
-            if not retries.may_try_another(route, exchange.attempts()):
-                return giving_up.after_failed_attempt(route, exchange.attempts(), end)
+            if outcome is not None and not retries.may_try_another(route, exchange.attempts()):
+                return giving_up.after_failed_attempt(route, exchange.attempts(), outcome)
+
+    async def _send(self, exchange: Exchange, choice: Choice | None) -> End | Problem | None:
+        """Send the request to the selected endpoint and return how that ended.
+
+        Returns:
+          A problem if it may be sent to none, None if there was no connection to this one.
+        """
+        if choice is None or not self._may_send(exchange):
+            return giving_up.without_endpoint(exchange.route, exchange.attempts())
+        connection = await self._connect(exchange, choice.state)
+        if connection is None:
+            return None
+        end = await self._attempt(exchange, choice, connection)
+        await self._parts.gate.note_end(exchange, choice.state, end)
+        return end
 
     def _may_send(self, exchange: Exchange) -> bool:
         """Return whether the request may go to one more endpoint; a retry uses up the budget."""
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -26,6 +26,17 @@
             ["end"],
             registry=self.registry,
         )
+        self.crashes = Counter(
+            "springbridge_engine_crashes",
+            "Requests that were running when an engine ended",
+            ["standing"],
+            registry=self.registry,
+        )
+        self.quarantined = Gauge(
+            "springbridge_quarantined_requests",
+            "Requests that are kept from engines because they end them",
+            registry=self.registry,
+        )
         self.first_piece = Histogram(
             "springbridge_first_piece_seconds",
             "Arrival to first piece of the answer",
--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -108,8 +108,11 @@
         if request.path == "/v1/rows-feed":
             return await self._feed(request.query)
         if request.path == "/v1/rows-tx":
-            for row in request.json()["put"]:
+            changes = request.json()
+            for row in changes["put"]:
                 await self._write(row["table"], row["key"], base64.b64decode(row["value"]))
+            for row in changes["remove"]:
+                await self.remove(row["table"], row["key"])
             return 200, {"ver": self.version, "now_ms": 0}
         return 404, {}
 
--- a/packages/springbridge/springbridge/codes.py
+++ b/packages/springbridge/springbridge/codes.py
@@ -45,6 +45,7 @@
     TABLE_UNAVAILABLE = 207
     WAIT_EXPIRED = 208
     REFUSED_BEFORE = 209
+    QUARANTINED = 210
     ENGINE_FAILED = 301
     ANSWER_INCOMPLETE = 302
     ANSWER_NOT_KEPT = 303
@@ -117,6 +118,11 @@
     Code.REFUSED_BEFORE: Info(
         409, Fate.NOT_RUN, "This id was refused and stays refused; ask again under a new id."
     ),
+    Code.QUARANTINED: Info(
+        503,
+        Fate.NOT_RUN,
+        "Engines ended under requests like this one; change it, or wait Retry-After.",
+    ),
     Code.ENGINE_FAILED: Info(
         502, Fate.FAILED, "The request started and failed; check its effect before asking again."
     ),
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -18,7 +18,11 @@
 from springbridge.routing.overload import Overload
 from springbridge.routing.records import Route
 from springbridge.routing.retries import Attempts, End, is_repeatable
-from springbridge.routing.retry_after import when_endpoint_full, while_endpoints_restart
+from springbridge.routing.retry_after import (
+    when_endpoint_full,
+    while_endpoints_restart,
+    while_on_trial,
+)
 
 
 class FinalAnswer(Enum):
@@ -79,6 +83,39 @@
     return Problem(Code.NO_ENGINE, "no engine", retry_after_s=while_endpoints_restart())
 
 
+def in_quarantine(attempts: Attempts, crashes: int, wait_s: float) -> Problem:
+    """Return the problem of a request that is kept from endpoints, as it has ended several.
+
+    The caller is told when it is tried again: before, every try would be refused. A request that
+    was sent in this try may have run, and its caller is promised nothing.
+
+    Args:
+      crashes: How many endpoints ended under it.
+      wait_s: Seconds until its next trial.
+    """
+    detail = f"{crashes} engines ended under it"
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, detail)
+    return Problem(Code.QUARANTINED, detail, retry_after_s=wait_s)
+
+
+def while_tried(attempts: Attempts) -> Problem:
+    """Return the problem of a request that has waited for the end of a trial for too long."""
+    detail = "another request like it is on trial"
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, detail)
+    return Problem(Code.QUARANTINED, detail, retry_after_s=while_on_trial())
+
+
+def longest_hold_s(route: Route) -> float:
+    """Return for how long a request waits for the end of a trial, in seconds.
+
+    Protects callers of a page that many ask for: once one of them is served, all are. Not measured;
+    chosen as the time that the route aims at, after which an answer is late anyway.
+    """
+    return route.target_s
+
+
 def at_deadline(route: Route, attempts: Attempts) -> Problem:
     """Return the problem of a request whose time is up."""
     if attempts.may_have_run:
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -14,6 +14,8 @@
 | no endpoint of the service can be reached       | `while_endpoints_restart` | 4                |
 | endpoints turned it away or time ran out unsent | `when_endpoint_full`      | 0.1 x target     |
 | every endpoint has too much for its priority    | `after_overload`          | 2 + backlog over |
+| a request like it is on trial                   | `while_on_trial`          | 1                |
+| requests like it ended endpoints                | `quarantine`              | until its trial  |
 | the instance is at the end of its planned stop  | `while_leaving`           | 0.05             |
 
 Relies on nothing; `giving_up`, `overload` and the gateway take their times from here.
@@ -48,6 +50,10 @@
 # Not measured; chosen short because nothing has to recover first.
 LEAVING_S = 0.05
 
+# Protects callers of a request whose trial goes on from coming back before it has ended. Not
+# measured; chosen as the time that most requests take.
+ON_TRIAL_S = 1.0
+
 assert DUE_AT_START_S < DUE_IN_OUTAGE_S, "an outage lasts longer than a start"
 
 
@@ -86,6 +92,11 @@
     return BURST_S + max(0.0, backlog_s - longest_wait_s)
 
 
+def while_on_trial() -> float:
+    """Return when to come back while another request like it is on trial, in seconds."""
+    return ON_TRIAL_S
+
+
 def while_leaving() -> float:
     """Return when to come back, to another instance, if this one is stopping, in seconds."""
     return LEAVING_S
