--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -0,0 +1,80 @@
+"""Tests of crash_confirmation.py: what counts as the end of an endpoint, and what does not."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from springbridge.routing.endpoint_state import EndpointState
+from springbridge.routing.records import EndpointEntry
+from springbridge_standins.gateway.engine import EngineStandIn
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
+from springbridge_node.gateway.endpoints.pool import ConnectionPool
+
+
+@pytest.fixture
+def run():
+    """Return a function that runs a test's body with an endpoint, its state and the part."""
+
+    def play(body):
+        async def with_parts():
+            engine = EngineStandIn("i-1")
+            await engine.start()
+            entry = EndpointEntry("i-1", "model", engine.address, "a", 4, False)
+            confirmation = CrashConfirmation(ConnectionPool(lambda: 1))
+            try:
+                await body(engine, EndpointState(entry), confirmation)
+            finally:
+                engine.stop()
+
+        asyncio.run(with_parts())
+
+    return play
+
+
+def test_an_endpoint_that_refuses_connections_has_ended(run):
+    async def body(engine, state, confirmation):
+        engine.stop()
+        assert_that(await confirmation.has_crashed(state), Is(True))
+
+    run(body)
+
+
+def test_one_that_takes_a_connection_only_broke_one(run):
+    async def body(engine, state, confirmation):
+        assert_that(await confirmation.has_crashed(state), Is(False))
+
+    run(body)
+
+
+def test_the_requests_that_broke_with_it_share_one_connection(run):
+    async def body(engine, state, confirmation):
+        found = await asyncio.gather(*(confirmation.has_crashed(state) for _ in range(20)))
+        assert_that((set(found), engine.connections), Equals(({False}, 1)))
+
+    run(body)
+
+
+def test_one_that_was_about_to_leave_or_has_left_the_list_did_not_crash(run):
+    async def body(engine, state, confirmation):
+        engine.stop()
+        draining = EndpointState(replace(state.entry, draining=True))
+        assert_that(await confirmation.has_crashed(draining), Is(False))
+        state.usable_until_s = 0.0
+        assert_that(await confirmation.has_crashed(state), Is(False))
+
+    run(body)
+
+
+def test_one_that_cannot_be_reached_may_live(run, monkeypatch):
+    async def body(engine, state, confirmation):
+        # A connection that neither comes up nor is refused, as behind a cut.
+        async def hangs(entry):
+            await asyncio.sleep(10)
+
+        monkeypatch.setattr(confirmation._pool, "warm", hangs)
+        assert_that(await confirmation.has_crashed(state), Is(False))
+
+    run(body)
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -147,6 +147,19 @@
         yield fleet
 
 
+async def replace_nodes(fleet: Fleet, make_outside: MakeOutside) -> None:
+    """End all nodes without a word, and start as many at other ports, which know none of them."""
+    old, fleet.nodes = fleet.nodes, []
+    for gateway in old:
+        gateway.datagrams.close()
+        await _stop(gateway)
+    for one in _settings(len(old)):
+        gateway = Gateway(one, make_outside(fleet.store.address))
+        fleet.nodes.append(gateway)
+        await gateway.start()
+    await until(lambda: all(node.is_ready() for node in fleet.nodes))
+
+
 async def _stop(gateway: Gateway) -> None:
     """Stop a node."""
     gateway.refuse_new()
