Ages, deadlines and timers count the time in which the machine is suspended

Cause: everything went by the steady clock, which stands still in a suspension, so that a node that woke took its peers and its list as just heard and its callers as still waiting. Now one clock (boot time) for both programs, and an event loop whose timers go by it; a suspension is logged (node.suspended) and counted, and is noticed at the next beat like a stall. Where there is no boot time the steady clock takes its place, and node.start says so.

--- a/packages/springbridge-node/springbridge_node/class_router/class_log.py
+++ b/packages/springbridge-node/springbridge_node/class_router/class_log.py
@@ -6,14 +6,19 @@
 from eliot import to_file
 from springbridge.codes import Code
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 
 
 def start(instance: str, incarnation: str) -> None:
     """Send all events to standard output as JSON lines, and log the start."""
     to_file(sys.stdout)
     logging.basicConfig(handlers=[logs.LibraryHandler()], level=logging.WARNING, force=True)
-    logs.event("node.start", instance=instance, incarnation=incarnation)
+    logs.event(
+        "node.start",
+        instance=instance,
+        incarnation=incarnation,
+        counts_suspension=clock.COUNTS_SUSPENSION,
+    )
 
 
 def violation(name: str, detail: str) -> None:
--- a/packages/springbridge-node/springbridge_node/class_router/class_node.py
+++ b/packages/springbridge-node/springbridge_node/class_router/class_node.py
@@ -24,7 +24,7 @@
 from springbridge.membership import Member, Membership
 from tornado.httpserver import HTTPServer
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 from springbridge_node.class_router import class_log, metrics
 from springbridge_node.class_router.callers.http_app import make_application
 from springbridge_node.class_router.config.config_sync import ConfigSync
@@ -85,7 +85,7 @@
         self.settings = settings
         self.store = store
         self.listing = listing
-        self.clock = time.monotonic
+        self.clock = clock.now_s
         self.incarnation = f"{settings.instance}-{secrets.token_hex(4)}"
         self.invariants = Invariants(class_log.violation, settings.abort_on_violation)
         self._metadata = {TOKEN_KEY: settings.peer_token, NODE_KEY: self.incarnation}
@@ -244,6 +244,7 @@
             self.slots,
             self.roles,
             self.digests,
+            clock.SuspensionWatch(),
         )
         running: list[Awaitable[None]] = [
             self.config.run(),
--- a/packages/springbridge-node/springbridge_node/class_router/housekeeping.py
+++ b/packages/springbridge-node/springbridge_node/class_router/housekeeping.py
@@ -8,10 +8,12 @@
 from springbridge.classes.slots.slot_client import SlotClient
 from springbridge.membership import GOSSIP_INTERVAL_S, Membership
 
+from springbridge_node import logs
 from springbridge_node.class_router.endpoints.scheduler_host import TICK_S, SchedulerHost
 from springbridge_node.class_router.endpoints.scheduler_roles import SchedulerRoles
 from springbridge_node.class_router.peers.digest_sender import DigestSender
 from springbridge_node.class_router.requests.limit_gate import LimitGate
+from springbridge_node.clock import SuspensionWatch
 from springbridge_node.periodic import guarded
 
 # Interval of renewing leases in use: twice within a lease, so that one lost message does no harm.
@@ -35,10 +37,12 @@
     slots: SlotClient
     roles: SchedulerRoles
     digests: DigestSender
+    suspension: SuspensionWatch
 
     async def run(self) -> None:
         """Do what is due until cancelled."""
         duties = {
+            self.log_suspension: 1,
             self.roles.check: 1,
             self.hosts.tick: 1,
             self.limits.renew_in_use: _ticks(RENEW_INTERVAL_S),
@@ -53,6 +57,12 @@
                     guarded(duty)
             await asyncio.sleep(TICK_S)
 
+    def log_suspension(self) -> None:
+        """Log that the machine was suspended; all ages and deadlines count that time."""
+        suspended_s = self.suspension.suspended_s()
+        if suspended_s:
+            logs.event("node.suspended", seconds=round(suspended_s, 3))
+
     def drop_silent(self) -> None:
         """Forget what entry nodes that went silent have at the schedulers here."""
         known = {member.incarnation for member in self.membership.reachable()}
--- a/packages/springbridge-node/springbridge_node/class_router/main.py
+++ b/packages/springbridge-node/springbridge_node/class_router/main.py
@@ -3,12 +3,12 @@
 Each option is a flag and an environment variable; docs/SETTINGS.md is written from them.
 """
 
-import asyncio
 from typing import Annotated
 
 import typer
 from springbridge import __version__
 
+from springbridge_node import clock
 from springbridge_node.class_router.serve_settings import POLICIES, Policy, Settings, check
 
 app = typer.Typer(
@@ -90,7 +90,7 @@
         typer.echo(f"{int(problem.code)} {problem.code.name}: {problem.sentence()}", err=True)
     if problems:
         raise typer.Exit(2)
-    asyncio.run(_run(settings))
+    clock.run(_run(settings))
 
 
 async def _run(settings: Settings) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/bounded_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/bounded_log.py
@@ -7,12 +7,11 @@
 import logging
 import os
 import sys
-import time
 
 import orjson
 from eliot import add_destinations
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 
 # Log lines a second that are written over a long time. It bounds what a flood of failures costs.
 # Logging as a whole took 3% of the nodes' processor time on a quiet run with 7 nodes and 5% on a
@@ -38,13 +37,13 @@
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._allowed = LINES_BURST
-        self._filled_s = time.monotonic()
+        self._filled_s = clock.now_s()
         self._unwritten = b""
         self.dropped = 0
 
     def write(self, line: str) -> None:
         """Write a line, or count it as dropped."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         gained = (now_s - self._filled_s) * LINES_PER_S
         self._allowed = min(LINES_BURST, self._allowed + gained)
         self._filled_s = now_s
@@ -82,7 +81,7 @@
     _output = _BoundedOutput(sys.stdout.fileno())
     add_destinations(_write_line)
     logging.basicConfig(handlers=[logs.LibraryHandler()], level=logging.WARNING, force=True)
-    logs.event("node.start", instance=instance)
+    logs.event("node.start", instance=instance, counts_suspension=clock.COUNTS_SUSPENSION)
 
 
 def _write_line(message: dict) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -19,7 +18,7 @@
     RequestStartLine,
 )
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 from springbridge_node.gateway.callers.answer import CallerAnswer, CallerGoneError
 
 # Connections that may wait to be accepted. Not measured; chosen above tornado's 128, so that
@@ -140,7 +139,7 @@
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Keep the head and the time of its arrival."""
-        self._arrived_s = time.monotonic()
+        self._arrived_s = clock.now_s()
         self._line = start_line
         self._headers = headers
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure, Success
@@ -24,6 +23,7 @@
 )
 
 from springbridge_node import logs
+from springbridge_node.clock import now_s
 from springbridge_node.gateway.config.dependency import Dependency
 from springbridge_node.gateway.config.platform_store import (
     ConfigurationDocument,
@@ -52,7 +52,7 @@
         read: ConfigurationReader,
         installed: Installed,
         readers: StoreReaders,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = now_s,
     ) -> None:
         """Start without a configuration.
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
@@ -26,6 +25,7 @@
 )
 
 from springbridge_node import logs
+from springbridge_node.clock import now_s
 from springbridge_node.gateway.config.dependency import Dependency
 from springbridge_node.gateway.config.platform_store import PlatformStore
 from springbridge_node.gateway.config.source import Source
@@ -103,7 +103,7 @@
         readers: StoreReaders,
         hooks: FollowerHooks,
         interval_s: float,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = now_s,
     ) -> None:
         """Start without a list.
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/store_readers.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/store_readers.py
@@ -4,12 +4,13 @@
 at which a starting node stops waiting for its seeds.
 """
 
-import time
 from collections.abc import Callable
 
 from springbridge.membership import Membership
 from springbridge.routing import store_freshness
 
+from springbridge_node.clock import now_s
+
 
 class StoreReaders:
     """Who reads the store, as this node sees the membership."""
@@ -18,7 +19,7 @@
         self,
         membership: Membership,
         asks_seeds_first: bool,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = now_s,
         roles_after_s: float = 0.0,
     ) -> None:
         """Start the times in which the seeds are asked first and no role is taken.
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -5,12 +5,12 @@
 the others, so each node keeps to its share of them.
 """
 
-import time
 from collections.abc import Callable, Set
 from dataclasses import dataclass
 
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, Service
 
+from springbridge_node import clock
 from springbridge_node.gateway.http.http_connection import HttpConnection, connect
 
 # Seconds for a connection to come up. Not measured; chosen as short beside a request's deadline, so
@@ -125,7 +125,7 @@
 
     def keep_only(self, incarnations: Set[EndpointIncarnation]) -> None:
         """Close the idle connections of all other endpoints, and those idle for too long."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         for incarnation in list(self._idle):
             kept = []
             for conn in self._idle[incarnation]:
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, replace
 
@@ -21,7 +20,7 @@
 from springbridge.routing.shared_retry_budget import SharedRetryBudget
 from springbridge.routing.store_freshness import ROLES_AFTER_S, snapshot_interval_s
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 from springbridge_node.gateway import bounded_log
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.directory import AddressBook
@@ -101,11 +100,11 @@
         self.settings = settings
         self._outside = outside
         self.telemetry = Telemetry()
-        self.membership = Membership(_member(settings), time.monotonic, random.Random(), PACE)
-        self.registry = EndpointRegistry(time.monotonic, settings.drain_s)
+        self.membership = Membership(_member(settings), clock.now_s, random.Random(), PACE)
+        self.registry = EndpointRegistry(clock.now_s, settings.drain_s)
         self.selection_parts = SelectionParts(self.registry, self.membership)
         self.pool = ConnectionPool(self._live_nodes)
-        self.budget = SharedRetryBudget(settings.budget, self._live_nodes, time.monotonic)
+        self.budget = SharedRetryBudget(settings.budget, self._live_nodes, clock.now_s)
         self.readers = StoreReaders(
             self.membership,
             settings.asks_seeds_first,
@@ -268,6 +267,7 @@
         self.telemetry.unreadable_endpoints.set(self.endpoints.unreadable.count)
         self.telemetry.config_version.set(self.configuration.version)
         self.telemetry.store_up.set(int(self.endpoints.dependency.up))
+        self.telemetry.suspensions.set(self.heartbeats.suspensions)
         self.telemetry.dropped_lines.set(bounded_log.dropped())
         return Reply(200, self.telemetry.text(), TEXT)
 
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import AsyncIterator
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from springbridge_node import clock
 from springbridge_node.gateway.http.http_head import (
     AnswerBrokenError,
     Head,
@@ -105,7 +105,7 @@
         self._unread = bytearray()
         self._sent: asyncio.Future | None = None
         self._may_be_kept = True
-        self.idle_since_s = time.monotonic()
+        self.idle_since_s = clock.now_s()
         self.keep_s: float | None = None
 
     def abort(self) -> None:
@@ -160,7 +160,7 @@
         if not self._may_be_kept or self._unread or self._stream.closed():
             return False
         limit_s = longest_idle_s if self.keep_s is None else self.keep_s * share_of_keep
-        if time.monotonic() - self.idle_since_s > limit_s:
+        if clock.now_s() - self.idle_since_s > limit_s:
             return False
         return self._is_silent()
 
@@ -183,7 +183,7 @@
 
     def _end_answer(self, head: Head) -> None:
         """Note the end of a whole answer and whether the connection may be used again."""
-        self.idle_since_s = time.monotonic()
+        self.idle_since_s = clock.now_s()
         self.keep_s = keep_alive_s(head.headers)
         whole_request_sent = self._sent is None or self._sent.done()
         closes = head.headers.get("Connection", "").lower() == "close"
--- a/packages/springbridge-node/springbridge_node/gateway/peers/coordinator_set.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/coordinator_set.py
@@ -4,13 +4,13 @@
 members, keeps the result for a moment, and leaves out coordinators that did not answer.
 """
 
-import time
 from collections.abc import Callable
 
 from springbridge.membership import Member, Membership
 from springbridge.routing.coordinators import coordinators, in_order_for
 
 from springbridge_node import logs
+from springbridge_node.clock import now_s
 
 # Nodes up to which each one sends its load notices to all others, so that every node is a
 # coordinator. On 7 nodes that gave a mean served value of 0.826 against 0.777 where each chooses
@@ -30,7 +30,7 @@
     Up to MAX_EQUAL_NODES nodes are all coordinators; in a larger fleet some are, for each service.
     """
 
-    def __init__(self, membership: Membership, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, membership: Membership, clock: Callable[[], float] = now_s) -> None:
         """Keep the membership and the clock."""
         self._membership = membership
         self._clock = clock
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -10,12 +10,12 @@
 alone. What such a digest tells of a third node that does send ages is no sign of life.
 """
 
-import time
 from collections.abc import Callable, Iterable, Iterator
 
 from springbridge.member import NEVER_S
 from springbridge.membership import HeartbeatAge, Member, Membership
 
+from springbridge_node import clock
 from springbridge_node.gateway.peers import age_vector, codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.gateway.peers.member_lookup import MemberLookup
@@ -191,7 +191,7 @@
 
     def _is_new(self, member: Member) -> bool:
         """Return whether this node first sent a member so recently that peers may not know it."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         first_s = self._first_sent_s.setdefault(member.incarnation, now_s)
         return now_s - first_s < NEW_FOR_S
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
@@ -4,13 +4,12 @@
 checks whether it stood still; if it did, it must not confirm to others what it knew before.
 """
 
-import time
 from collections.abc import Callable
 
 from springbridge.membership import Membership
 from springbridge.routing.store_freshness import OLDEST_AGE_S
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 from springbridge_node.gateway.config.configuration_follower import ConfigurationFollower
 from springbridge_node.gateway.config.endpoint_follower import EndpointFollower
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
@@ -28,7 +27,11 @@
 
 
 class Heartbeats:
-    """Sends heartbeats and the digests that carry them."""
+    """Sends heartbeats and the digests that carry them.
+
+    Attributes:
+      suspensions: How often the machine was found to have been suspended.
+    """
 
     def __init__(
         self,
@@ -51,7 +54,9 @@
         self._is_ready = is_ready
         self._gossip: Gossip | None = None
         self._member_log = MemberLog(membership)
-        self._last_beat_s = time.monotonic()
+        self._last_beat_s = clock.now_s()
+        self._suspension = clock.SuspensionWatch()
+        self.suspensions = 0
 
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Start to take in peers' digests; heartbeats need this first."""
@@ -96,12 +101,20 @@
 
         It comes first, so that no digest confirms what was known before that time.
         """
-        now_s = time.monotonic()
+        self._log_suspension()
+        now_s = clock.now_s()
         last_s, self._last_beat_s = self._last_beat_s, now_s
         if now_s - last_s > STALL_S + BEAT_S:
             logs.event("node.stalled", seconds=round(now_s - last_s, 3))
             self._configuration.refresh()
 
+    def _log_suspension(self) -> None:
+        """Log that the machine was suspended; all ages count that time."""
+        suspended_s = self._suspension.suspended_s()
+        if suspended_s:
+            self.suspensions += 1
+            logs.event("node.suspended", seconds=round(suspended_s, 3))
+
     def _count_beat(self) -> None:
         """Count up this node's heartbeat and state what it has."""
         self._membership.beat(
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats_test.py
@@ -10,7 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from springbridge_node.gateway.peers import heartbeats as module
+from springbridge_node import clock as node_clock
 from springbridge_node.gateway.peers.heartbeats import BEAT_S, STALL_S, Heartbeats
 
 
@@ -55,7 +55,7 @@
 @pytest.fixture
 def heartbeats(parts, clock, monkeypatch):
     """Return the heartbeats of that node, on a clock that tests move."""
-    monkeypatch.setattr(module, "time", SimpleNamespace(monotonic=clock))
+    monkeypatch.setattr(node_clock, "_read", clock)
     found = Heartbeats(
         parts.membership, parts.configuration, parts.endpoints, parts.catch_up, lambda: parts.ready
     )
--- a/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup.py
@@ -7,12 +7,12 @@
 nodes which know different ones disagree on them.
 """
 
-import time
 from collections.abc import Callable, Iterable
 
 from springbridge.member import HeartbeatAge
 from springbridge.membership import Membership
 
+from springbridge_node import clock
 from springbridge_node.gateway.peers import age_vector, codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 
@@ -49,7 +49,7 @@
         Args:
           keys: Hashes of their incarnations; see age_vector.key_of().
         """
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         due = [key for key in keys if now_s >= self._asked_s.get(key, float("-inf")) + ASK_AGAIN_S]
         if not due:
             return
@@ -59,7 +59,7 @@
 
     def forget_asked(self) -> None:
         """Drop what is kept of requests whose members may be asked for again."""
-        limit_s = time.monotonic() - ASK_AGAIN_S
+        limit_s = clock.now_s() - ASK_AGAIN_S
         self._asked_s = {
             key: asked_s for key, asked_s in self._asked_s.items() if asked_s > limit_s
         }
--- a/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup_test.py
@@ -1,7 +1,6 @@
 """Tests of member_lookup.py: a node asks for the members that a digest names by hash only."""
 
 import random
-from types import SimpleNamespace
 
 import pytest
 from springbridge.member import HeartbeatAge
@@ -9,7 +8,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from springbridge_node.gateway.peers import age_vector, codec, member_lookup
+from springbridge_node import clock as node_clock
+from springbridge_node.gateway.peers import age_vector, codec
 from springbridge_node.gateway.peers.datagrams import Kind
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.member_lookup import (
@@ -49,7 +49,7 @@
 @pytest.fixture
 def sent(monkeypatch, clock):
     """Return the datagrams of a node, whose lookups go by the tests' clock."""
-    monkeypatch.setattr(member_lookup, "time", SimpleNamespace(monotonic=clock))
+    monkeypatch.setattr(node_clock, "_read", clock)
     return Sent()
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_server.py
@@ -6,7 +6,6 @@
 given up waiting, chosen by itself, or died.
 """
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,6 +14,7 @@
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
 from springbridge.routing.selection import select, start_notice
 
+from springbridge_node.clock import now_s
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.gateway.peers.selection_messages import SelectionReply, SelectionRequest
@@ -44,7 +44,7 @@
         self,
         registry: EndpointRegistry,
         choose: Chooser,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = now_s,
     ) -> None:
         """Keep the parts.
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -1,11 +1,10 @@
 """One attempt: sends a request to an endpoint and takes the answer to the caller."""
 
-import time
-
 from springbridge.routing import giving_up, retries
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.retries import End
 
+from springbridge_node import clock
 from springbridge_node.gateway.http.http_connection import HttpConnection
 from springbridge_node.gateway.http.http_head import AnswerBrokenError, Head
 from springbridge_node.gateway.requests.endpoint_answer import (
@@ -55,7 +54,7 @@
       TimeoutError: Too little time is left; nothing was sent.
     """
     entry, progress = choice.state.entry, exchange.progress
-    left_s = exchange.admitted.deadline_s - time.monotonic()
+    left_s = exchange.admitted.deadline_s - clock.now_s()
     if not retries.is_worth_sending(left_s):
         raise TimeoutError
     source = choice.source.entry if choice.source else None
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -19,6 +18,7 @@
 from springbridge.routing.retries import End
 from springbridge.trials import Answer
 
+from springbridge_node import clock
 from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
 from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
@@ -96,7 +96,7 @@
         """Ask for a trial."""
         fingerprint = fingerprint_of(exchange)
         endpoint_id = choice.state.entry.endpoint_id
-        left_s = exchange.admitted.deadline_s - time.monotonic()
+        left_s = exchange.admitted.deadline_s - clock.now_s()
         permission = await self._parts.permits.ask(
             fingerprint, exchange.demand.service, endpoint_id, left_s
         )
@@ -116,7 +116,7 @@
     async def _hold(self, exchange: Exchange) -> Clearance:
         """Wait a moment for a trial to end; give the request up if it has waited for too long."""
         progress = exchange.progress
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         progress.held_since_s = progress.held_since_s or now_s
         if now_s - progress.held_since_s > giving_up.longest_hold_s(exchange.route):
             problem = giving_up.while_tried(exchange.attempts())
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -1,6 +1,5 @@
 """Joins what keeps requests that end endpoints from them; see quarantine_gate.py."""
 
-import time
 from collections.abc import Callable
 
 from springbridge.crash_records import CrashRecords, ToldRecord
@@ -8,6 +7,7 @@
 from springbridge.quarantine import Quarantine, Standing
 from springbridge.routing.endpoint_registry import EndpointRegistry
 
+from springbridge_node.clock import now_s
 from springbridge_node.gateway.config.platform_store import PlatformStore
 from springbridge_node.gateway.config.store_readers import StoreReaders
 from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
@@ -39,7 +39,7 @@
         store: PlatformStore,
         readers: StoreReaders,
         telemetry: Telemetry,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = now_s,
     ) -> None:
         """Join the parts."""
         self._records = CrashRecords(clock)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -5,11 +5,11 @@
 may be asked where the route allows that.
 """
 
-import time
 from http import HTTPStatus
 
 from springbridge.routing.event_stream import EventSplitter
 
+from springbridge_node import clock
 from springbridge_node.gateway.http.http_connection import HttpConnection
 from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.requests.exchange import Exchange, HeldFailure, Progress
@@ -111,7 +111,7 @@
     headers = codec.caller_headers(head)
     if length is not None:
         headers["Content-Length"] = str(length)
-    exchange.progress.first_piece_s = time.monotonic()
+    exchange.progress.first_piece_s = clock.now_s()
     if exchange.progress.load is not None:
         exchange.progress.load.read()
     await exchange.answer.start(head.status, head.reason, headers, piece)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -3,7 +3,6 @@
 Owns the fields of these log lines; operators' tools read them, so names and units stay.
 """
 
-import time
 from dataclasses import dataclass
 
 from springbridge.problems import Problem
@@ -11,7 +10,7 @@
 from springbridge.routing.records import Arrival
 from springbridge.routing.retries import End
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange
 from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
 from springbridge_node.gateway.telemetry import Telemetry
@@ -78,7 +77,7 @@
             engine=state.entry.endpoint_id,
             last_end=end.value,
             failures=state.failures,
-            seconds=round(state.ejected_until_s - time.monotonic(), 2),
+            seconds=round(state.ejected_until_s - clock.now_s(), 2),
         )
 
     def unreachable(self, exchange: Exchange, endpoint_id: str, reason: str) -> None:
@@ -137,4 +136,4 @@
 
 def _age_ms(exchange: Exchange) -> int:
     """Return how long ago a request arrived, in milliseconds."""
-    return round((time.monotonic() - exchange.admitted.arrival.arrived_s) * 1000)
+    return round((clock.now_s() - exchange.admitted.arrival.arrived_s) * 1000)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -21,6 +21,7 @@
 from springbridge.routing.retries import ENDPOINT_FAILURES, End
 from springbridge.routing.shared_retry_budget import SharedRetryBudget
 
+from springbridge_node import clock
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.ingress import IncomingRequest
 from springbridge_node.gateway.endpoints.pool import ConnectionPool, EndpointBusyError
@@ -113,7 +114,7 @@
     async def _until_deadline(self, exchange: Exchange) -> Problem | None:
         """Make attempts until the answer is whole, there are no more, or time is up."""
         try:
-            async with asyncio.timeout_at(exchange.admitted.deadline_s):
+            async with asyncio.timeout(exchange.admitted.deadline_s - clock.now_s()):
                 return await self._make_attempts(exchange)
         except TimeoutError:
             return giving_up.at_deadline(exchange.route, exchange.attempts())
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -57,6 +57,11 @@
         self.store_up = Gauge(
             "springbridge_store_up", "1 while the store answers", registry=self.registry
         )
+        self.suspensions = Gauge(
+            "springbridge_suspensions",
+            "Times that the machine was suspended since the start",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
         )
--- a/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
@@ -10,14 +10,12 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from time import process_time
-from types import SimpleNamespace
 from unittest import mock
 
 import orjson
 from springbridge.membership import Membership, SnapshotStatus
+from springbridge_node import clock
 from springbridge_node.gateway import gateway
-from springbridge_node.gateway.peers import gossip as gossip_module
-from springbridge_node.gateway.peers import member_lookup
 from springbridge_node.gateway.peers.datagrams import Kind
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.heartbeats import BEAT_S
@@ -231,10 +229,6 @@
 @contextmanager
 def simulated_time() -> Iterator[SimulatedClock]:
     """Let gossip go by a simulated clock meanwhile."""
-    clock = SimulatedClock()
-    time = SimpleNamespace(monotonic=clock)
-    with (
-        mock.patch.object(gossip_module, "time", time),
-        mock.patch.object(member_lookup, "time", time),
-    ):
-        yield clock
+    simulated = SimulatedClock()
+    with mock.patch.object(clock, "_read", simulated):
+        yield simulated
