The soak sends a request that ends engines beside its other faults

An engine that gets it ends with its connections and its listener, and starts again under its id with another start.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
@@ -20,6 +20,8 @@
         soak.violated("whole answer", f"{request_id} {path} got {got.body[:80]!r}")
     if got.status == 200 and not got.whole and not expected.startswith(got.body):
         soak.violated("part of its own answer", f"{request_id} {path} got {got.body[:80]!r}")
+    if got.status == 503 and b'"QUARANTINED"' in got.body:
+        soak.violated("others are not refused beside it", f"{request_id} {path}")
     if got.status in (401, 403, 404):
         soak.violated("allowed requests are not denied", f"{request_id} {path} {got.status}")
     if got.status in NOT_RUN and path in RUN_ONCE:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -4,8 +4,10 @@
 import hashlib
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from springbridge_standins.gateway.crashing import MARK
 from springbridge_standins.http_wire import (
     Connection,
     RawRequest,
@@ -73,8 +75,19 @@
       faulty: Whether faults happen.
     """
 
-    def __init__(self, endpoint_id: str, record: Record, rng: random.Random) -> None:
-        """Keep the name, the common record and the source of chance."""
+    def __init__(
+        self,
+        endpoint_id: str,
+        record: Record,
+        rng: random.Random,
+        end: Callable[[str], Awaitable[None]],
+    ) -> None:
+        """Keep the name, the common record and the source of chance.
+
+        Args:
+          end: Ends the engine of a name, as under a request that does so.
+        """
+        self._end = end
         self._endpoint_id = endpoint_id
         self._record = record
         self._rng = rng
@@ -86,6 +99,9 @@
         if request.headers.get("expected-instance") != self._endpoint_id:
             await connection.send(answer(request.request_id, b"", 421, signature=""))
             return
+        if request.body.startswith(MARK):
+            await self._end(self._endpoint_id)
+            return
         if fault < FAULT_SHARE / 6:
             refusal = answer(request.request_id, b"", 503, signature="", Not_Executed="1")
             await connection.send(refusal)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -21,6 +21,11 @@
 from springbridge_standins.gateway.fleet import configuration
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_record
+from springbridge_standins.gateway.soak.crashes import (
+    check_ender,
+    end_engine,
+    send_ender_forever,
+)
 from springbridge_standins.gateway.soak.engine import SoakScript
 from springbridge_standins.gateway.soak.harms import START_S, harm_forever
 from springbridge_standins.gateway.soak.nodes import NodeProcess, Ports
@@ -57,6 +62,8 @@
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
         tasks = [asyncio.ensure_future(call_forever(soak, number)) for number in range(callers)]
         tasks.append(asyncio.ensure_future(harm_forever(soak)))
+        ender = send_ender_forever(soak, random.Random(f"{seed} ender"))
+        tasks.append(asyncio.ensure_future(ender))
         for _ in range(LONGEST):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -68,7 +75,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for task in done:
             task.result()
+        soak.stop_background()
         check_record(soak)
+        check_ender(soak)
         return soak
 
 
@@ -76,7 +85,7 @@
     """Start engines, each behind a proxy."""
     names = ["i-desk-1", "i-desk-2", "i-desk-3", "i-model-1", "i-model-2", "i-model-3"]
     for name in names:
-        script = SoakScript(name, soak.record, soak.rng)
+        script = SoakScript(name, soak.record, soak.rng, lambda one: end_engine(soak, one))
         engine = EngineStandIn(name, script)
         await stack.enter_async_context(running(engine))
         proxy = LoopbackProxy(engine.address)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -1,8 +1,11 @@
 """The parts of a running soak, and what it found."""
 
+import asyncio
 import random
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from springbridge_standins.gateway.engine import EngineStandIn
 from springbridge_standins.gateway.fleet import list_engine
@@ -28,6 +31,9 @@
       reported_not_run: Ids of requests whose caller was answered that they were not run.
       violations: Each broken promise in a line.
       counts: Answers by path and status, and faults by name.
+      starts: How often each engine has started again.
+      ended_s: When engines ended under a request, on the monotonic clock.
+      ender_arrived_s: When the request that ends them arrived at engines, on the same clock.
     """
 
     rng: random.Random
@@ -42,6 +48,10 @@
     violations: list[str] = field(default_factory=list)
     counts: Counter = field(default_factory=Counter)
     version: int = 1
+    starts: Counter = field(default_factory=Counter)
+    ended_s: list[float] = field(default_factory=list)
+    ender_arrived_s: list[float] = field(default_factory=list)
+    _tasks: set[asyncio.Task] = field(default_factory=set)
 
     def node_at(self, callers: str) -> NodeProcess:
         """Return the node with an address for callers."""
@@ -49,9 +59,25 @@
 
     async def list_engine(self, name: str, state: str) -> None:
         """Write an engine's entry into the platform's list, with the address of its proxy."""
-        proxy = self.engine_proxies[sorted(self.engines).index(name)]
+        proxy = self.proxy_of(name)
         service = "desk" if "desk" in name else "model"
-        await list_engine(self.store, name, service, proxy.address, state, slots=8)
+        start = {"born": self.starts[name]} if self.starts[name] else {}
+        await list_engine(self.store, name, service, proxy.address, state, slots=8, **start)
+
+    def proxy_of(self, name: str) -> LoopbackProxy:
+        """Return the proxy of an engine."""
+        return self.engine_proxies[sorted(self.engines).index(name)]
+
+    def background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something until it ends, or the soak does."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def stop_background(self) -> None:
+        """End what still runs."""
+        for task in self._tasks:
+            task.cancel()
 
     def violated(self, promise: str, detail: str) -> None:
         """Note a broken promise."""
--- a/packages/springbridge-standins/springbridge_standins/proxy.py
+++ b/packages/springbridge-standins/springbridge_standins/proxy.py
@@ -51,6 +51,11 @@
             self._server.close()
         self._close_all()
 
+    @property
+    def is_listening(self) -> bool:
+        """Return whether connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
     @property
     def harm(self) -> Harm:
         """Return what happens to connections now."""
