Mutants of the quarantine and of the clock; an endpoint that ended is left by all at once

A request that is acquitted while it avoids endpoints on trial selects among all again, in place of being refused for want of one. An endpoint whose end was confirmed is told to the peers as unreachable, so that no other request has to try it.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -29,7 +29,7 @@
 
 # Seconds between two questions of a request that waits for a trial. Not measured; chosen as a small
 # share of the time that a request takes.
-LOOK_S = 0.05
+LOOK_S = 0.1
 # Ends after which the endpoint went on, so that the request does not end endpoints.
 GOOD_ENDS = frozenset({End.DELIVERED, End.ENDPOINT_ERROR})
 
@@ -80,18 +80,26 @@
         Args:
           choice: None if there is no endpoint, or none but those that have enough trials.
         """
-        if not len(self._records):
-            return CLEAR
-        fingerprint = fingerprint_of(exchange)
-        if self._parts.quarantine.verdict(fingerprint).standing is Standing.FREE:
+        avoided = exchange.progress.avoided
+        if self._is_free(exchange):
+            if choice is None and avoided:
+                avoided.clear()
+                return LOOK_AGAIN
             return CLEAR
         if choice is None:
-            return await self._hold(exchange) if exchange.progress.avoided else CLEAR
-        wait_s = self._refused_until_s.get(fingerprint, 0.0) - self._records.now_s()
-        if wait_s > 0:
-            return self._refused(exchange, wait_s)
+            return await self._hold(exchange) if avoided else CLEAR
+        until_s = self._refused_until_s.get(fingerprint_of(exchange), 0.0)
+        if until_s > self._records.now_s():
+            return self._refused(exchange, until_s - self._records.now_s())
         return await self._ask(exchange, choice)
 
+    def _is_free(self, exchange: Exchange) -> bool:
+        """Return whether nothing is held against a request."""
+        if not len(self._records):
+            return True
+        found = self._parts.quarantine.verdict(fingerprint_of(exchange))
+        return found.standing is Standing.FREE
+
     async def _ask(self, exchange: Exchange, choice: Choice) -> Clearance:
         """Ask for a trial."""
         fingerprint = fingerprint_of(exchange)
@@ -142,12 +150,14 @@
                 exchange.progress.on_trial = False
                 self._parts.permits.end(fingerprint_of(exchange), exchange.demand.service)
 
-    async def note_end(self, exchange: Exchange, state: EndpointState, end: End) -> None:
-        """Record what an attempt showed of its request."""
+    async def note_end(self, exchange: Exchange, state: EndpointState, end: End) -> bool:
+        """Record what an attempt showed of its request, and return whether its endpoint ended."""
         if end in GOOD_ENDS and len(self._records):
             self._acquit(exchange)
-        if end is End.BROKEN and await self._parts.confirmation.has_crashed(state):
-            self._note_crash(exchange, state)
+        if end is not End.BROKEN or not await self._parts.confirmation.has_crashed(state):
+            return False
+        self._note_crash(exchange, state)
+        return True
 
     def _acquit(self, exchange: Exchange) -> None:
         """Note a good end."""
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -153,7 +153,9 @@
         if connection is None:
             return None
         end = await self._attempt(exchange, choice, connection)
-        await self._parts.gate.note_end(exchange, choice.state, end)
+        if await self._parts.gate.note_end(exchange, choice.state, end):
+            # Nobody listens there: no other request has to find out.
+            self._parts.loads.unreached(choice.state.entry)
         return end
 
     def _may_send(self, exchange: Exchange) -> bool:
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -1,11 +1,24 @@
 """Mechanisms of the users' platform that a proof has to miss when they are taken out."""
 
-from springbridge_standins.mutants.mutant import LIBRARY, NODE, PLATFORM, Mutant
+from springbridge_standins.mutants.mutant import (
+    LIBRARY,
+    NODE,
+    PLATFORM,
+    STANDINS,
+    Mutant,
+)
 
 REQUESTS = f"{PLATFORM}/requests_test.py"
 ELIGIBILITY = f"{LIBRARY}/routing/eligibility_test.py"
 SELECTION_SERVER = f"{NODE}/gateway/peers/selection_server_test.py"
 SELECTION_CLIENT = f"{NODE}/gateway/peers/selection_client_test.py"
+CRASHING = f"{PLATFORM}/crashing_request_test.py"
+QUARANTINE = f"{PLATFORM}/quarantine_test.py"
+STORED = f"{PLATFORM}/stored_quarantine_test.py"
+SUSPENSION = f"{PLATFORM}/suspension_test.py"
+PERMITS = f"{NODE}/gateway/peers/trial_permits_test.py"
+SIMULATION = f"{STANDINS}/crash_simulation_test.py"
+NEWS = f"{STANDINS}/gateway/simulated_crash_news_test.py"
 FOLLOWER = f"{NODE}/gateway/config/configuration_follower_test.py"
 
 USERS_PLATFORM = (
@@ -175,4 +188,84 @@
         "return prefill_tokens",
         f"{LIBRARY}/routing/endpoint_choice_test.py::test_long_prompts_use_the_quiet_engine_when_the_others_are_far_behind",
     ),
+    Mutant(
+        "a request that ended endpoints is known again under another id",
+        f"{NODE}/gateway/requests/request_fingerprint.py",
+        "        exchange.admitted.customer.encode(),",
+        "        exchange.request_id.encode(),",
+        f"{CRASHING}::test_a_request_that_ends_endpoints_is_soon_sent_to_none",
+    ),
+    Mutant(
+        "crashes that other nodes saw count",
+        f"{NODE}/gateway/peers/crash_sharing.py",
+        "        datagrams.handle(Kind.CRASHES, self._take)",
+        "        datagrams.handle(Kind.CRASHES, lambda rows, sender: None)",
+        f"{NEWS}::test_all_nodes_know_a_suspect_within_a_second",
+    ),
+    Mutant(
+        "a good end acquits",
+        f"{LIBRARY}/crash_records.py",
+        "        self._put(replace(record, acquitted_s=self._clock()))",
+        "        self._put(record)",
+        f"{LIBRARY}/crash_records_test.py"
+        "::test_a_good_end_acquits_of_all_crashes_before_and_of_none_after",
+    ),
+    Mutant(
+        "a suspect runs once in the fleet",
+        f"{LIBRARY}/trials.py",
+        "        if fingerprint in self._running:",
+        "        if False:",
+        f"{LIBRARY}/trials_test.py::test_a_suspect_runs_once_however_many_nodes_ask",
+    ),
+    Mutant(
+        "nodes ask one of them",
+        f"{NODE}/gateway/peers/trial_permits.py",
+        "        if not coordinators or self._coordinators.is_me(coordinators[0]):"
+        "\n            return",
+        "        if True:\n            return",
+        f"{PERMITS}::test_one_of_all_nodes_that_ask_at_the_same_moment_may_send",
+    ),
+    Mutant(
+        "what failed a trial waits for the next one",
+        f"{LIBRARY}/trials.py",
+        "        if now_s < found.trial_due_s:",
+        "        if False:",
+        f"{SIMULATION}::test_a_request_that_ends_endpoints_reaches_few_more",
+    ),
+    Mutant(
+        "suspects of the same crashes are tried apart",
+        f"{LIBRARY}/trials.py",
+        "        if endpoint_id in full:",
+        "        if False:",
+        f"{LIBRARY}/trials_test.py"
+        "::test_those_that_may_be_the_cause_are_tried_at_different_endpoints",
+    ),
+    Mutant(
+        "a broken connection to an endpoint that goes on is no crash",
+        f"{NODE}/gateway/endpoints/crash_confirmation.py",
+        "        return bool(done) and task.result()",
+        "        return True",
+        f"{QUARANTINE}::test_endpoints_that_fail_and_go_on_are_no_crashes",
+    ),
+    Mutant(
+        "the quarantine is kept through the loss of all nodes",
+        f"{NODE}/gateway/config/stored_quarantine.py",
+        "            self._adopt(ToldRecord(stored.fingerprint, crashes))",
+        "            pass",
+        f"{STORED}::test_after_the_loss_of_all_nodes_it_ends_no_further_endpoint",
+    ),
+    Mutant(
+        "deadlines count a suspension",
+        f"{NODE}/gateway/requests/attempt.py",
+        "left_s = exchange.admitted.deadline_s - clock.now_s()",
+        "left_s = exchange.admitted.deadline_s - __import__('time').monotonic()",
+        f"{SUSPENSION}::test_a_deadline_that_is_sent_on_has_the_suspension_taken_off",
+    ),
+    Mutant(
+        "timers count a suspension",
+        f"{NODE}/clock.py",
+        "    def time(self) -> float:",
+        "    def other_time(self) -> float:",
+        f"{SUSPENSION}::test_a_request_whose_time_passed_is_ended_and_sent_to_nobody",
+    ),
 )
--- a/packages/springbridge-standins/springbridge_standins/mutants/mutant.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutant.py
@@ -5,6 +5,7 @@
 LIBRARY = "packages/springbridge/springbridge"
 NODE = "packages/springbridge-node/springbridge_node"
 PLATFORM = "platform/springbridge_platform"
+STANDINS = "packages/springbridge-standins/springbridge_standins"
 
 
 @dataclass(frozen=True)
