--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -111,12 +111,7 @@
             roles_after_s=ROLES_AFTER_S if settings.other_seeds else 0.0,
         )
         self.quarantine_parts = QuarantineParts(
-            self.membership,
-            self.registry,
-            self.pool,
-            outside.store,
-            self.readers,
-            self.telemetry,
+            self.membership, self.registry, self.pool, outside.store, self.readers, self.telemetry
         )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.configuration = self._configuration_follower()
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -17,6 +17,11 @@
     def __init__(self) -> None:
         """Create all metrics at zero."""
         self.registry = CollectorRegistry()
+        self._make_counters()
+        self._make_gauges()
+
+    def _make_counters(self) -> None:
+        """Create what counts up as requests end."""
         self.requests = Counter(
             "springbridge_requests", "Ended requests", ["route", "result"], registry=self.registry
         )
@@ -32,11 +37,6 @@
             ["standing"],
             registry=self.registry,
         )
-        self.quarantined = Gauge(
-            "springbridge_quarantined_requests",
-            "Requests that are kept from engines because they end them",
-            registry=self.registry,
-        )
         self.first_piece = Histogram(
             "springbridge_first_piece_seconds",
             "Arrival to first piece of the answer",
@@ -44,6 +44,9 @@
             buckets=FIRST_PIECE_BUCKETS_S,
             registry=self.registry,
         )
+
+    def _make_gauges(self) -> None:
+        """Create what is set when the metrics are read."""
         self.config_version = Gauge(
             "springbridge_config_version", "Version in force", registry=self.registry
         )
@@ -57,6 +60,11 @@
         self.store_up = Gauge(
             "springbridge_store_up", "1 while the store answers", registry=self.registry
         )
+        self.quarantined = Gauge(
+            "springbridge_quarantined_requests",
+            "Requests that are kept from engines because they end them",
+            registry=self.registry,
+        )
         self.suspensions = Gauge(
             "springbridge_suspensions",
             "Times that the machine was suspended since the start",
