Who holds a trial may ask for it again; questions by datagram stand once

A lost answer left the trial running at the coordinator until the request's deadline, and the suspect that held it waiting. Each try names its trial now, is answered alike when it asks again, and gives it back when its caller leaves. The row in the store is written at each failed trial, as one that became a quarantine by the acquittal of another request was never written. Selection and trials wait for their replies by one module.

--- a/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
@@ -1,9 +1,9 @@
 """Keeps requests in quarantine in the platform's store, so that a loss of all nodes loses none.
 
 Without it a fleet that starts anew would learn of each such request by the loss of three further
-endpoints. Few calls: a row for each request that gets into quarantine, written by the node whose
-trial failed, and read once by the nodes that read the store for all. The row goes when a trial ends
-well, or when nothing has happened to the request for so long that all nodes forget it.
+endpoints. Few calls: a row for each request in quarantine, written by the node whose trial failed,
+and read once by the nodes that read the store for all. The row goes when a trial ends well, or when
+nothing has happened to the request for so long that all nodes forget it.
 
 How old a row is it does not say, since nodes share no clock; a node that reads one counts the
 crashes from then on, unless peers know better.
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows.py
@@ -17,11 +17,13 @@
 
     Attributes:
       number: The node's own count of its questions; the reply repeats it.
+      holder: Names the try of the request, in the whole fleet.
       left_s: Seconds left to the request's deadline.
       record: What the node knows of the request.
     """
 
     number: int
+    holder: str
     service: str
     endpoint_id: str
     left_s: float
@@ -75,17 +77,40 @@
     """Return the row of a question."""
     left_s = round(request.left_s, AGE_DECIMALS)
     record = record_row(request.record)
-    return [request.number, request.service, request.endpoint_id, left_s, record]
+    return [
+        request.number,
+        request.holder,
+        request.service,
+        request.endpoint_id,
+        left_s,
+        record,
+    ]
 
 
 def read_request(row: list) -> TrialRequest:
     """Return the question of a row."""
-    count, service, endpoint_id, left_s, record, *_ = row
+    count, holder, service, endpoint_id, left_s, record, *_ = row
     return TrialRequest(
-        whole(count), text(service), text(endpoint_id), number(left_s), read_record(record)
+        whole(count),
+        text(holder),
+        text(service),
+        text(endpoint_id),
+        number(left_s),
+        read_record(record),
     )
 
 
+def end_row(holder: str, record: ToldRecord) -> list:
+    """Return the row that tells of the end of a trial."""
+    return [holder, record_row(record)]
+
+
+def read_end(row: list) -> tuple[str, ToldRecord]:
+    """Return who held the trial of a row, and what is known of the request now."""
+    holder, record, *_ = row
+    return text(holder), read_record(record)
+
+
 def reply_row(reply: TrialReply) -> list:
     """Return the row of an answer."""
     permission = reply.permission
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows_test.py
@@ -22,12 +22,18 @@
 
 
 def test_a_question_s_row_and_back():
-    request = TrialRequest(4, "model", "i-1", 2.5, RECORD)
+    request = TrialRequest(4, "n/q", "model", "i-1", 2.5, RECORD)
     row = crash_rows.request_row(request)
-    assert_that(row, Equals([4, "model", "i-1", 2.5, ROW]))
+    assert_that(row, Equals([4, "n/q", "model", "i-1", 2.5, ROW]))
     assert_that(crash_rows.read_request(row), Equals(request))
 
 
+def test_the_row_of_an_end_and_back():
+    row = crash_rows.end_row("n/q", RECORD)
+    assert_that(row, Equals(["n/q", ROW]))
+    assert_that(crash_rows.read_end(row), Equals(("n/q", RECORD)))
+
+
 def test_an_answer_s_row_and_back():
     reply = TrialReply(4, Permission(Answer.ANOTHER_ENDPOINT, ("i-1",), 0.5), RECORD)
     row = crash_rows.reply_row(reply)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_client.py
@@ -5,8 +5,6 @@
 moment. What the node itself knows of an endpoint comes first: one that it cannot use is not taken.
 """
 
-import asyncio
-import itertools
 from collections.abc import Collection
 
 from springbridge.routing.endpoint_choice import Choice
@@ -17,12 +15,9 @@
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.coordinator_set import CoordinatorSet
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.gateway.peers.pending_replies import PendingReplies
 from springbridge_node.gateway.peers.selection_messages import SelectionReply, SelectionRequest
 
-# Seconds to wait for a coordinator's reply. Measured with 40 ms on a fleet of 71 nodes whose 11
-# engines crashed: 119 requests in 40 ms wrongly found two live coordinators silent.
-ANSWER_S = 0.08
-
 
 class SelectionClient:
     """Asks coordinators for endpoints."""
@@ -35,8 +30,7 @@
         """
         self._registry = registry
         self._coordinators = coordinators
-        self._numbers = itertools.count()
-        self._waiting: dict[int, asyncio.Future[SelectionReply]] = {}
+        self._pending: PendingReplies[SelectionReply] = PendingReplies()
         self._datagrams: PeerDatagrams | None = None
 
     def connect(self, datagrams: PeerDatagrams) -> None:
@@ -68,24 +62,15 @@
         self, address: str, demand: Demand, tried: Collection[str], attempt_id: str
     ) -> SelectionReply | None:
         """Return a coordinator's reply, or None if it does not come in time."""
-        number = next(self._numbers)
         avoided = self._registry.avoided(demand.service)
-        request = SelectionRequest(number, attempt_id, list(tried), avoided, demand)
-        fut = asyncio.get_running_loop().create_future()
-        self._waiting[number] = fut
-        self._datagrams.send(Kind.SELECTION_REQUEST, codec.request_row(request), [address])
-        try:
-            async with asyncio.timeout(ANSWER_S):
-                return await fut
-        except TimeoutError:
-            # No line here: the caller leaves the coordinator out, and that is logged.
-            return None
-        finally:
-            del self._waiting[number]
+
+        def send(number: int) -> None:
+            request = SelectionRequest(number, attempt_id, list(tried), avoided, demand)
+            self._datagrams.send(Kind.SELECTION_REQUEST, codec.request_row(request), [address])
+
+        return await self._pending.ask(send)
 
     def _take_reply(self, row: list, sender: str) -> None:
-        """Hand a reply to the request that waits for it; a late one is of no use."""
+        """Hand a reply to the request that waits for it."""
         reply = codec.read_reply(row)
-        fut = self._waiting.get(reply.number)
-        if fut is not None and not fut.done():
-            fut.set_result(reply)
+        self._pending.take(reply.number, reply)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_server_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_server_test.py
@@ -10,7 +10,7 @@
 from testtools.matchers import Equals, GreaterThan
 
 from springbridge_node.gateway.peers.load_sharing import GATHER_S
-from springbridge_node.gateway.peers.selection_client import ANSWER_S
+from springbridge_node.gateway.peers.pending_replies import ANSWER_S
 from springbridge_node.gateway.peers.selection_messages import SelectionRequest
 from springbridge_node.gateway.peers.selection_server import AWAIT_NOTICE_S, SelectionServer
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits.py
@@ -5,8 +5,6 @@
 that both grant would put a second endpoint at risk.
 """
 
-import asyncio
-import itertools
 from collections.abc import Callable
 
 from springbridge.crash_records import CrashRecords, ToldRecord
@@ -17,8 +15,7 @@
 from springbridge_node.gateway.peers.crash_rows import TrialReply, TrialRequest
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
-from springbridge_node.gateway.peers.row_fields import text
-from springbridge_node.gateway.peers.selection_client import ANSWER_S
+from springbridge_node.gateway.peers.pending_replies import PendingReplies
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
 
 
@@ -42,8 +39,7 @@
         self._coordinators = coordinators
         self._endpoint_count = endpoint_count
         self._trials = Trials(quarantine)
-        self._numbers = itertools.count()
-        self._waiting: dict[int, asyncio.Future[TrialReply]] = {}
+        self._pending: PendingReplies[TrialReply] = PendingReplies()
         self._datagrams: PeerDatagrams | None = None
 
     def connect(self, datagrams: PeerDatagrams) -> None:
@@ -54,76 +50,66 @@
         datagrams.handle(Kind.TRIAL_ENDED, self._take_end)
 
     async def ask(
-        self, fingerprint: str, service: str, endpoint_id: str, left_s: float
+        self, fingerprint: str, holder: str, service: str, endpoint_id: str, left_s: float
     ) -> Permission:
         """Return whether a request may be sent to an endpoint now.
 
         Args:
+          holder: Names the try of the request, in the whole fleet.
           left_s: Seconds left to the request's deadline.
         """
         coordinators = self._coordinators.of(service)
         if not coordinators or self._coordinators.is_me(coordinators[0]):
-            return self._decide(fingerprint, service, endpoint_id, left_s)
-        request = TrialRequest(
-            next(self._numbers), service, endpoint_id, left_s, self._told(fingerprint)
-        )
-        reply = await self._reply(request, coordinators[0].peer_address)
+            return self._decide(fingerprint, holder, service, endpoint_id, left_s)
+        address = coordinators[0].peer_address
+
+        def send(number: int) -> None:
+            told = self._told(fingerprint)
+            request = TrialRequest(number, holder, service, endpoint_id, left_s, told)
+            self._datagrams.send(Kind.TRIAL_REQUEST, crash_rows.request_row(request), [address])
+
+        reply = await self._pending.ask(send)
         if reply is None:
             return WAIT
         self._sharing.merge(reply.record)
         return reply.permission
 
-    def end(self, fingerprint: str, service: str) -> None:
+    def end(self, fingerprint: str, holder: str, service: str) -> None:
         """Note that a trial is over, with what it showed."""
         coordinators = self._coordinators.of(service)
         if not coordinators or self._coordinators.is_me(coordinators[0]):
-            self._trials.ended(fingerprint)
+            self._trials.ended(fingerprint, holder)
         elif self._datagrams is not None:
-            row = [crash_rows.record_row(self._told(fingerprint))]
+            row = crash_rows.end_row(holder, self._told(fingerprint))
             self._datagrams.send(Kind.TRIAL_ENDED, row, [coordinators[0].peer_address])
 
     def _told(self, fingerprint: str) -> ToldRecord:
         return self._records.told(fingerprint) or ToldRecord(fingerprint)
 
     def _decide(
-        self, fingerprint: str, service: str, endpoint_id: str, left_s: float
+        self, fingerprint: str, holder: str, service: str, endpoint_id: str, left_s: float
     ) -> Permission:
         endpoints = self._endpoint_count(service)
-        return self._trials.ask(fingerprint, endpoint_id, left_s, endpoints)
-
-    async def _reply(self, request: TrialRequest, address: str) -> TrialReply | None:
-        """Return the coordinator's reply, or None if it does not come in time."""
-        fut = asyncio.get_running_loop().create_future()
-        self._waiting[request.number] = fut
-        self._datagrams.send(Kind.TRIAL_REQUEST, crash_rows.request_row(request), [address])
-        try:
-            async with asyncio.timeout(ANSWER_S):
-                return await fut
-        except TimeoutError:
-            # No line here: the request is held and asks again, and its end is logged.
-            return None
-        finally:
-            del self._waiting[request.number]
+        return self._trials.ask(fingerprint, holder, endpoint_id, left_s, endpoints)
 
     def _answer(self, row: list, sender: str) -> None:
         """Answer a node's question."""
         request = crash_rows.read_request(row)
         self._sharing.merge(request.record)
         fingerprint = request.record.fingerprint
-        permission = self._decide(fingerprint, request.service, request.endpoint_id, request.left_s)
+        permission = self._decide(
+            fingerprint, request.holder, request.service, request.endpoint_id, request.left_s
+        )
         reply = TrialReply(request.number, permission, self._told(fingerprint))
         self._datagrams.send(Kind.TRIAL_REPLY, crash_rows.reply_row(reply), [sender])
 
     def _take_reply(self, row: list, sender: str) -> None:
-        """Hand a reply to the request that waits for it; a late one is of no use."""
+        """Hand a reply to the request that waits for it."""
         reply = crash_rows.read_reply(row)
-        fut = self._waiting.get(reply.number)
-        if fut is not None and not fut.done():
-            fut.set_result(reply)
+        self._pending.take(reply.number, reply)
 
-    def _take_end(self, rows: list, sender: str) -> None:
+    def _take_end(self, row: list, sender: str) -> None:
         """Note that a peer's trial is over."""
-        (row,) = rows
-        told = crash_rows.read_record(row)
+        holder, told = crash_rows.read_end(row)
         self._sharing.merge(told)
-        self._trials.ended(text(told.fingerprint))
+        self._trials.ended(told.fingerprint, holder)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits_test.py
@@ -1,6 +1,7 @@
 """Tests of trial_permits.py: nodes ask one of them before they send a suspect."""
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, replace
 
@@ -17,6 +18,8 @@
 from springbridge_node.gateway.peers.trial_permits import TrialPermits
 
 NODES = 9
+# Of the tries of the request.
+NUMBERS = itertools.count()
 SERVICE = "model"
 ENDPOINTS = 4
 
@@ -37,7 +40,11 @@
 
     async def ask(self, endpoint_id="i-1"):
         """Ask for a trial."""
-        return await self.permits.ask("cause", SERVICE, endpoint_id, left_s=5.0)
+        return await self.permits.ask("cause", self.holder(), SERVICE, endpoint_id, left_s=5.0)
+
+    def holder(self):
+        """Return a name for the next try."""
+        return f"{self.membership.me.incarnation}/{next(NUMBERS)}"
 
 
 @pytest.fixture
@@ -83,9 +90,10 @@
         one, other = nodes[1], nodes[2]
         one.suspect(1, 2)
         other.suspect(1, 2)
-        assert_that((await one.ask()).answer, Is(Answer.GRANTED))
+        held = await one.permits.ask("cause", "n/q", SERVICE, "i-1", left_s=5.0)
+        assert_that(held.answer, Is(Answer.GRANTED))
         one.records.note_crash("cause", 3, on_trial=True)
-        one.permits.end("cause", SERVICE)
+        one.permits.end("cause", "n/q", SERVICE)
         assert_that((await other.ask()).answer, Is(Answer.QUARANTINED))
         assert_that(other.quarantine.verdict("cause").standing, Is(Standing.QUARANTINED))
 
@@ -106,9 +114,10 @@
 def test_the_coordinator_asks_itself(nodes):
     async def body():
         nodes[0].suspect(1, 2)
-        assert_that((await nodes[0].ask()).answer, Is(Answer.GRANTED))
+        held = await nodes[0].permits.ask("cause", "n/q", SERVICE, "i-1", left_s=5.0)
+        assert_that(held.answer, Is(Answer.GRANTED))
         assert_that((await nodes[0].ask()).answer, Is(Answer.WAIT))
-        nodes[0].permits.end("cause", SERVICE)
+        nodes[0].permits.end("cause", "n/q", SERVICE)
         assert_that((await nodes[0].ask()).answer, Is(Answer.GRANTED))
 
     asyncio.run(body())
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -40,12 +40,12 @@
 
     Attributes:
       may_send: It may; if not and there is no problem, an endpoint has to be selected anew.
-      on_trial: It may as a trial, whose end has to be told.
+      trial: Name of the trial that it is, whose end has to be told; "" for none.
       problem: Why the request is given up, or None.
     """
 
     may_send: bool = False
-    on_trial: bool = False
+    trial: str = ""
     problem: Problem | None = None
 
 
@@ -55,8 +55,13 @@
 
 @dataclass(frozen=True)
 class GateParts:
-    """What the gate works with."""
+    """What the gate works with.
 
+    Attributes:
+      incarnation: Of this node.
+    """
+
+    incarnation: str
     quarantine: Quarantine
     sharing: CrashSharing
     permits: TrialPermits
@@ -104,13 +109,21 @@
         """Ask for a trial."""
         fingerprint = fingerprint_of(exchange)
         endpoint_id = choice.state.entry.endpoint_id
+        # New among those of all nodes, and the same until the request is sent.
+        trial = f"{self._parts.incarnation}/{exchange.request_id}/{exchange.progress.sends}"
         left_s = exchange.admitted.deadline_s - clock.now_s()
-        permission = await self._parts.permits.ask(
-            fingerprint, exchange.demand.service, endpoint_id, left_s
-        )
+        service = exchange.demand.service
+        try:
+            permission = await self._parts.permits.ask(
+                fingerprint, trial, service, endpoint_id, left_s
+            )
+        except asyncio.CancelledError:
+            # The caller left; the trial may have been granted meanwhile.
+            self._parts.permits.end(fingerprint, trial, service)
+            raise
         match permission.answer:
             case Answer.GRANTED:
-                return Clearance(may_send=True, on_trial=True)
+                return Clearance(may_send=True, trial=trial)
             case Answer.ANOTHER_ENDPOINT:
                 exchange.progress.avoided |= set(permission.avoided) | {endpoint_id}
                 return LOOK_AGAIN
@@ -142,13 +155,15 @@
     @contextlib.contextmanager
     def attempt(self, exchange: Exchange, clearance: Clearance) -> Iterator[None]:
         """Let a trial run for as long as the block does."""
-        exchange.progress.on_trial = clearance.on_trial
+        exchange.progress.on_trial = bool(clearance.trial)
         try:
             yield
         finally:
-            if clearance.on_trial:
-                exchange.progress.on_trial = False
-                self._parts.permits.end(fingerprint_of(exchange), exchange.demand.service)
+            exchange.progress.on_trial = False
+            if clearance.trial:
+                self._parts.permits.end(
+                    fingerprint_of(exchange), clearance.trial, exchange.demand.service
+                )
 
     async def note_end(self, exchange: Exchange, state: EndpointState, end: End) -> bool:
         """Record what an attempt showed of its request, and return whether its endpoint ended."""
@@ -178,14 +193,12 @@
         fingerprint = fingerprint_of(exchange)
         entry = state.entry
         crash = crash_id(entry.endpoint_id, entry.born_ms)
-        was = self._parts.quarantine.verdict(fingerprint).standing
         if not self._records.note_crash(fingerprint, crash, exchange.progress.on_trial):
             return
         self._parts.sharing.spread(fingerprint, exchange.demand.service)
         found = self._parts.quarantine.verdict(fingerprint)
         self._parts.log.crashed(exchange, entry.endpoint_id, found)
-        is_new = was is not Standing.QUARANTINED
-        if found.standing is Standing.QUARANTINED and is_new:
+        if found.standing is Standing.QUARANTINED:
             self._parts.stored.entered(fingerprint)
 
     def forget_old(self) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -55,6 +55,7 @@
         self.stored = StoredQuarantine(store, readers, self._records, self._adopt)
         self.gate = QuarantineGate(
             GateParts(
+                membership.me.incarnation,
                 self._quarantine,
                 self.sharing,
                 self._permits,
--- a/packages/springbridge-standins/springbridge_standins/crash_simulation.py
+++ b/packages/springbridge-standins/springbridge_standins/crash_simulation.py
@@ -98,6 +98,11 @@
     held_until_s: float = 0.0
     on_trial: bool = False
 
+    @property
+    def holder(self) -> str:
+        """Return the name of the try."""
+        return str(id(self))
+
 
 class CrashSimulation:
     """One simulation."""
@@ -193,7 +198,9 @@
                 self._hold(one)
                 return
             endpoint = self._least(left)
-            permission = self._trials.ask(one.request, endpoint.name, 10.0, len(self._up))
+            permission = self._trials.ask(
+                one.request, one.holder, endpoint.name, 10.0, len(self._up)
+            )
             if permission.answer is not Answer.ANOTHER_ENDPOINT:
                 break
             avoided |= set(permission.avoided)
@@ -253,7 +260,7 @@
 
     def _end_trial(self, one: _Try) -> None:
         if one.on_trial:
-            self._trials.ended(one.request)
+            self._trials.ended(one.request, one.holder)
             one.on_trial = False
 
 
--- a/packages/springbridge/springbridge/trials.py
+++ b/packages/springbridge/springbridge/trials.py
@@ -64,9 +64,11 @@
     """A request that runs on trial.
 
     Attributes:
+      holder: The try that it was granted to.
       until_s: When it no longer counts as running.
     """
 
+    holder: str
     endpoint_id: str
     until_s: float
 
@@ -79,10 +81,14 @@
         self._quarantine = quarantine
         self._running: dict[str, Trial] = {}
 
-    def ask(self, fingerprint: str, endpoint_id: str, left_s: float, endpoints: int) -> Permission:
+    def ask(
+        self, fingerprint: str, holder: str, endpoint_id: str, left_s: float, endpoints: int
+    ) -> Permission:
         """Return whether a request may be sent to an endpoint now, and count it there if it may.
 
         Args:
+          holder: Names the try of the request that asks. The one that holds the trial already gets
+            the same answer, since the one before may have been lost.
           left_s: Seconds left to the request's deadline.
           endpoints: How many endpoints the service has.
         """
@@ -92,19 +98,21 @@
         if found.standing is Standing.FREE:
             return GRANTED
         if fingerprint in self._running:
-            return WAIT
+            return GRANTED if self._running[fingerprint].holder == holder else WAIT
         if now_s < found.trial_due_s:
             return Permission(Answer.QUARANTINED, wait_s=found.trial_due_s - now_s)
         full = self._full_endpoints(fingerprint, endpoints)
         if endpoint_id in full:
             return Permission(Answer.ANOTHER_ENDPOINT, avoided=tuple(sorted(full)))
         until_s = now_s + min(left_s, LONGEST_TRIAL_RUN_S)
-        self._running[fingerprint] = Trial(endpoint_id, until_s)
+        self._running[fingerprint] = Trial(holder, endpoint_id, until_s)
         return GRANTED
 
-    def ended(self, fingerprint: str) -> None:
-        """Note that the trial of a request is over."""
-        self._running.pop(fingerprint, None)
+    def ended(self, fingerprint: str, holder: str) -> None:
+        """Note that the trial that a try of a request held is over."""
+        trial = self._running.get(fingerprint)
+        if trial is not None and trial.holder == holder:
+            del self._running[fingerprint]
 
     def _full_endpoints(self, fingerprint: str, endpoints: int) -> set[str]:
         """Return the endpoints that run as many trials of a request's companions as they should."""
--- a/packages/springbridge/springbridge/trials_test.py
+++ b/packages/springbridge/springbridge/trials_test.py
@@ -44,9 +44,9 @@
     return make
 
 
-def ask(trials, name, endpoint_id="i-1", left_s=LEFT_S):
+def ask(trials, name, endpoint_id="i-1", left_s=LEFT_S, holder="one"):
     """Return the answer to a question."""
-    return trials.ask(name, endpoint_id, left_s, ENDPOINTS).answer
+    return trials.ask(name, holder, endpoint_id, left_s, ENDPOINTS).answer
 
 
 def test_who_is_free_needs_no_trial(trials):
@@ -56,34 +56,43 @@
 def test_a_suspect_runs_once_however_many_nodes_ask(trials, suspects):
     (name,) = suspects(1)
     assert_that(ask(trials, name), Is(Answer.GRANTED))
-    assert_that([ask(trials, name, f"i-{one}") for one in range(5)], Equals([Answer.WAIT] * 5))
-    trials.ended(name)
-    assert_that(ask(trials, name), Is(Answer.GRANTED))
+    others = [ask(trials, name, f"i-{one}", holder=f"other-{one}") for one in range(5)]
+    assert_that(others, Equals([Answer.WAIT] * 5))
+    trials.ended(name, "other-1")
+    assert_that(ask(trials, name, holder="other-1"), Is(Answer.WAIT))
+    trials.ended(name, "one")
+    assert_that(ask(trials, name, holder="other-1"), Is(Answer.GRANTED))
+
+
+def test_who_holds_a_trial_may_ask_again(trials, suspects):
+    # The answer is a datagram, which may be lost.
+    (name,) = suspects(1)
+    assert_that([ask(trials, name), ask(trials, name)], Equals([Answer.GRANTED] * 2))
 
 
 def test_a_trial_whose_end_nobody_tells_ends_with_its_deadline(trials, suspects, clock):
     (name,) = suspects(1)
     ask(trials, name, left_s=2.0)
     clock.now_s += 2.1
-    assert_that(ask(trials, name, left_s=900.0), Is(Answer.GRANTED))
+    assert_that(ask(trials, name, left_s=900.0, holder="two"), Is(Answer.GRANTED))
     clock.now_s += LONGEST_TRIAL_RUN_S + 0.1
-    assert_that(ask(trials, name), Is(Answer.GRANTED))
+    assert_that(ask(trials, name, holder="three"), Is(Answer.GRANTED))
 
 
 def test_in_quarantine_nothing_is_sent_before_the_next_trial_is_due(trials, records, clock):
     for number in (1, 2, 3):
         records.note_crash("cause", number, on_trial=number == 3)
-    answer = trials.ask("cause", "i-1", LEFT_S, ENDPOINTS)
+    answer = trials.ask("cause", "one", "i-1", LEFT_S, ENDPOINTS)
     assert_that((answer.answer, answer.wait_s), Equals((Answer.QUARANTINED, FIRST_TRIAL_S)))
     clock.now_s += FIRST_TRIAL_S
     assert_that(ask(trials, "cause"), Is(Answer.GRANTED))
-    assert_that(ask(trials, "cause"), Is(Answer.WAIT))
+    assert_that(ask(trials, "cause", holder="two"), Is(Answer.WAIT))
 
 
 def test_those_that_may_be_the_cause_are_tried_at_different_endpoints(trials, suspects):
     first, second, *_ = suspects(ENDPOINTS)
     assert_that(ask(trials, first, "i-1"), Is(Answer.GRANTED))
-    answer = trials.ask(second, "i-1", LEFT_S, ENDPOINTS)
+    answer = trials.ask(second, "one", "i-1", LEFT_S, ENDPOINTS)
     assert_that((answer.answer, answer.avoided), Equals((Answer.ANOTHER_ENDPOINT, ("i-1",))))
     assert_that(ask(trials, second, "i-2"), Is(Answer.GRANTED))
 
