--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
@@ -0,0 +1,184 @@
+"""Tests of quarantine_gate.py with stood-in peers: what is asked, told and kept, and when."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from springbridge.crash_records import CrashRecords
+from springbridge.quarantine import Quarantine
+from springbridge.routing.endpoint_state import EndpointState
+from springbridge.routing.records import EndpointEntry, Route, WeightedService
+from springbridge.routing.retries import End
+from springbridge.trials import GRANTED, Answer, Permission
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, Not
+
+from springbridge_node import clock as node_clock
+from springbridge_node.gateway.requests.exchange import Progress
+from springbridge_node.gateway.requests.quarantine_gate import GateParts, QuarantineGate
+
+NAME = "f00d"
+TARGET_S = 0.5
+
+
+class Peers:
+    """Stands in for what the gate tells and asks others, and keeps what it was told."""
+
+    def __init__(self):
+        self.answer = GRANTED
+        self.hangs = False
+        self.asked, self.ended, self.stored, self.told = [], [], [], []
+
+    async def ask(self, fingerprint, trial, service, endpoint_id, left_s):
+        """Answer as the coordinator would."""
+        self.asked.append(trial)
+        if self.hangs:
+            await asyncio.sleep(60)
+        return self.answer
+
+    def end(self, fingerprint, trial, service):
+        """Take in the end of a trial."""
+        self.ended.append(trial)
+
+    def spread(self, fingerprint, service, was_known=False):
+        """Take in what is told to the peers."""
+        self.told.append(fingerprint)
+
+    def entered(self, fingerprint):
+        """Take in what the store has to keep."""
+        self.stored.append(fingerprint)
+
+    async def has_crashed(self, state):
+        """Confirm the end of the endpoint."""
+        return True
+
+    def crashed(self, exchange, endpoint_id, found):
+        """Log nothing."""
+
+
+@pytest.fixture
+def records():
+    """Return records in which a request is a suspect."""
+    found = CrashRecords(node_clock.now_s)
+    for crash in (1, 2):
+        found.note_crash(NAME, crash)
+    return found
+
+
+@pytest.fixture
+def peers():
+    """Return the peers and the store."""
+    return Peers()
+
+
+@pytest.fixture
+def gate(records, peers):
+    """Return the gate."""
+    quarantine = Quarantine(records)
+    return QuarantineGate(GateParts("n1", quarantine, peers, peers, peers, peers, peers))
+
+
+@pytest.fixture
+def exchange():
+    """Return a request with that fingerprint."""
+    route = Route(
+        "r", "h", "/", (WeightedService("model", 1),), False, True, False, target_s=TARGET_S
+    )
+    progress = Progress(fingerprint=NAME)
+    return SimpleNamespace(
+        route=route,
+        request_id="q",
+        progress=progress,
+        demand=SimpleNamespace(service="model"),
+        admitted=SimpleNamespace(deadline_s=node_clock.now_s() + 5.0),
+        attempts=lambda: SimpleNamespace(may_have_run=progress.may_have_run),
+    )
+
+
+def choice_of(name):
+    """Return the choice of an endpoint."""
+    return SimpleNamespace(state=state_of(name))
+
+
+def state_of(name):
+    """Return an endpoint that is listed."""
+    return EndpointState(EndpointEntry(name, "model", "10.0.0.1:1", "a", 4, False))
+
+
+def test_a_caller_that_leaves_while_a_trial_is_asked_for_gives_it_back(gate, peers, exchange):
+    async def body():
+        peers.hangs = True
+        asking = asyncio.ensure_future(gate.clear(exchange, choice_of("i-1")))
+        await asyncio.sleep(0.01)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+
+    asyncio.run(body())
+    assert_that(peers.ended, Equals(peers.asked))
+
+
+def test_each_attempt_of_a_request_is_a_trial_of_its_own(gate, peers, exchange):
+    async def body():
+        for _ in range(2):
+            clearance = await gate.clear(exchange, choice_of("i-1"))
+            with gate.attempt(exchange, clearance):
+                exchange.progress.sends += 1
+
+    asyncio.run(body())
+    assert_that(len(set(peers.asked)), Equals(2))
+    assert_that(peers.ended, Equals(peers.asked))
+
+
+def test_a_failed_trial_is_kept_also_if_it_was_in_quarantine_already(
+    gate, peers, records, exchange
+):
+    # Another request failed the same trial, and its good end made this one the cause.
+    for crash in (1, 2):
+        records.note_crash("page", crash)
+    for name in (NAME, "page"):
+        records.note_crash(name, 3, on_trial=True)
+    records.acquit("page")
+
+    async def body():
+        with gate.attempt(exchange, await gate.clear(exchange, choice_of("i-1"))):
+            await gate.note_end(exchange, state_of("i-1"), End.BROKEN)
+
+    asyncio.run(body())
+    assert_that(peers.stored, Equals([NAME]))
+
+
+def test_what_is_refused_is_not_asked_for_again_until_its_trial(gate, peers, exchange):
+    peers.answer = Permission(Answer.QUARANTINED, wait_s=20.0)
+
+    async def body():
+        return [await gate.clear(exchange, choice_of("i-1")) for _ in range(3)]
+
+    found = asyncio.run(body())
+    assert_that([each.problem is None for each in found], Equals([False] * 3))
+    assert_that(len(peers.asked), Equals(1))
+
+
+def test_a_suspect_waits_no_longer_than_its_route_aims_at(gate, peers, exchange):
+    peers.answer = Permission(Answer.WAIT)
+
+    async def body():
+        begun_s = node_clock.now_s()
+        while True:
+            found = await gate.clear(exchange, choice_of("i-1"))
+            if found.problem is not None:
+                return found.problem, node_clock.now_s() - begun_s
+
+    problem, took_s = asyncio.run(body())
+    assert_that(problem.retry_after_s, Not(Is(None)))
+    # One look beyond the target, and room for a busy machine.
+    assert_that(TARGET_S < took_s < TARGET_S + 2.0, Is(True))
+
+
+def test_who_is_acquitted_while_it_avoids_endpoints_selects_among_all(
+    gate, peers, records, exchange
+):
+    exchange.progress.avoided.add("i-1")
+    records.acquit(NAME)
+    found = asyncio.run(gate.clear(exchange, None))
+    assert_that((found.may_send, found.problem), Equals((False, None)))
+    assert_that(exchange.progress.avoided, Equals(set()))
