--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -16,9 +16,10 @@
 # Seconds that a request whose attempt broke waits for the result: a refusal comes within a round
 # trip, and a longer silence shows nothing. Not measured; chosen as some round trips.
 REFUSAL_S = 0.05
-# Seconds for which the result holds for the other requests that broke with the endpoint. Not
-# measured; chosen far below the time in which another endpoint may have the address.
-RESULT_KEPT_S = 0.5
+# Seconds for which the result holds for the other requests that broke with the endpoint. It bounds
+# what an endpoint costs that resets many connections: one more a second from each node. Not
+# measured; chosen below the time in which another endpoint may have the address.
+RESULT_KEPT_S = 1.0
 
 
 class CrashConfirmation:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
@@ -67,6 +67,7 @@
         self._pushes: set[str] = set()
         self._news_until_s: dict[str, float] = {}
         self._greeted: set[str] = set()
+        self._greeted_version = -1
 
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Start to tell peers and to take in what they tell."""
@@ -105,6 +106,10 @@
 
     def _greet(self) -> None:
         """Tell peers that were not there at the last beat of the records that concern all."""
+        version = self._membership.live_version()
+        if version == self._greeted_version:
+            return
+        self._greeted_version = version
         running = {member.incarnation: member for member in self._membership.reachable()}
         new, self._greeted = running.keys() - self._greeted, set(running)
         names = [each.fingerprint for each in self._records.all() if _concerns_all(each)]
