A trial that was turned away is not followed by another at once

In quarantine the pause counted from crashes alone, so that full endpoints, which turn a trial away without running it, would have got each copy of the request. It counts from the grant as well now; the test failed first by the second grant.

--- a/packages/springbridge/springbridge/quarantine.py
+++ b/packages/springbridge/springbridge/quarantine.py
@@ -63,11 +63,13 @@
     Attributes:
       crashes: How many crashes count against it.
       trial_due_s: When it may be tried, on the clock of the records; long ago unless quarantined.
+      pause_s: Shortest time between two trials, in seconds; 0 unless quarantined.
     """
 
     standing: Standing
     crashes: int = 0
     trial_due_s: float = float("-inf")
+    pause_s: float = 0.0
 
 
 FREE = Verdict(Standing.FREE)
@@ -99,8 +101,8 @@
             return Verdict(Standing.SUSPECT, crashes)
         is_certain = _failed_alone(self.records, record) and not self._others_end(record)
         first_s = FIRST_TRIAL_S if is_certain else FIRST_DOUBTED_TRIAL_S
-        due_s = record.last_crash_s + trial_pause_s(failed, first_s)
-        return Verdict(Standing.QUARANTINED, crashes, due_s)
+        pause_s = trial_pause_s(failed, first_s)
+        return Verdict(Standing.QUARANTINED, crashes, record.last_crash_s + pause_s, pause_s)
 
     def companions(self, fingerprint: str) -> frozenset[str]:
         """Return the requests, this one included, any of which may have caused the same crashes.
--- a/packages/springbridge/springbridge/trials.py
+++ b/packages/springbridge/springbridge/trials.py
@@ -7,7 +7,9 @@
 runs once in the whole fleet, however many nodes it comes to at the same moment. Requests that may
 have caused the same crashes are spread over the endpoints, so that the next crash parts them; all
 of them run at the same time if there are more of them than endpoints, because most are innocent
-and after the loss of many endpoints hundreds of requests are under suspicion.
+and after the loss of many endpoints hundreds of requests are under suspicion. In quarantine the
+pause counts from a trial's grant as well: full endpoints may turn the trial away, and the next copy
+of the request would follow at once.
 
 Relies on a monotonic clock in seconds. Nothing here waits or does input or output.
 """
@@ -18,8 +20,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from springbridge.crash_records import NEVER_S
 from springbridge.hashing import score
-from springbridge.quarantine import Quarantine, Standing
+from springbridge.quarantine import LONGEST_TRIAL_S, Quarantine, Standing
 
 # Nodes that the crashes of a service are told to: the first one grants the trials, and the second
 # one knows what the first one did if that ends. Not measured.
@@ -80,6 +83,7 @@
         """Start without a trial."""
         self._quarantine = quarantine
         self._running: dict[str, Trial] = {}
+        self._granted_s: dict[str, float] = {}
 
     def ask(
         self, fingerprint: str, holder: str, endpoint_id: str, left_s: float, endpoints: int
@@ -99,12 +103,14 @@
             return GRANTED
         if fingerprint in self._running:
             return GRANTED if self._running[fingerprint].holder == holder else WAIT
-        if now_s < found.trial_due_s:
-            return Permission(Answer.QUARANTINED, wait_s=found.trial_due_s - now_s)
+        due_s = max(found.trial_due_s, self._granted_s.get(fingerprint, NEVER_S) + found.pause_s)
+        if now_s < due_s:
+            return Permission(Answer.QUARANTINED, wait_s=due_s - now_s)
         full = self._full_endpoints(fingerprint, endpoints)
         if endpoint_id in full:
             return Permission(Answer.ANOTHER_ENDPOINT, avoided=tuple(sorted(full)))
         until_s = now_s + min(left_s, LONGEST_TRIAL_RUN_S)
+        self._granted_s[fingerprint] = now_s
         self._running[fingerprint] = Trial(holder, endpoint_id, until_s)
         return GRANTED
 
@@ -126,7 +132,10 @@
         return full | {trial.endpoint_id for name, trial in self._running.items() if name in rivals}
 
     def _drop_over(self, now_s: float) -> None:
-        """Drop the trials whose time is over."""
+        """Drop the trials whose time is over, and grants that no pause counts from any more."""
+        self._granted_s = {
+            name: at_s for name, at_s in self._granted_s.items() if now_s < at_s + LONGEST_TRIAL_S
+        }
         self._running = {
             name: trial for name, trial in self._running.items() if trial.until_s > now_s
         }
--- a/packages/springbridge/springbridge/trials_test.py
+++ b/packages/springbridge/springbridge/trials_test.py
@@ -89,6 +89,20 @@
     assert_that(ask(trials, "cause", holder="two"), Is(Answer.WAIT))
 
 
+def test_a_trial_that_endpoints_turned_away_is_not_followed_by_another_at_once(
+    trials, records, clock
+):
+    for number in (1, 2, 3):
+        records.note_crash("cause", number, on_trial=number == 3)
+    clock.now_s += FIRST_TRIAL_S
+    assert_that(ask(trials, "cause"), Is(Answer.GRANTED))
+    trials.ended("cause", "one")
+    clock.now_s += 0.1
+    assert_that(ask(trials, "cause", holder="two"), Is(Answer.QUARANTINED))
+    clock.now_s += FIRST_TRIAL_S
+    assert_that(ask(trials, "cause", holder="two"), Is(Answer.GRANTED))
+
+
 def test_those_that_may_be_the_cause_are_tried_at_different_endpoints(trials, suspects):
     first, second, *_ = suspects(ENDPOINTS)
     assert_that(ask(trials, first, "i-1"), Is(Answer.GRANTED))
