--- a/packages/springbridge-standins/springbridge_standins/crash_simulation.py
+++ b/packages/springbridge-standins/springbridge_standins/crash_simulation.py
@@ -37,8 +37,8 @@
       per_s: Requests a second that are sent once, tries aside.
       pages: Requests that are sent again and again, and run well.
       page_per_s: How often each of them is sent in a second.
-      enders: Requests that end each endpoint that runs them.
-      ender_pause_s: Seconds between two sends of each.
+      poison: Requests that end each endpoint that runs them.
+      poison_pause_s: Seconds between two sends of each.
       crashes_per_s: Endpoints a second that end by themselves.
       lasts_s: Length of the simulation.
     """
@@ -47,8 +47,8 @@
     per_s: float = 12.0
     pages: int = 2
     page_per_s: float = 4.0
-    enders: int = 1
-    ender_pause_s: float = 0.7
+    poison: int = 1
+    poison_pause_s: float = 0.7
     crashes_per_s: float = 0.0
     lasts_s: float = 60.0
 
@@ -58,8 +58,8 @@
     """What came of a simulation.
 
     Attributes:
-      ends: When endpoints ended under each ender.
-      sends: When each ender reached an endpoint.
+      ends: When endpoints ended under each poison request.
+      sends: When each poison request reached an endpoint.
       refused: For each other request, how often it was refused for being in quarantine.
       held: For each other request, how often it was refused after being held for a trial.
       served, failed: Tries of other requests.
@@ -74,12 +74,12 @@
     failed: int = 0
     refused_for_s: list[float] = field(default_factory=list)
 
-    def late_sends(self, ender: str, in_touch_s: float) -> int:
+    def late_sends(self, poison: str, in_touch_s: float) -> int:
         """Return how often a request reached endpoints later than a time after its third end."""
-        ends = sorted(self.ends.get(ender, []))
+        ends = sorted(self.ends.get(poison, []))
         if len(ends) < 3:
             return 0
-        return sum(at_s > ends[2] + in_touch_s for at_s in self.sends[ender])
+        return sum(at_s > ends[2] + in_touch_s for at_s in self.sends[poison])
 
 
 @dataclass
@@ -142,10 +142,10 @@
         for page in range(scene.pages):
             for _ in range(int(scene.page_per_s * scene.lasts_s)):
                 self._send_at(self._rng.uniform(0, scene.lasts_s), f"page-{page}")
-        for ender in range(scene.enders):
+        for poison in range(scene.poison):
             first_s = self._rng.uniform(1, 8)
-            for number in range(int((scene.lasts_s - first_s) / scene.ender_pause_s)):
-                self._send_at(first_s + number * scene.ender_pause_s, f"ender-{ender}", TRIES)
+            for number in range(int((scene.lasts_s - first_s) / scene.poison_pause_s)):
+                self._send_at(first_s + number * scene.poison_pause_s, f"poison-{poison}", TRIES)
         for _ in range(int(scene.crashes_per_s * scene.lasts_s)):
             self._later(self._rng.uniform(0, scene.lasts_s), self._end_any)
 
@@ -176,7 +176,7 @@
 
     def _fail(self, one: _Try) -> None:
         """Let the caller of a try that failed try again."""
-        if _is_ender(one.request):
+        if _is_poison(one.request):
             return
         self.outcome.failed += 1
         if one.again < TRIES:
@@ -232,7 +232,7 @@
         number = next(self._numbers)
         endpoint.runs[number] = one
         one.tried.add(endpoint.name)
-        if _is_ender(one.request):
+        if _is_poison(one.request):
             self.outcome.sends.setdefault(one.request, []).append(self.now_s)
             self._later(
                 self._rng.uniform(*ENDS_AFTER_S), lambda: self._end_under(one, endpoint, number)
@@ -264,5 +264,5 @@
             one.on_trial = False
 
 
-def _is_ender(request: str) -> bool:
-    return request.startswith("ender")
+def _is_poison(request: str) -> bool:
+    return request.startswith("poison")
--- a/packages/springbridge-standins/springbridge_standins/crash_simulation_test.py
+++ b/packages/springbridge-standins/springbridge_standins/crash_simulation_test.py
@@ -21,9 +21,9 @@
     "one, three endpoints": Scene(endpoints=3, per_s=5.0),
     "hot pages": Scene(per_s=2.0, pages=3, page_per_s=20.0),
     "one, endpoints end by themselves": Scene(crashes_per_s=0.3),
-    "two": Scene(enders=2),
-    "two, twenty endpoints": Scene(endpoints=20, per_s=40.0, enders=2, crashes_per_s=0.3),
-    "three, endpoints end by themselves": Scene(enders=3, crashes_per_s=0.3),
+    "two": Scene(poison=2),
+    "two, twenty endpoints": Scene(endpoints=20, per_s=40.0, poison=2, crashes_per_s=0.3),
+    "three, endpoints end by themselves": Scene(poison=3, crashes_per_s=0.3),
     "two minutes": Scene(lasts_s=120.0, crashes_per_s=0.1),
 }
 # With one such request and no other endings nobody else may be taken for the cause.
@@ -39,9 +39,9 @@
 @pytest.mark.parametrize("name", SCENES)
 def test_a_request_that_ends_endpoints_reaches_few_more(name):
     late = [
-        outcome.late_sends(ender, IN_TOUCH_S)
+        outcome.late_sends(poison, IN_TOUCH_S)
         for outcome in outcomes(SCENES[name])
-        for ender in outcome.ends
+        for poison in outcome.ends
     ]
     assert_that(len(late), GreaterThan(SEEDS - 1))
     assert_that(max(late), LessThan(MOST_RETRIES + 1))
@@ -57,7 +57,7 @@
 
 
 def test_without_such_a_request_few_are_refused_and_only_for_moments():
-    scene = Scene(enders=0, crashes_per_s=0.3)
+    scene = Scene(poison=0, crashes_per_s=0.3)
     found = list(outcomes(scene))
     requests = sum(outcome.served for outcome in found)
     refused = sum(len(outcome.refused) for outcome in found)
@@ -68,6 +68,6 @@
 
 
 def test_while_no_endpoint_ends_nothing_is_recorded():
-    simulation = CrashSimulation(Scene(enders=0), seed=1)
+    simulation = CrashSimulation(Scene(poison=0), seed=1)
     simulation.run()
     assert_that(len(simulation.records), Equals(0))
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
@@ -26,7 +26,7 @@
 PATH = "/safe/x"
 
 
-async def send_ender_forever(soak: Soak, rng: random.Random) -> None:
+async def send_poison_forever(soak: Soak, rng: random.Random) -> None:
     """Send the request that ends engines at random nodes, whatever comes of it."""
     async with asyncio.TaskGroup() as group:
         while True:
@@ -40,14 +40,14 @@
         connection = await CallerConnection.open(address)
         try:
             got = await connection.ask(PATH, method="POST", body=MARK)
-            soak.counts[f"ender {got.status}"] += 1
+            soak.counts[f"poison {got.status}"] += 1
         finally:
             connection.close()
 
 
 async def end_engine(soak: Soak, name: str) -> None:
     """End an engine under the request that runs there, and start it anew after a while."""
-    soak.ender_arrived_s.append(time.monotonic())
+    soak.poison_arrived_s.append(time.monotonic())
     await asyncio.sleep(RUNS_S)
     engine, proxy = soak.engines[name], soak.proxy_of(name)
     if not proxy.is_listening:
@@ -67,11 +67,11 @@
     await soak.list_engine(name, "ready")
 
 
-def check_ender(soak: Soak) -> None:
+def check_poison(soak: Soak) -> None:
     """Check that few engines got the request once it had ended three of them."""
     if len(soak.ended_s) < 3:
         return
     known_s = sorted(soak.ended_s)[2] + IN_TOUCH_S
-    late = sum(at_s > known_s for at_s in soak.ender_arrived_s)
+    late = sum(at_s > known_s for at_s in soak.poison_arrived_s)
     if late > MOST_RETRIES:
         soak.violated("a request that ends engines is kept from them", f"{late} sends more")
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -22,9 +22,9 @@
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_record
 from springbridge_standins.gateway.soak.crashes import (
-    check_ender,
+    check_poison,
     end_engine,
-    send_ender_forever,
+    send_poison_forever,
 )
 from springbridge_standins.gateway.soak.engine import SoakScript
 from springbridge_standins.gateway.soak.harms import START_S, harm_forever
@@ -62,8 +62,8 @@
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
         tasks = [asyncio.ensure_future(call_forever(soak, number)) for number in range(callers)]
         tasks.append(asyncio.ensure_future(harm_forever(soak)))
-        ender = send_ender_forever(soak, random.Random(f"{seed} ender"))
-        tasks.append(asyncio.ensure_future(ender))
+        poison = send_poison_forever(soak, random.Random(f"{seed} ender"))
+        tasks.append(asyncio.ensure_future(poison))
         for _ in range(LONGEST):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -77,7 +77,7 @@
             task.result()
         soak.stop_background()
         check_record(soak)
-        check_ender(soak)
+        check_poison(soak)
         return soak
 
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -33,7 +33,7 @@
       counts: Answers by path and status, and faults by name.
       starts: How often each engine has started again.
       ended_s: When engines ended under a request, on the monotonic clock.
-      ender_arrived_s: When the request that ends them arrived at engines, on the same clock.
+      poison_arrived_s: When the request that ends them arrived at engines, on the same clock.
     """
 
     rng: random.Random
@@ -50,7 +50,7 @@
     version: int = 1
     starts: Counter = field(default_factory=Counter)
     ended_s: list[float] = field(default_factory=list)
-    ender_arrived_s: list[float] = field(default_factory=list)
+    poison_arrived_s: list[float] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     def node_at(self, callers: str) -> NodeProcess:
--- a/packages/springbridge/springbridge/crash_records.py
+++ b/packages/springbridge/springbridge/crash_records.py
@@ -31,9 +31,9 @@
 FORGET_S = 300.0
 # The same for one that is. Not measured; chosen above the longest time between two trials, so that
 # the request is not taken for a new one before its next trial.
-FORGET_ENDERS_S = 3600.0
+FORGET_POISON_S = 3600.0
 # Crashes from which the longer time holds. Derived: those of a request in quarantine.
-ENDER_CRASHES = 3
+POISON_CRASHES = 3
 # Moment of a good end that has not been.
 NEVER_S = float("-inf")
 
@@ -243,6 +243,6 @@
 
 def _kept_until_s(record: CrashRecord) -> float:
     """Return until when a record is kept if nothing more happens to it."""
-    is_ender = len(record.counted) >= ENDER_CRASHES
-    kept_s = FORGET_ENDERS_S if is_ender else FORGET_S
+    is_poison = len(record.counted) >= POISON_CRASHES
+    kept_s = FORGET_POISON_S if is_poison else FORGET_S
     return max(record.last_crash_s, record.acquitted_s) + kept_s
--- a/packages/springbridge/springbridge/crash_records_test.py
+++ b/packages/springbridge/springbridge/crash_records_test.py
@@ -5,7 +5,7 @@
 from testtools.matchers import Contains, Equals, HasLength, Is, LessThan, Not
 
 from springbridge.crash_records import (
-    FORGET_ENDERS_S,
+    FORGET_POISON_S,
     FORGET_S,
     MOST_CRASHES,
     MOST_RECORDS,
@@ -100,7 +100,7 @@
         records.note_crash("thrice", crash)
     clock.now_s += FORGET_S + 1
     assert_that([each.fingerprint for each in records.forget_old()], Equals(["once"]))
-    clock.now_s += FORGET_ENDERS_S
+    clock.now_s += FORGET_POISON_S
     assert_that([each.fingerprint for each in records.forget_old()], Equals(["thrice"]))
     assert_that(len(records), LessThan(1))
     assert_that(list(records.sharing(1)), Not(Contains("once")))
--- a/packages/springbridge/springbridge/quarantine.py
+++ b/packages/springbridge/springbridge/quarantine.py
@@ -4,10 +4,10 @@
 Inputs: the crashes that it and other requests were part of, and its good ends (crash_records.py).
 Outcome: a `Verdict`.
 Why: a request may end each endpoint that begins to run it, and come again under a new id at any
-node; without a memory beyond its end it takes down a service. But an endpoint that ends breaks
-dozens of requests, and most of them are innocent. Three things tell them apart: a good end acquits;
-a request under suspicion runs one at a time, in a trial that either acquits it or parts it from the
-others (trials.py); and a crash that a request explains which failed in a trial counts for no other.
+node (a poison request); without a memory beyond its end it takes down a service. But an endpoint
+that ends breaks dozens of requests, and most of them are innocent. Two things tell them apart: a
+good end acquits; and a request under suspicion runs one at a time, in a trial that either acquits
+it or parts it from the others (trials.py).
 
 A request is under suspicion after two crashes: an endpoint that ends has dozens of requests, and to
 hold all of them back would cost more than the second endpoint. It is in quarantine after its first
@@ -85,7 +85,7 @@
     def __init__(self, records: CrashRecords) -> None:
         """Keep the records."""
         self.records = records
-        self._causes: dict[str, int] = {}
+        self._kept_causes: dict[str, int] = {}
         self._causes_version = -1
 
     def verdict(self, fingerprint: str) -> Verdict:
@@ -96,7 +96,7 @@
         crashes = len(record.counted)
         if crashes < SUSPECT_CRASHES:
             return FREE
-        failed = self._failed_trials().get(fingerprint, 0)
+        failed = self._causes().get(fingerprint, 0)
         if not failed:
             return Verdict(Standing.SUSPECT, crashes)
         is_certain = _failed_alone(self.records, record) and not self._others_end(record)
@@ -132,18 +132,19 @@
             if other.fingerprint != fingerprint and crash in other.failed_trials
         )
 
-    def _failed_trials(self) -> dict[str, int]:
-        """Return how many trials failed by requests that are taken for causes; kept for a version.
+    def _causes(self) -> dict[str, int]:
+        """Return the requests that are taken for causes, with how many trials of each failed.
 
-        A trial beside another request with as many crashes shows nothing until that one is
-        acquitted; only what fails again and again is taken for a cause whatever ran beside it.
+        Worked out again when a record has changed. A trial beside another request with as many
+        crashes shows nothing until that one is acquitted; only what fails again and again is taken
+        for a cause whatever ran beside it.
         """
         if self._causes_version != self.records.version:
             self._causes_version = self.records.version
             tried = [each for each in self.records.all() if each.failed_trials]
             found = {each.fingerprint: self._shown_trials(each) for each in tried}
-            self._causes = {name: count for name, count in found.items() if count}
-        return self._causes
+            self._kept_causes = {name: count for name, count in found.items() if count}
+        return self._kept_causes
 
     def _shown_trials(self, record: CrashRecord) -> int:
         """Return how many failed trials speak against a request."""
@@ -162,7 +163,7 @@
     def _others_end(self, record: CrashRecord) -> bool:
         """Return whether an endpoint has just ended without a request taken for a cause."""
         since_s = self.records.now_s() - DOUBT_S
-        causes = [record, *(self.records.find(name) for name in self._failed_trials())]
+        causes = [record, *(self.records.find(name) for name in self._causes())]
         explained = frozenset().union(*(each.crashes.keys() for each in causes))
         return any(
             crash.at_s > since_s and name not in explained
