An end of an endpoint that is confirmed late still counts

A node without descriptors learns nothing and goes on, in place of a fault in the request. Both tests failed first.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointIncarnation
@@ -30,8 +31,13 @@
         self._pool = pool
         self._results: dict[EndpointIncarnation, asyncio.Task[bool]] = {}
 
-    async def has_crashed(self, state: EndpointState) -> bool:
-        """Return whether an endpoint has ended that was not about to leave."""
+    async def has_crashed(self, state: EndpointState, late: Callable[[], None]) -> bool:
+        """Return whether an endpoint has ended that was not about to leave.
+
+        Args:
+          late: Called if that is found only after REFUSAL_S, as on a node that is short of
+            processor time.
+        """
         if state.entry.draining or not state.is_listed:
             return False
         incarnation = state.entry.incarnation
@@ -42,7 +48,10 @@
             task.add_done_callback(lambda _: self._forget_later(incarnation))
         # Not cancelled with one of the requests that wait for it.
         done, _ = await asyncio.wait({task}, timeout=REFUSAL_S)
-        return bool(done) and task.result()
+        if done:
+            return task.result()
+        task.add_done_callback(lambda found: late() if _has_ended(found) else None)
+        return False
 
     async def _refuses(self, state: EndpointState) -> bool:
         """Return whether an endpoint refuses a connection; one that comes up is kept for use."""
@@ -50,9 +59,17 @@
             await self._pool.warm(state.entry)
         except ConnectFailedError as exc:
             return exc.refused
+        except OSError:
+            # No descriptor is left for a connection, so nothing is known; the attempt is logged.
+            return False
         return False
 
     def _forget_later(self, incarnation: EndpointIncarnation) -> None:
         """Drop a result after RESULT_KEPT_S."""
         loop = asyncio.get_running_loop()
         loop.call_later(RESULT_KEPT_S, self._results.pop, incarnation, None)
+
+
+def _has_ended(found: asyncio.Task[bool]) -> bool:
+    """Return the result of a connection attempt that is over; one that was cancelled shows none."""
+    return not found.cancelled() and found.result()
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -10,8 +10,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
+from springbridge_node.gateway.endpoints.crash_confirmation import REFUSAL_S, CrashConfirmation
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
+from springbridge_node.gateway.http.http_connection import ConnectFailedError
+
+
+def no_news():
+    """Take no news, as none is to come."""
+    raise AssertionError
 
 
 @pytest.fixture
@@ -37,21 +43,21 @@
 def test_an_endpoint_that_refuses_connections_has_ended(run):
     async def body(engine, state, confirmation):
         engine.stop()
-        assert_that(await confirmation.has_crashed(state), Is(True))
+        assert_that(await confirmation.has_crashed(state, no_news), Is(True))
 
     run(body)
 
 
 def test_one_that_takes_a_connection_only_broke_one(run):
     async def body(engine, state, confirmation):
-        assert_that(await confirmation.has_crashed(state), Is(False))
+        assert_that(await confirmation.has_crashed(state, no_news), Is(False))
 
     run(body)
 
 
 def test_the_requests_that_broke_with_it_share_one_connection(run):
     async def body(engine, state, confirmation):
-        found = await asyncio.gather(*(confirmation.has_crashed(state) for _ in range(20)))
+        found = await asyncio.gather(*(confirmation.has_crashed(state, no_news) for _ in range(20)))
         assert_that((set(found), engine.connections), Equals(({False}, 1)))
 
     run(body)
@@ -61,9 +67,9 @@
     async def body(engine, state, confirmation):
         engine.stop()
         draining = EndpointState(replace(state.entry, draining=True))
-        assert_that(await confirmation.has_crashed(draining), Is(False))
+        assert_that(await confirmation.has_crashed(draining, no_news), Is(False))
         state.usable_until_s = 0.0
-        assert_that(await confirmation.has_crashed(state), Is(False))
+        assert_that(await confirmation.has_crashed(state, no_news), Is(False))
 
     run(body)
 
@@ -75,6 +81,32 @@
             await asyncio.sleep(10)
 
         monkeypatch.setattr(confirmation._pool, "warm", hangs)
-        assert_that(await confirmation.has_crashed(state), Is(False))
+        assert_that(await confirmation.has_crashed(state, no_news), Is(False))
+
+    run(body)
+
+
+def test_an_end_that_is_found_late_is_told(run, monkeypatch):
+    async def body(engine, state, confirmation):
+        async def refused_late(entry):
+            await asyncio.sleep(2 * REFUSAL_S)
+            raise ConnectFailedError("ConnectionRefusedError", refused=True)
+
+        monkeypatch.setattr(confirmation._pool, "warm", refused_late)
+        told = asyncio.Event()
+        assert_that(await confirmation.has_crashed(state, told.set), Is(False))
+        async with asyncio.timeout(5.0):
+            await told.wait()
+
+    run(body)
+
+
+def test_a_node_without_descriptors_learns_nothing_and_goes_on(run, monkeypatch):
+    async def body(engine, state, confirmation):
+        async def no_descriptor(entry):
+            raise OSError(24, "too many open files")
+
+        monkeypatch.setattr(confirmation._pool, "warm", no_descriptor)
+        assert_that(await confirmation.has_crashed(state, no_news), Is(False))
 
     run(body)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -169,10 +169,17 @@
         """Record what an attempt showed of its request, and return whether its endpoint ended."""
         if end in GOOD_ENDS and len(self._records):
             self._acquit(exchange)
-        if end is not End.BROKEN or not await self._parts.confirmation.has_crashed(state):
+        if end is not End.BROKEN:
             return False
-        self._note_crash(exchange, state)
-        return True
+        on_trial = exchange.progress.on_trial
+
+        def note() -> None:
+            self._note_crash(exchange, state, on_trial)
+
+        has_crashed = await self._parts.confirmation.has_crashed(state, late=note)
+        if has_crashed:
+            note()
+        return has_crashed
 
     def _acquit(self, exchange: Exchange) -> None:
         """Note a good end."""
@@ -188,16 +195,16 @@
         if before.standing is Standing.QUARANTINED:
             self._parts.stored.left(fingerprint)
 
-    def _note_crash(self, exchange: Exchange, state: EndpointState) -> None:
+    def _note_crash(self, exchange: Exchange, state: EndpointState, on_trial: bool) -> None:
         """Note that the endpoint ended while it ran the request."""
         fingerprint = fingerprint_of(exchange)
         entry = state.entry
         crash = crash_id(entry.endpoint_id, entry.born_ms)
-        if not self._records.note_crash(fingerprint, crash, exchange.progress.on_trial):
+        if not self._records.note_crash(fingerprint, crash, on_trial):
             return
         self._parts.sharing.spread(fingerprint, exchange.demand.service)
         found = self._parts.quarantine.verdict(fingerprint)
-        self._parts.log.crashed(exchange, entry.endpoint_id, found)
+        self._parts.log.crashed(exchange, entry.endpoint_id, found, on_trial)
         if found.standing is Standing.QUARANTINED:
             self._parts.stored.entered(fingerprint)
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
@@ -48,11 +48,11 @@
         """Take in what the store has to keep."""
         self.stored.append(fingerprint)
 
-    async def has_crashed(self, state):
+    async def has_crashed(self, state, late):
         """Confirm the end of the endpoint."""
         return True
 
-    def crashed(self, exchange, endpoint_id, found):
+    def crashed(self, exchange, endpoint_id, found, on_trial):
         """Log nothing."""
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
@@ -15,7 +15,7 @@
         """Keep the metrics."""
         self._telemetry = telemetry
 
-    def crashed(self, exchange: Exchange, endpoint_id: str, found: Verdict) -> None:
+    def crashed(self, exchange: Exchange, endpoint_id: str, found: Verdict, on_trial: bool) -> None:
         """Log that an endpoint ended while it ran a request of this node."""
         self._telemetry.crashes.labels(found.standing.value).inc()
         logs.event(
@@ -25,7 +25,7 @@
             engine=endpoint_id,
             crashes=found.crashes,
             standing=found.standing.value,
-            on_trial=exchange.progress.on_trial,
+            on_trial=on_trial,
         )
 
     def acquitted(self, exchange: Exchange, before: Verdict) -> None:
