--- a/packages/springbridge-node/springbridge_node/class_router/requests/home_relay.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/home_relay.py
@@ -13,8 +13,8 @@
 from springbridge_node.class_router.peers.proto.peer_grpc import PeerStub
 from springbridge_node.class_router.requests.growing_answers import Answer
 
-# Longest silence of a home whose answer is relayed. Not measured. A call to a plain service may be
-# silent for longer; the retry that is relayed then ends with OUTCOME_UNKNOWN and may ask again.
+# Longest silence of a home whose answer is relayed. A call to a plain service may be silent for
+# longer; the retry that is relayed then ends with OUTCOME_UNKNOWN and may ask again.
 RELAY_STALL_S = 10.0
 
 # How a home that is gone, cut off or silent shows while its answer is followed.
--- a/packages/springbridge-node/springbridge_node/clock.py
+++ b/packages/springbridge-node/springbridge_node/clock.py
@@ -18,8 +18,8 @@
 # Whether now_s() counts the time in which the machine is suspended.
 COUNTS_SUSPENSION = hasattr(time, "CLOCK_BOOTTIME")
 # Seconds by which boot time has to run ahead of the steady clock between two looks for the machine
-# to count as suspended. Not measured; chosen far above the time between two readings of clocks, and
-# below the shortest suspension that is told of, 0.2 s.
+# to count as suspended. Far above the time between two readings of clocks, and below the shortest
+# suspension that is told of, 0.2 s.
 SUSPENDED_S = 0.1
 
 
@@ -31,6 +31,14 @@
 _read = partial(time.clock_gettime, time.CLOCK_BOOTTIME) if COUNTS_SUSPENSION else time.monotonic
 
 
+def wall_s() -> float:
+    """Return the time of day, in seconds since the start of 1970; it may jump.
+
+    Only for what the platform counts by the time of day; see springbridge/duties/true_time.py.
+    """
+    return time.time()
+
+
 class SuspensionWatch:
     """Notices that the machine was suspended since the last look."""
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Success
 from springbridge.codes import Code
 from springbridge.routing.admission import RouteIndex
+from springbridge.routing.records import Service
 from springbridge.routing.retry_after import without_configuration
 from springbridge.routing.store_freshness import (
     FEED_READERS,
@@ -87,6 +88,10 @@
         services = self.index.configuration.services
         return {name: service.token_capacity for name, service in services.items()}
 
+    def services(self) -> dict[str, Service]:
+        """Return the services of the configuration in force."""
+        return {} if self.index is None else self.index.configuration.services
+
     def age_s(self) -> float:
         """Return the seconds since the version in force was last known to be the newest."""
         return 0.0 if self._feed_is_up else self._clock() - self._confirmed_s
--- a/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
@@ -3,6 +3,7 @@
 The adapter in the platform's folder implements them and alone knows the store's names and formats.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,10 +11,12 @@
 from springbridge.problems import Problem
 from springbridge.routing.records import Configuration, EndpointSnapshot
 
-# Seconds that a call to the store may take. Not measured.
+from springbridge_node.gateway.duties.duty_platform import LeaseStore
+
+# Seconds that a call to the store may take.
 CALL_TIMEOUT_S = 1.2
 # Seconds that a call at the feed may take beyond the wait that it asks for. It covers the way there
-# and back and a late wake-up of the store. Not measured.
+# and back and a late wake-up of the store.
 FEED_MARGIN_S = 1.0
 
 
@@ -54,8 +57,17 @@
     failed_trials: tuple[int, ...]
 
 
-class PlatformStore(Protocol):
-    """The platform's store; a failed call returns TABLE_UNAVAILABLE unless its text says more."""
+class PlatformStore(LeaseStore, Protocol):
+    """The platform's store; a failed call returns TABLE_UNAVAILABLE unless its text says more.
+
+    Cursors and revisions are stamps; see springbridge/store_stamp.py.
+    """
+
+    def on_older_copy(self, went_back: Callable[[int], None]) -> None:
+        """Set who is told the new era when the store has come back from an older copy.
+
+        What was written there in the last seconds may be gone, and revisions are given out again.
+        """
 
     async def read_configuration(self) -> Result[ConfigurationNews, Problem]:
         """Return the newest configuration."""
--- a/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
@@ -20,11 +20,11 @@
 from springbridge_node.gateway.config.platform_store import PlatformStore, StoredCrashes
 from springbridge_node.gateway.config.store_readers import StoreReaders
 
-# Seconds between two looks at what has to be written or read. Not measured; chosen as short beside
-# the seconds until a request in quarantine is tried again.
+# Seconds between two looks at what has to be written or read. Short beside the seconds until a
+# request in quarantine is tried again.
 LOOK_S = 1.0
-# Rows that are waiting to be written or removed. Bounds the memory while the store is out. Not
-# measured; chosen as a share of the records that a node keeps.
+# Rows that are waiting to be written or removed. Bounds the memory while the store is out. A share
+# of the records that a node keeps.
 MOST_WAITING = 64
 
 
@@ -49,6 +49,7 @@
         self._adopt = adopt
         self._was_read = False
         self._to_write: dict[str, None] = {}
+        self._written: dict[str, None] = {}
         self._to_remove: dict[str, None] = {}
 
     def entered(self, fingerprint: str) -> None:
@@ -60,6 +61,7 @@
     def left(self, fingerprint: str) -> None:
         """Remove the row of a request soon."""
         self._to_write.pop(fingerprint, None)
+        self._written.pop(fingerprint, None)
         self._to_remove[fingerprint] = None
         _bound(self._to_remove)
 
@@ -68,6 +70,11 @@
         if self._readers.include_me(1):
             self.left(fingerprint)
 
+    def write_again(self) -> None:
+        """Write the rows of this node soon: the store has come back from an older copy."""
+        for fingerprint in self._written:
+            self.entered(fingerprint)
+
     async def step(self) -> None:
         """Do what is due; what fails is tried again at the next look."""
         if not self._was_read and self._readers.include_me(SNAPSHOT_READERS):
@@ -75,6 +82,8 @@
         for fingerprint in list(self._to_write):
             if await self._write(fingerprint):
                 self._to_write.pop(fingerprint, None)
+                self._written[fingerprint] = None
+                _bound(self._written)
         for fingerprint in list(self._to_remove):
             if _is_done("remove", await self._store.remove_crashes(fingerprint)):
                 self._to_remove.pop(fingerprint, None)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
@@ -0,0 +1,241 @@
+"""Takes, renews and hands on the lease of the duties.
+
+Owns this node's tenure. The rules are those of springbridge.duties.lease; each step makes one call
+to the store at most, but where a renewal is refused. Duty calls run inside acting(), which lets
+none begin that could outlast the tenure, and the lease is handed on only once none is under way.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+from returns.result import Failure, Success
+from springbridge.codes import Code
+from springbridge.duties import lease
+from springbridge.duties.lease import LeaseReading, LeaseRow, Sight, Step, Tenure
+from springbridge.problems import Problem
+from springbridge.store_stamp import era_of
+
+from springbridge_node import logs
+from springbridge_node.clock import now_s
+from springbridge_node.gateway.config.dependency import Dependency
+from springbridge_node.gateway.duties.duty_platform import Credentials, LeaseStore
+from springbridge_node.gateway.duties.lease_candidates import LeaseCandidates
+
+# The one lease of all duties.
+DUTY = "duties"
+# Seconds between two looks whether the last duty call is over.
+POLL_S = 0.02
+
+
+class LeaseKeeper:
+    """The lease as this node sees it.
+
+    Attributes:
+      dependency: Whether the store answered the last call about the lease.
+      changes: How often this node has taken the lease.
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        candidates: LeaseCandidates,
+        name: str,
+        incarnation: str,
+        lease_s: float,
+        clock: Callable[[], float] = now_s,
+    ) -> None:
+        """Start without the lease.
+
+        Args:
+          name: Of this instance.
+          incarnation: Of this run of its process.
+        """
+        self._store = store
+        self._candidates = candidates
+        self._name = name
+        self._incarnation = incarnation
+        self._lease_s = lease_s
+        self._clock = clock
+        self._sight: Sight | None = None
+        self._tenure: Tenure | None = None
+        self._leaving = False
+        self._acting = 0
+        self._step = asyncio.Lock()
+        self._taken: Callable[[LeaseReading, float], None] = lambda reading, at_s: None
+        self._content: Callable[[], bytes] = bytes
+        self._renewed: Callable[[], None] = lambda: None
+        self.dependency = Dependency("lease of duties")
+        self.changes = 0
+
+    def connect(
+        self,
+        taken: Callable[[LeaseReading, float], None],
+        content: Callable[[], bytes],
+        renewed: Callable[[], None],
+    ) -> None:
+        """Set who works under the lease.
+
+        Args:
+          taken: Called when this node has taken the lease, with the reading of before and the
+            moment of the answer.
+          content: Returns what the next renewal keeps for the successors.
+          renewed: Called when the store has what content() last returned.
+        """
+        self._taken, self._content, self._renewed = taken, content, renewed
+
+    @property
+    def credentials(self) -> Credentials | None:
+        """Return what duty calls name, or None if this node may make none."""
+        if self._tenure is None or self._clock() > self._tenure.until_s:
+            return None
+        return Credentials(self._name, self._tenure.token)
+
+    @contextlib.contextmanager
+    def acting(self, call_s: float) -> Iterator[Credentials | None]:
+        """Give the credentials for one call, or None if it could outlast the tenure.
+
+        Args:
+          call_s: Longest time of the call, in seconds.
+        """
+        tenure = self._tenure
+        if tenure is None or self._leaving or not tenure.allows(self._clock(), call_s):
+            yield None
+            return
+        self._acting += 1
+        try:
+            yield Credentials(self._name, tenure.token)
+        finally:
+            self._acting -= 1
+
+    async def leave(self) -> None:
+        """Hand the lease on because this node is stopped."""
+        self._leaving = True
+        await self.step()
+
+    async def step(self) -> None:
+        """Do what is due about the lease."""
+        async with self._step:
+            if self._tenure is not None:
+                await self._hold(self._tenure)
+            elif not self._leaving:
+                await self._stand_by()
+
+    async def _hold(self, tenure: Tenure) -> None:
+        """Renew the lease or hand it on."""
+        is_candidate = not self._leaving and self._candidates.include_me()
+        match lease.holder_step(tenure, self._clock(), is_candidate=is_candidate):
+            case Step.RENEW:
+                await self._renew(tenure)
+            case Step.HAND_ON:
+                await self._hand_on(tenure)
+            case _:
+                self._lose("not renewed in time")
+
+    async def _stand_by(self) -> None:
+        """Follow the row if this node is a candidate, and take the lease when it is free."""
+        rank = self._candidates.rank()
+        match lease.candidate_step(self._sight, self._clock(), self._lease_s, rank):
+            case Step.READ:
+                await self._read()
+            case Step.TAKE:
+                await self._take(self._sight.reading)
+            case _:
+                self._sight = None
+
+    async def _read(self) -> LeaseReading | None:
+        """Read the row and return the reading, None if the store gave none."""
+        match await self._store.read_lease(DUTY):
+            case Success(reading):
+                self.dependency.answered()
+                self._sight = lease.seen(self._sight, reading, self._clock())
+                return reading
+            case Failure(problem):
+                self.dependency.failed(problem.detail)
+        return None
+
+    async def _take(self, before: LeaseReading) -> None:
+        """Write this node as the holder, with what the holder before it kept."""
+        row = self._row(before.row.content if before.row else b"", before.stamp)
+        sent_s = self._clock()
+        result = await self._store.write_lease(DUTY, row, before.stamp)
+        self._sight = None
+        if isinstance(result, Failure):
+            self._not_written("take", result.failure())
+            return
+        written = result.unwrap()
+        self.dependency.answered()
+        if era_of(written.stamp) != era_of(before.stamp):
+            # The store came back from an older copy meanwhile. Its condition names a revision only,
+            # which is another one's by now: what this node waited for has not been seen.
+            logs.event("lease.not_written", call="take", detail="another era")
+            return
+        self._tenure = lease.taken(written.stamp, sent_s, self._lease_s)
+        self.changes += 1
+        logs.event(
+            "lease.taken",
+            token=self._tenure.token,
+            before=before.row.holder if before.row else "",
+            handed_on=bool(before.row and before.row.handed_on),
+        )
+        self._taken(LeaseReading(before.stamp, before.row, written.store_s), self._clock())
+
+    async def _renew(self, tenure: Tenure) -> None:
+        """Renew the lease with what the successors need."""
+        row = self._row(self._content(), tenure.stamp)
+        sent_s = self._clock()
+        result = await self._store.write_lease(DUTY, row, tenure.stamp)
+        if isinstance(result, Failure):
+            await self._after_refused_renewal(tenure, result.failure())
+            return
+        self.dependency.answered()
+        self._tenure = lease.renewed(tenure, result.unwrap().stamp, sent_s, self._lease_s)
+        self._renewed()
+
+    async def _after_refused_renewal(self, tenure: Tenure, problem: Problem) -> None:
+        """Find out whether the lease is still this node's."""
+        self._not_written("renew", problem)
+        if problem.code is not Code.VERSION_CONFLICT:
+            return
+        reading = await self._read()
+        if reading is None:
+            return
+        self._tenure = lease.found_own(tenure, reading, self._incarnation)
+        if self._tenure is None:
+            self._tenure = tenure
+            self._lose("another holder" if reading.row else "no row")
+
+    async def _hand_on(self, tenure: Tenure) -> None:
+        """Give the lease up, once no duty call is under way."""
+        self._tenure = None
+        while self._acting:
+            await asyncio.sleep(POLL_S)
+        row = replace(self._row(self._content(), tenure.stamp), handed_on=True)
+        result = await self._store.write_lease(DUTY, row, tenure.stamp)
+        if isinstance(result, Failure):
+            # The successor waits for the whole length then.
+            self._not_written("hand on", result.failure())
+        else:
+            logs.event("lease.handed_on", token=tenure.token)
+        self._sight = None
+
+    def _row(self, content: bytes, before: int) -> LeaseRow:
+        """Return the row of this run as the holder.
+
+        Args:
+          before: Stamp of the row that it replaces.
+        """
+        return LeaseRow(self._name, self._incarnation, False, content, era_of(before))
+
+    def _lose(self, reason: str) -> None:
+        """Note that the lease is not this node's any more."""
+        logs.event("lease.lost", token=self._tenure.token, reason=reason)
+        self._tenure = None
+        self._sight = None
+
+    def _not_written(self, call: str, problem: Problem) -> None:
+        """Log a write that the store did not acknowledge."""
+        logs.event("lease.not_written", call=call, detail=problem.detail)
+        if problem.code is not Code.VERSION_CONFLICT:
+            self.dependency.failed(problem.detail)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
@@ -0,0 +1,191 @@
+"""Orders endpoints while this node holds the lease.
+
+The numbers are those of springbridge.duties.scaling. An order names how many endpoints there should
+be, so that it may be given again: where the list has too few of them for REORDER_S, as after spot
+endpoints have left.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+from springbridge.duties import scaling
+from springbridge.duties.demand import KEPT_S
+from springbridge.duties.scaling import Listed, Load, ScalingLimits, SpotFirst
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.records import Service
+
+from springbridge_node import logs
+from springbridge_node.clock import now_s
+from springbridge_node.gateway.duties.duty_platform import (
+    DUTY_CALL_S,
+    DutyPlatform,
+    EndpointOrder,
+)
+from springbridge_node.gateway.duties.lease_keeper import LeaseKeeper
+from springbridge_node.gateway.duties.usage_sharing import UsageSharing
+
+# Age of the endpoint list in seconds up to which orders follow it.
+OLDEST_LIST_S = 2.0
+# Seconds after an order before it is given again; an endpoint starts in that time.
+REORDER_S = 6.0
+# The same after an order that there were no endpoints for, or that got no answer.
+RETRY_S = 1.5
+# Seconds of load that count as the present one.
+PRESENT_S = 6.0
+# Seconds after the lease was taken in which fewer endpoints are not ordered.
+OBSERVE_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """What one order is about."""
+
+    service: str
+    failure_domain: str
+    spot: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """The last order about a subject, and when it may be given again."""
+
+    count: int
+    again_s: float
+    taken: bool
+
+
+class Scaler:
+    """The orders of this node.
+
+    Attributes:
+      orders: Orders that the platform took from this node.
+      refused: Orders that it did not take.
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        sharing: UsageSharing,
+        platform: DutyPlatform,
+        registry: EndpointRegistry,
+        services: Callable[[], dict[str, Service]],
+        clock: Callable[[], float] = now_s,
+        policy: object = SpotFirst(),
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+          services: Returns the services of the configuration in force.
+          policy: See springbridge.duties.scaling.
+        """
+        self._keeper = keeper
+        self._sharing = sharing
+        self._platform = platform
+        self._registry = registry
+        self._services = services
+        self._clock = clock
+        self._policy = policy
+        self._given: dict[Subject, Given] = {}
+        self._stood: dict[str, int] = {}
+        self._domains: dict[str, set[str]] = {}
+        self._taken_s = clock()
+        self.orders = 0
+        self.refused = 0
+
+    def taken(self) -> None:
+        """Begin anew: what earlier holders ordered is not known here."""
+        self._given = {}
+        self._stood = {}
+        self._taken_s = self._clock()
+
+    async def step(self) -> None:
+        """Give the orders that are due."""
+        if self._keeper.credentials is None or self._registry.age_s() > OLDEST_LIST_S:
+            return
+        for service in self._services().values():
+            if service.scaling is not None:
+                await self._scale(service.name, service.scaling)
+
+    async def _scale(self, service: str, limits: ScalingLimits) -> None:
+        """Give the orders for one service."""
+        domains = self._listed(service)
+        if not domains:
+            return
+        load = self._load(service, domains)
+        for name, wanted in scaling.wanted(self._policy, domains, load, limits).items():
+            listed = domains[name]
+            on_demand = Subject(service, name, spot=False)
+            await self._order(on_demand, wanted.on_demand, listed.on_demand, load)
+            if limits.spot_price is not None:
+                spot = Subject(service, name, spot=True)
+                await self._order(spot, wanted.spot, listed.spot, load)
+
+    def _listed(self, service: str) -> dict[str, Listed]:
+        """Return the endpoints that stay, by failure domain."""
+        entries = [entry for entry in self._registry.entries() if entry.service == service]
+        staying = Counter(
+            (entry.failure_domain, entry.spot) for entry in entries if not entry.draining
+        )
+        names = self._domains.setdefault(service, set())
+        # One that has lost all of its endpoints still gets orders.
+        names.update(entry.failure_domain for entry in entries)
+        return {name: Listed(staying[name, False], staying[name, True]) for name in sorted(names)}
+
+    def _load(self, service: str, domains: dict[str, Listed]) -> Load:
+        """Return the load of a service in endpoints."""
+        count = sum(each.on_demand + each.spot for each in domains.values())
+        self._stood.setdefault(service, count)
+        demand = self._sharing.demand
+        speed = self._registry.usual_speed(service)
+        return Load(
+            now=demand.peak_per_s(service, PRESENT_S) / speed,
+            peak=demand.peak_per_s(service, KEPT_S) / speed,
+            known_for_s=demand.known_for_s(service),
+            stood=self._stood[service],
+        )
+
+    async def _order(self, subject: Subject, count: int, listed: int, load: Load) -> None:
+        """Give an order if it is due."""
+        now_s = self._clock()
+        given = self._given.get(subject)
+        if count < listed and now_s < self._taken_s + OBSERVE_S:
+            return
+        if given is None and count == listed:
+            return
+        if (
+            given is not None
+            and now_s < given.again_s
+            and (given.count == count or not given.taken)
+        ):
+            return
+        if given is not None and given.taken and given.count == count and listed >= count:
+            return
+        with self._keeper.acting(DUTY_CALL_S) as credentials:
+            if credentials is None:
+                return
+            order = EndpointOrder(subject.service, subject.failure_domain, subject.spot, count)
+            result = await self._platform.order_endpoints(credentials, order)
+        self._note(subject, count, listed, load, result)
+
+    def _note(self, subject: Subject, count: int, listed: int, load: Load, result) -> None:
+        """Log an order, and note when it may be given again."""
+        fields = {
+            "service": subject.service,
+            "failure_domain": subject.failure_domain,
+            "spot": subject.spot,
+            "count": count,
+            "listed": listed,
+            "busy_now": round(load.now, 1),
+            "busy_peak": round(load.peak, 1),
+        }
+        match result:
+            case Success(_):
+                self.orders += 1
+                self._given[subject] = Given(count, self._clock() + REORDER_S, taken=True)
+                logs.event("scaling.ordered", **fields)
+            case Failure(problem):
+                self.refused += 1
+                self._given[subject] = Given(count, self._clock() + RETRY_S, taken=False)
+                logs.event("scaling.refused", **fields, detail=problem.detail)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_sharing.py
@@ -0,0 +1,178 @@
+"""Counts the requests that endpoints began for this node, and tells the candidates for the lease.
+
+What is told is how much there is so far, so that lost messages do no harm: a count is told again
+for RESEND_S after it changed, and all counts of a window for SETTLE_S after its end. A candidate
+that is new is told all that is kept.
+"""
+
+from collections.abc import Callable, Iterator
+
+from springbridge.duties.demand import FleetDemand, request_work
+from springbridge.duties.true_time import TrueTime
+from springbridge.duties.usage import (
+    KEPT_S,
+    Counts,
+    FleetUsage,
+    OwnUsage,
+    ToldUsage,
+    window_at,
+    window_end_s,
+)
+from springbridge.duties.usage_reports import SETTLE_S, Report
+from springbridge.routing.records import Admitted
+
+from springbridge_node.clock import now_s, wall_s
+from springbridge_node.gateway.duties import duty_rows
+from springbridge_node.gateway.duties.lease_candidates import LeaseCandidates
+from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+
+# Seconds between two messages. A node that is lost takes the counts of that time along.
+TELL_S = 0.5
+# Seconds for which a changed count is told again: three messages.
+RESEND_S = 1.6
+# Customers in one datagram, some 20 bytes each.
+CUSTOMERS_PER_DATAGRAM = 100
+
+
+class UsageSharing:
+    """The counts of this node, and those that nodes told it as a candidate.
+
+    Attributes:
+      true_time: The time of day as this node knows it.
+      usage: Requests of all nodes that told this one.
+      demand: Work of all nodes that told this one.
+      heard: Reports that holders decided, as far as they told of them.
+    """
+
+    def __init__(
+        self,
+        candidates: LeaseCandidates,
+        incarnation: str,
+        window_s: float,
+        clock: Callable[[], float] = now_s,
+        wall: Callable[[], float] = wall_s,
+    ) -> None:
+        """Start without counts."""
+        self._candidates = candidates
+        self._incarnation = incarnation
+        self._clock = clock
+        self._wall = wall
+        self.true_time = TrueTime(clock(), wall())
+        self._started_s = self.true_s()
+        self._own = OwnUsage(window_s)
+        self._changed_s: dict[tuple[int, str], float] = {}
+        self._work: dict[str, int] = {}
+        self._told_to: set[str] = set()
+        self._datagrams: PeerDatagrams | None = None
+        self.usage = FleetUsage()
+        self.demand = FleetDemand(clock)
+        self.heard: dict[int, Report] = {}
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Start to tell and to be told."""
+        self._datagrams = datagrams
+        datagrams.handle(Kind.USAGE, self._take_usage)
+        datagrams.handle(Kind.DUTY_NEWS, self._take_news)
+
+    def true_s(self) -> float:
+        """Return the true time of this moment."""
+        return self.true_time.at(self._clock())
+
+    def sent(self, admitted: Admitted) -> None:
+        """Count the work of a request that is sent to endpoints."""
+        arrival = admitted.arrival
+        work = request_work(arrival.prompt_tokens, arrival.answer_tokens)
+        self._work[admitted.service.name] = self._work.get(admitted.service.name, 0) + work
+
+    def began(self, customer: str) -> None:
+        """Count a request that an endpoint began."""
+        true_s = self.true_s()
+        self._own.began(customer, true_s)
+        window = window_at(true_s, self._own.window_s)
+        self._changed_s[(window, customer)] = self._clock()
+
+    async def step(self) -> None:
+        """Tell the candidates what they may not know yet."""
+        self.true_time.look(self._clock(), self._wall())
+        self._forget()
+        receivers = {member.incarnation: member for member in self._candidates.others()}
+        new = receivers.keys() - self._told_to
+        self._told_to = set(receivers)
+        news = list(self._news())
+        everything = list(self._own.windows())
+        self._tell(news, [receivers[name].peer_address for name in receivers.keys() - new])
+        self._tell(everything, [receivers[name].peer_address for name in new])
+        for window, counts in everything:
+            self.usage.take(ToldUsage(self._incarnation, self._started_s, window, counts))
+        for service, total in self._work.items():
+            self.demand.take(self._incarnation, service, total)
+
+    def tell_news(self, reports: list[Report], addresses: list[str]) -> None:
+        """Tell nodes the true time, and what was decided."""
+        if self._datagrams is not None and addresses:
+            self._datagrams.send(
+                Kind.DUTY_NEWS, duty_rows.news_rows(self.true_s(), reports), addresses
+            )
+
+    def tell_time(self, nodes: int) -> None:
+        """Tell some nodes, chosen at random, the true time."""
+        if self._datagrams is not None:
+            self.tell_news([], self._datagrams.sample_peers(nodes))
+
+    def _news(self) -> Iterator[tuple[int, Counts]]:
+        """Return the counts that candidates may not know yet, by window."""
+        recent_s, true_s = self._clock() - RESEND_S, self.true_s()
+        for window, counts in self._own.windows():
+            over_s = true_s - window_end_s(window, self._own.window_s)
+            if 0 <= over_s < SETTLE_S:
+                yield window, counts
+                continue
+            changed = {
+                name: count
+                for name, count in counts.items()
+                if self._changed_s.get((window, name), recent_s) > recent_s
+            }
+            if changed:
+                yield window, changed
+
+    def _tell(self, windows: list[tuple[int, Counts]], addresses: list[str]) -> None:
+        """Send counts, and the work so far, in as many datagrams as it takes."""
+        if self._datagrams is None or not addresses or not (windows or self._work):
+            return
+        rows = [part for window, counts in windows for part in _parts(window, counts)]
+        for row in rows or [duty_rows.NO_COUNTS]:
+            told = duty_rows.usage_rows(self._incarnation, self._started_s, row, self._work)
+            self._datagrams.send(Kind.USAGE, told, addresses)
+
+    def _take_usage(self, rows: list, sender: str) -> None:
+        """Take in what a node counted."""
+        told, work = duty_rows.read_usage(rows)
+        if told is not None:
+            self.usage.take(told)
+        for service, total in work.tokens.items():
+            self.demand.take(work.incarnation, service, total)
+
+    def _take_news(self, rows: list, sender: str) -> None:
+        """Take in what the holder tells."""
+        news = duty_rows.read_news(rows)
+        self.true_time.told(self._clock(), news.true_s)
+        for report in news.reports:
+            self.heard.setdefault(report.window, report)
+
+    def _forget(self) -> None:
+        """Drop what is too old to matter."""
+        true_s = self.true_s()
+        self._own.forget(true_s)
+        first = window_at(true_s - KEPT_S, self._own.window_s)
+        self.usage.forget(first)
+        self.heard = {window: each for window, each in self.heard.items() if window >= first}
+        self.demand.forget()
+        recent_s = self._clock() - RESEND_S
+        self._changed_s = {key: at_s for key, at_s in self._changed_s.items() if at_s > recent_s}
+
+
+def _parts(window: int, counts: Counts) -> Iterator[tuple[int, Counts]]:
+    """Return the counts of a window in parts that fit into a datagram."""
+    items = list(counts.items())
+    for start in range(0, len(items), CUSTOMERS_PER_DATAGRAM):
+        yield window, dict(items[start : start + CUSTOMERS_PER_DATAGRAM])
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -31,6 +31,8 @@
 from springbridge_node.gateway.config.source import Source
 from springbridge_node.gateway.config.store_readers import StoreReaders
 from springbridge_node.gateway.config.stored_quarantine import LOOK_S as QUARANTINE_LOOK_S
+from springbridge_node.gateway.duties.duty_parts import DutyParts
+from springbridge_node.gateway.duties.duty_platform import DutyPlatform
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S, EndpointProber
 from springbridge_node.gateway.gateway_settings import GatewaySettings
@@ -51,15 +53,16 @@
 from springbridge_node.gateway.requests.request_log import RequestLog
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
+from springbridge_node.gateway.requests.usage_meter import NoUsage
 from springbridge_node.gateway.telemetry import Telemetry
 from springbridge_node.periodic import every, every_tick
 
 # Each digest goes to three peers whatever the size of the fleet, one of them in another failure
 # domain. A peer is suspected 1.2 s after its last heartbeat, which is more than four beats; in a
-# larger fleet the time grows with the hops that news takes. The first two were not measured.
+# larger fleet the time grows with the hops that news takes.
 PACE = Pace(peers=3, suspect_s=1.2, stretch=stretch_by_hops)
-# Seconds between two clean-ups of what belongs to endpoints and peers that are gone. Not measured;
-# it bounds memory and idle connections, and no decision waits for it.
+# Seconds between two clean-ups of what belongs to endpoints and peers that are gone. It bounds
+# memory and idle connections, and no decision waits for it.
 SWEEP_S = 2.0
 METRICS_PATH = "/metrics"
 LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=while_leaving())
@@ -72,6 +75,7 @@
     Attributes:
       ready_handlers: Makes the handlers of the ready address from the readiness check.
       directory_handlers: Makes the handlers of the directory address from the address book.
+      duties: The platform's duty calls; None where it has none.
     """
 
     store: PlatformStore
@@ -79,6 +83,7 @@
     codec: RequestCodec
     ready_handlers: Callable[[Callable[[], bool]], Mapping[str, Handler]]
     directory_handlers: Callable[[AddressBook], Mapping[str, Handler]]
+    duties: DutyPlatform | None = None
 
 
 class Gateway:
@@ -93,6 +98,8 @@
       budget: This node's share of the retries that all nodes may make together.
       router: Serves the requests.
       listener: Accepts the callers' connections.
+      duties: What one node does for the whole fleet; None if there is nothing.
+      store_steps: How often the store was found to have come back from an older copy.
     """
 
     def __init__(self, settings: GatewaySettings, outside: Outside) -> None:
@@ -115,19 +122,52 @@
         )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.configuration = self._configuration_follower()
+        self.duties = self._duty_parts()
         self.endpoints = self._endpoint_follower()
         self.router = RequestRouter(self._router_parts())
         self.listener = CallerListener(self._serve)
         self.catch_up = ConfigurationCatchUp(self.membership, self.configuration, self.peer_client)
         self.heartbeats = Heartbeats(
-            self.membership, self.configuration, self.endpoints, self.catch_up, self.is_ready
+            self.membership,
+            self.configuration,
+            self.endpoints,
+            self.catch_up,
+            self.is_ready,
+            self._store_is_up,
         )
         self.discovery = PeerDiscovery(
             self.membership, outside.store, self.readers, lambda: self.settings.seeds
         )
         self.datagrams: PeerDatagrams | None = None
+        self.store_steps = 0
         self._tasks: list[asyncio.Task] = []
         self._refusing = False
+        outside.store.on_older_copy(self._store_went_back)
+
+    def _duty_parts(self) -> DutyParts | None:
+        """Return the duties, None if the settings name none."""
+        if self._outside.duties is None or not self.settings.duties.has_any:
+            return None
+        return DutyParts(
+            self.settings.duties,
+            self.membership,
+            self.registry,
+            self._outside.store,
+            self._outside.duties,
+            self.configuration.services,
+        )
+
+    def _store_is_up(self) -> bool:
+        """Return whether the store answered this node's last calls."""
+        return self.endpoints.dependency.up and (self.duties is None or self.duties.store_is_up())
+
+    def _store_went_back(self, era: int) -> None:
+        """Read anew, and write again what the store may have lost."""
+        self.store_steps += 1
+        logs.event("store.went_back", era=era, config_version=self.configuration.version)
+        self.configuration.refresh()
+        self.discovery.announce_again()
+        self.quarantine_parts.stored.write_again()
 
     def _configuration_follower(self) -> ConfigurationFollower:
         """Return the part that keeps the configuration fresh."""
@@ -168,6 +208,7 @@
             loads=self.selection_parts.loads,
             gate=self.quarantine_parts.gate,
             failure_domain=self.settings.failure_domain,
+            usage=self.duties or NoUsage(),
         )
 
     async def start(self) -> None:
@@ -195,6 +236,8 @@
         self.heartbeats.connect(self.datagrams)
         self.selection_parts.connect(self.datagrams)
         self.quarantine_parts.connect(self.datagrams)
+        if self.duties is not None:
+            self.duties.connect(self.datagrams)
 
     def _periodic_work(self) -> tuple[Coroutine[None, None, None], ...]:
         """Return the work of all tasks, none of which ends by itself."""
@@ -208,6 +251,7 @@
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
             every(0.0, self.catch_up.step),
             every_tick(SWEEP_S, self._sweep),
+            *(self.duties.work() if self.duties is not None else ()),
         )
 
     def is_ready(self) -> bool:
@@ -229,10 +273,17 @@
         self._refusing = True
         self.listener.stop_accepting()
 
+    async def hand_on_duties(self) -> None:
+        """Hand on what this node does for the whole fleet."""
+        if self.duties is not None:
+            await self.duties.leave()
+
     async def end(self) -> None:
         """Notify the peers and stop all tasks."""
         self.membership.end()
         self.heartbeats.push_now()
+        if self.duties is not None:
+            await self.duties.sharing.step()
         for task in self._tasks:
             task.cancel()
         # Periodic steps log their own faults; what is left here is the cancellation.
@@ -263,6 +314,9 @@
         self.telemetry.config_version.set(self.configuration.version)
         self.telemetry.store_up.set(int(self.endpoints.dependency.up))
         self.telemetry.suspensions.set(self.heartbeats.suspensions)
+        self.telemetry.store_steps.set(self.store_steps)
+        if self.duties is not None:
+            self.duties.show(self.telemetry)
         self.telemetry.dropped_lines.set(bounded_log.dropped())
         return Reply(200, self.telemetry.text(), TEXT)
 
--- a/packages/springbridge-node/springbridge_node/gateway/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway_settings.py
@@ -24,6 +24,28 @@
     metrics: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Which duties of the whole fleet its nodes do, one node at a time.
+
+    Attributes:
+      reports_usage: Whether usage is reported.
+      orders_endpoints: Whether endpoints are ordered.
+      window_s: Length of a window of usage, in seconds.
+      no_return_s: Seconds within which a node must not get a duty back that another one had.
+    """
+
+    reports_usage: bool = False
+    orders_endpoints: bool = False
+    window_s: float = 5.0
+    no_return_s: float = 3.0
+
+    @property
+    def has_any(self) -> bool:
+        """Return whether there is any duty."""
+        return self.reports_usage or self.orders_endpoints
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """All settings of a node.
@@ -36,6 +58,7 @@
       longest_ttl_s: Longest time for which callers may keep an answer of the directory, in seconds.
       drain_s: Time within which requests must stop reaching an endpoint that leaves, in seconds.
       first_start: Whether the whole fleet starts now, for the first time.
+      duties: What one node does for the whole fleet.
     """
 
     name: str
@@ -49,6 +72,7 @@
     longest_ttl_s: float = 5.0
     drain_s: float = 2.0
     first_start: bool = False
+    duties: DutySettings = DutySettings()
 
     def __post_init__(self) -> None:
         """Check the values.
@@ -63,6 +87,9 @@
         for name in ("grace_s", "longest_ttl_s", "drain_s"):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name}: must be above 0")
+        for name in ("window_s", "no_return_s"):
+            if getattr(self.duties, name) <= 0:
+                raise ValueError(f"duties.{name}: must be above 0")
 
     @property
     def other_seeds(self) -> tuple[str, ...]:
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
@@ -17,11 +17,11 @@
 from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.periodic import pause
 
-# Seconds between two checks whether the last answer is out. Not measured; chosen so that a stop
-# takes hardly longer than its answers.
+# Seconds between two checks whether the last answer is out. A stop takes hardly longer than its
+# answers.
 POLL_S = 0.02
-# Seconds between two looks at the settings file. Not measured. SIGHUP asks for a reload at once, so
-# this only bounds how long a change without the signal waits.
+# Seconds between two looks at the settings file. SIGHUP asks for a reload at once, so this only
+# bounds how long a change without the signal waits.
 SETTINGS_POLL_S = 1.0
 
 # What a settings file raises that cannot be read, lacks a value or has one of another shape.
@@ -75,10 +75,13 @@
     end_s = began_s + planned_stop.last_answer_s(grace_s)
     logs.event("node.leaving", in_progress=len(gateway.listener.in_progress))
     gateway.leave()
+    handing_on = asyncio.ensure_future(gateway.hand_on_duties())
     await asyncio.sleep(planned_stop.serve_on_s(grace_s))
     gateway.refuse_new()
     while gateway.listener.in_progress and loop.time() < end_s:
         await asyncio.sleep(POLL_S)
+    # By now the store has answered, or the successor waits until the lease has run out.
+    handing_on.cancel()
     logs.event(
         "node.left",
         cut_off=len(gateway.listener.in_progress),
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
@@ -25,6 +25,10 @@
         """Note the step."""
         self.steps.append("leave")
 
+    async def hand_on_duties(self):
+        """Note the step."""
+        self.steps.append("hand on")
+
     def refuse_new(self):
         """Note the step."""
         self.steps.append("refuse")
@@ -52,7 +56,7 @@
 
 def test_a_node_leaves_before_it_refuses_and_ends_last(gateway):
     stopped_after(gateway, 0.0)
-    assert_that(gateway.steps, Equals(["leave", "refuse", "end"]))
+    assert_that(gateway.steps, Equals(["leave", "hand on", "refuse", "end"]))
 
 
 def test_a_node_that_has_answered_all_still_serves_on_for_callers_with_old_addresses(gateway):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -23,13 +23,12 @@
 from springbridge_node.gateway.peers.row_fields import number, text, texts, whole
 from springbridge_node.gateway.peers.selection_messages import SelectionReply, SelectionRequest
 
-# Decimals of an age in seconds. Not measured; chosen as far finer than the 1.1 s for which a
-# configuration or endpoint list counts as confirmed.
+# Decimals of an age in seconds. Far finer than the 1.1 s for which a configuration or endpoint list
+# counts as confirmed.
 AGE_DECIMALS = 2
 # Phases of notices about an endpoint itself, which name no attempt.
 ABOUT_ENDPOINT = (LoadPhase.UNREACHED, LoadPhase.GONE)
-# Level of zlib, its fastest: bodies are sent rarely, to many nodes at the same moment. Not
-# measured against other levels.
+# Level of zlib, its fastest: bodies are sent rarely, to many nodes at the same moment.
 COMPRESSION_LEVEL = 1
 
 
@@ -218,13 +217,18 @@
     }
     # Beside the rows, because older builds take rows of six fields only and pass over the rest.
     starts = {entry.endpoint_id: entry.born_ms for entry in entries if entry.born_ms is not None}
-    return _compress(body | {"born": starts} if starts else body)
+    spot = [entry.endpoint_id for entry in entries if entry.spot]
+    further = {"born": starts, "spot": spot}
+    return _compress(body | {name: field for name, field in further.items() if field})
 
 
 def read_snapshot(body: dict) -> AgedSnapshot:
     """Return the list of endpoints of a decompressed body."""
     starts = body.get("born", {})
-    entries = tuple(EndpointEntry(*row, starts.get(row[0])) for row in body["entries"])
+    spot = set(body.get("spot", ()))
+    entries = tuple(
+        EndpointEntry(*row, starts.get(row[0]), row[0] in spot) for row in body["entries"]
+    )
     return AgedSnapshot(EndpointSnapshot(body["revision"], entries), body["age_s"])
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -15,8 +15,8 @@
 
 from springbridge_node import logs
 
-# Seconds between two log lines about datagrams that were dropped. Not measured; chosen so that a
-# peer that sends nothing but such datagrams costs one line a second.
+# Seconds between two log lines about datagrams that were dropped. A peer that sends nothing but
+# such datagrams costs one line a second.
 DROPPED_LOG_INTERVAL_S = 1.0
 
 Handler = Callable[[list, str], None]
@@ -35,6 +35,8 @@
     TRIAL_REQUEST = 8
     TRIAL_REPLY = 9
     TRIAL_ENDED = 10
+    USAGE = 11
+    DUTY_NEWS = 12
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
@@ -17,12 +17,12 @@
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.member_log import MemberLog
 
-# Seconds between two heartbeats. Not measured; chosen so that four beats fit into the 1.2 s after
-# which a silent member is suspected.
+# Seconds between two heartbeats. Four beats fit into the 1.2 s after which a silent member is
+# suspected.
 BEAT_S = 0.25
-# Seconds by which a beat may be late before the process counts as having stood still. Not
-# measured; chosen as more than two beats. BEAT_S + STALL_S is below the 1.1 s for which peers'
-# confirmations count, so that a stall is noticed before the next confirmation would be wrong.
+# Seconds by which a beat may be late before the process counts as having stood still. More than two
+# beats. BEAT_S + STALL_S is below the 1.1 s for which peers' confirmations count, so that a stall
+# is noticed before the next confirmation would be wrong.
 STALL_S = 0.6
 
 
@@ -40,18 +40,21 @@
         endpoints: EndpointFollower,
         catch_up: ConfigurationCatchUp,
         is_ready: Callable[[], bool],
+        store_is_up: Callable[[], bool],
     ) -> None:
         """Keep the parts.
 
         Args:
           catch_up: Woken when a digest brought news and while this node has no configuration.
           is_ready: Returns whether callers may be sent here.
+          store_is_up: Returns whether the store answered this node's last calls.
         """
         self._membership = membership
         self._configuration = configuration
         self._endpoints = endpoints
         self._catch_up = catch_up
         self._is_ready = is_ready
+        self._store_is_up = store_is_up
         self._gossip: Gossip | None = None
         self._member_log = MemberLog(membership)
         self._last_beat_s = clock.now_s()
@@ -120,6 +123,6 @@
         self._membership.beat(
             self._configuration.version,
             min(OLDEST_AGE_S, self._configuration.age_s()),
-            not self._endpoints.dependency.up,
+            not self._store_is_up(),
             self._endpoints.seen(),
         )
--- a/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
@@ -23,19 +23,26 @@
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 
-# Seconds for which notices are gathered into one datagram. Not measured against other values; a
-# longer wait saves datagrams but makes the load that peers know staler.
+# Seconds for which notices are gathered into one datagram. A longer wait saves datagrams but makes
+# the load that peers know staler.
 GATHER_S = 0.01
-# Notices in one datagram. Not measured; at about 100 bytes each a datagram stays under 1 kB, and
-# no more than these are lost with it.
+# Notices in one datagram. At about 100 bytes each a datagram stays under 1 kB, and no more than
+# these are lost with it.
 NOTICES_PER_DATAGRAM = 8
 
 
 class SharedLoad:
     """One attempt at an endpoint, from its start to its end."""
 
-    def __init__(self, sharing: "LoadSharing", attempt_id: str, endpoint_id: str) -> None:
-        """Keep the names."""
+    def __init__(
+        self,
+        sharing: "LoadSharing",
+        attempt_id: str,
+        endpoint_id: str,
+        began: Callable[[], None],
+    ) -> None:
+        """Keep the names, and what to call once the endpoint has begun to answer."""
+        self._began = began
         self._sharing = sharing
         self._attempt_id = attempt_id
         self._endpoint_id = endpoint_id
@@ -47,6 +54,7 @@
             self._was_read = True
             notice = LoadNotice(LoadPhase.READ, self._attempt_id, self._endpoint_id)
             self._sharing.publish(notice)
+            self._began()
 
 
 class LoadSharing:
@@ -85,13 +93,19 @@
         return attempt_name(self._incarnation, self._count)
 
     @contextlib.contextmanager
-    def attempt(self, choice: Choice, demand: Demand) -> Iterator[SharedLoad]:
-        """Count a request at an endpoint for as long as the block runs."""
+    def attempt(
+        self, choice: Choice, demand: Demand, began: Callable[[], None] = lambda: None
+    ) -> Iterator[SharedLoad]:
+        """Count a request at an endpoint for as long as the block runs.
+
+        Args:
+          began: Called once, when the endpoint has begun to answer.
+        """
         endpoint_id = choice.state.entry.endpoint_id
         attempt_id = choice.attempt_id or self.new_attempt_id()
         self.publish(start_notice(choice, demand, attempt_id))
         try:
-            yield SharedLoad(self, attempt_id, endpoint_id)
+            yield SharedLoad(self, attempt_id, endpoint_id, began)
         finally:
             self.publish(LoadNotice(LoadPhase.ENDED, attempt_id, endpoint_id))
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_discovery.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_discovery.py
@@ -15,11 +15,11 @@
 from springbridge_node.gateway.config.platform_store import PlatformStore
 from springbridge_node.gateway.config.store_readers import StoreReaders
 
-# Seconds between two looks; each reads the store only while this node is alone. Not measured;
-# chosen as long beside the time in which a digest of a peer arrives, to spare the store.
+# Seconds between two looks; each reads the store only while this node is alone. Long beside the
+# time in which a digest of a peer arrives, to spare the store.
 DISCOVERY_INTERVAL_S = 2.0
-# Seconds before the first look, in which seeds may answer without a call to the store. Not
-# measured; chosen like the interval.
+# Seconds before the first look, in which seeds may answer without a call to the store. Like the
+# interval.
 DISCOVERY_DELAY_S = 2.0
 
 
@@ -44,6 +44,10 @@
         self._seeds = seeds
         self._announced = False
 
+    def announce_again(self) -> None:
+        """Announce this node soon: the store has come back from an older copy."""
+        self._announced = False
+
     async def step(self) -> None:
         """Announce this node if it has to, and look for peers if it has none."""
         if not self._announced and self._readers.include_me(FEED_READERS):
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -83,6 +83,8 @@
     exchange: Exchange, connection: HttpConnection, head: Head, codec: RequestCodec
 ) -> End:
     """Pass an answer on, or hold back a failure that another endpoint may do better."""
+    if not exchange.route.streaming and exchange.progress.load is not None:
+        exchange.progress.load.read()
     if giving_up.holds_failure(exchange.route, head.status):
         exchange.progress.failure = HeldFailure(head, await read_whole(connection, head))
         return End.ENDPOINT_ERROR
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -34,6 +34,7 @@
       kept_tokens: Tokens of this prompt that its cache probably held.
       source: Endpoint that it was told to fetch more of the prompt from, "" for none.
       coordinator: Address of the coordinator that chose it, "" for this instance.
+      sent_s: When it was sent there, on the clock of all ages.
     """
 
     endpoint: str
@@ -42,9 +43,10 @@
     kept_tokens: int
     source: str
     coordinator: str
+    sent_s: float
 
     @classmethod
-    def from_choice(cls, choice: Choice, demand: Demand) -> "ChosenEndpoint":
+    def from_choice(cls, choice: Choice, demand: Demand, sent_s: float) -> "ChosenEndpoint":
         """Return the record of a choice, taken before the request counts at the endpoint."""
         state = choice.state
         return cls(
@@ -54,6 +56,7 @@
             kept_tokens=state.cache.kept_tokens(demand.prompt_parts),
             source=choice.source.entry.endpoint_id if choice.source else "",
             coordinator=choice.coordinator,
+            sent_s=sent_s,
         )
 
 
@@ -67,6 +70,8 @@
       sends, misdirected, unreached, busy, may_have_run, last_event: See `Attempts`.
       first_piece_s: When the caller got the first piece of the answer, on the monotonic clock;
         None before.
+      last_piece_s: When the caller got the latest piece of it, on the same clock.
+      longest_pause_s: Longest time between two pieces so far.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
       avoided: Endpoints that it must not go to now because of other requests on trial there.
@@ -85,6 +90,8 @@
     may_have_run: bool = False
     last_event: str | None = None
     first_piece_s: float | None = None
+    last_piece_s: float = 0.0
+    longest_pause_s: float = 0.0
     failure: HeldFailure | None = None
     load: SharedLoad | None = None
     avoided: set[str] = field(default_factory=set)
@@ -92,6 +99,14 @@
     held_since_s: float = 0.0
     fingerprint: str = ""
 
+    def piece_passed_on(self, now_s: float) -> None:
+        """Note that the caller gets a piece of the answer now."""
+        if self.first_piece_s is None:
+            self.first_piece_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_piece_s)
+        self.last_piece_s = now_s
+
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -16,7 +16,7 @@
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 
 # Bytes of a plain answer that are held back until it is whole, so that another endpoint can still
-# answer if it breaks. Bounds the memory for each request in progress. Not measured.
+# answer if it breaks. Bounds the memory for each request in progress.
 HELD_BYTES = 256 << 10
 
 
@@ -74,6 +74,8 @@
     splitter = EventSplitter()
     async for piece in connection.read_body(head):
         events = splitter.feed(piece)
+        if events and progress.load is not None:
+            progress.load.read()
         fresh = [event for event in events if _is_fresh(progress, event.event_id)]
         if fresh:
             await _pass_on(exchange, head, codec, b"".join(event.raw for event in fresh))
@@ -95,6 +97,7 @@
 async def _pass_on(exchange: Exchange, head: Head, codec: RequestCodec, data: bytes) -> None:
     """Send a piece of a stream, with the head before the first."""
     if exchange.answer.started:
+        exchange.progress.piece_passed_on(clock.now_s())
         await exchange.answer.write(data)
     else:
         await _start(exchange, head, codec, data, None)
@@ -111,7 +114,7 @@
     headers = codec.caller_headers(head)
     if length is not None:
         headers["Content-Length"] = str(length)
-    exchange.progress.first_piece_s = clock.now_s()
+    exchange.progress.piece_passed_on(clock.now_s())
     if exchange.progress.load is not None:
         exchange.progress.load.read()
     await exchange.answer.start(head.status, head.reason, headers, piece)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -16,7 +16,7 @@
 from springbridge_node.gateway.telemetry import Telemetry
 
 # Seconds. Bounds the logged age of the endpoint list, which is infinite before the first list and
-# would not be a number in JSON. Not measured; chosen beyond any age that occurs.
+# would not be a number in JSON. Beyond any age that occurs.
 LONGEST_AGE_S = 1e6
 
 
@@ -112,17 +112,18 @@
             customer=admitted.customer,
             config_version=admitted.version,
             list_age_ms=round(min(list_age_s, LONGEST_AGE_S) * 1000),
-            engines=[_log_row(chosen) for chosen in progress.chosen],
+            engines=[_log_row(chosen, exchange) for chosen in progress.chosen],
             sends=progress.sends,
             fingerprint=progress.fingerprint,
             result=ending.result,
             reason=ending.reason,
             first_ms=first_ms,
+            pause_ms=round(progress.longest_pause_s * 1000),
             total_ms=_age_ms(exchange),
         )
 
 
-def _log_row(chosen: ChosenEndpoint) -> dict[str, object]:
+def _log_row(chosen: ChosenEndpoint, exchange: Exchange) -> dict[str, object]:
     """Return the log fields of an endpoint that a request was sent to."""
     return {
         "engine": chosen.endpoint,
@@ -131,6 +132,7 @@
         "kept_tokens": chosen.kept_tokens,
         "source": chosen.source,
         "scheduler": chosen.coordinator,
+        "sent_ms": round((chosen.sent_s - exchange.admitted.arrival.arrived_s) * 1000),
     }
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from returns.result import Failure, Success
 from springbridge.problems import Problem
@@ -39,6 +40,7 @@
     Ending,
     RequestLog,
 )
+from springbridge_node.gateway.requests.usage_meter import UsageMeter
 
 
 @dataclass(frozen=True)
@@ -62,6 +64,7 @@
     loads: LoadSharing
     gate: QuarantineGate
     failure_domain: str
+    usage: UsageMeter
 
 
 class RequestRouter:
@@ -102,6 +105,7 @@
     async def _serve_admitted(self, exchange: Exchange) -> None:
         """Serve a request that the configuration allows, and log its end in any case."""
         self._parts.budget.note_request(exchange.demand.service)
+        self._parts.usage.sent(exchange.admitted)
         ending = CALLER_LEFT
         try:
             problem = await self._until_deadline(exchange)
@@ -193,9 +197,11 @@
         No await may come before the send; see `attempt._send`.
         """
         incarnation = choice.state.entry.incarnation
-        exchange.progress.chosen.append(ChosenEndpoint.from_choice(choice, exchange.demand))
+        chosen = ChosenEndpoint.from_choice(choice, exchange.demand, clock.now_s())
+        exchange.progress.chosen.append(chosen)
         try:
-            with self._parts.loads.attempt(choice, exchange.demand) as load:
+            began = partial(self._parts.usage.began, exchange.admitted)
+            with self._parts.loads.attempt(choice, exchange.demand, began) as load:
                 exchange.progress.load = load
                 end = await make_attempt(exchange, choice, connection, self._parts.codec)
         except BaseException:
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -2,8 +2,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-# Upper bounds of the buckets, in seconds. Not measured; chosen finest below a second, the usual
-# target for the first piece of an answer.
+# Upper bounds of the buckets, in seconds. Finest below a second, the usual target for the first
+# piece of an answer.
 FIRST_PIECE_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.35, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0)
 
 
@@ -70,6 +70,22 @@
             "Times that the machine was suspended since the start",
             registry=self.registry,
         )
+        self.lease_token = Gauge(
+            "springbridge_lease_token",
+            "Fencing token while this node holds the lease of the duties, else 0",
+            registry=self.registry,
+        )
+        self.duty_calls = Gauge(
+            "springbridge_duty_calls",
+            "Duty calls of this node since its start",
+            ["result"],
+            registry=self.registry,
+        )
+        self.store_steps = Gauge(
+            "springbridge_store_steps",
+            "Times that the store came back from an older copy",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
         )
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -4,11 +4,11 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from springbridge.routing.shared_retry_budget import BudgetTerms
 from springbridge_node.gateway.gateway import Gateway, Outside
-from springbridge_node.gateway.gateway_settings import Addresses, GatewaySettings
+from springbridge_node.gateway.gateway_settings import Addresses, DutySettings, GatewaySettings
 
 from springbridge_standins.free_addresses import free_ports
 from springbridge_standins.gateway.engine import EngineStandIn, Script
@@ -117,12 +117,16 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(
-    make_outside: MakeOutside, scripts: dict[str, tuple[str, Script]], nodes: int = 1
+    make_outside: MakeOutside,
+    scripts: dict[str, tuple[str, Script]],
+    nodes: int = 1,
+    duties: DutySettings = DutySettings(),
 ) -> AsyncIterator[Fleet]:
     """Run a store, engines and nodes until the block ends.
 
     Args:
       scripts: For each engine its service and how it answers.
+      duties: What one node does for all.
     """
     async with contextlib.AsyncExitStack() as stack:
         store = StoreStandIn()
@@ -133,7 +137,7 @@
             await stack.enter_async_context(running(engine))
             await fleet.list_engine(name, scripts[name][0])
         await store.put("op", "config", configuration(1))
-        settings = _settings(nodes)
+        settings = [replace(one, duties=duties) for one in _settings(nodes)]
         for one in settings:
             gateway = Gateway(one, make_outside(store.address))
             fleet.nodes.append(gateway)
--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import time
 from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
@@ -39,6 +40,14 @@
     version: int
 
 
+@dataclass(frozen=True)
+class _Copy:
+    """The rows at one moment, and the version then."""
+
+    version: int
+    rows: dict[tuple[str, str], Row]
+
+
 class StoreStandIn(HttpStandIn):
     """The rows.
 
@@ -46,6 +55,7 @@
       refused_from: IP numbers of nodes that the store turns away with the fault; all if empty.
       history_lost_before: Version before which the feed no longer reaches back.
       calls: Calls by path.
+      era: How often the store has come back from an older copy; told in each answer once it has.
     """
 
     def __init__(self) -> None:
@@ -56,6 +66,8 @@
         self.history_lost_before = 0
         self.calls: Counter[str] = Counter()
         self.version = 0
+        self.era = 0
+        self._copies: list[_Copy] = []
         self._rows: dict[tuple[str, str], Row] = {}
         self._changed = asyncio.Condition()
 
@@ -74,6 +86,18 @@
             self._rows.pop((table, key), None)
             self._changed.notify_all()
 
+    def take_copy(self) -> None:
+        """Take a copy that the store may come back from."""
+        self._copies.append(_Copy(self.version, dict(self._rows)))
+
+    async def come_back_older(self, number: int = -1) -> None:
+        """Come back from a copy: what was written since is gone, versions are given out again."""
+        async with self._changed:
+            copy = self._copies[number]
+            self.version, self._rows = copy.version, dict(copy.rows)
+            self.era += 1
+            self._changed.notify_all()
+
     async def _write(self, table: str, key: str, value: bytes) -> None:
         async with self._changed:
             self.version += 1
@@ -99,7 +123,8 @@
         status, body = await self._call(request)
         if fault is StoreFault.LOST:
             await asyncio.sleep(SILENT_S)
-        await connection.send(answer("", orjson.dumps(body), status, signature=""))
+        told = {"Store_Era": str(self.era)} if self.era else {}
+        await connection.send(answer("", orjson.dumps(body), status, signature="", **told))
 
     async def _call(self, request: RawRequest) -> tuple[int, dict]:
         """Do a call and return status and body."""
@@ -109,17 +134,21 @@
             return await self._feed(request.query)
         if request.path == "/v1/rows-tx":
             changes = request.json()
+            for condition in changes["expectedRevision"]:
+                row = self._rows.get((condition["table"], condition["key"]))
+                if (row.version if row else 0) != condition["ver"]:
+                    return 412, {"rows": [], "ver": self.version, "now_ms": self._now_ms()}
             for row in changes["put"]:
                 await self._write(row["table"], row["key"], base64.b64decode(row["value"]))
             for row in changes["remove"]:
                 await self.remove(row["table"], row["key"])
-            return 200, {"ver": self.version, "now_ms": 0}
+            return 200, {"ver": self.version, "now_ms": self._now_ms()}
         return 404, {}
 
     async def _feed(self, query: dict) -> tuple[int, dict]:
         """Answer as soon as a row of a table has changed."""
         since = int(query["sinceRevision"])
-        if since < self.history_lost_before:
+        if since < self.history_lost_before or since > self.version:
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["waitMs"]) / 1000), self._changed:
@@ -139,4 +168,8 @@
             for row in self._rows.values()
             if row.table == table and row.version > since
         ]
-        return {"rows": rows, "ver": self.version, "now_ms": 0}
+        return {"rows": rows, "ver": self.version, "now_ms": self._now_ms()}
+
+    def _now_ms(self) -> int:
+        """Return the moment on the store's steady clock."""
+        return int(time.monotonic() * 1000)
--- a/packages/springbridge-standins/springbridge_standins/pages.py
+++ b/packages/springbridge-standins/springbridge_standins/pages.py
@@ -21,7 +21,7 @@
 LOG_TYPE = re.compile(
     r"(?:springbridge\.)?"
     r"((?:node|request|engine|engines|member|members|peers|dependency|configuration|settings|scheduler"
-    r"|table|order|invariant|quarantine)\.[a-z_]+|fault|library)\Z"
+    r"|table|order|invariant|quarantine|lease|usage|scaling|store)\.[a-z_]+|fault|library)\Z"
 )
 LOG_ROW = re.compile(r"^\| ((?:`[a-z_.]+`(?:, )?)+) \| ([^|]+) \|", re.MULTILINE)
 
--- /dev/null
+++ b/packages/springbridge/springbridge/duties/__init__.py
@@ -0,0 +1,11 @@
+"""What one instance does for the whole fleet, and the decisions of it.
+
+    lease           which instance does a duty, under a fenced lease
+    true_time       the time of day without the jumps of an instance's clock
+    usage           how many requests of each customer endpoints began, by window of time
+    usage_reports   which windows are reported, and with which counts
+    demand          how much work callers bring to a service
+    scaling         how many endpoints of each kind a service should have in each failure domain
+
+Nothing here waits or does input or output; times are seconds.
+"""
--- /dev/null
+++ b/packages/springbridge/springbridge/duties/usage.py
@@ -0,0 +1,132 @@
+"""How many requests of each customer endpoints began, by window of the true time.
+
+Each instance counts its own requests. The counts only grow, so that an instance tells them as they
+are and a receiver keeps the largest: a message that is lost or comes twice does no harm.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+# Seconds for which an instance keeps its counts of a window after its end. A window is reported
+# within that time, or nobody could be told of it.
+KEPT_S = 30.0
+
+Counts = dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class ToldUsage:
+    """What an instance tells of its requests in one window.
+
+    Attributes:
+      incarnation: Which run of which instance counted.
+      started_s: When that run started, in true time.
+      window: Number of the window.
+      counts: Requests by customer.
+    """
+
+    incarnation: str
+    started_s: float
+    window: int
+    counts: Counts
+
+
+def window_at(true_s: float, window_s: float) -> int:
+    """Return the number of the window of a moment."""
+    return math.floor(true_s / window_s)
+
+
+def window_end_s(window: int, window_s: float) -> float:
+    """Return the moment at which a window ends, in true time."""
+    return (window + 1) * window_s
+
+
+def larger_counts(one: Mapping[str, int], other: Mapping[str, int]) -> Counts:
+    """Return for each customer the larger of two counts."""
+    return {name: max(one.get(name, 0), other.get(name, 0)) for name in {**one, **other}}
+
+
+class OwnUsage:
+    """The requests that endpoints began for this instance."""
+
+    def __init__(self, window_s: float) -> None:
+        """Start without counts."""
+        self.window_s = window_s
+        self._windows: dict[int, Counts] = {}
+
+    def began(self, customer: str, true_s: float) -> None:
+        """Count a request that an endpoint began at a moment of true time."""
+        counts = self._windows.setdefault(window_at(true_s, self.window_s), {})
+        counts[customer] = counts.get(customer, 0) + 1
+
+    def windows(self) -> Iterator[tuple[int, Counts]]:
+        """Return the windows that have counts."""
+        return iter(self._windows.items())
+
+    def forget(self, true_s: float) -> None:
+        """Drop windows that ended more than KEPT_S ago."""
+        first = window_at(true_s - KEPT_S, self.window_s)
+        self._windows = {
+            window: counts for window, counts in self._windows.items() if window >= first
+        }
+
+
+class FleetUsage:
+    """The requests that endpoints began for all instances, as far as these told of them.
+
+    A holder keeps the totals with its lease, for the case that all instances are lost. They hold
+    what the runs counted that had started by then; what later runs counted comes on top.
+    """
+
+    def __init__(self) -> None:
+        """Start without counts."""
+        self._told: dict[int, dict[str, ToldUsage]] = defaultdict(dict)
+        self._stored: dict[int, Counts] = {}
+        self._stored_s = -math.inf
+
+    def take(self, told: ToldUsage) -> None:
+        """Take in what an instance tells."""
+        runs = self._told[told.window]
+        before = runs.get(told.incarnation)
+        counts = larger_counts(before.counts, told.counts) if before else told.counts
+        runs[told.incarnation] = ToldUsage(
+            told.incarnation, told.started_s, told.window, dict(counts)
+        )
+
+    def restore(self, totals: Mapping[int, Counts], stored_s: float) -> None:
+        """Take in the totals that an earlier holder kept.
+
+        Args:
+          stored_s: When it did, in true time.
+        """
+        self._stored = {window: dict(counts) for window, counts in totals.items()}
+        self._stored_s = stored_s
+
+    def totals(self, window: int) -> Counts:
+        """Return the requests of a window by customer."""
+        runs = self._told.get(window, {}).values()
+        earlier = _sum(run.counts for run in runs if run.started_s <= self._stored_s)
+        later = _sum(run.counts for run in runs if run.started_s > self._stored_s)
+        return _sum([larger_counts(self._stored.get(window, {}), earlier), later])
+
+    def windows(self) -> list[int]:
+        """Return the windows of which there are counts, in order."""
+        return sorted({*self._told, *self._stored})
+
+    def forget(self, before: int) -> None:
+        """Drop the windows before one."""
+        for window in [window for window in self._told if window < before]:
+            del self._told[window]
+        for window in [window for window in self._stored if window < before]:
+            del self._stored[window]
+
+
+def _sum(parts) -> Counts:
+    """Return the sum of counts by customer."""
+    total: Counts = defaultdict(int)
+    for counts in parts:
+        for customer, count in counts.items():
+            total[customer] += count
+    return dict(total)
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -16,7 +16,10 @@
 from springbridge.routing.ejection import ejection_s
 from springbridge.routing.endpoint_state import LISTED, EndpointState
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
+from springbridge.routing.older_lists import OlderLists
+from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
+from springbridge.store_stamp import era_of
 
 # Bits dropped from the 64-bit hash of a list. Heartbeats carry the rest, and all instances of a
 # mixed fleet compare it, so that its length is fixed.
@@ -38,6 +41,7 @@
         self._revision = -1
         self._read_s: float | None = None
         self._fingerprint = 0
+        self._older_lists = OlderLists(clock)
 
     @property
     def fingerprint(self) -> int:
@@ -74,11 +78,15 @@
         """
         if snapshot.revision < self._revision:
             return False
-        after_outage = self.age_s() > eligibility.OUTAGE_S + age_s
+        went_back = era_of(snapshot.revision) > era_of(max(0, self._revision))
+        if went_back:
+            self._older_lists.went_back()
+        after_outage = went_back or self.age_s() > eligibility.OUTAGE_S + age_s
         self._revision = snapshot.revision
         self._fingerprint = _fingerprint(snapshot)
         self._read_s = self._clock() - age_s
-        listed = {entry.endpoint_id: entry for entry in snapshot.entries}
+        known = {name: state.entry for name, state in self._states.items()}
+        listed = self._older_lists.corrected(snapshot.entries, known)
         changed = self._update(listed, capacities)
         return self._drop_unlisted(listed, after_outage) or changed
 
@@ -110,6 +118,8 @@
             if state.is_listed:
                 may_live = state.entry.service in lapsed and not state.entry.draining
                 state.usable_until_s = now_s + (self._lapse_grace_s if may_live else 0.0)
+                if not after_outage:
+                    self._older_lists.left(endpoint_id)
                 changed = True
             if state.usable_until_s <= now_s and not state.in_flight:
                 del self._states[endpoint_id]
@@ -127,6 +137,15 @@
         """Return the incarnations of all endpoints that are listed or still have requests."""
         return {state.entry.incarnation for state in self._states.values()}
 
+    def usual_speed(self, service: str) -> float:
+        """Return how fast an endpoint of a service reads prompts on the average, in tokens/s."""
+        speeds = [
+            state.speed.tokens_per_s
+            for state in self._states.values()
+            if state.entry.service == service and state.is_listed
+        ]
+        return sum(speeds) / len(speeds) if speeds else USUAL_TOKENS_PER_S
+
     def candidates(self, service: str, tried: Collection[str]) -> list[EndpointState]:
         """Return the endpoints of a service that may get a request.
 
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -1,29 +1,31 @@
 """Records of routing: the operators' configuration, the endpoint list and the facts of a request.
 
 All are frozen, and the functions over them are in the other modules of this package. Names that end
-in _s hold seconds; moments are seconds of the instance's monotonic clock. The defaults stand for
-what the operators leave out; none of them was measured.
+in _s hold seconds; moments are seconds of the instance's monotonic clock.
+The defaults stand for what the operators leave out.
 """
 
 from dataclasses import dataclass, field
 
-# Rank of a route without a priority. Not measured; chosen as a middle rank. For overload it is
-# among the least urgent (overload.py).
+from springbridge.duties.scaling import ScalingLimits
+
+# Rank of a route without a priority. The middle of the usual ones; for overload it is among the
+# least urgent (overload.py).
 NO_PRIORITY = 5
-# Longest time in seconds for which a request is held. Not measured.
+# Longest time in seconds for which a request is held.
 DEFAULT_TIMEOUT_S = 60.0
-# Target in seconds for the first event or the answer. Not measured; overload.py derives from it how
-# long a backlog may be.
+# Target in seconds for the first event or the answer. overload.py derives from it how long a
+# backlog may be.
 DEFAULT_TARGET_S = 1.0
-# Connections that an endpoint takes from all instances. Not measured; the pool shares them out.
+# Connections that an endpoint takes from all instances. The pool shares them out.
 DEFAULT_MAX_CONNECTIONS = 100
-# Size of a request's head in bytes. Not measured; it bounds memory for each connection.
+# Size of a request's head in bytes. It bounds memory for each connection.
 DEFAULT_HEADER_BYTES = 16384
-# Size of a request's body in bytes, 4 MiB. Not measured; it bounds memory for each request.
+# Size of a request's body in bytes, 4 MiB. It bounds memory for each request.
 DEFAULT_BODY_BYTES = 4 << 20
-# Seconds for the head of a request to arrive. Not measured.
+# Seconds for the head of a request to arrive.
 DEFAULT_HEADER_TIMEOUT_S = 3.0
-# Seconds for which a connection may stay idle. Not measured; it bounds how many are open.
+# Seconds for which a connection may stay idle. It bounds how many are open.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 
 
@@ -78,6 +80,7 @@
       token_capacity: Tokens of running requests and cached prompts that fit into an endpoint; 0 for
         plain services.
       fetches: Whether an endpoint can fetch what another one keeps of a prompt.
+      scaling: Within which limits endpoints may be ordered; None if they may not.
     """
 
     name: str
@@ -85,6 +88,7 @@
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     token_capacity: int = 0
     fetches: bool = False
+    scaling: ScalingLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +147,7 @@
       slots: Requests that the endpoint runs at a time.
       draining: Whether the endpoint is about to leave and takes no new requests.
       born_ms: See EndpointIncarnation.
+      spot: Whether the endpoint costs less and may be taken away at short notice.
     """
 
     endpoint_id: str
@@ -152,6 +157,7 @@
     slots: int
     draining: bool
     born_ms: int | None = None
+    spot: bool = False
 
     @property
     def incarnation(self) -> EndpointIncarnation:
