--- a/packages/springbridge-ctl/springbridge_ctl/client.py
+++ b/packages/springbridge-ctl/springbridge_ctl/client.py
@@ -10,8 +10,8 @@
 from tornado.httpclient import HTTPClient, HTTPRequest
 
 TOKEN_HEADER = "Springbridge-Operator-Token"
-# Longest wait for a node's answer. Not measured; above the 9.5 s that a node may take to settle a
-# commit whose reply was lost (five looks of 0.3 s pause and two reads of 0.8 s).
+# Longest wait for a node's answer. Above the 9.5 s that a node may take to settle a commit whose
+# reply was lost (five looks of 0.3 s pause and two reads of 0.8 s).
 TIMEOUT_S = 15.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/callers/callers_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/callers/callers_http.py
@@ -24,7 +24,7 @@
 from springbridge_node.class_router.requests.growing_answers import Answer
 
 # Characters of a prompt that are counted as one token when its memory at an endpoint is estimated.
-# A rule of thumb for English text; not measured.
+# A rule of thumb for English text.
 CHARS_PER_TOKEN = 4
 EVENT_STREAM = "text/event-stream"
 
--- a/packages/springbridge-node/springbridge_node/class_router/callers/work_handler.py
+++ b/packages/springbridge-node/springbridge_node/class_router/callers/work_handler.py
@@ -25,8 +25,8 @@
 from springbridge_node.class_router.requests.limit_gate import finishing
 from springbridge_node.class_router.requests.work import Work
 
-# How long the rest of a refused body is read and thrown away before the connection is closed. A
-# sender that was cut off at once saw a reset in place of the answer; the length is not measured.
+# How long the rest of a refused body is read and thrown away before the connection is closed.
+# A sender that is cut off at once sees a reset in place of the answer.
 DISCARD_S = 2.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/class_node.py
+++ b/packages/springbridge-node/springbridge_node/class_router/class_node.py
@@ -55,16 +55,15 @@
 from springbridge_node.periodic import every
 
 # Interval of reading the platform's list of instances. It only seeds the membership, which gossip
-# corrects within seconds. Not measured.
+# corrects within seconds.
 LIST_POLL_S = 2.0
 # Added to the time for which callers may keep an address, before a leaving node refuses requests.
-# It covers an address answer that was on its way when the node began to leave. Not measured.
+# It covers an address answer that was on its way when the node began to leave.
 LEAVE_MARGIN_S = 0.5
 # Interval of looking whether requests still run, and the time that the last digest gets to leave.
-# Not measured; it delays the end of a planned stop by this much at most.
+# It delays the end of a planned stop by this much at most.
 DRAIN_POLL_S = 0.1
 # Time after the last request in which peers can still read the end of an answer that they relay.
-# Not measured.
 LINGER_S = 1.0
 # Largest body in bytes that the HTTP server lets a handler read. It is far above the setting
 # max_body_bytes, so that the handler answers BODY_TOO_LARGE and the server does not cut the sender
--- a/packages/springbridge-node/springbridge_node/class_router/config/config_sync.py
+++ b/packages/springbridge-node/springbridge_node/class_router/config/config_sync.py
@@ -27,14 +27,13 @@
 # of freshness (1 s + 0.8 s + 1 s). At the planned size 380 nodes make 380 reads a second.
 POLL_S = 1.0
 # Shortest time between two requests to peers for missing changes, since the next digest may come
-# before the answer. Not measured.
+# before the answer.
 PULL_INTERVAL_S = POLL_S / 4
 # Changes kept for peers that lag, and the most that are read singly before all rows are read anew.
-# Not measured; a little over an hour's changes at 4,200 a day.
+# A little over an hour's changes at 4,200 a day.
 CHANGES_KEPT = 200
-# How long a decision to serve stands. Measured: deciding anew looks at all members and costs 1.5
-# ms at 380 nodes (2.6 us a member for the majority, 1.4 us for the live ones), too much for each
-# request.
+# How long a decision to serve stands.
+# Deciding anew looks at all members, which is too much for each request.
 DECISION_S = 0.1
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/config/editing.py
+++ b/packages/springbridge-node/springbridge_node/class_router/config/editing.py
@@ -17,9 +17,9 @@
 from springbridge_node import logs
 from springbridge_node.class_router.config.config_sync import ConfigSync
 
-# Tries to commit an edit that keeps losing races against edits of other rows. Not measured.
+# Tries to commit an edit that keeps losing races against edits of other rows.
 COMMIT_TRIES = 5
-# When an operator may try again while the table is out: two intervals of reading it. Not measured.
+# When an operator may try again while the table is out: two intervals of reading it.
 OUTAGE_RETRY_S = 2.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/config/platform_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/config/platform_http.py
@@ -11,7 +11,7 @@
 # Longest wait for a read. Derived: it stays below the 1 s between two reads of the version, so
 # that a silent service is noticed within the 3 s for which a confirmation is fresh.
 READ_TIMEOUT_S = 0.8
-# When a caller may try again after an outage of the table: two of the node's reads. Not measured.
+# When a caller may try again after an outage of the table: two of the node's reads.
 RETRY_AFTER_S = 2.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/config/table_store.py
+++ b/packages/springbridge-node/springbridge_node/class_router/config/table_store.py
@@ -37,15 +37,15 @@
 )
 
 # Longest wait for a transaction. Longer than a read, since a lost reply has to be settled by
-# reading back. Not measured.
+# reading back.
 WRITE_TIMEOUT_S = 2.0
 # Looks at the table for a change whose reply was lost before the outcome is given as unknown. With
-# the pause it bridges an outage of 1.5 s; a longer one ends with EDIT_UNKNOWN. Not measured.
+# the pause it bridges an outage of 1.5 s; a longer one ends with EDIT_UNKNOWN.
 SETTLE_TRIES = 5
-# Pause before each of these looks: a write that is late may still take effect. Not measured.
+# Pause before each of these looks: a write that is late may still take effect.
 SETTLE_PAUSE_S = 0.3
 # Length of a lease for orders. It bounds how long a dead holder keeps others out, and leaves 5 s to
-# send after the margin that orders.py takes off. Not measured.
+# send after the margin that orders.py takes off.
 ORDER_LEASE_S = 10.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
@@ -16,13 +16,13 @@
 from tornado.simple_httpclient import HTTPTimeoutError
 
 # Longest wait for a connection. Running out proves that the job did not start, so another endpoint
-# may get it. Not measured.
+# may get it.
 CONNECT_TIMEOUT_S = 1.0
 # Requests that the HTTP client runs at a time. The schedulers limit what is sent to endpoints, so
 # this stays above what a node is granted: 580 streams at the planned size (docs/CAPACITY.md).
 MAX_CLIENTS = 5000
 # Largest answer in bytes that the HTTP client takes. A stream is not kept by the client, so this
-# must only lie above any answer. Not measured.
+# must only lie above any answer.
 MAX_ANSWER_BYTES = 1 << 30
 ADMITTED_HEADER = "Engine-Admitted"
 
--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/load_reports.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/load_reports.py
@@ -7,7 +7,7 @@
 
 from springbridge_node.class_router.endpoints.model_client import ModelClient
 
-# Interval of reading load reports. Not measured.
+# Interval of reading load reports.
 POLL_S = 0.5
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/model_client.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/model_client.py
@@ -23,8 +23,7 @@
 # Longest stream, since the HTTP client needs some bound. The runner gives a silent stream up far
 # earlier, but its connection stays open until the engine sends something or this time is over.
 LONGEST_ANSWER_S = 4 * 3600.0
-# Longest wait for what an endpoint answers at once: cancellations, load reports, orders. Not
-# measured.
+# Longest wait for what an endpoint answers at once: cancellations, load reports, orders.
 SHORT_TIMEOUT_S = 2.0
 DATA = b"data: "
 DONE = b"[DONE]"
--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/scheduler_host.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/scheduler_host.py
@@ -12,8 +12,7 @@
 from springbridge.classes.invariants import Invariants
 from springbridge.classes.slots.scheduler import EndpointScheduler
 
-# Interval of the node's one timer. Measured: seven timers woke an idle node 45 times a second and
-# took 2.4% of a core; one timer of 0.1 s took 1.1% (four nodes).
+# Interval of the node's one timer.
 TICK_S = 0.1
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/housekeeping.py
+++ b/packages/springbridge-node/springbridge_node/class_router/housekeeping.py
@@ -19,9 +19,9 @@
 # Interval of renewing leases in use: twice within a lease, so that one lost message does no harm.
 RENEW_INTERVAL_S = 0.4
 # Interval of telling the schedulers which slots this node holds; a release that was lost blocks its
-# slot for up to this long. Not measured.
+# slot for up to this long.
 INVENTORY_INTERVAL_S = 1.0
-# Interval of forgetting old members, limits and schedulers; it bounds memory only. Not measured.
+# Interval of forgetting old members, limits and schedulers; it bounds memory only.
 TIDY_INTERVAL_S = 5.0
 
 assert 2 * RENEW_INTERVAL_S < LEASE_S, "a lease has to outlive one lost renewal"
--- a/packages/springbridge-node/springbridge_node/class_router/main.py
+++ b/packages/springbridge-node/springbridge_node/class_router/main.py
@@ -18,12 +18,12 @@
 )
 
 PREFIX = "SPRINGBRIDGE_"
-# Default of the largest request body, in bytes. Not measured.
+# Default of the largest request body, in bytes.
 DEFAULT_MAX_BODY_BYTES = 4_000_000
-# Default time for a sender to finish its body. Not measured.
+# Default time for a sender to finish its body.
 DEFAULT_BODY_TIMEOUT_S = 10.0
 # Default time for which callers keep addresses. A planned stop lasts at least this long, and a lost
-# node is in the answers of callers for up to this long. Not measured.
+# node is in the answers of callers for up to this long.
 DEFAULT_KEEP_ADDRESSES_S = 2.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/node_parts.py
+++ b/packages/springbridge-node/springbridge_node/class_router/node_parts.py
@@ -15,7 +15,7 @@
 from springbridge_node.class_router.serve_settings import Settings
 
 # When a caller may come back to a node that is leaving or not fresh. The answer names other nodes,
-# so this only matters where there are none. Not measured.
+# so this only matters where there are none.
 CLOSED_RETRY_S = 0.5
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/operators/operators_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/operators/operators_http.py
@@ -24,7 +24,7 @@
 
 TOKEN_HEADER = "Springbridge-Operator-Token"
 # Changes in one answer of the audit trail; `after` asks for the next. Bounds the scan of the
-# platform's table. Not measured.
+# platform's table.
 AUDIT_LIMIT = 1000
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/peers/peer_links.py
+++ b/packages/springbridge-node/springbridge_node/class_router/peers/peer_links.py
@@ -25,13 +25,12 @@
 # at the 90 bytes that a message takes on the wire (docs/CAPACITY.md).
 QUEUE_LIMIT = 10_000
 # Mean pause before a broken stream is opened again, drawn from half to one and a half of it so that
-# nodes do not come back in step. Not measured; below the 0.5 s between two digests.
+# nodes do not come back in step. Below the 0.5 s between two digests.
 RECONNECT_S = 0.2
 # A stream that carried nothing for this long is closed. Bounds the open connections of a large
-# fleet, where digests go to another random peer each time. Not measured.
+# fleet, where digests go to another random peer each time.
 IDLE_CLOSE_S = 30.0
 # Longest wait for a connection to a peer, below the 2.5 s after which a silent member is suspected.
-# Not measured.
 CONNECT_TIMEOUT_S = 1.0
 TOKEN_KEY = "authorization"
 NODE_KEY = "springbridge-node"
--- a/packages/springbridge-node/springbridge_node/class_router/requests/growing_answers.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/growing_answers.py
@@ -12,10 +12,10 @@
 from springbridge.problems import Problem
 
 # How long an answer is kept for a retry of its caller, counted from its start. Later retries get
-# ANSWER_NOT_KEPT, as the binding's record lives for 600 s. Not measured.
+# ANSWER_NOT_KEPT, as the binding's record lives for 600 s.
 KEEP_ANSWERS_S = 120.0
 # Characters of all kept answers; beyond them the oldest ended ones go early. Bounds memory: 4 MB of
-# English text. Not measured.
+# English text.
 KEEP_ANSWERS_CHARS = 4_000_000
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/requests/home_lookup.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/home_lookup.py
@@ -19,12 +19,12 @@
 
 from springbridge_node.class_router.peers.messages import HandOver, HandOverReply, Message
 
-# Longest wait for a home's answer about a request. Not measured; after it the endpoints are asked.
+# Longest wait for a home's answer about a request. After it the endpoints are asked.
 HOME_PATIENCE_S = 1.0
 # Homes that are asked one after another when each says that the request moved on. A request moves
-# when a home that never saw it hands it over, so more than one move is rare. Not measured.
+# when a home that never saw it hands it over, so more than one move is rare.
 MOST_MOVES = 3
-# When a caller may ask again about a request whose home is silent. Not measured.
+# When a caller may ask again about a request whose home is silent.
 UNKNOWN_RETRY_S = 2.0
 UNKNOWN = Problem(
     Code.OUTCOME_UNKNOWN, "the request's home cannot be asked", retry_after_s=UNKNOWN_RETRY_S
--- a/packages/springbridge-node/springbridge_node/class_router/requests/limit_gate.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/limit_gate.py
@@ -18,10 +18,9 @@
 from springbridge_node.class_router.peers.messages import Message
 
 # Longest wait for a lease; then the node admits its equal part of the limit. Callers wait this long
-# for the first token when an owner is lost. Not measured; far above one exchange with a peer.
+# for the first token when an owner is lost. Far above one exchange with a peer.
 OWNER_PATIENCE_S = 0.25
-# How long a limit that nobody uses is remembered after its last lease. Bounds memory only. Not
-# measured.
+# How long a limit that nobody uses is remembered after its last lease. Bounds memory only.
 IDLE_KEEP_S = 60.0
 
 # Customer and class, which name a limit as they name a share in the table.
--- a/packages/springbridge-node/springbridge_node/class_router/requests/progress.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/progress.py
@@ -7,15 +7,14 @@
 from springbridge.classes.stream import Chunk
 
 # Silence that counts as a stall, in latency targets between tokens: 2 s at a target of 65 ms.
-# Not measured.
 STALL_TARGETS = 30
 # Shortest silence that counts as a stall, so that a short pause of an endpoint with tight targets
-# does not end its streams. Not measured.
+# does not end its streams.
 SHORTEST_STALL_S = 2.0
-# The same in latency targets for the first token. Not measured.
+# The same in latency targets for the first token.
 FIRST_TOKEN_TARGETS = 2
 # Silence that counts as a stall at a plain service. It sends nothing before its whole answer, so
-# this is the longest wait for one. Not measured.
+# this is the longest wait for one.
 SERVICE_STALL_S = 60.0
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/requests/resumption.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/resumption.py
@@ -15,13 +15,12 @@
 from springbridge_node.class_router.requests.growing_answers import Answer
 from springbridge_node.class_router.requests.progress import Progress, stall_s_of
 
-# Interval of looking for a stall, an eighth of the shortest silence that counts as one. Not
-# measured.
+# Interval of looking for a stall, an eighth of the shortest silence that counts as one.
 WATCH_INTERVAL_S = 0.25
 # Tries to resume a stream by its id at the endpoint that has it: with the pause, an endpoint that
-# refuses connections for 2 s does not cost the request. Not measured.
+# refuses connections for 2 s does not cost the request.
 RESUME_TRIES = 8
-# Pause between two of these tries. Not measured.
+# Pause between two of these tries.
 RESUME_PAUSE_S = 0.25
 
 Clock = Callable[[], float]
--- a/packages/springbridge-node/springbridge_node/class_router/requests/runner.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/runner.py
@@ -19,8 +19,7 @@
 from springbridge_node.class_router.requests.slot_attempt import AttemptPorts, SlotAttempt
 from springbridge_node.class_router.requests.work import End, Work, after_start, next_step
 
-# Shortest time for which work that has started stays away from all queues after a refusal. Not
-# measured.
+# Shortest time for which work that has started stays away from all queues after a refusal.
 PARK_S = 0.25
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/requests/slot_attempt.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/slot_attempt.py
@@ -30,8 +30,7 @@
 )
 from springbridge_node.class_router.requests.work import End, Work, outcome_of
 
-# Interval of reporting a stream's latencies to its scheduler. Measured: a sample costs 50 us, which
-# is 5.8% of a core for 580 streams at the planned size (docs/CAPACITY.md); shorter costs more.
+# Interval of reporting a stream's latencies to its scheduler.
 SAMPLE_INTERVAL_S = 0.5
 
 
--- a/packages/springbridge-node/springbridge_node/class_router/requests/work.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/work.py
@@ -14,12 +14,12 @@
 from springbridge.problems import Problem
 
 # Preemptions that one request has to bear; after them its work counts as fixed and never takes the
-# last slot of an endpoint. Not measured.
+# last slot of an endpoint.
 MAX_PREEMPTIONS = 2
 # Endpoints that may turn one request away before it is given up. No budget applies to these
-# retries, as nothing ran. Not measured.
+# retries, as nothing ran.
 MAX_REFUSED_ATTEMPTS = 4
-# When the caller of such a request may come back. Not measured.
+# When the caller of such a request may come back.
 REFUSED_RETRY_S = 1.0
 
 
@@ -79,7 +79,6 @@
     Why: a preemption is springbridge's own doing and costs nothing; an endpoint that turned the
     request away did not run it, so another may have it; after a broken stream only repeatable work
     may be sent again, and only within the budget, so that retries cannot multiply an overload.
-    Numbers: MAX_REFUSED_ATTEMPTS and the budget's share of fresh requests; neither was measured.
     """
     if end is End.PREEMPTED:
         work.preemptions += 1
--- a/packages/springbridge-node/springbridge_node/class_router/serve_settings.py
+++ b/packages/springbridge-node/springbridge_node/class_router/serve_settings.py
@@ -9,9 +9,9 @@
 from springbridge.problems import Problem
 
 ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:(\d{1,5})\Z")
-# Fewest characters of a secret. Not measured; chosen as too long to be guessed over the network.
+# Fewest characters of a secret. Too long to be guessed over the network.
 SHORTEST_TOKEN = 16
-# Smallest limit of a body that can be set, in bytes. Not measured.
+# Smallest limit of a body that can be set, in bytes.
 SMALLEST_BODY_LIMIT_BYTES = 1024
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/bounded_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/bounded_log.py
@@ -15,13 +15,13 @@
 
 # Log lines a second that are written over a long time. It bounds what a flood of failures costs.
 # Logging as a whole took 3% of the nodes' processor time on a quiet run with 7 nodes and 5% on a
-# busy one. The limit itself was not measured.
+# busy one.
 LINES_PER_S = 200.0
-# Log lines that may be written at once after a quiet time. Not measured; chosen as two seconds of
-# LINES_PER_S, so that the first lines of an incident are kept.
+# Log lines that may be written at once after a quiet time. Two seconds of LINES_PER_S, so that the
+# first lines of an incident are kept.
 LINES_BURST = 400.0
-# Bytes that may wait for the log's reader before further lines are dropped. Not measured; small
-# beside a node's 23 MB of memory.
+# Bytes that may wait for the log's reader before further lines are dropped. Small beside a node's
+# 23 MB of memory.
 UNWRITTEN_BYTES = 256 << 10
 # Fields that eliot adds to each message and that no reader of these logs uses.
 TASK_FIELDS = frozenset({"task_uuid", "task_level"})
--- a/packages/springbridge-node/springbridge_node/gateway/callers/directory.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/directory.py
@@ -6,14 +6,12 @@
 every node names the same ones for a host, and other ones for another host.
 Why: callers close connections to addresses that a new answer lacks, so answers must not depend on
 the node that gives them; a choice by host spreads the load of all hosts over all nodes.
-Measured: with 100 nodes in a failure domain, a choice by name instead of by hash left 36 of them
-without callers from there.
 """
 
 from springbridge.hashing import score
 from springbridge.membership import Membership
 
-# Most addresses in an answer. Not measured.
+# Most addresses in an answer.
 MOST_ADDRESSES = 64
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -21,8 +21,8 @@
 from springbridge_node import clock, logs
 from springbridge_node.gateway.callers.answer import CallerAnswer, CallerGoneError
 
-# Connections that may wait to be accepted. Not measured; chosen above tornado's 128, so that
-# callers that all connect at once, as after the loss of a node, are not turned away by the kernel.
+# Connections that may wait to be accepted. Above tornado's 128, so that callers that all connect at
+# once, as after the loss of a node, are not turned away by the kernel.
 LISTEN_BACKLOG = 512
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -62,9 +62,9 @@
     peer: int
 
 
-# Seconds for which a peer's other fingerprint counts as the same content. Not measured; during a
-# rollout it saves four of five fetches. Longer would hide for as long a list that changed while it
-# was fetched, from callers of endpoints that left.
+# Seconds for which a peer's other fingerprint counts as the same content. During a rollout it saves
+# four of five fetches. Longer would hide for as long a list that changed while it was fetched, from
+# callers of endpoints that left.
 SAME_CONTENT_S = 1.0
 
 FetchSnapshot = Callable[[str | None], Awaitable[AgedSnapshot | None]]
--- a/packages/springbridge-node/springbridge_node/gateway/config/unreadable_entries.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/unreadable_entries.py
@@ -11,8 +11,8 @@
 
 from springbridge_node import logs
 
-# Entries of which the log remembers that it named them, the latest ones. Not measured; chosen above
-# the number of endpoints of a large fleet, so that a list that is wholly unreadable is named once.
+# Entries of which the log remembers that it named them, the latest ones. Above the number of
+# endpoints of a large fleet, so that a list that is wholly unreadable is named once.
 REMEMBERED = 2000
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -15,11 +15,11 @@
 from springbridge_node.gateway.http.http_connection import ConnectFailedError
 
 # Seconds that a request whose attempt broke waits for the result: a refusal comes within a round
-# trip, and a longer silence shows nothing. Not measured; chosen as some round trips.
+# trip, and a longer silence shows nothing. Some round trips.
 REFUSAL_S = 0.05
 # Seconds for which the result holds for the other requests that broke with the endpoint. It bounds
-# what an endpoint costs that resets many connections: one more a second from each node. Not
-# measured; chosen below the time in which another endpoint may have the address.
+# what an endpoint costs that resets many connections: one more a second from each node. Below the
+# time in which another endpoint may have the address.
 RESULT_KEPT_S = 1.0
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -13,14 +13,14 @@
 from springbridge_node import clock
 from springbridge_node.gateway.http.http_connection import HttpConnection, connect
 
-# Seconds for a connection to come up. Not measured; chosen as short beside a request's deadline, so
-# that another endpoint can still be tried.
+# Seconds for a connection to come up. Short beside a request's deadline, so that another endpoint
+# can still be tried.
 CONNECT_TIMEOUT_S = 0.4
-# Share of an endpoint's connections that all nodes together use. Not measured; chosen to leave a
-# fifth, because nodes may differ for a moment on how many they are.
+# Share of an endpoint's connections that all nodes together use. A fifth is left, because nodes
+# may differ for a moment on how many they are.
 USED_SHARE = 0.8
-# Connections to an endpoint that a node may have whatever its share. Not measured; chosen so that a
-# large fleet does not leave a node with one connection that a slow answer blocks.
+# Connections to an endpoint that a node may have whatever its share. With fewer, a
+# slow answer would block the only connection of a node in a large fleet.
 MIN_CONNECTIONS = 2
 
 
@@ -37,11 +37,11 @@
     keep_alive_share: float
 
 
-# A repeatable request that is lost on a connection which the endpoint just closed is sent again,
-# so most of the endpoint's keep-alive time is used. Not measured.
+# A repeatable request that is lost on a connection which the endpoint just closed is sent again, so
+# most of the endpoint's keep-alive time is used.
 REPEATABLE_IDLE = IdleLimit(max_s=4.0, keep_alive_share=0.7)
 # A request that may not be repeated is lost for good there, so it needs a connection that was in
-# use a moment ago. Not measured; chosen well below the limit for repeatable ones.
+# use a moment ago. Well below the limit for repeatable ones.
 UNREPEATABLE_IDLE = IdleLimit(max_s=1.0, keep_alive_share=0.4)
 # Seconds after which an idle connection is closed. Derived: no request would take it any more,
 # unless its endpoint named a longer time.
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
@@ -9,8 +9,8 @@
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.http_connection import ConnectFailedError
 
-# Seconds between two rounds. Not measured; chosen as short beside the
-# seconds that an endpoint takes to come back, at one connection attempt each.
+# Seconds between two rounds. Short beside the seconds that an endpoint takes to come back, at one
+# connection attempt each.
 PROBE_INTERVAL_S = 0.25
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -21,23 +21,23 @@
     parse_head,
 )
 
-# Most bytes taken from the socket in one read. Not measured.
+# Most bytes taken from the socket in one read.
 READ_BYTES = 1 << 18
-# Largest head of an answer, in bytes. It bounds the memory that a faulty endpoint can take. Not
-# measured; four times what callers may send as headers by default.
+# Largest head of an answer, in bytes. It bounds the memory that a faulty endpoint can take. Four
+# times what callers may send as headers by default.
 LARGEST_HEAD_BYTES = 64 << 10
-# Longest line with the length of a chunk, extensions included, in bytes. Not measured.
+# Longest line with the length of a chunk, extensions included, in bytes.
 LARGEST_CHUNK_LINE_BYTES = 256
 # Idle seconds before the kernel probes the other side. It has to notice a host that lost power,
-# which sends no reset, while a request waits for its answer. Not measured.
+# which sends no reset, while a request waits for its answer.
 KEEPALIVE_IDLE_S = 1
-# Seconds between two probes. Not measured.
+# Seconds between two probes.
 KEEPALIVE_INTERVAL_S = 1
 # Unanswered probes after which the connection is broken. Derived: a silent host is noticed after
 # about 3 s, where the kernel's default takes two hours.
 KEEPALIVE_PROBES = 2
-# Milliseconds after which sent but unacknowledged bytes break the connection. Not measured; chosen
-# a little below the 3 s of the probes, which the kernel does not send while bytes are outstanding.
+# Milliseconds after which sent but unacknowledged bytes break the connection. A little below the 3
+# s of the probes, which the kernel does not send while bytes are outstanding.
 UNACKNOWLEDGED_MS = 2500
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/age_vector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/age_vector.py
@@ -14,17 +14,17 @@
 
 from springbridge.membership import HeartbeatAge
 
-# Seconds of one step of an age. Not measured; chosen so that a byte holds all ages up to 5.1 s,
-# beyond the time to suspicion of 380 nodes, 2.8 s. An age is rounded up, since one that got younger
-# with each node that passes it on would keep a member alive that has ended.
+# Seconds of one step of an age. A byte holds all ages up to 5.1 s, beyond the time to suspicion of
+# 380 nodes, 2.8 s. An age is rounded up, since one that got younger with each node that passes it
+# on would keep a member alive that has ended.
 STEP_S = 0.02
 # Steps that the byte of an entry holds.
 MOST_STEPS = 255
 # Hash of the incarnation (4 bytes) and steps of the age (1 byte). Two of 500 incarnations have the
 # same hash in one of 30,000 fleets; then the younger age counts for both.
 ENTRY = struct.Struct("<IB")
-# Hashes that are kept, the latest ones. Not measured; chosen above the incarnations that a fleet of
-# 380 nodes has in the minute for which ended ones are known.
+# Hashes that are kept, the latest ones. Above the incarnations that a fleet of 380 nodes has in the
+# minute for which ended ones are known.
 KEYS_KEPT = 2048
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/config_catch_up.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/config_catch_up.py
@@ -12,8 +12,8 @@
 from springbridge_node.gateway.config.configuration_follower import ConfigurationFollower
 from springbridge_node.gateway.peers.peer_client import PeerClient
 
-# Seconds before the next try while this node is still behind. Not measured; chosen as short beside
-# the four seconds within which a change has to be in force.
+# Seconds before the next try while this node is still behind. Short beside the four seconds within
+# which a change has to be in force.
 RETRY_S = 0.2
 # Smallest version that a configuration can have, so that a node without one always asks.
 FIRST_VERSION = 1
--- a/packages/springbridge-node/springbridge_node/gateway/peers/coordinator_set.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/coordinator_set.py
@@ -13,14 +13,14 @@
 from springbridge_node.clock import now_s
 
 # Nodes up to which each one sends its load notices to all others, so that every node is a
-# coordinator. On 7 nodes that gave a mean served value of 0.826 against 0.777 where each chooses
-# alone (12 runs). The limit is not measured; chosen as 16 datagrams for each step of a request.
+# coordinator.
+# With so many, each step of a request costs 16 datagrams.
 MAX_EQUAL_NODES = 17
-# Seconds for which the roles are kept. Not measured; chosen as the interval of the heartbeats,
-# because a look at the members costs 1.4 us for each and every request would take one.
+# Seconds for which the roles are kept. The interval of the heartbeats, because a look at the
+# members costs 1.4 us for each and every request would take one.
 ROLES_KEPT_S = 0.25
-# Seconds for which a coordinator that did not answer is left out. Not measured; chosen as several
-# times the 80 ms that a request loses by asking a dead one.
+# Seconds for which a coordinator that did not answer is left out. Several times the 80 ms that a
+# request loses by asking a dead one.
 AVOIDED_S = 0.5
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows.py
@@ -7,7 +7,7 @@
 
 from springbridge_node.gateway.peers.row_fields import number, text, texts, whole
 
-# Decimals of an age in seconds. Not measured; chosen as far finer than the seconds that count.
+# Decimals of an age in seconds. Far finer than the seconds that count.
 AGE_DECIMALS = 3
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
@@ -22,16 +22,14 @@
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
 
 # Seconds for which news are gathered into one datagram: the requests of an endpoint break within
-# the same moment. Not measured.
+# the same moment.
 GATHER_S = 0.005
-# Records in one datagram. Not measured; at about 60 bytes for each crash a datagram stays under
-# some kB.
+# Records in one datagram. At about 60 bytes for each crash a datagram stays under some kB.
 RECORDS_PER_DATAGRAM = 12
-# Seconds for which a node passes on a record that was news to it. Not measured; chosen as six
-# beats, in which a fleet of hundreds is reached with a tenth of the datagrams lost (simulated).
+# Seconds for which a node passes on a record that was news to it. Six beats, in which a fleet of
+# hundreds is reached with a tenth of the datagrams lost (simulated).
 NEWS_S = 1.5
-# Nodes that tell a peer which starts of the records. Not measured; more than one, as a datagram may
-# be lost.
+# Nodes that tell a peer which starts of the records. More than one, as a datagram may be lost.
 GREETERS = 3
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -21,18 +21,15 @@
 from springbridge_node.gateway.peers.member_lookup import MemberLookup
 from springbridge_node.gateway.peers.peer_builds import Build, build_of
 
-# Peers that get news at once, whatever the size of the fleet. Not measured; chosen to bound the
-# burst of datagrams. The digests of the next beats reach the others.
+# Peers that get news at once, whatever the size of the fleet. It bounds the burst of datagrams; the
+# digests of the next beats reach the others.
 PUSHED_PEERS = 64
-# One digest in so many has all members whole, about every third second. Measured with short rows
-# in the others: the charge for bytes between failure domains fell from 0.0785 to 0.0448 of the
-# served value on 8 nodes, and from 0.0093 to 0.0064 on 7.
+# One digest in so many has all members whole, about every third second.
 WHOLE_EVERY = 12
 # Seconds for which a member is sent whole after this node first sent it, since peers may not know
-# it yet. Not measured; chosen as longer than the time between two whole digests.
+# it yet. Longer than the time between two whole digests.
 NEW_FOR_S = 4.0
-# Rows of other members in a plain digest. Not measured by itself; it was part of the same change as
-# WHOLE_EVERY.
+# Rows of other members in a plain digest.
 OTHERS_IN_PLAIN_DIGEST = 4
 # Rows of other members in a digest with ages that is not whole. Two rows less than in a plain one
 # make room for the ages: 3.8 kB a second for each of 9 nodes, 3.9 kB before (simulated).
--- a/packages/springbridge-node/springbridge_node/gateway/peers/member_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_log.py
@@ -14,8 +14,8 @@
 
 from springbridge_node import logs
 
-# Members that change alike at one beat and still get a line each. Not measured; chosen as far below
-# the lines that the log writes in a second.
+# Members that change alike at one beat and still get a line each. Far below the lines that the log
+# writes in a second.
 LINES_AT_ONCE = 8
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/member_lookup.py
@@ -1,10 +1,8 @@
 """Asks peers for members that their digests name by hash only, and answers such requests.
 
 A digest has the ages of many members and the rows of a few. Without lookups a node that starts in a
-large fleet learns of the others a few rows at a time: of 195 simulated nodes that started together,
-8% of the pairs did not count each other after 16 s. Who has which role (readers of the store,
-coordinators) and each node's share of the retry budget are worked out from the members, so that
-nodes which know different ones disagree on them.
+large fleet learns of the others a few rows at a time. Who has which role and each node's share of
+the retry budget follow from the members, so that nodes which know different ones disagree on them.
 """
 
 from collections.abc import Callable, Iterable
@@ -16,13 +14,13 @@
 from springbridge_node.gateway.peers import age_vector, codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 
-# Members in one request. Not measured; chosen so that the answer, of some 130 bytes for each, stays
-# within a few kB at a peer that many nodes ask at once.
+# Members in one request. The answer, of some 130 bytes for each, stays within a few kB at a peer
+# that many nodes ask at once.
 ASKED_AT_ONCE = 48
-# Members in one datagram of an answer, about 3 kB. Not measured; as many as in a whole digest.
+# Members in one datagram of an answer, about 3 kB. As many as in a whole digest.
 TOLD_IN_DATAGRAM = 24
 # Seconds after which a member that was asked for and not told of is asked for again: the request or
-# its answer may be lost. Not measured; chosen as two beats.
+# its answer may be lost. Two beats.
 ASK_AGAIN_S = 0.5
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
@@ -18,11 +18,9 @@
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.peer_handlers import CONFIGURATION_PATH, ENDPOINTS_PATH
 
-# Peers that are asked for the same. Not measured; chosen as two, so that one dead peer among them
-# does no harm.
+# Peers that are asked for the same. Two, so that one dead peer among them does no harm.
 PEERS_ASKED = 2
-# Seconds that a peer has to reply. Not measured; chosen to stay under the 1.1 s for which a list
-# counts as confirmed.
+# Seconds that a peer has to reply. It stays under the 1.1 s for which a list counts as confirmed.
 TIMEOUT_S = 0.8
 # The status of a peer that has what was asked for.
 OK = 200
--- a/packages/springbridge-node/springbridge_node/gateway/peers/pending_replies.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/pending_replies.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-# Seconds to wait for a peer's reply. Measured with 40 ms on a fleet of 71 nodes whose 11 engines
-# crashed: 119 requests in 40 ms wrongly found two live coordinators silent.
+# Seconds to wait for a peer's reply.
 ANSWER_S = 0.08
 
 Reply = TypeVar("Reply")
--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_server.py
@@ -20,8 +20,7 @@
 from springbridge_node.gateway.peers.selection_messages import SelectionReply, SelectionRequest
 
 # Seconds for which an attempt counts before its node's own notice has come. It has to outlast the
-# wait for the reply (0.08 s) and the gathering of notices (0.01 s). Not measured; chosen as several
-# times their sum.
+# wait for the reply (0.08 s) and the gathering of notices (0.01 s). Several times their sum.
 AWAIT_NOTICE_S = 0.5
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -7,7 +7,7 @@
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 
 # Answers of other requests that are passed over on a connection before it counts as broken. Bounds
-# the reading for an endpoint that mixes up its answers. Not measured.
+# the reading for an endpoint that mixes up its answers.
 STALE_ANSWERS = 3
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -27,8 +27,8 @@
 from springbridge_node.gateway.requests.quarantine_log import QuarantineLog
 from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
 
-# Seconds between two questions of a request that waits for a trial. Not measured; chosen as a small
-# share of the time that a request takes.
+# Seconds between two questions of a request that waits for a trial. A small share of the time that
+# a request takes.
 LOOK_S = 0.1
 # Ends after which the endpoint went on, so that the request does not end endpoints.
 GOOD_ENDS = frozenset({End.DELIVERED, End.ENDPOINT_ERROR})
--- a/packages/springbridge-node/springbridge_node/periodic.py
+++ b/packages/springbridge-node/springbridge_node/periodic.py
@@ -2,8 +2,7 @@
 
 A step that fails is logged by type and line, and the next one is taken as usual, so that one fault
 does not end a background task for the rest of the process's life. Tasks that sleep until the next
-tick share a wake-up: each costs a system call and a turn of the event loop. Worked out, not
-measured: an idle node made 42 of them a second, two thirds for its own looks and beats.
+tick share a wake-up: each costs a system call and a turn of the event loop.
 
 Owns the offset of this process's ticks.
 """
@@ -19,10 +18,10 @@
 # which start together do not beat together: news would wait at each node for the next beat.
 OFFSET = random.random()
 # Shortest interval between ticks, in seconds. Ticks of intervals that are multiples of it coincide.
-# Not measured; it is the interval of the heartbeats.
+# It is the interval of the heartbeats.
 TICK_S = 0.25
-# Share of an interval by which a timer may go off early. Not measured; chosen as far more than the
-# resolution of clocks and far less than an interval.
+# Share of an interval by which a timer may go off early. Far more than the resolution of clocks and
+# far less than an interval.
 EARLY_SHARE = 0.01
 
 
--- a/packages/springbridge/springbridge/classes/binding.py
+++ b/packages/springbridge/springbridge/classes/binding.py
@@ -22,11 +22,11 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 
-# How long the record of a request that ended is kept. Not measured; it takes 297 B a record, so 3.9
-# MB at 22 requests a second (measured: docs/CAPACITY.md).
+# How long the record of a request that ended is kept. It takes 297 B a record, so 3.9 MB at 22
+# requests a second.
 KEEP_S = 600.0
-# How far the wall clock may be wrong when the age of an id is judged. Not measured. Derived from
-# it: an id is refused from KEEP_S less this on, before its record can have been forgotten.
+# How far the wall clock may be wrong when the age of an id is judged. Derived from it: an id is
+# refused from KEEP_S less this on, before its record can have been forgotten.
 ISSUED_SLACK_S = 60.0
 
 INVARIANT_AT_MOST_ONCE = "not repeatable runs at most once"
--- a/packages/springbridge/springbridge/classes/endpoint_health.py
+++ b/packages/springbridge/springbridge/classes/endpoint_health.py
@@ -12,13 +12,11 @@
 
 from dataclasses import dataclass
 
-# Failures in a row before a suspension. Not measured; chosen so that one broken connection does not
-# take an endpoint out of use.
+# Failures in a row before a suspension. One broken connection does not take an endpoint out of use.
 FAILURES_TO_SUSPEND = 2
-# Length of the first suspension; it doubles with each failure after that. Not measured.
+# Length of the first suspension; it doubles with each failure after that.
 FIRST_SUSPENSION_S = 0.5
-# Longest suspension, and so the longest time for which a repaired endpoint stays unused. Not
-# measured.
+# Longest suspension, and so the longest time for which a repaired endpoint stays unused.
 MAX_SUSPENSION_S = 8.0
 
 
--- a/packages/springbridge/springbridge/classes/invariants.py
+++ b/packages/springbridge/springbridge/classes/invariants.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from collections.abc import Callable
 
-# Exit status after a violation in test runs; the soak recognises it. Not measured; the EX_SOFTWARE
-# of sysexits.h, an internal software error.
+# Exit status after a violation in test runs; the soak recognises it. The EX_SOFTWARE of sysexits.h,
+# an internal software error.
 ABORT_STATUS = 70
 
 
--- a/packages/springbridge/springbridge/classes/limits.py
+++ b/packages/springbridge/springbridge/classes/limits.py
@@ -26,21 +26,19 @@
 from springbridge.problems import Problem
 
 # How long a lease counts. It bounds the error at a change of owner to one second of the rate, and
-# the concurrency that a silent node keeps from the others to one second. Not measured.
+# the concurrency that a silent node keeps from the others to one second.
 LEASE_S = 1.0
-# Seconds of the rate that may start at once. Not measured; chosen as one second, which is the only
-# error of the sum while the owner stays the same.
+# Seconds of the rate that may start at once. One second, which is the only error of the sum while
+# the owner stays the same.
 BURST_S = 1.0
 # What the bucket of a new owner holds, in seconds of the rate. The former owner may have spent the
-# burst, and the equal parts have one as well. Not measured; the quarter is part of the stated
-# error.
+# burst, and the equal parts have one as well. The quarter is part of the stated error.
 UNSETTLED_BURST_S = BURST_S / 4
 # How long a new owner leaves the nodes to their equal parts. Derived: longer than any lease of the
-# former owner. The half lease beyond that was not measured.
+# former owner.
 OWNER_GRACE_S = 1.5 * LEASE_S
 
-# Share of the last request in the mean time that requests run. Not measured; chosen so that about
-# ten requests set it.
+# Share of the last request in the mean time that requests run. About ten requests set it.
 RUN_WEIGHT = 0.2
 
 assert OWNER_GRACE_S > LEASE_S, "a new owner must outwait the leases of the former one"
--- a/packages/springbridge/springbridge/classes/retry_budget.py
+++ b/packages/springbridge/springbridge/classes/retry_budget.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass
 
 # Retries that each fresh request adds. It bounds the load that retries add to a tenth in the long
-# run. Not measured.
+# run.
 RETRY_SHARE = 0.1
-# Most retries that may be saved up, and so the longest run of retries at once. Not measured.
+# Most retries that may be saved up, and so the longest run of retries at once.
 LARGEST_BUDGET = 20.0
-# Retries that a new node has before its first request. Not measured.
+# Retries that a new node has before its first request.
 FIRST_BUDGET = 5.0
 
 
--- a/packages/springbridge/springbridge/classes/retry_times.py
+++ b/packages/springbridge/springbridge/classes/retry_times.py
@@ -6,12 +6,12 @@
 waits for nothing. No measurement set the constants.
 """
 
-# Shortest time to come back. Not measured; chosen so that a short queue or a limit with a high rate
-# does not send its callers back at once.
+# Shortest time to come back. A short queue or a limit with a high rate does not send its callers
+# back at once.
 SHORTEST_S = 0.1
-# Longest time to come back; the prediction for a long queue is rough. Not measured.
+# Longest time to come back; the prediction for a long queue is rough.
 LONGEST_S = 60.0
-# Time to come back where no endpoint serves the class, or none has answered. Not measured.
+# Time to come back where no endpoint serves the class, or none has answered.
 NO_ENDPOINT_S = 1.0
 
 
--- a/packages/springbridge/springbridge/classes/slots/asking_order.py
+++ b/packages/springbridge/springbridge/classes/slots/asking_order.py
@@ -8,10 +8,7 @@
 endpoint.
 
 Urgent requests of all nodes prefer the same URGENT_PREFERRED endpoints, so that the others may run
-wide batches; other requests prefer the endpoint that may have their prefix cached. One run each of
-a burst, tokens a second of all classes: 949 and 1,006 (two fleets) with the preference, 907 and
-1,025 without, 979 and 961 with all endpoints ranked and room up to 0.7. The spread between runs is
-about as large, so no gain is shown (docs/design/scheduling.md).
+wide batches; other requests prefer the endpoint that may have their prefix cached.
 """
 
 import random
@@ -31,10 +28,9 @@
 # shown; see above.
 PREFERENCE_BOUND = 0.5
 # Allowed endpoints up to which all are asked at once. Beyond that each attempt would cost too many
-# messages. Not measured.
+# messages.
 ALL_WHILE_FEW = 12
-# Endpoints at which an attempt asks at a time where more than ALL_WHILE_FEW are allowed. Not
-# measured.
+# Endpoints at which an attempt asks at a time where more than ALL_WHILE_FEW are allowed.
 FAN_WHILE_MANY = 3
 
 assert FAN_WHILE_MANY <= ALL_WHILE_FEW
--- a/packages/springbridge/springbridge/classes/slots/baselines.py
+++ b/packages/springbridge/springbridge/classes/slots/baselines.py
@@ -16,8 +16,7 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 
-# Slots that each node uses at an endpoint. Not measured; four nodes then fill an endpoint to 24
-# streams, as in that comparison.
+# Slots that each node uses at an endpoint. Four nodes then fill an endpoint to 24 streams.
 SLOTS_PER_ENDPOINT = 6
 
 
--- a/packages/springbridge/springbridge/classes/slots/concurrency.py
+++ b/packages/springbridge/springbridge/classes/slots/concurrency.py
@@ -11,41 +11,37 @@
 latency is far below the target; one above the target takes a tenth, at most once per COOL_S. A
 sample taken far from a limit says nothing about it.
 
-In one run of a burst on stand-in engines, urgent classes met their targets in 0.75 to 0.89 of cases
-with one limit for each endpoint and TARGET_SHARE 0.95, and in 1.00 with a limit for each tier and
-0.85. Both changed in one step, so it is not known which did it. No other constant was measured.
 """
 
 from dataclasses import dataclass, field
 
 from springbridge.classes.entities import Tier
 
-# Slots of an endpoint before its first sample. Not measured.
+# Slots of an endpoint before its first sample.
 FIRST_LIMIT = 8.0
 # Floor of a limit, in slots. Below one slot, so that an endpoint too slow for a tier has none for
-# it. Not measured.
+# it.
 SMALLEST_LIMIT = 0.5
 # Slots that a late request finds even where the limit says none, and from which a limit is tried
-# again after STALE_S. Not measured; chosen small, since the endpoint was too slow at the last look.
+# again after STALE_S. Small, since the endpoint was too slow at the last look.
 LATE_LIMIT = 2.0
-# Ceiling of a limit, in slots; it only keeps a limit from growing without end. Not measured.
+# Ceiling of a limit, in slots; it only keeps a limit from growing without end.
 MAX_LIMIT = 512.0
-# What a sample above the target leaves of the limit. Not measured.
+# What a sample above the target leaves of the limit.
 DECREASE = 0.9
-# Slots that a round of good samples adds where the latency is far below its target. Not measured.
+# Slots that a round of good samples adds where the latency is far below its target.
 FASTEST_INCREASE = 4.0
 # Share of the target up to which a latency counts as good; the rest is a margin for the time that
 # the limit takes to follow. Compared with 0.95 only together with another change; see above.
 TARGET_SHARE = 0.85
-# Seconds between two decreases, so that one slow moment, which many streams see, counts once. Not
-# measured.
+# Seconds between two decreases, so that one slow moment, which many streams see, counts once.
 COOL_S = 0.4
-# In flight as a share of the limit: from here on a good sample may raise it. Not measured.
+# In flight as a share of the limit: from here on a good sample may raise it.
 NEAR_BELOW = 0.75
-# In flight as a share of the limit: beyond this a sample says nothing about it. Not measured.
+# In flight as a share of the limit: beyond this a sample says nothing about it.
 NEAR_ABOVE = 1.15
 # A limit without a sample for so long is tried again with LATE_LIMIT slots, in case the endpoint
-# has become faster. Not measured.
+# has become faster.
 STALE_S = 5.0
 
 assert SMALLEST_LIMIT < 1 <= LATE_LIMIT <= FIRST_LIMIT <= MAX_LIMIT
--- a/packages/springbridge/springbridge/classes/slots/endpoint_slots.py
+++ b/packages/springbridge/springbridge/classes/slots/endpoint_slots.py
@@ -16,10 +16,10 @@
 from springbridge.classes.slots.fair_queue import FairQueue
 from springbridge.classes.slots.minimum_share import MinimumShare
 
-# Length of an answer that is expected of a class before its first one, in tokens. Not measured.
+# Length of an answer that is expected of a class before its first one, in tokens.
 FIRST_ANSWER_TOKENS = 64.0
-# Time for which a slot is expected to be held before the first release. Not measured; the first
-# sample replaces it.
+# Time for which a slot is expected to be held before the first release. The first sample replaces
+# it.
 FIRST_SERVICE_S = 1.0
 # Slots, at least, of which work that may not be preempted leaves one to the top tier. With one slot
 # such work could never run. Derived: the smallest number that has one to leave.
--- a/packages/springbridge/springbridge/classes/slots/estimates.py
+++ b/packages/springbridge/springbridge/classes/slots/estimates.py
@@ -5,14 +5,13 @@
 
 from dataclasses import dataclass
 
-# Part of the estimate by which one sample moves a quantile at most. Not measured; smaller is calmer
-# and slower to follow.
+# Part of the estimate by which one sample moves a quantile at most. Smaller is calmer and slower to
+# follow.
 QUANTILE_STEP = 0.05
-# Share of samples that lie below the estimated quantile. Not measured; above the middle, so that
-# most answers take up no more of the endpoint's memory than was expected.
+# Share of samples that lie below the estimated quantile. Above the middle, so that most answers
+# take up no more of the endpoint's memory than was expected.
 QUANTILE = 0.7
-# What the old value keeps of its weight in a mean at each sample: about the last ten count. Not
-# measured.
+# What the old value keeps of its weight in a mean at each sample: about the last ten count.
 MEAN_KEEP = 0.9
 
 
--- a/packages/springbridge/springbridge/classes/slots/fair_queue.py
+++ b/packages/springbridge/springbridge/classes/slots/fair_queue.py
@@ -14,14 +14,13 @@
 from springbridge.classes.decisions import Ask
 from springbridge.classes.entities import Tier
 
-# Grants to higher tiers after which a lower tier is owed one, so it gets at least one in 21. Not
-# measured.
+# Grants to higher tiers after which a lower tier is owed one, so it gets at least one in 21.
 MIN_SHARE_GRANTS = 20
 # Share of its latency target after which a waiting ask counts as late. It then preempts at every
-# endpoint and is served by one that is too slow for its tier. Not measured.
+# endpoint and is served by one that is too slow for its tier.
 LATE_TARGET_SHARE = 0.5
 # Idle flows are dropped once there are more flows than this beside two for each entry of the heap,
-# so that the clean-up costs little on average and memory stays bounded. Not measured.
+# so that the clean-up costs little on average and memory stays bounded.
 IDLE_FLOWS = 16
 
 
--- a/packages/springbridge/springbridge/classes/slots/minimum_share.py
+++ b/packages/springbridge/springbridge/classes/slots/minimum_share.py
@@ -10,10 +10,10 @@
 
 from dataclasses import dataclass, field
 
-# How long after a refused top-tier ask lower tiers may not wait. Not measured.
+# How long after a refused top-tier ask lower tiers may not wait.
 PRESSURE_S = 2.0
 # How long a class that asked counts when the slot goes to the class that lacked it longest. A class
-# that asks less often does not hold the slot back from the others. Not measured.
+# that asks less often does not hold the slot back from the others.
 INTEREST_S = 10.0
 
 
--- a/packages/springbridge/springbridge/classes/slots/pending_asks.py
+++ b/packages/springbridge/springbridge/classes/slots/pending_asks.py
@@ -10,8 +10,8 @@
 from springbridge.classes.ports import Attempt, Slot
 from springbridge.problems import Problem
 
-# Least that is left of a latency target, in seconds, since schedulers take shares of it. Not
-# measured; an ask that has used up its target then counts as late almost at once.
+# Least that is left of a latency target, in seconds, since schedulers take shares of it. An ask
+# that has used up its target then counts as late almost at once.
 SHORTEST_TARGET_S = 0.001
 
 
--- a/packages/springbridge/springbridge/classes/slots/preemption.py
+++ b/packages/springbridge/springbridge/classes/slots/preemption.py
@@ -16,7 +16,7 @@
 from springbridge.classes.slots.fair_queue import LATE_TARGET_SHARE
 
 # Share of the rest of its latency target that an ask may be predicted to wait before it preempts,
-# at its first endpoint only. Not measured; it leaves most of the target to the endpoint.
+# at its first endpoint only. It leaves most of the target to the endpoint.
 PREEMPT_TARGET_SHARE = 0.25
 
 assert PREEMPT_TARGET_SHARE < LATE_TARGET_SHARE, "an ask preempts at its first endpoint first"
--- a/packages/springbridge/springbridge/classes/slots/scheduler.py
+++ b/packages/springbridge/springbridge/classes/slots/scheduler.py
@@ -46,8 +46,7 @@
 # Prefix of the key that is hashed for the role; all nodes of a fleet have to use the same.
 ROLE_PREFIX = "engine/"
 # Age of a slot from which an inventory without it frees it. Derived: longer than the second from
-# one inventory to the next, so that one written before the grant arrived frees nothing. The second
-# beyond that was not measured.
+# one inventory to the next, so that one written before the grant arrived frees nothing.
 INVENTORY_LAG_S = 2.0
 
 
--- a/packages/springbridge/springbridge/classes/slots/slot_client.py
+++ b/packages/springbridge/springbridge/classes/slots/slot_client.py
@@ -39,14 +39,13 @@
 
 INVARIANT_ASKED_EVERYWHERE = "top tier asked everywhere before refusal"
 
-# Time after which the first endpoint's silence counts as no slot, so that the others are asked. Not
-# measured.
+# Time after which the first endpoint's silence counts as no slot, so that the others are asked.
 PATIENCE_S = 0.15
 # Time from an endpoint's refusal until it is asked again while others have not refused, so that the
-# final refusal holds for all at the same moment. Not measured.
+# final refusal holds for all at the same moment.
 ASK_AGAIN_S = 1.0
 # Time for which schedulers may still answer after the attempt's wait has ended. Their refusal names
-# the better time to come back; they look for expired asks ten times a second. Not measured.
+# the better time to come back; they look for expired asks ten times a second.
 EXPIRY_GRACE_S = 0.5
 
 # Share of the slots in use at an endpoint that let an ask wait or refused it.
--- a/packages/springbridge/springbridge/classes/table/build.py
+++ b/packages/springbridge/springbridge/classes/table/build.py
@@ -64,8 +64,7 @@
 def updated(table: Table, version: int, rows: Mapping[str, Cells | None]) -> Table:
     """Return the table after a change; None stands for a row that was removed.
 
-    It reads the changed rows only and copies the mappings: 6.5 ms at 57,600 rows, measured in
-    docs/CAPACITY.md.
+    It reads the changed rows only and copies the mappings.
     """
     after = Table(
         version,
--- a/packages/springbridge/springbridge/classes/table/freshness.py
+++ b/packages/springbridge/springbridge/classes/table/freshness.py
@@ -15,11 +15,10 @@
 
 from springbridge.membership import Member
 
-# Within what time of its acceptance a change has to be in force on every node that serves. A bound
-# that the rule keeps, not a measured figure.
+# Within what time of its acceptance a change has to be in force on every node that serves.
 IN_FORCE_S = 4.0
-# How long a node serves without a confirmation of its version. Not measured; chosen between the
-# second from one read of the version to the next and IN_FORCE_S.
+# How long a node serves without a confirmation of its version. Between the second from one read of
+# the version to the next and IN_FORCE_S.
 STALE_S = 3.0
 # A confirmation that never was, on any clock.
 NEVER_S = -1e9
--- a/packages/springbridge/springbridge/classes/table/rows.py
+++ b/packages/springbridge/springbridge/classes/table/rows.py
@@ -103,13 +103,13 @@
 YES_NO = {"yes": True, "no": False}
 TIERS = {tier.name.lower(): tier for tier in Tier}
 KINDS = {kind.value: kind for kind in EndpointKind}
-# Bounds of cells against slips of the hand, far beyond what is used. Not measured.
+# Bounds of cells against slips of the hand, far beyond what is used.
 LONGEST_MS = 24 * 3600 * 1000
-# Lower bound of weights and rates: both are divided by. Not measured.
+# Lower bound of weights and rates: both are divided by.
 SMALLEST_NUMBER = 0.01
-# Upper bound of weights, rates (starts a second) and concurrency, against slips. Not measured.
+# Upper bound of weights, rates (starts a second) and concurrency, against slips.
 LARGEST_NUMBER = 10**6
-# Upper bound of an endpoint's memory in tokens, against slips. Not measured.
+# Upper bound of an endpoint's memory in tokens, against slips.
 LARGEST_TOKEN_CAPACITY = 10**9
 
 
--- a/packages/springbridge/springbridge/crash_records.py
+++ b/packages/springbridge/springbridge/crash_records.py
@@ -16,21 +16,20 @@
 
 import xxhash
 
-# Records at most. Not measured; some hundred bytes each, so that they stay under half a megabyte.
-# An endpoint that ends leaves as many as it had requests, which is some dozens.
+# Records at most. Some hundred bytes each, so that they stay under half a megabyte. An endpoint
+# that ends leaves as many as it had requests, which is some dozens.
 MOST_RECORDS = 512
 # Records that are dropped together once there is one too many. To look for the least takes 1.5 ms
 # of a core; so it costs 23 us for each new record while there are as many as may be.
 DROPPED_AT_ONCE = 64
-# Crashes kept of one request. Not measured; chosen above the count at which a request is tried so
-# seldom that more crashes change nothing.
+# Crashes kept of one request. Above the count at which a request is tried so seldom that more
+# crashes change nothing.
 MOST_CRASHES = 12
 # Seconds after its last crash or good end for which a record is kept whose request is not known to
-# have ended several endpoints. Not measured; chosen as long beside the seconds after which callers
-# try again.
+# have ended several endpoints. Long beside the seconds after which callers try again.
 FORGET_S = 300.0
-# The same for one that is. Not measured; chosen above the longest time between two trials, so that
-# the request is not taken for a new one before its next trial.
+# The same for one that is. Above the longest time between two trials, so that the request is not
+# taken for a new one before its next trial.
 FORGET_POISON_S = 3600.0
 # Crashes from which the longer time holds. Derived: those of a request in quarantine.
 POISON_CRASHES = 3
--- a/packages/springbridge/springbridge/digest.py
+++ b/packages/springbridge/springbridge/digest.py
@@ -15,13 +15,11 @@
 
 from springbridge.member import HeartbeatAge, Member, Phase
 
-# Members in a digest, the sender included. Not measured against other sizes; it bounds a digest's
-# cost in a fleet of 380 at 0.75 ms and 2.2 kB (24 x 91 B).
+# Members in a digest, the sender included. It bounds a digest's cost in a fleet of 380 at 0.75 ms
+# and 2.2 kB (24 x 91 B).
 DIGEST_LIMIT = 24
-# Seconds between two digests. Measured together with GOSSIP_PEERS on 4 idle nodes: 1.1% of a core,
-# against 2.4% with 0.3 s, three peers and a timer for each duty in place of one for all.
+# Seconds between two digests.
 GOSSIP_INTERVAL_S = 0.5
-# Peers that get each digest; measured together with GOSSIP_INTERVAL_S.
 GOSSIP_PEERS = 2
 
 T = TypeVar("T")
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -48,8 +48,8 @@
     "stretch_by_hops",
 ]
 
-# Seconds of silence after which a member is forgotten. Not measured; chosen far above SUSPECT_S,
-# because a member behind a cut has to be tried again, and counts for the majority meanwhile.
+# Seconds of silence after which a member is forgotten. Far above SUSPECT_S, because a member behind
+# a cut has to be tried again, and counts for the majority meanwhile.
 FORGET_S = 60.0
 
 
--- a/packages/springbridge/springbridge/observations.py
+++ b/packages/springbridge/springbridge/observations.py
@@ -5,9 +5,6 @@
 that is new, forgotten, enters another phase, falls silent or is heard again; that the first of
 those that run falls silent by itself is known beforehand, as the moment at which its last heartbeat
 grows too old. Kept answers are exact: nothing is answered from them after that moment.
-
-Measured on a simulated fleet of 195: worked out for each question, the answers took half of the
-processor time of membership.
 """
 
 from collections.abc import Callable, Collection
--- a/packages/springbridge/springbridge/quarantine.py
+++ b/packages/springbridge/springbridge/quarantine.py
@@ -15,7 +15,6 @@
 of others that met two endpoints of its making. Further trials come after ever longer times, since
 each may cost an endpoint with all that runs there.
 
-Measured: nothing on running endpoints; crash_simulation.py has the figures of the rule.
 """
 
 from collections import Counter
@@ -28,23 +27,23 @@
 SUSPECT_CRASHES = 2
 # Crashes, a failed trial among them, after which a request is taken for their cause.
 CAUSE_CRASHES = 3
-# Failed trials beside others under suspicion that are passed over. Not measured; chosen as the
-# least that parts a request from those which met its endpoints by chance.
+# Failed trials beside others under suspicion that are passed over. The least that parts a request
+# from those which met its endpoints by chance.
 UNCLEAR_TRIALS = 1
-# Seconds from the crash that brought a request into quarantine to its next trial. Not measured;
-# chosen as long beside the seconds that an endpoint takes to start and to read its prompts anew.
+# Seconds from the crash that brought a request into quarantine to its next trial. Long beside the
+# seconds that an endpoint takes to start and to read its prompts anew.
 FIRST_TRIAL_S = 20.0
-# The same while it is doubtful whether that request is the cause. Not measured; chosen as a moment
-# in which a request that is not the cause comes to a good end.
+# The same while it is doubtful whether that request is the cause. A moment in which a request that
+# is not the cause comes to a good end.
 FIRST_DOUBTED_TRIAL_S = 1.0
-# Factor by which the time grows with each further failed trial. Not measured; chosen so that even a
-# doubtful request is tried only three times in the first minutes: after 1 s, 8 s and 64 s.
+# Factor by which the time grows with each further failed trial. Even a doubtful request is tried
+# only three times in the first minutes: after 1 s, 8 s and 64 s.
 TRIAL_GROWTH = 8.0
-# Seconds for which the end of an endpoint without the request is a reason for doubt. Not measured;
-# chosen as several times the seconds in which a request gets into quarantine.
+# Seconds for which the end of an endpoint without the request is a reason for doubt. Several times
+# the seconds in which a request gets into quarantine.
 DOUBT_S = 30.0
-# Longest time between two trials in seconds. Not measured; chosen so that a request whose cause was
-# mended (new weights, a new build of the endpoints) is served again within a quarter of an hour.
+# Longest time between two trials in seconds. A request whose cause was mended (new weights, a new
+# build of the endpoints) is served again within a quarter of an hour.
 LONGEST_TRIAL_S = 900.0
 
 
@@ -135,7 +134,7 @@
     def _causes(self) -> dict[str, int]:
         """Return the requests that are taken for causes, with how many trials of each failed.
 
-        Worked out again when a record has changed. A trial beside another request with as many
+        Computed again when a record has changed. A trial beside another request with as many
         crashes shows nothing until that one is acquitted; only what fails again and again is taken
         for a cause whatever ran beside it.
         """
--- a/packages/springbridge/springbridge/routing/admission.py
+++ b/packages/springbridge/springbridge/routing/admission.py
@@ -27,8 +27,7 @@
     Service,
 )
 
-# Connections to an endpoint whose service the configuration does not describe. Not measured; chosen
-# as the least.
+# Connections to an endpoint whose service the configuration does not describe. The least.
 CONNECTIONS_OF_UNKNOWN_SERVICE = 1
 
 
--- a/packages/springbridge/springbridge/routing/coordinators.py
+++ b/packages/springbridge/springbridge/routing/coordinators.py
@@ -7,9 +7,6 @@
 Why: rendezvous hashing over the live members gives every instance the same answer without a
 message, so no instance is set aside, many services have many coordinators, and nothing is lost with
 one of them.
-Numbers: 71 and 78 instances, one run each of the same day, mean served value with coordinators
-0.631 and 0.770, against 0.675 and 0.666 where each instance chooses alone; with the weights of
-endpoint_cost.py 0.843 and 0.822.
 """
 
 from collections.abc import Iterable
@@ -17,8 +14,8 @@
 from springbridge.hashing import score
 from springbridge.membership import Member
 
-# Coordinators of a service in each failure domain. Two were measured, no other count; the second is
-# there to be asked while the first is silent.
+# Coordinators of a service in each failure domain.
+# The second is there to be asked while the first is silent.
 COORDINATORS_PER_FAILURE_DOMAIN = 2
 # Beginning of the hash key that selects the coordinators. All instances of a mixed fleet have to
 # select the same ones, so this text must stay as it is, byte for byte.
--- a/packages/springbridge/springbridge/routing/ejection.py
+++ b/packages/springbridge/springbridge/routing/ejection.py
@@ -6,15 +6,14 @@
 other (eligibility.py), and a further failure ejects it for longer.
 Why: an endpoint that accepts connections but answers badly would otherwise look idle and attract
 every request.
-Numbers: none of them was measured; each says what it bounds.
 """
 
-# Failures in a row. Not measured; chosen so that one or two of them eject nobody.
+# Failures in a row. One or two of them eject nobody.
 FAILURES_TO_EJECT = 3
-# Seconds of the first ejection. Not measured; it bounds how long an endpoint that works again stays
-# unused, since the next request after it is the probe.
+# Seconds of the first ejection. It bounds how long an endpoint that works again stays unused, since
+# the next request after it is the probe.
 EJECT_S = 1.0
-# Doublings at the most. Not measured; chosen so that the longest ejection lasts 4 s.
+# Doublings at the most. The longest ejection lasts 4 s.
 MOST_DOUBLINGS = 2
 
 
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -8,8 +8,6 @@
 Why: an endpoint that is no longer listed has left and must get nothing. The exception is an outage
 of the platform's store: entries of live endpoints can lapse over it, so that a service which lost
 more than half of its endpoints at once keeps them for a short grace.
-Numbers: the grace follows from the time in which live endpoints list themselves again and from the
-time within which an endpoint that left may still get requests.
 """
 
 from collections import Counter
@@ -20,13 +18,13 @@
 
 # Seconds for which endpoints stay usable after a mass lapse. The platform says that live endpoints
 # are back on the list within about two seconds, and no endpoint may get a request 2 s after it left
-# (the default of drain_s). Seven runs with outages or cuts: no request came too late.
+# (the default of drain_s).
 LAPSE_GRACE_S = 1.9
-# Seconds by which the grace ends before drain_s is over. Not measured; chosen so that the last
-# request is sent before that moment and not at it.
+# Seconds by which the grace ends before drain_s is over. The last request is sent before that
+# moment and not at it.
 DRAIN_MARGIN_S = 0.1
-# Age of the list in seconds above which a gap counts as an outage of the store. Not measured; it is
-# twice the half second at which the list is read.
+# Age of the list in seconds above which a gap counts as an outage of the store. It is twice the
+# half second at which the list is read.
 OUTAGE_S = 1.0
 
 
--- a/packages/springbridge/springbridge/routing/endpoint_choice.py
+++ b/packages/springbridge/springbridge/routing/endpoint_choice.py
@@ -8,8 +8,6 @@
 Why: rendezvous hashing sends a shared prompt part to the same endpoint on every instance, so no
 message is needed. Where the load of all instances is known, the time that endpoints lose by reading
 prompts can be counted, which serves more requests in time.
-Numbers: 12 runs on each of two sites, mean served value 0.826 and 0.807 by token cost, 0.777 and
-0.782 by shared prompt, 0.633 and 0.677 by least requests in flight.
 """
 
 from collections.abc import Callable, Sequence
@@ -23,16 +21,15 @@
 from springbridge.routing.reserved_endpoints import reserved_endpoints
 
 # Requests that an endpoint may have when a shared prompt part is sent there, in multiples of the
-# mean of all endpoints. Not measured on its own; it keeps a popular part from crowding an endpoint.
+# mean of all endpoints. It keeps a popular part from crowding an endpoint.
 LOAD_BOUND = 1.5
-# The same bound in requests where the mean is low. Not measured; it lets the preferred endpoint
-# take a second request in a fleet that is nearly idle.
+# The same bound in requests where the mean is low. It lets the preferred endpoint take a second
+# request in a fleet that is nearly idle.
 LEAST_BOUND = 2.0
-# Costs in prompt tokens that fall into the same step count as equal, and the hash decides. Not
-# measured; it is 12.5 ms of reading at the usual 40,000 tokens a second.
+# Costs in prompt tokens that fall into the same step count as equal, and the hash decides. It is
+# 12.5 ms of reading at the usual 40,000 tokens a second.
 COST_STEP = 500
 # Share of the shared parts that the preferred endpoint counts as keeping where nothing is known.
-# 12 runs on each of two sites: mean served value 0.824 and 0.811, against 0.825 and 0.797 without.
 PREFERRED_KEPT_SHARE = 0.8
 
 
--- a/packages/springbridge/springbridge/routing/endpoint_cost.py
+++ b/packages/springbridge/springbridge/routing/endpoint_cost.py
@@ -7,43 +7,34 @@
 Outcome: the cost in prompt tokens, that is in units of the time an endpoint takes to read a token.
 Why: a new prompt waits for those that the endpoint has still to read, and what is read or fetched
 again takes time and memory from everything else that the endpoint runs.
-Numbers: 12 runs on each of two sites, mean served value 0.826 and 0.807, against 0.777 and 0.782
-where each instance knows its own load only. Served value weighs requests served in time over the
-whole run, its worst seconds and its worst class, less costs; single runs differ by some 0.03.
 """
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import Demand
 from springbridge.routing.reserved_endpoints import reservation_cost
 
-# Cost of a full batch, in prompt tokens; each running request costs its share of it. Not measured
-# on its own; of endpoints without a backlog it favours those with emptier batches.
+# Cost of a full batch, in prompt tokens; each running request costs its share of it. Of endpoints
+# without a backlog it favours those with emptier batches.
 FULL_BATCH_TOKENS = 6400
 # Cost of waiting for one running request to end, in prompt tokens: 2 s of reading, about the median
 # of streams with short prompts. Slots become free that much sooner the more there are, so each
-# request beyond them costs this divided by the slots. Mean served value of one run of a day with 56
-# endpoints of 12 slots: 0.739 without and 0.788 with it; without it, the first events of 625 of
-# 2,906 short prompts came late.
+# request beyond them costs this divided by the slots.
 SLOT_WAIT_TOKENS = 80_000
-# Cost of a prompt token that the endpoint has to read. One run each with 71 instances, mean served
-# value by this and the weight below: 0.595 (2, 0.8), 0.719 (3, 2), 0.787 (4, 4), 0.815 (7, 7).
+# Cost of a prompt token that the endpoint has to read.
 UNREAD_WEIGHT = 7.0
 # Cost of a prompt token that the endpoint fetches from another one, for each second of the target
 # of the request's route. A fetch saves a wait, and the shorter the target, the more a wait matters;
-# but each copy takes memory from the prompts of others. 12 runs with a target of 0.6 s, mean
-# served value 0.736 with 2, 0.734 with 2.8, 0.728 with 1 whatever the target; 12 runs with targets
-# of 1.5 and 2.5 s 0.826 with 2, 0.823 with 2.8.
+# but each copy takes memory from the prompts of others.
 FETCH_PER_TARGET_S = 2.0
-# Most that such a token costs: as much as one that is read. Measured with the weight above.
+# Most that such a token costs: as much as one that is read.
 MOST_FETCH_WEIGHT = UNREAD_WEIGHT
 # Unread tokens beyond which a token of the backlog costs as much as one of the prompt: about one
-# second of reading. Mean served value 0.843, against 0.815 without; one run each, 71 instances.
+# second of reading.
 LONG_BACKLOG_TOKENS = 40_000
-# Tokens that another endpoint must keep beyond the endpoint's own for a fetch. Not measured; it
-# saves the call for a prompt that is read in 26 ms at the usual 40,000 tokens a second.
+# Tokens that another endpoint must keep beyond the endpoint's own for a fetch. It saves the call
+# for a prompt that is read in 26 ms at the usual 40,000 tokens a second.
 LEAST_FETCH_TOKENS = 1024
-# Cost of another failure domain, as a share of the prompt's tokens. 12 runs on each of two sites:
-# mean served value 0.804 and 0.766, against 0.803 and 0.764 with a share of 0.08.
+# Cost of another failure domain, as a share of the prompt's tokens.
 CROSS_DOMAIN_SHARE = 0.3
 
 
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -16,11 +16,11 @@
 
 # Value of EndpointState.usable_until_s for an endpoint on the list.
 LISTED = float("inf")
-# Seconds after which a request no longer counts as running. Not measured; it bounds how long a lost
-# notice of an end makes an endpoint look fuller than it is.
+# Seconds after which a request no longer counts as running. It bounds how long a lost notice of an
+# end makes an endpoint look fuller than it is.
 LONGEST_LOAD_S = 20.0
-# Seconds after which a prompt no longer counts as unread. Not measured; it bounds the same for the
-# backlog, and must stay below the limit above: a prompt is read before its request ends.
+# Seconds after which a prompt no longer counts as unread. It bounds the same for the backlog, and
+# must stay below the limit above: a prompt is read before its request ends.
 LONGEST_READ_S = 8.0
 assert LONGEST_READ_S < LONGEST_LOAD_S
 
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -7,7 +7,6 @@
 promises that and names a time to come back, and every other code promises nothing. An answer that
 has begun is cut off, so that a part never looks whole. An endpoint's own failure tells the caller
 more than ours.
-Measured: nothing here; the times to come back are in `retry_after`.
 """
 
 from enum import Enum, auto
@@ -110,8 +109,8 @@
 def longest_hold_s(route: Route) -> float:
     """Return for how long a request waits for the end of a trial, in seconds.
 
-    Protects callers of a page that many ask for: once one of them is served, all are. Not measured;
-    chosen as the time that the route aims at, after which an answer is late anyway.
+    Protects callers of a page that many ask for: once one of them is served, all are. It is the
+    time that the route aims at, after which an answer is late anyway.
     """
     return route.target_s
 
--- a/packages/springbridge/springbridge/routing/overload.py
+++ b/packages/springbridge/springbridge/routing/overload.py
@@ -8,8 +8,6 @@
 Why: refuse early. An endpoint that runs too many requests finishes none: each token takes longer,
 and all miss their deadlines together. Past a certain backlog the answer misses its deadline and
 delays everyone behind it.
-Numbers: 12 runs with bursts or faults, mean served value 0.801 by slots alone and 0.823 with the
-wait; one run in which two endpoints were left, 0.337 and 0.706.
 """
 
 import itertools
@@ -20,8 +18,7 @@
 from springbridge.routing.records import Demand
 from springbridge.routing.retry_after import after_overload
 
-# By priority: the share of an endpoint's slots in use at which it is full. In a run that lost four
-# of five endpoints: served value 0.526 against 0.367 without, failed requests 0.041 against 0.242.
+# By priority: the share of an endpoint's slots in use at which it is full.
 FULLEST_BY_PRIORITY = (1.5, 0.75, 0.5)
 
 
@@ -48,9 +45,7 @@
         return min(self.most_s, max(self.least_s, self.targets * target_s))
 
 
-# By priority. Multiples of the target, sum of served value over five runs with bursts or faults:
-# no limit 3.33; 4, 2, 1: 3.41; 2, 1, 0.4: 3.81; 1, 0.5, 0.15: 3.96; 0.5, 0.25, 0.08: 3.91. The
-# bounds in seconds were not measured; chosen so that they meet.
+# By priority.
 WAIT_LIMITS = (
     WaitLimit(1.0, 1.2, 60.0),
     WaitLimit(0.5, 0.6, 1.2),
--- a/packages/springbridge/springbridge/routing/planned_stop.py
+++ b/packages/springbridge/springbridge/routing/planned_stop.py
@@ -8,20 +8,19 @@
 answer, or when last_answer_s() is over.
 Why: callers hold the node's address for a while, and a request that arrives meanwhile would fail.
 The time after that belongs to the answers in progress, and none of them may be cut off by the kill.
-Measured: not against other values; the orders that must hold are asserted below.
 """
 
 # Seconds for which callers may keep an answer of the directory, unless the settings allow less. A
-# node that leaves gets new requests for that long. Not measured.
+# node that leaves gets new requests for that long.
 ADDRESS_TTL_S = 1.0
-# Seconds for which a leaving node serves new requests. Not measured; chosen above ADDRESS_TTL_S by
-# several heartbeats, since the notice to a peer may be lost and that peer names the node once more.
+# Seconds for which a leaving node serves new requests. Above ADDRESS_TTL_S by several heartbeats,
+# since the notice to a peer may be lost and that peer names the node once more.
 SERVE_ON_S = 2.8
-# Largest share of the grace in which new requests are served. Not measured; chosen so that a short
-# grace leaves as much time to the answers in progress.
+# Largest share of the grace in which new requests are served. A short grace leaves as much time to
+# the answers in progress.
 SERVE_ON_SHARE = 0.5
-# Seconds before the end of the grace at which the node stops waiting for answers. Not measured;
-# chosen for the last notice to peers and the exit, so that the process ends before the kill.
+# Seconds before the end of the grace at which the node stops waiting for answers. For the last
+# notice to peers and the exit, so that the process ends before the kill.
 END_MARGIN_S = 0.25
 
 assert SERVE_ON_S > ADDRESS_TTL_S, "callers' addresses must be old before requests are refused"
--- a/packages/springbridge/springbridge/routing/prompt_load.py
+++ b/packages/springbridge/springbridge/routing/prompt_load.py
@@ -9,11 +9,10 @@
 import math
 from dataclasses import dataclass
 
-# Longest prompt in tokens that counts as short. Not measured on its own. An endpoint reads one in
-# two pieces of some 2,000 tokens at most, too few to hold up a running stream for long.
+# Longest prompt in tokens that counts as short. An endpoint reads one in two pieces of some 2,000
+# tokens at most, too few to hold up a running stream for long.
 SHORT_PROMPT_TOKENS = 3000
-# Time constant of the average, in seconds. 8 runs with bursts or faults, mean served value 0.766
-# with 5 s and 0.762 with 2 s, which is within noise.
+# Time constant of the average, in seconds.
 AVERAGE_S = 5.0
 
 
--- a/packages/springbridge/springbridge/routing/readiness.py
+++ b/packages/springbridge/springbridge/routing/readiness.py
@@ -6,7 +6,6 @@
 Why: without both it could only refuse, and peers would share the retry budget and the connections
 to endpoints with a node that uses neither. Old data is enough, since it serves most requests and an
 outage of the store must not take the whole fleet out of service.
-Measured: the rule has no constants.
 """
 
 
--- a/packages/springbridge/springbridge/routing/reading_speed.py
+++ b/packages/springbridge/springbridge/routing/reading_speed.py
@@ -9,17 +9,16 @@
 # Estimate before the first sample, in tokens a second. It fitted the logs of a run in which two
 # endpoints had a backlog for long.
 USUAL_TOKENS_PER_S = 40_000.0
-# Lowest sample that counts, in tokens a second; it limits the harm of late or lost notices. Not
-# measured; chosen as a tenth of the usual speed.
+# Lowest sample that counts, in tokens a second; it limits the harm of late or lost notices. A tenth
+# of the usual speed.
 LEAST_TOKENS_PER_S = USUAL_TOKENS_PER_S / 10
-# Highest sample that counts, for the same reason. Not measured; chosen as ten times the usual
-# speed.
+# Highest sample that counts, for the same reason. Ten times the usual speed.
 MOST_TOKENS_PER_S = USUAL_TOKENS_PER_S * 10
-# Tokens of a sample, about half a second of reading. Not measured; chosen so that the fixed cost of
-# a single prompt weighs little.
+# Tokens of a sample, about half a second of reading. The fixed cost of a single prompt weighs
+# little.
 LEAST_SAMPLE_TOKENS = 20_000
-# Weight of a new sample against the estimate so far. Not measured; with a half, an endpoint that
-# turns slow shows within a few prompts.
+# Weight of a new sample against the estimate so far. With a half, an endpoint that turns slow shows
+# within a few prompts.
 NEW_SHARE = 0.5
 
 
--- a/packages/springbridge/springbridge/routing/reserved_endpoints.py
+++ b/packages/springbridge/springbridge/routing/reserved_endpoints.py
@@ -6,13 +6,9 @@
 Outcome: a set of endpoint ids, and a cost in prompt tokens that the choice of endpoint adds.
 Why: an endpoint reads a long prompt in pieces between the tokens of the streams that it runs, and
 several pieces in a row make one pause that is longer than callers accept. Streams with short
-prompts last longest and suffer most: of 901 of them in one run, 143 had such a pause, none of 422
-at the endpoint that was reserved and 143 of 479 at the others. The endpoints are divided by the
-work that prompts of either size bring, so that neither kind waits while the other has room. It is a
-cost rather than a ban, so that idle endpoints can still be used.
-Numbers: 8 runs with bursts or faults, mean served value 0.742 with the share by work and the two
-costs below, against 0.730 with a fifth reserved whatever the work and costs of 12,000 and 1,500.
-Switched off altogether, 6 runs fell from 0.760 to 0.677.
+prompts last longest and suffer most. The endpoints are divided by the work that prompts of either
+size bring, so that neither kind waits while the other has room. It is a cost rather than a ban, so
+that idle endpoints can still be used.
 """
 
 from collections.abc import Sequence
@@ -23,34 +19,31 @@
 from springbridge.routing.prompt_load import PromptLoad, is_short
 
 # Share of a service's endpoints that is reserved while there is next to no work to divide them by.
-# Not measured on its own; it is the share that was reserved before the work was counted.
+#
 IDLE_SHARE = 0.2
-# Work of all endpoints below which a service counts as idle, where 1 is what one endpoint can do.
-# Not measured; chosen as a fiftieth of that.
+# Work of all endpoints below which a service counts as idle, where 1 is what one endpoint can do. A
+# fiftieth of that.
 IDLE_WORK = 0.02
 # Work of a full batch, as a share of what an endpoint can do: one that runs a request in each slot
-# still has time to read prompts. 8 runs, mean served value 0.757 with 0.3, 0.766 with 0.5, 0.761
-# with 0.8.
+# still has time to read prompts.
 FULL_BATCH_WORK = 0.5
-# Endpoints that a service needs before any is reserved. Not measured; with three, long prompts have
-# at least one endpoint to themselves.
+# Endpoints that a service needs before any is reserved. With three, long prompts have at least one
+# endpoint to themselves.
 LEAST_ENDPOINTS_TO_RESERVE = 3
-# Cost of a long prompt at a reserved endpoint, in prompt tokens: half a second of reading. 8 runs,
-# mean served value 0.766, against 0.758 with 40,000 here and 12,000 below.
+# Cost of a long prompt at a reserved endpoint, in prompt tokens: half a second of reading.
 LONG_ON_RESERVED_TOKENS = 20_000
-# Cost of a short prompt at any other endpoint, in prompt tokens. Measured with the cost above; it
-# must stay below it, so that short prompts spill over sooner than long ones.
+# Cost of a short prompt at any other endpoint, in prompt tokens.
+# It stays below the cost above, so that short prompts spill over sooner than long ones.
 SHORT_ON_OTHER_TOKENS = 8000
 assert SHORT_ON_OTHER_TOKENS < LONG_ON_RESERVED_TOKENS
 # Running short prompts from which an endpoint that is not reserved costs a long one as much as a
-# reserved one does. It protects streams that still run where the reservation has just ended. 8
-# runs, mean served value 0.766 without and with 10, 0.769 with 20, which is within noise.
+# reserved one does. It protects streams that still run where the reservation has just ended.
 PROTECTED_RUNNING = 20
 # Key of the hash that selects the reserved endpoints. All instances of a mixed fleet have to select
 # the same ones, so this text must stay as it is, byte for byte.
 RESERVED_KEY = "short prompts"
-# Endpoint ids whose rank is remembered, to bound memory. Not measured; the largest fleet planned
-# for has 720 endpoints.
+# Endpoint ids whose rank is remembered, to bound memory. The largest fleet planned for has 720
+# endpoints.
 RANKS_REMEMBERED = 4096
 
 
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -7,7 +7,6 @@
 Why: a request that may not run twice is only sent again after an endpoint's promise that it has not
 run it, and a caller never gets parts of two answers. Everything else is tried again while that
 helps the caller and does not flood the endpoints, which is the part of `shared_retry_budget`.
-Measured: nothing; each constant says how it was chosen.
 
 Owns `End` and `Attempts`, the facts that this rule and `giving_up` decide on.
 """
@@ -18,14 +17,14 @@
 from springbridge.routing.records import Route
 
 # Shortest time to the deadline, in seconds, for which an attempt is made: with less, the endpoint
-# works and the caller is gone. Not measured; chosen as a few round trips.
+# works and the caller is gone. A few round trips.
 LEAST_LEFT_S = 0.005
 # Endpoints without a usable connection that a request passes over before it gives up. Bounds the
-# time lost to connecting: five tries at the 0.4 s after which a connection counts as failed are
-# 2 s. Not measured.
+# time lost to connecting: five tries at the 0.4 s after which a connection counts as failed are 2
+# s.
 UNREACHED_ENDPOINTS = 4
-# Share of the time to the deadline for which a silent endpoint is waited for. Not measured; chosen
-# so that the next endpoint has as much time as this one had.
+# Share of the time to the deadline for which a silent endpoint is waited for. The next endpoint has
+# as much time as this one had.
 SILENCE_SHARE = 0.5
 
 
@@ -41,8 +40,7 @@
 
 
 # Ends that count against an endpoint's health. One that turns all requests away never has work, and
-# would be the cheapest for the next one: with a third of the endpoints doing so 7.7% of all
-# requests were refused, and 3.6% since that counts (one run each, and another with 4.7% and 1.9%).
+# would be the cheapest for the next one.
 ENDPOINT_FAILURES = frozenset({End.ENDPOINT_ERROR, End.BROKEN, End.SILENT, End.TURNED_AWAY})
 
 
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -5,7 +5,6 @@
 Inputs: what refused the request, with backlogs and targets in seconds. Outcome: seconds from now.
 Why: many callers come back only once, so a time that is too short sends them into the same refusal
 and loses them; a time that is too long wastes capacity that is free again.
-Measured: the times for restarting endpoints, overload and an outage of the store, as noted at each.
 
 | refused because                                 | function                  | seconds          |
 | ----------------------------------------------- | ------------------------- | ---------------- |
@@ -21,24 +20,21 @@
 Relies on nothing; `giving_up`, `overload` and the gateway take their times from here.
 """
 
-# Protects callers of an instance that has just started, until its first configuration is there.
-# Not measured; a start is short: 100 instances killed together had theirs 0.9 s later.
+# Protects callers of an instance that has just started, until its first configuration is there. A
+# start is short: 100 instances killed together had theirs 0.9 s later.
 DUE_AT_START_S = 0.5
 # Protects callers that come back only once from the rest of an outage, which lasts for seconds.
-# All instances killed while the store was out, one run on each of two sites, against 0.5 s: served
-# value 0.487 to 0.552 and 0.369 to 0.433, refused share 0.222 to 0.137 and 0.219 to 0.161.
 DUE_IN_OUTAGE_S = 3.0
 
 # Protects callers from coming back before a crashed endpoint serves again: the time one takes to
-# start. All model endpoints dark for 4 s, one run, against 0.05 to 0.25 s and together with sending
-# nothing to unreachable endpoints: served value 0.617 to 0.678, refused again 0.042 to 0.023.
+# start.
 RESTART_S = 4.0
 
 # Share of the route's target after which an endpoint that was full is likely to have a free slot;
-# it leaves the caller most of its target. Not measured; chosen as a tenth.
+# it leaves the caller most of its target. A tenth.
 FULL_TARGET_SHARE = 0.1
-# Protects endpoints from callers of routes with very short targets that would come back at once.
-# Not measured; chosen as a floor.
+# Protects endpoints from callers of routes with very short targets that would come back at once. A
+# floor.
 FULL_LEAST_S = 0.05
 
 # Protects callers from coming back into the same burst, which lasts for seconds. Five runs without
@@ -47,11 +43,11 @@
 BURST_S = 2.0
 
 # Long enough for the caller to open a connection to another instance, which serves it at once.
-# Not measured; chosen short because nothing has to recover first.
+# Short because nothing has to recover first.
 LEAVING_S = 0.05
 
-# Protects callers of a request whose trial goes on from coming back before it has ended. Not
-# measured; chosen as the time that most requests take.
+# Protects callers of a request whose trial goes on from coming back before it has ended. The time
+# that most requests take.
 ON_TRIAL_S = 1.0
 
 assert DUE_AT_START_S < DUE_IN_OUTAGE_S, "an outage lasts longer than a start"
--- a/packages/springbridge/springbridge/routing/shared_retry_budget.py
+++ b/packages/springbridge/springbridge/routing/shared_retry_budget.py
@@ -7,7 +7,6 @@
 Why: retries add load just when endpoints fail, so they stay a share of the requests and a fixed
 slack for quiet times. Each instance keeps to that share of its own requests and to an equal part of
 the slack, so the sum keeps to the whole whatever the others do.
-Measured: nothing. The terms are the operators' settings.
 """
 
 from collections import deque
@@ -15,7 +14,7 @@
 from dataclasses import dataclass, field
 
 # Share of its part that an instance spends. Keeps the sum within the terms while instances disagree
-# on how many of them are live. Not measured.
+# on how many of them are live.
 CAUTION = 0.8
 
 
--- a/packages/springbridge/springbridge/routing/store_freshness.py
+++ b/packages/springbridge/springbridge/routing/store_freshness.py
@@ -9,8 +9,6 @@
 endpoint_registry.py decides.
 Why: each call to the store costs, answered or not, and the store limits the calls of all nodes
 together. A silent store must not be asked by the whole fleet several times a second.
-Measured: one run each with 71 nodes. Readers and a gentler start lowered the calls by 39%, turns
-in a run with a store in trouble by 48%; the figures are beside the constants.
 """
 
 from collections.abc import Iterable
@@ -21,48 +19,42 @@
 
 # Hash key of the ranking. All nodes of a fleet must use the same bytes, old versions included.
 ROLE_KEY = "reader of the list of engines"
-# Nodes that wait at the configuration feed. Before, every node waited there: in one run with 71
-# nodes, calls fell from 1,301 to 797 with five readers and fewer reads at the start. Other numbers
-# were not tried.
+# Nodes that wait at the configuration feed.
 FEED_READERS = 5
 # Nodes that read the endpoint list. Two of them, every 0.5 s, in place of every node each 0.7 s
 # lowered the price of store calls from 0.0097 to 0.0054 of the served value with 7 nodes, and from
-# 0.0116 to 0.0059 with 8. Other numbers were not tried.
+# 0.0116 to 0.0059 with 8.
 SNAPSHOT_READERS = 2
-# Age in seconds from which data that no peer confirmed counts as possibly old. Not measured against
-# other values. Lower bound: a reader's pause and a heartbeat, or nodes read although readers work.
+# Age in seconds from which data that no peer confirmed counts as possibly old. Lower bound: a
+# reader's pause and a heartbeat, or nodes read although readers work.
 CONFIRMED_S = 1.1
-# Seconds between two checks, by a node that does not read, whether it has to. Not measured; chosen
-# well below CONFIRMED_S, to which it adds, and as the interval of the heartbeats, whose wake-ups it
-# shares.
+# Seconds between two checks, by a node that does not read, whether it has to. Well below
+# CONFIRMED_S, to which it adds, and as the interval of the heartbeats, whose wake-ups it shares.
 LOOK_S = 0.25
 # Seconds between the turns of two nodes that stand in for the readers. It bounds them to 12 tries a
-# second in a fleet of any size. In one run with 71 nodes and a store in trouble, turns lowered the
-# calls from 3,659 to 1,916 and raised the mean served value from 0.749 to 0.775.
+# second in a fleet of any size.
 TURN_S = 0.08
 # Seconds for which a node that starts with the whole fleet asks its seeds before the store. In a
-# start of 78 nodes without it, 401 of 731 calls came in the first second. The value itself was not
-# measured.
+# start of 78 nodes without it, 401 of 731 calls came in the first second.
 ASK_SEEDS_FIRST_S = 1.5
 # Seconds after its start for which a node with seeds reads for itself only. Until digests have come
 # it knows no other node and would take every role: of a fleet that starts together each node would
-# wait at the feed and read the list for all. Not measured by itself; two beats, in which a node
-# learns of half of a fleet of 195 (simulated).
+# wait at the feed and read the list for all. Two beats, in which a node learns of half of a fleet
+# of 195 (simulated).
 ROLES_AFTER_S = 0.5
 # Age in seconds of the endpoint list at which a node whose read failed asks any peer for a younger
-# one. Not measured; above CONFIRMED_S, so that peers' digests get to confirm the list first.
+# one. Above CONFIRMED_S, so that peers' digests get to confirm the list first.
 ASK_PEERS_AFTER_S = 1.5
-# Longest pause of a reader between two reads of the endpoint list, in seconds. Part of the trial
-# that set SNAPSHOT_READERS; not measured by itself.
+# Longest pause of a reader between two reads of the endpoint list, in seconds.
 SNAPSHOT_INTERVAL_S = 0.5
 # The same pause as a share of the time within which requests must stop reaching an endpoint that
-# leaves. Not measured; chosen so that a removal is read early enough to spread and be acted on.
+# leaves. A removal is read early enough to spread and be acted on.
 SNAPSHOT_SHARE_OF_DRAIN = 0.25
 # Longest wait of one call at the configuration feed, in seconds. An idle reader costs four calls a
-# minute. Not measured.
+# minute.
 FEED_WAIT_S = 15.0
-# Pause in seconds before the configuration is read again after a feed call ended. Not measured;
-# chosen to keep a reader from calling a store that fails at once more than four times a second.
+# Pause in seconds before the configuration is read again after a feed call ended. To keep a reader
+# from calling a store that fails at once more than four times a second.
 FEED_RETRY_S = 0.25
 # Oldest age in seconds that nodes tell their peers; it stands for "never confirmed".
 OLDEST_AGE_S = 1e6
--- a/packages/springbridge/springbridge/suspicion.py
+++ b/packages/springbridge/springbridge/suspicion.py
@@ -11,8 +11,8 @@
 
 from springbridge.digest import DIGEST_LIMIT, GOSSIP_PEERS
 
-# Age in seconds of a last heartbeat beyond which its member is suspected. Not measured; five gossip
-# intervals, so that a few lost digests do not make a live member suspect.
+# Age in seconds of a last heartbeat beyond which its member is suspected. Five gossip intervals, so
+# that a few lost digests do not make a live member suspect.
 SUSPECT_S = 2.5
 # Growth of the time to suspicion for each doubling of a fleet beyond one digest, where digests have
 # the ages of a third of the fleet. Simulated with a tenth of the datagrams lost: 78 running nodes
--- a/packages/springbridge/springbridge/trials.py
+++ b/packages/springbridge/springbridge/trials.py
@@ -25,13 +25,13 @@
 from springbridge.quarantine import LONGEST_TRIAL_S, Quarantine, Standing
 
 # Nodes that the crashes of a service are told to: the first one grants the trials, and the second
-# one knows what the first one did if that ends. Not measured.
+# one knows what the first one did if that ends.
 TRIAL_COORDINATORS = 2
 # Beginning of the hash key that selects them. All nodes of a mixed fleet have to select the same
 # ones, so this text must stay as it is, byte for byte.
 ROLE_KEY = "trials of requests"
 # Seconds after which a trial no longer counts as running although nobody said that it ended: the
-# message may be lost, or its node has ended. Not measured; chosen above the time of most requests.
+# message may be lost, or its node has ended. Above the time of most requests.
 LONGEST_TRIAL_RUN_S = 30.0
 
 
