--- a/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result
 from springbridge.duties import scaling
 from springbridge.duties.demand import KEPT_S
 from springbridge.duties.scaling import Listed, Load, ScalingLimits, SpotFirst
+from springbridge.problems import Problem
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.records import Service
 
@@ -148,19 +149,7 @@
 
     async def _order(self, subject: Subject, count: int, listed: int, load: Load) -> None:
         """Give an order if it is due."""
-        now_s = self._clock()
-        given = self._given.get(subject)
-        if count < listed and now_s < self._taken_s + OBSERVE_S:
-            return
-        if given is None and count == listed:
-            return
-        if (
-            given is not None
-            and now_s < given.again_s
-            and (given.count == count or not given.taken)
-        ):
-            return
-        if given is not None and given.taken and given.count == count and listed >= count:
+        if not self._is_due(subject, count, listed):
             return
         with self._keeper.acting(DUTY_CALL_S) as credentials:
             if credentials is None:
@@ -169,23 +158,39 @@
             result = await self._platform.order_endpoints(credentials, order)
         self._note(subject, count, listed, load, result)
 
-    def _note(self, subject: Subject, count: int, listed: int, load: Load, result) -> None:
+    def _is_due(self, subject: Subject, count: int, listed: int) -> bool:
+        """Return whether an order is to be given now."""
+        now_s, given = self._clock(), self._given.get(subject)
+        if count < listed and now_s < self._taken_s + OBSERVE_S:
+            return False
+        if given is None:
+            return count != listed
+        if given.count != count and given.taken:
+            return True
+        return now_s >= given.again_s and not (given.taken and listed >= count)
+
+    def _note(
+        self,
+        subject: Subject,
+        count: int,
+        listed: int,
+        load: Load,
+        result: Result[None, Problem],
+    ) -> None:
         """Log an order, and note when it may be given again."""
-        fields = {
-            "service": subject.service,
-            "failure_domain": subject.failure_domain,
-            "spot": subject.spot,
-            "count": count,
-            "listed": listed,
-            "busy_now": round(load.now, 1),
-            "busy_peak": round(load.peak, 1),
-        }
-        match result:
-            case Success(_):
-                self.orders += 1
-                self._given[subject] = Given(count, self._clock() + REORDER_S, taken=True)
-                logs.event("scaling.ordered", **fields)
-            case Failure(problem):
-                self.refused += 1
-                self._given[subject] = Given(count, self._clock() + RETRY_S, taken=False)
-                logs.event("scaling.refused", **fields, detail=problem.detail)
+        refused = result.failure().detail if isinstance(result, Failure) else ""
+        self.refused += bool(refused)
+        self.orders += not refused
+        again_s = self._clock() + (RETRY_S if refused else REORDER_S)
+        self._given[subject] = Given(count, again_s, taken=not refused)
+        logs.event(
+            "scaling.ordered",
+            service=subject.service,
+            failure_domain=subject.failure_domain,
+            spot=subject.spot,
+            count=count,
+            listed=listed,
+            busy_now=round(load.now, 1),
+            busy_peak=round(load.peak, 1),
+            refused=refused,
+        )
