The first lease is taken at once where nobody can have held it, and a new holder renews at once

In an era in which the store never went back no row of a lease is lost, so that a missing one was never there: the length of a lease need not be waited out.

--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
@@ -136,14 +136,18 @@
     async def _stand_by(self) -> None:
         """Follow the row if this node is a candidate, and take the lease when it is free."""
         rank = self._candidates.rank()
-        match lease.candidate_step(self._sight, self._clock(), self._lease_s, rank):
-            case Step.READ:
-                await self._read()
+        if self._next_step(rank) is Step.READ:
+            await self._read()
+        match self._next_step(rank):
             case Step.TAKE:
                 await self._take(self._sight.reading)
-            case _:
+            case Step.WAIT:
                 self._sight = None
 
+    def _next_step(self, rank: int) -> Step:
+        """Return what this node does as a candidate."""
+        return lease.candidate_step(self._sight, self._clock(), self._lease_s, rank)
+
     async def _read(self) -> LeaseReading | None:
         """Read the row and return the reading, None if the store gave none."""
         match await self._store.read_lease(DUTY):
@@ -180,6 +184,8 @@
             handed_on=bool(before.row and before.row.handed_on),
         )
         self._taken(LeaseReading(before.stamp, before.row, written.store_s), self._clock())
+        # At once, since a report may be due that can be sent only after a renewal.
+        await self._renew(self._tenure)
 
     async def _renew(self, tenure: Tenure) -> None:
         """Renew the lease with what the successors need."""
--- a/packages/springbridge/springbridge/duties/lease.py
+++ b/packages/springbridge/springbridge/duties/lease.py
@@ -152,10 +152,20 @@
 
 def free_from_s(sight: Sight, lease_s: float) -> float:
     """Return the moment from which a lease may be taken if its row stays as it is."""
+    if _was_never_held(sight.reading):
+        return sight.since_s
     share = HANDED_ON_SHARE if _was_handed_on(sight.reading) else 1.0
     return sight.since_s + share * lease_s
 
 
+def _was_never_held(reading: LeaseReading) -> bool:
+    """Return whether nobody has held the lease before.
+
+    Rows of leases are not removed, so that only a return from an older copy could have lost one.
+    """
+    return reading.row is None and era_of(reading.stamp) == 0
+
+
 def _was_handed_on(reading: LeaseReading) -> bool:
     """Return whether the last holder has given the lease up.
 
--- a/packages/springbridge/springbridge/routing/reserved_endpoints.py
+++ b/packages/springbridge/springbridge/routing/reserved_endpoints.py
@@ -19,7 +19,6 @@
 from springbridge.routing.prompt_load import PromptLoad, is_short
 
 # Share of a service's endpoints that is reserved while there is next to no work to divide them by.
-#
 IDLE_SHARE = 0.2
 # Work of all endpoints below which a service counts as idle, where 1 is what one endpoint can do. A
 # fiftieth of that.
