The soak has duties, and a store that comes back from older copies, beside its other faults

Holders of the duties are told apart by their names, since all processes of a machine share one IP number towards the stand-in.

--- a/packages/springbridge-standins/springbridge_standins/gateway/duties.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/duties.py
@@ -36,12 +36,11 @@
     """A call as it came.
 
     Attributes:
-      machine: IP number of the caller.
+      holder: Name of the instance that made it; all nodes of a test share one IP number.
       subject: What the duty is about.
     """
 
     at_s: float
-    machine: str
     holder: str
     token: int
     subject: str
@@ -80,13 +79,12 @@
 
     async def respond(self, request: RawRequest, connection: Connection) -> None:
         """Take a call, or fail it."""
-        machine = connection.writer.get_extra_info("peername")[0]
         if self.fault is DutyFault.SILENT:
             await asyncio.sleep(SILENT_S)
         if self.fault is DutyFault.BUSY:
             await connection.send(answer("", b"{}", 429, signature=""))
             return
-        status = self._take(machine, request)
+        status = self._take(request)
         if self.fault is DutyFault.LOST:
             connection.reset()
             return
@@ -96,14 +94,14 @@
         """Return what broke the rules of duties, a line each."""
         return self._broken + self._check_holders()
 
-    def _take(self, machine: str, request: RawRequest) -> int:
+    def _take(self, request: RawRequest) -> int:
         """Let a call take effect, and return the status of its answer."""
         body = request.json()
         is_usage = request.path == "/usage"
         subject = "usage" if is_usage else f"{body['service']} {body['zone']}"
         token = int(request.headers["fencing-token"])
         holder = request.headers["lease-holder"]
-        self.calls.append(DutyCall(time.monotonic(), machine, holder, token, subject))
+        self.calls.append(DutyCall(time.monotonic(), holder, token, subject))
         return self._take_usage(body) if is_usage else self._take_order(body)
 
     def _take_usage(self, body: dict) -> int:
@@ -136,10 +134,10 @@
     wrong = []
     if any(each.token > call.token for each in before):
         wrong.append(f"a lower token: {call}")
-    if any(each.token == call.token and each.machine != call.machine for each in before):
+    if any(each.token == call.token and each.holder != call.holder for each in before):
         wrong.append(f"a token of two holders: {call}")
     recent = [each for each in before if each.at_s > call.at_s - NO_RETURN_S]
-    own = [number for number, each in enumerate(recent) if each.machine == call.machine]
-    if own and any(each.machine != call.machine for each in recent[own[0] :]):
+    own = [number for number, each in enumerate(recent) if each.holder == call.holder]
+    if own and any(each.holder != call.holder for each in recent[own[0] :]):
         wrong.append(f"a holder returned too early: {call}")
     return wrong
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
@@ -46,6 +46,13 @@
         soak.violated("what runs is answered", f"{request_id} {path} {type(exc).__name__}")
 
 
+def check_duties(soak: Soak) -> None:
+    """Check who made duty calls, and that no window was reported twice with other counts."""
+    for line in soak.duties.broken():
+        soak.violated("one holder of the duties", line)
+    soak.counts["usage windows reported"] = len(soak.duties.reports)
+
+
 def check_record(soak: Soak) -> None:
     """Check what the engines saw."""
     for request_id, runs in soak.record.runs.items():
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import AsyncIterator
 
+from springbridge_standins.gateway.duties import DutyFault
 from springbridge_standins.gateway.fleet import configuration
 from springbridge_standins.gateway.soak.nodes import NodeProcess
 from springbridge_standins.gateway.soak.state import Soak
@@ -17,6 +18,11 @@
 GRACE_S = 6.0
 # Room beyond the grace for a process to end.
 END_S = 2.0
+# Seconds between two copies, and how many of them back the store comes at most.
+COPY_S = 1.0
+OLDEST_COPIES = 4
+# Seconds within which operators and endpoints have written again what the store lost.
+WRITTEN_AGAIN_S = 2.0
 # Longest pause between the beginnings of two harms; they last longer, so they overlap.
 LONGEST_PAUSE_S = 1.2
 # Longest time of a harm that ends by itself.
@@ -41,6 +47,8 @@
         _change_in_series,
         _stop_nodes_in_turn,
         _drain_engine,
+        _store_from_older_copy,
+        _harm_duties,
     )
     async with asyncio.TaskGroup() as group:
         while True:
@@ -163,6 +171,32 @@
     await soak.list_engine(name, "ready")
 
 
+async def copy_forever(soak: Soak) -> None:
+    """Take copies that the store may come back from."""
+    while True:
+        soak.store.take_copy()
+        await asyncio.sleep(COPY_S)
+
+
+async def _store_from_older_copy(soak: Soak) -> None:
+    """Let the store come back from a copy some seconds old; others write again what they wrote."""
+    lost = await soak.store.come_back_older(-soak.rng.randint(1, OLDEST_COPIES))
+    older = {(row.table, row.key): soak.store.value_of(row.table, row.key) for row in lost}
+    await asyncio.sleep(soak.rng.random() * WRITTEN_AGAIN_S)
+    for row in lost:
+        # Unless somebody has written something newer there meanwhile.
+        if soak.store.value_of(row.table, row.key) == older[row.table, row.key]:
+            await soak.store.put_content(row.table, row.key, row.value)
+
+
+async def _harm_duties(soak: Soak) -> None:
+    """Let duty calls fail for a while."""
+    faults = [fault for fault in DutyFault if fault is not DutyFault.NONE]
+    soak.duties.fault = soak.rng.choice(faults)
+    await asyncio.sleep(soak.rng.random() * LONGEST_HARM_S)
+    soak.duties.fault = DutyFault.NONE
+
+
 @contextlib.asynccontextmanager
 async def _free_node(soak: Soak) -> AsyncIterator[NodeProcess | None]:
     """Give a node that no other harm holds, as long as two others are well; else None."""
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -25,8 +25,13 @@
 retryWindowS = 10
 retrySlack = 60
 ttl_max_s = 5
+reportWindowS = 2
+leaseMs = 3000
 [platform]
 address = "{store}"
+[cloud]
+address = "{duties}"
+duties = ["usage", "scaling"]
 """
 
 ZONES = ("perth-a", "perth-b", "perth-c")
@@ -52,7 +57,14 @@
     """
 
     def __init__(
-        self, number: int, ip: str, ports: Ports, store: str, folder: Path, seeds: list[str]
+        self,
+        number: int,
+        ip: str,
+        ports: Ports,
+        store: str,
+        duties: str,
+        folder: Path,
+        seeds: list[str],
     ):
         """Write the settings file; nothing is started yet."""
         self.ip = ip
@@ -70,6 +82,7 @@
                 ip=self.ip,
                 zone=ZONES[number % len(ZONES)],
                 store=store,
+                duties=duties,
                 seeds=quoted,
                 **vars(ports),
             )
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -20,14 +20,14 @@
 from springbridge_standins.gateway.engine import EngineStandIn
 from springbridge_standins.gateway.fleet import configuration
 from springbridge_standins.gateway.soak.callers import call_forever
-from springbridge_standins.gateway.soak.checks import check_record
+from springbridge_standins.gateway.soak.checks import check_duties, check_record
 from springbridge_standins.gateway.soak.crashes import (
     check_poison,
     end_engine,
     send_poison_forever,
 )
 from springbridge_standins.gateway.soak.engine import SoakScript
-from springbridge_standins.gateway.soak.harms import START_S, harm_forever
+from springbridge_standins.gateway.soak.harms import START_S, copy_forever, harm_forever
 from springbridge_standins.gateway.soak.nodes import NodeProcess, Ports
 from springbridge_standins.gateway.soak.state import Soak
 from springbridge_standins.gateway.store import StoreStandIn
@@ -56,12 +56,14 @@
     async with contextlib.AsyncExitStack() as stack:
         soak = Soak(random.Random(seed), StoreStandIn())
         await stack.enter_async_context(running(soak.store))
+        await stack.enter_async_context(running(soak.duties))
         await _start_engines(soak, stack)
         await soak.store.put("op", "config", configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
         tasks = [asyncio.ensure_future(call_forever(soak, number)) for number in range(callers)]
         tasks.append(asyncio.ensure_future(harm_forever(soak)))
+        tasks.append(asyncio.ensure_future(copy_forever(soak)))
         poison = send_poison_forever(soak, random.Random(f"{seed} ender"))
         tasks.append(asyncio.ensure_future(poison))
         for _ in range(LONGEST):
@@ -78,6 +80,7 @@
         soak.stop_background()
         check_record(soak)
         check_poison(soak)
+        check_duties(soak)
         return soak
 
 
@@ -108,7 +111,7 @@
         await proxy.start()
         stack.callback(proxy.stop)
         soak.store_proxies.append(proxy)
-        node = NodeProcess(number, ip, ports, proxy.address, folder, seeds)
+        node = NodeProcess(number, ip, ports, proxy.address, soak.duties.address, folder, seeds)
         await node.start()
         stack.push_async_callback(node.end)
         soak.nodes.append(node)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from springbridge_standins.gateway.duties import DutyStandIn
 from springbridge_standins.gateway.engine import EngineStandIn
 from springbridge_standins.gateway.fleet import list_engine
 from springbridge_standins.gateway.soak.engine import Record
@@ -38,6 +39,7 @@
 
     rng: random.Random
     store: StoreStandIn
+    duties: DutyStandIn = field(default_factory=DutyStandIn)
     record: Record = field(default_factory=Record)
     nodes: list[NodeProcess] = field(default_factory=list)
     engines: dict[str, EngineStandIn] = field(default_factory=dict)
--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -19,6 +19,10 @@
 SLOW_S = 0.4
 
 
+# Tables of the operators and of the endpoints, which write what they wrote there again.
+WRITTEN_AGAIN = ("op", "servers")
+
+
 class StoreFault(Enum):
     """How the store fails; the order is part of what a soak's seed means."""
 
@@ -90,13 +94,31 @@
         """Take a copy that the store may come back from."""
         self._copies.append(_Copy(self.version, dict(self._rows)))
 
-    async def come_back_older(self, number: int = -1) -> None:
-        """Come back from a copy: what was written since is gone, versions are given out again."""
+    async def come_back_older(self, number: int = -1) -> list[Row]:
+        """Come back from a copy: what was written since is gone, versions are given out again.
+
+        Args:
+          number: Which copy, counted from the latest, -1; the oldest if there are not so many.
+
+        Returns:
+          The rows of others than the nodes that were lost; whoever wrote them does so again.
+        """
         async with self._changed:
-            copy = self._copies[number]
+            copy = self._copies[max(number, -len(self._copies))]
+            lost = [
+                row
+                for key, row in self._rows.items()
+                if row.table in WRITTEN_AGAIN and copy.rows.get(key) != row
+            ]
             self.version, self._rows = copy.version, dict(copy.rows)
             self.era += 1
             self._changed.notify_all()
+        return lost
+
+    def value_of(self, table: str, key: str) -> bytes | None:
+        """Return the content of a row, None if there is none."""
+        row = self._rows.get((table, key))
+        return row.value if row else None
 
     async def _write(self, table: str, key: str, value: bytes) -> None:
         async with self._changed:
