Orders follow a longer memory of the load, and begin only once the list has been seen whole

Cause: a burst that follows the loss of a failure domain's spot endpoints met a fleet that had given up its replacements a moment before (6 s of memory).

--- a/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
@@ -33,10 +33,13 @@
 REORDER_S = 6.0
 # The same after an order that there were no endpoints for, or that got no answer.
 RETRY_S = 1.5
-# Seconds of load that count as the present one.
-PRESENT_S = 6.0
+# Seconds of load that count as the present one; bursts follow each other within such a time.
+PRESENT_S = 20.0
 # Seconds after the lease was taken in which fewer endpoints are not ordered.
 OBSERVE_S = 4.0
+# Seconds without a new entry after which a list counts as whole to a new holder. An order for fewer
+# than there are takes the others away, and before that nobody can tell how many there are.
+WHOLE_AFTER_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +93,7 @@
         self._policy = policy
         self._given: dict[Subject, Given] = {}
         self._stood: dict[str, int] = {}
+        self._growing: dict[str, tuple[int, float]] = {}
         self._domains: dict[str, set[str]] = {}
         self._taken_s = clock()
         self.orders = 0
@@ -99,6 +103,7 @@
         """Begin anew: what earlier holders ordered is not known here."""
         self._given = {}
         self._stood = {}
+        self._growing = {}
         self._taken_s = self._clock()
 
     async def step(self) -> None:
@@ -112,7 +117,7 @@
     async def _scale(self, service: str, limits: ScalingLimits) -> None:
         """Give the orders for one service."""
         domains = self._listed(service)
-        if not domains:
+        if not domains or not self._is_whole(service, domains):
             return
         load = self._load(service, domains)
         for name, wanted in scaling.wanted(self._policy, domains, load, limits).items():
@@ -134,6 +139,17 @@
         names.update(entry.failure_domain for entry in entries)
         return {name: Listed(staying[name, False], staying[name, True]) for name in sorted(names)}
 
+    def _is_whole(self, service: str, domains: dict[str, Listed]) -> bool:
+        """Return whether the list has been seen whole since this node took the lease."""
+        if service in self._stood:
+            return True
+        count = sum(each.on_demand + each.spot for each in domains.values())
+        known, since_s = self._growing.get(service, (-1, 0.0))
+        if count > known:
+            self._growing[service] = (count, self._clock())
+            return False
+        return self._clock() >= since_s + WHOLE_AFTER_S
+
     def _load(self, service: str, domains: dict[str, Listed]) -> Load:
         """Return the load of a service in endpoints."""
         count = sum(each.on_demand + each.spot for each in domains.values())
--- a/packages/springbridge/springbridge/routing/endpoint_choice.py
+++ b/packages/springbridge/springbridge/routing/endpoint_choice.py
@@ -51,12 +51,17 @@
     coordinator: str = ""
 
 
-# The endpoints that may get a request, what it demands, and the moment in seconds of the clock that
-# the states are kept by.
-Chooser = Callable[[Sequence[EndpointState], Demand, float], Choice]
+# The endpoints that may get a request, what it demands, the moment in seconds of the clock that the
+# states are kept by, and endpoints that get no request any more but still give what they keep.
+Chooser = Callable[[Sequence[EndpointState], Demand, float, Sequence[EndpointState]], Choice]
 
 
-def least_in_flight(states: Sequence[EndpointState], demand: Demand, now_s: float) -> Choice:
+def least_in_flight(
+    states: Sequence[EndpointState],
+    demand: Demand,
+    now_s: float,
+    leaving: Sequence[EndpointState] = (),
+) -> Choice:
     """Return the endpoint with the fewest requests for its slots; the request's id breaks ties."""
     state = min(
         states,
@@ -68,7 +73,12 @@
     return Choice(state)
 
 
-def by_shared_prompt(states: Sequence[EndpointState], demand: Demand, now_s: float) -> Choice:
+def by_shared_prompt(
+    states: Sequence[EndpointState],
+    demand: Demand,
+    now_s: float,
+    leaving: Sequence[EndpointState] = (),
+) -> Choice:
     """Return the preferred endpoint of the prompt's shared part among those with few requests."""
     parts = demand.prompt_parts
     if not parts:
@@ -79,18 +89,27 @@
     return Choice(_preferred(within or states, parts))
 
 
-def by_token_cost(states: Sequence[EndpointState], demand: Demand, now_s: float) -> Choice:
+def by_token_cost(
+    states: Sequence[EndpointState],
+    demand: Demand,
+    now_s: float,
+    leaving: Sequence[EndpointState] = (),
+) -> Choice:
     """Return the endpoint at which a request costs the fewest prompt tokens (endpoint_cost.py).
 
     Of endpoints with about the same cost, the preferred one of the prompt's shared part is taken.
+    What endpoints keep that are about to leave is fetched while they last, or it would have to be
+    read anew.
     """
     parts = demand.prompt_parts
     if not parts:
         return least_in_flight(states, demand, now_s)
     reserved = reserved_endpoints(states, now_s)
     kept = _kept_tokens(states, parts, reserved)
-    source = max(states, key=lambda state: kept[state.entry.endpoint_id])
-    most = kept[source.entry.endpoint_id] if demand.fetches else 0
+    prompt = prefixes(parts)
+    known = kept | {state.entry.endpoint_id: state.cache.kept_of(prompt) for state in leaving}
+    source = max((*states, *leaving), key=lambda state: known[state.entry.endpoint_id])
+    most = known[source.entry.endpoint_id] if demand.fetches else 0
     best = _preferred(_cheapest(states, demand, reserved, kept, most), parts)
     if not is_worth_fetching(kept[best.entry.endpoint_id], most):
         return Choice(best)
--- a/packages/springbridge/springbridge/routing/endpoint_choice_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_choice_test.py
@@ -134,3 +134,23 @@
     ]
     names = [choice.state.entry.endpoint_id for choice in choices]
     assert_that(names, Equals(["e1", "e1", "e2", "e0", "e1", "e2", "e2", "e3"]))
+
+
+def test_prompts_are_fetched_from_endpoints_that_leave_within_a_burst(endpoints):
+    # Spot endpoints of a failure domain leave together, with what they keep, while prompts that
+    # share it keep coming: each is fetched once from where it still is, and not read anew.
+    home = chosen(endpoints, LONG).state
+    start(endpoints, home.entry.endpoint_id)
+    finish(endpoints, home.entry.endpoint_id)
+    staying = [state for state in states_of(endpoints) if state is not home]
+    choice = by_token_cost(staying, make_demand(LONG, failure_domain=HERE), NOW_S, [home])
+    assert_that(choice.state, Not(Is(home)))
+    assert_that(choice.source, Is(home))
+    assert_that(choice.fetched_tokens, Equals(16_000))
+
+
+def test_nothing_is_fetched_from_an_endpoint_that_leaves_and_keeps_nothing(endpoints):
+    home = chosen(endpoints, LONG).state
+    staying = [state for state in states_of(endpoints) if state is not home]
+    choice = by_token_cost(staying, make_demand(LONG, failure_domain=HERE), NOW_S, [home])
+    assert_that(choice.source, Is(None))
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -154,6 +154,17 @@
         """
         return eligibility.candidates(self._states.values(), service, tried, self._clock())
 
+    def leaving(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of a service that take no requests but still give what they keep."""
+        return [
+            state
+            for state in self._states.values()
+            if state.entry.service == service
+            and state.entry.draining
+            and state.is_listed
+            and state.reachable
+        ]
+
     def avoided(self, service: str) -> list[str]:
         """Return the ids of a service's endpoints that this instance does not use for now."""
         return eligibility.avoided(self._states.values(), service, self._clock())
--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -50,7 +50,10 @@
         if refusal is not None:
             return Selection(None, refusal)
     states = registry.candidates(demand.service, {*tried, *avoided})
-    return Selection(choose(states, demand, registry.now_s()) if states else None)
+    if not states:
+        return Selection(None)
+    leaving = registry.leaving(demand.service)
+    return Selection(choose(states, demand, registry.now_s(), leaving))
 
 
 def start_notice(choice: Choice, demand: Demand, attempt_id: str) -> LoadNotice:
