--- a/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
@@ -14,6 +14,7 @@
 from springbridge_node.gateway.duties.usage_reporter import UsageReporter
 from springbridge_node.gateway.duties.usage_sharing import TELL_S, UsageSharing
 from springbridge_node.gateway.gateway_settings import DutySettings
+from springbridge_node.gateway.outside import Outside
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.telemetry import Telemetry
 from springbridge_node.periodic import every, every_tick
@@ -106,3 +107,16 @@
         """Go on from where the holder before this node was."""
         self.reporter.taken(before, at_s)
         self.scaler.taken()
+
+
+def duty_parts(
+    settings: DutySettings,
+    membership: Membership,
+    registry: EndpointRegistry,
+    outside: Outside,
+    services: Callable[[], dict[str, Service]],
+) -> DutyParts | None:
+    """Return the duties of a node, None if its settings or its platform name none."""
+    if outside.duties is None or not settings.has_any:
+        return None
+    return DutyParts(settings, membership, registry, outside.store, outside.duties, services)
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Coroutine
+from dataclasses import replace
 
 from springbridge.codes import Code
-from springbridge.membership import Member, Membership, Pace, stretch_by_hops
+from springbridge.membership import Membership, Pace, stretch_by_hops
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.endpoint_registry import EndpointRegistry
@@ -21,26 +21,25 @@
 from springbridge.routing.store_freshness import ROLES_AFTER_S, snapshot_interval_s
 
 from springbridge_node import clock, logs
-from springbridge_node.gateway import bounded_log
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.directory import AddressBook
 from springbridge_node.gateway.callers.ingress import CallerListener, IncomingRequest
 from springbridge_node.gateway.config.configuration_follower import ConfigurationFollower
 from springbridge_node.gateway.config.endpoint_follower import EndpointFollower, FollowerHooks
-from springbridge_node.gateway.config.platform_store import ConfigurationReader, PlatformStore
 from springbridge_node.gateway.config.source import Source
 from springbridge_node.gateway.config.store_readers import StoreReaders
 from springbridge_node.gateway.config.stored_quarantine import LOOK_S as QUARANTINE_LOOK_S
-from springbridge_node.gateway.duties.duty_parts import DutyParts
-from springbridge_node.gateway.duties.duty_platform import DutyPlatform
+from springbridge_node.gateway.duties.duty_parts import duty_parts
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S, EndpointProber
 from springbridge_node.gateway.gateway_settings import GatewaySettings
-from springbridge_node.gateway.http.small_server import TEXT, Handler, Reply, serve_small
+from springbridge_node.gateway.http.small_server import TEXT, Reply, serve_small
+from springbridge_node.gateway.metrics_page import set_gauges
+from springbridge_node.gateway.outside import Outside
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.peers.heartbeats import BEAT_S, Heartbeats
-from springbridge_node.gateway.peers.own_member import new_member
+from springbridge_node.gateway.peers.own_member import member_of
 from springbridge_node.gateway.peers.peer_client import PeerClient
 from springbridge_node.gateway.peers.peer_discovery import (
     DISCOVERY_DELAY_S,
@@ -49,7 +48,6 @@
 )
 from springbridge_node.gateway.peers.peer_handlers import peer_handlers
 from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
-from springbridge_node.gateway.requests.request_codec import RequestCodec
 from springbridge_node.gateway.requests.request_log import RequestLog
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
@@ -68,24 +66,6 @@
 LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=while_leaving())
 
 
-@dataclass(frozen=True)
-class Outside:
-    """The ports of a node to its platform.
-
-    Attributes:
-      ready_handlers: Makes the handlers of the ready address from the readiness check.
-      directory_handlers: Makes the handlers of the directory address from the address book.
-      duties: The platform's duty calls; None where it has none.
-    """
-
-    store: PlatformStore
-    read_configuration: ConfigurationReader
-    codec: RequestCodec
-    ready_handlers: Callable[[Callable[[], bool]], Mapping[str, Handler]]
-    directory_handlers: Callable[[AddressBook], Mapping[str, Handler]]
-    duties: DutyPlatform | None = None
-
-
 class Gateway:
     """One node: owns its parts, its listeners and its tasks.
 
@@ -107,11 +87,11 @@
         self.settings = settings
         self._outside = outside
         self.telemetry = Telemetry()
-        self.membership = Membership(_member(settings), clock.now_s, random.Random(), PACE)
+        self.membership = Membership(member_of(settings), clock.now_s, random.Random(), PACE)
         self.registry = EndpointRegistry(clock.now_s, settings.drain_s)
         self.selection_parts = SelectionParts(self.registry, self.membership)
-        self.pool = ConnectionPool(self._live_nodes)
-        self.budget = SharedRetryBudget(settings.budget, self._live_nodes, clock.now_s)
+        self.pool = ConnectionPool(self.live_nodes)
+        self.budget = SharedRetryBudget(settings.budget, self.live_nodes, clock.now_s)
         self.readers = StoreReaders(
             self.membership,
             settings.asks_seeds_first,
@@ -122,7 +102,13 @@
         )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.configuration = self._configuration_follower()
-        self.duties = self._duty_parts()
+        self.duties = duty_parts(
+            settings.duties,
+            self.membership,
+            self.registry,
+            outside,
+            self.configuration.services,
+        )
         self.endpoints = self._endpoint_follower()
         self.router = RequestRouter(self._router_parts())
         self.listener = CallerListener(self._serve)
@@ -144,19 +130,6 @@
         self._refusing = False
         outside.store.on_older_copy(self._store_went_back)
 
-    def _duty_parts(self) -> DutyParts | None:
-        """Return the duties, None if the settings name none."""
-        if self._outside.duties is None or not self.settings.duties.has_any:
-            return None
-        return DutyParts(
-            self.settings.duties,
-            self.membership,
-            self.registry,
-            self._outside.store,
-            self._outside.duties,
-            self.configuration.services,
-        )
-
     def _store_is_up(self) -> bool:
         """Return whether the store answered this node's last calls."""
         return self.endpoints.dependency.up and (self.duties is None or self.duties.store_is_up())
@@ -307,20 +280,10 @@
 
     def _metrics(self, query: dict[str, str]) -> Reply:
         """Return the metrics as text, with the gauges as they are now."""
-        self.telemetry.nodes.set(self._live_nodes())
-        self.telemetry.quarantined.set(self.quarantine_parts.quarantined_count())
-        self.telemetry.endpoints.set(len(self.registry.entries()))
-        self.telemetry.unreadable_endpoints.set(self.endpoints.unreadable.count)
-        self.telemetry.config_version.set(self.configuration.version)
-        self.telemetry.store_up.set(int(self.endpoints.dependency.up))
-        self.telemetry.suspensions.set(self.heartbeats.suspensions)
-        self.telemetry.store_steps.set(self.store_steps)
-        if self.duties is not None:
-            self.duties.show(self.telemetry)
-        self.telemetry.dropped_lines.set(bounded_log.dropped())
+        set_gauges(self)
         return Reply(200, self.telemetry.text(), TEXT)
 
-    def _live_nodes(self) -> int:
+    def live_nodes(self) -> int:
         """Return how many nodes share the retry budget and the connections to endpoints."""
         return max(1, self.membership.live_count())
 
@@ -342,13 +305,3 @@
         self.registry.keep_loads_of(heard | {self.membership.me.incarnation})
         self.heartbeats.forget_gone()
         self.quarantine_parts.gate.forget_old()
-
-
-def _member(settings: GatewaySettings) -> Member:
-    """Return this node as its peers will know it."""
-    return new_member(
-        settings.name,
-        settings.addresses.peers,
-        settings.addresses.callers,
-        settings.failure_domain,
-    )
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -0,0 +1,24 @@
+"""Sets the gauges of a node's metrics when they are read."""
+
+from typing import TYPE_CHECKING
+
+from springbridge_node.gateway import bounded_log
+
+if TYPE_CHECKING:
+    from springbridge_node.gateway.gateway import Gateway
+
+
+def set_gauges(gateway: "Gateway") -> None:
+    """Set all gauges to what holds now."""
+    telemetry = gateway.telemetry
+    telemetry.nodes.set(gateway.live_nodes())
+    telemetry.quarantined.set(gateway.quarantine_parts.quarantined_count())
+    telemetry.endpoints.set(len(gateway.registry.entries()))
+    telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
+    telemetry.config_version.set(gateway.configuration.version)
+    telemetry.store_up.set(int(gateway.endpoints.dependency.up))
+    telemetry.suspensions.set(gateway.heartbeats.suspensions)
+    telemetry.store_steps.set(gateway.store_steps)
+    telemetry.dropped_lines.set(bounded_log.dropped())
+    if gateway.duties is not None:
+        gateway.duties.show(telemetry)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/outside.py
@@ -0,0 +1,28 @@
+"""The ports of a node to its platform: store, formats, small interfaces and duty calls."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from springbridge_node.gateway.callers.directory import AddressBook
+from springbridge_node.gateway.config.platform_store import ConfigurationReader, PlatformStore
+from springbridge_node.gateway.duties.duty_platform import DutyPlatform
+from springbridge_node.gateway.http.small_server import Handler
+from springbridge_node.gateway.requests.request_codec import RequestCodec
+
+
+@dataclass(frozen=True)
+class Outside:
+    """The ports of a node to its platform.
+
+    Attributes:
+      ready_handlers: Makes the handlers of the ready address from the readiness check.
+      directory_handlers: Makes the handlers of the directory address from the address book.
+      duties: The platform's duty calls; None where it has none.
+    """
+
+    store: PlatformStore
+    read_configuration: ConfigurationReader
+    codec: RequestCodec
+    ready_handlers: Callable[[Callable[[], bool]], Mapping[str, Handler]]
+    directory_handlers: Callable[[AddressBook], Mapping[str, Handler]]
+    duties: DutyPlatform | None = None
--- a/packages/springbridge-node/springbridge_node/gateway/peers/own_member.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/own_member.py
@@ -4,6 +4,7 @@
 
 from springbridge.membership import Member
 
+from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
 
 
@@ -19,3 +20,13 @@
         failure_domain=failure_domain,
         heartbeat=FIRST_HEARTBEAT,
     )
+
+
+def member_of(settings: GatewaySettings) -> Member:
+    """Return the member of the node with these settings."""
+    return new_member(
+        settings.name,
+        settings.addresses.peers,
+        settings.addresses.callers,
+        settings.failure_domain,
+    )
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field, replace
 
 from springbridge.routing.shared_retry_budget import BudgetTerms
-from springbridge_node.gateway.gateway import Gateway, Outside
+from springbridge_node.gateway.gateway import Gateway
 from springbridge_node.gateway.gateway_settings import Addresses, DutySettings, GatewaySettings
+from springbridge_node.gateway.outside import Outside
 
 from springbridge_standins.free_addresses import free_ports
 from springbridge_standins.gateway.engine import EngineStandIn, Script
