--- a/packages/springbridge-node/springbridge_node/gateway/duties/duty_rows.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/duty_rows.py
@@ -6,13 +6,13 @@
 
 from dataclasses import dataclass
 
-from springbridge.duties.usage import Counts, ToldUsage
+from springbridge.duties.usage import Counts, ToldUsage, WindowCounts
 from springbridge.duties.usage_reports import Report
 
 from springbridge_node.gateway.peers.row_fields import number, text, whole
 
 # In place of a window where a node has only work to tell.
-NO_COUNTS: tuple[int, Counts] = (-1, {})
+NO_COUNTS = WindowCounts(-1, {})
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,18 +32,17 @@
 
 
 def usage_rows(
-    incarnation: str, started_s: float, counted: tuple[int, Counts], work: dict[str, int]
+    incarnation: str, started_s: float, counted: WindowCounts, work: dict[str, int]
 ) -> list:
     """Return the rows of a node's counts in one window and of its work."""
-    window, counts = counted
-    return [incarnation, started_s, window, counts, work]
+    return [incarnation, started_s, counted.window, counted.counts, work]
 
 
 def read_usage(rows: list) -> tuple[ToldUsage | None, ToldWork]:
     """Return the counts, None if there are none, and the work of a node."""
     incarnation, started_s, window, counts, work = rows
     told_work = ToldWork(text(incarnation), read_counts(work))
-    if whole(window) == NO_COUNTS[0]:
+    if whole(window) == NO_COUNTS.window:
         return None, told_work
     told = ToldUsage(told_work.incarnation, number(started_s), window, read_counts(counts))
     return told, told_work
--- a/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
@@ -60,6 +60,14 @@
     taken: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Growth:
+    """The most entries of a service on the list, and when they were first seen."""
+
+    count: int
+    since_s: float
+
+
 class Scaler:
     """The orders of this node.
 
@@ -93,7 +101,7 @@
         self._policy = policy
         self._given: dict[Subject, Given] = {}
         self._stood: dict[str, int] = {}
-        self._growing: dict[str, tuple[int, float]] = {}
+        self._growing: dict[str, Growth] = {}
         self._domains: dict[str, set[str]] = {}
         self._taken_s = clock()
         self.orders = 0
@@ -144,11 +152,11 @@
         if service in self._stood:
             return True
         count = sum(each.on_demand + each.spot for each in domains.values())
-        known, since_s = self._growing.get(service, (-1, 0.0))
-        if count > known:
-            self._growing[service] = (count, self._clock())
+        known = self._growing.get(service)
+        if known is None or count > known.count:
+            self._growing[service] = Growth(count, self._clock())
             return False
-        return self._clock() >= since_s + WHOLE_AFTER_S
+        return self._clock() >= known.since_s + WHOLE_AFTER_S
 
     def _load(self, service: str, domains: dict[str, Listed]) -> Load:
         """Return the load of a service in endpoints."""
--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_sharing.py
@@ -11,10 +11,10 @@
 from springbridge.duties.true_time import TrueTime
 from springbridge.duties.usage import (
     KEPT_S,
-    Counts,
     FleetUsage,
     OwnUsage,
     ToldUsage,
+    WindowCounts,
     window_at,
     window_end_s,
 )
@@ -99,11 +99,12 @@
         new = receivers.keys() - self._told_to
         self._told_to = set(receivers)
         news = list(self._news())
-        everything = list(self._own.windows())
+        everything = self._own.windows()
         self._tell(news, [receivers[name].peer_address for name in receivers.keys() - new])
         self._tell(everything, [receivers[name].peer_address for name in new])
-        for window, counts in everything:
-            self.usage.take(ToldUsage(self._incarnation, self._started_s, window, counts))
+        for each in everything:
+            told = ToldUsage(self._incarnation, self._started_s, each.window, each.counts)
+            self.usage.take(told)
         for service, total in self._work.items():
             self.demand.take(self._incarnation, service, total)
 
@@ -119,29 +120,29 @@
         if self._datagrams is not None:
             self.tell_news([], self._datagrams.sample_peers(nodes))
 
-    def _news(self) -> Iterator[tuple[int, Counts]]:
+    def _news(self) -> Iterator[WindowCounts]:
         """Return the counts that candidates may not know yet, by window."""
         recent_s, true_s = self._clock() - RESEND_S, self.true_s()
-        for window, counts in self._own.windows():
-            over_s = true_s - window_end_s(window, self._own.window_s)
+        for each in self._own.windows():
+            over_s = true_s - window_end_s(each.window, self._own.window_s)
             if 0 <= over_s < SETTLE_S:
-                yield window, counts
+                yield each
                 continue
             changed = {
                 name: count
-                for name, count in counts.items()
-                if self._changed_s.get((window, name), recent_s) > recent_s
+                for name, count in each.counts.items()
+                if self._changed_s.get((each.window, name), recent_s) > recent_s
             }
             if changed:
-                yield window, changed
+                yield WindowCounts(each.window, changed)
 
-    def _tell(self, windows: list[tuple[int, Counts]], addresses: list[str]) -> None:
+    def _tell(self, windows: list[WindowCounts], addresses: list[str]) -> None:
         """Send counts, and the work so far, in as many datagrams as it takes."""
         if self._datagrams is None or not addresses or not (windows or self._work):
             return
-        rows = [part for window, counts in windows for part in _parts(window, counts)]
-        for row in rows or [duty_rows.NO_COUNTS]:
-            told = duty_rows.usage_rows(self._incarnation, self._started_s, row, self._work)
+        parts = [part for each in windows for part in _parts(each)]
+        for part in parts or [duty_rows.NO_COUNTS]:
+            told = duty_rows.usage_rows(self._incarnation, self._started_s, part, self._work)
             self._datagrams.send(Kind.USAGE, told, addresses)
 
     def _take_usage(self, rows: list, sender: str) -> None:
@@ -171,8 +172,8 @@
         self._changed_s = {key: at_s for key, at_s in self._changed_s.items() if at_s > recent_s}
 
 
-def _parts(window: int, counts: Counts) -> Iterator[tuple[int, Counts]]:
+def _parts(whole: WindowCounts) -> Iterator[WindowCounts]:
     """Return the counts of a window in parts that fit into a datagram."""
-    items = list(counts.items())
+    items = list(whole.counts.items())
     for start in range(0, len(items), CUSTOMERS_PER_DATAGRAM):
-        yield window, dict(items[start : start + CUSTOMERS_PER_DATAGRAM])
+        yield WindowCounts(whole.window, dict(items[start : start + CUSTOMERS_PER_DATAGRAM]))
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
@@ -0,0 +1,76 @@
+"""Parts of the lease, of usage and of older copies that a proof has to miss when they are taken
+out."""
+
+from springbridge_standins.mutants.mutant import LIBRARY, NODE, PLATFORM, Mutant
+
+LEASE = f"{LIBRARY}/duties/lease_test.py"
+HISTORIES = f"{NODE}/gateway/duties/lease_histories_test.py"
+SCALER = f"{NODE}/gateway/duties/scaler_test.py"
+OLDER_COPY = f"{PLATFORM}/older_copy_test.py"
+DUTIES = f"{PLATFORM}/duties_test.py"
+
+DUTIES_OF_THE_FLEET = (
+    Mutant(
+        "a lease: the holder stops when its tenure is over",
+        f"{LIBRARY}/duties/lease.py",
+        "return now_s + call_s <= self.until_s",
+        "return True",
+        HISTORIES,
+    ),
+    Mutant(
+        "a lease: a successor waits out the length",
+        f"{LIBRARY}/duties/lease.py",
+        "share = HANDED_ON_SHARE if _was_handed_on(sight.reading) else 1.0",
+        "share = HANDED_ON_SHARE",
+        HISTORIES,
+    ),
+    Mutant(
+        "a lease: one that was handed on in an earlier era counts as held",
+        f"{LIBRARY}/duties/lease.py",
+        "return row is not None and row.handed_on and row.era == era_of(reading.stamp)",
+        "return row is not None and row.handed_on",
+        LEASE,
+    ),
+    Mutant(
+        "a lease: a take-over under a revision of another era is none",
+        f"{NODE}/gateway/duties/lease_keeper.py",
+        "if era_of(written.stamp) != era_of(before.stamp):",
+        "if False:",
+        HISTORIES,
+    ),
+    Mutant(
+        "a lease: it is handed on once no call is under way",
+        f"{NODE}/gateway/duties/lease_keeper.py",
+        "        self._tenure = None\n        while self._acting:",
+        "        while False:",
+        HISTORIES,
+    ),
+    Mutant(
+        "usage: a report is sent again as it was decided",
+        f"{LIBRARY}/duties/usage_reports.py",
+        "known = self._reports.setdefault(report.window, report)",
+        "known = self._reports[report.window] = report",
+        f"{LIBRARY}/duties/usage_reports_test.py",
+    ),
+    Mutant(
+        "orders: none before the list has been seen whole",
+        f"{NODE}/gateway/duties/scaler.py",
+        "if not domains or not self._is_whole(service, domains):",
+        "if not domains:",
+        SCALER,
+    ),
+    Mutant(
+        "an older copy: a cursor of the era before is not used",
+        f"{PLATFORM}/store.py",
+        "if era_of(cursor) != self._era:",
+        "if False:",
+        f"{OLDER_COPY}::test_a_key_that_is_taken_away_after_the_step_is_refused",
+    ),
+    Mutant(
+        "an older copy: lists of a later era replace those before",
+        f"{PLATFORM}/store.py",
+        "return rows.map(lambda found: replace(found, revision=stamp(self._era, found.revision)))",
+        "return rows",
+        f"{OLDER_COPY}::test_an_endpoint_that_starts_after_the_step_gets_requests",
+    ),
+)
--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -14,6 +14,7 @@
 
 import typer
 
+from springbridge_standins.mutants.duty_mutants import DUTIES_OF_THE_FLEET
 from springbridge_standins.mutants.gateway_mutants import USERS_PLATFORM
 from springbridge_standins.mutants.mutant import LIBRARY, NODE, Mutant
 
@@ -213,7 +214,7 @@
     ),
 )
 
-ALL = (*MUTANTS, *USERS_PLATFORM)
+ALL = (*MUTANTS, *USERS_PLATFORM, *DUTIES_OF_THE_FLEET)
 
 
 def fails(mutant: Mutant, folder: Path) -> bool:
--- a/packages/springbridge/springbridge/duties/usage.py
+++ b/packages/springbridge/springbridge/duties/usage.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 # Seconds for which an instance keeps its counts of a window after its end. A window is reported
@@ -16,6 +16,14 @@
 Counts = dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class WindowCounts:
+    """Requests of one window by customer."""
+
+    window: int
+    counts: Counts
+
+
 @dataclass(frozen=True, slots=True)
 class ToldUsage:
     """What an instance tells of its requests in one window.
@@ -61,9 +69,9 @@
         counts = self._windows.setdefault(window_at(true_s, self.window_s), {})
         counts[customer] = counts.get(customer, 0) + 1
 
-    def windows(self) -> Iterator[tuple[int, Counts]]:
+    def windows(self) -> list[WindowCounts]:
         """Return the windows that have counts."""
-        return iter(self._windows.items())
+        return [WindowCounts(window, counts) for window, counts in self._windows.items()]
 
     def forget(self, true_s: float) -> None:
         """Drop windows that ended more than KEPT_S ago."""
@@ -123,7 +131,7 @@
             del self._stored[window]
 
 
-def _sum(parts) -> Counts:
+def _sum(parts: Iterable[Counts]) -> Counts:
     """Return the sum of counts by customer."""
     total: Counts = defaultdict(int)
     for counts in parts:
--- a/packages/springbridge/springbridge/duties/usage_test.py
+++ b/packages/springbridge/springbridge/duties/usage_test.py
@@ -6,7 +6,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from springbridge.duties.usage import KEPT_S, FleetUsage, OwnUsage, ToldUsage, window_at
+from springbridge.duties.usage import (
+    KEPT_S,
+    FleetUsage,
+    OwnUsage,
+    ToldUsage,
+    WindowCounts,
+    window_at,
+)
 
 WINDOW_S = 5.0
 
@@ -20,16 +27,17 @@
     own = OwnUsage(WINDOW_S)
     for true_s in (50.0, 54.9, 55.0):
         own.began("councils", true_s)
-    assert_that(dict(own.windows()), Equals({10: {"councils": 2}, 11: {"councils": 1}}))
+    wanted = [WindowCounts(10, {"councils": 2}), WindowCounts(11, {"councils": 1})]
+    assert_that(own.windows(), Equals(wanted))
 
 
 def test_old_windows_are_dropped():
     own = OwnUsage(WINDOW_S)
     own.began("councils", 50.0)
     own.forget(50.0 + KEPT_S)
-    assert_that(len(list(own.windows())), Equals(1))
+    assert_that(len(own.windows()), Equals(1))
     own.forget(50.0 + KEPT_S + WINDOW_S)
-    assert_that(len(list(own.windows())), Equals(0))
+    assert_that(len(own.windows()), Equals(0))
 
 
 def test_windows_are_numbered_from_the_start_of_1970():
