--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper_test.py
@@ -0,0 +1,94 @@
+"""Tests of the keeper of a lease: what it does while a duty call is under way."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+from springbridge_standins.lease_histories import CALL_S, LEASE_S, DrawnStore, NodeStore
+from springbridge_standins.virtual_loop import run_virtual
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from springbridge_node.gateway.duties.lease_keeper import LeaseKeeper
+
+
+class Machine:
+    """A machine that runs, and its place in the ranking."""
+
+    cut_until_s = 0.0
+    place = 0
+
+    async def thawed(self):
+        """Return at once."""
+
+    def rank(self):
+        """Return its place."""
+        return self.place
+
+    def include_me(self):
+        """Return whether it is a candidate."""
+        return self.place < 3
+
+
+@pytest.fixture
+def with_holder():
+    """Return a function that runs a test with a keeper that holds the lease."""
+
+    def run(body):
+        async def play():
+            store, machine = DrawnStore(random.Random(1), lossy=0.0), Machine()
+            keeper = LeaseKeeper(
+                NodeStore(store, machine),
+                machine,
+                "node-1",
+                "run-1",
+                LEASE_S,
+                asyncio.get_running_loop().time,
+            )
+            await keeper.step()
+            assert_that(keeper.credentials is not None, Equals(True))
+            await body(SimpleNamespace(store=store, machine=machine, keeper=keeper))
+
+        run_virtual(play())
+
+    return run
+
+
+def test_the_lease_is_handed_on_only_after_the_call_under_way(with_holder):
+    async def body(holder):
+        async def call():
+            with holder.keeper.acting(CALL_S) as credentials:
+                assert_that(credentials is not None, Equals(True))
+                await asyncio.sleep(0.5)
+                assert_that(holder.store.row.handed_on, Is(False))
+
+        calling = asyncio.ensure_future(call())
+        await asyncio.sleep(0.01)
+        holder.machine.place = 3
+        await holder.keeper.step()
+        await calling
+        assert_that(holder.store.row.handed_on, Is(True))
+
+    with_holder(body)
+
+
+def test_no_call_begins_once_the_lease_is_being_handed_on(with_holder):
+    async def body(holder):
+        holder.machine.place = 3
+        handing_on = asyncio.ensure_future(holder.keeper.step())
+        await asyncio.sleep(0)
+        with holder.keeper.acting(CALL_S) as credentials:
+            assert_that(credentials, Is(None))
+        await handing_on
+
+    with_holder(body)
+
+
+def test_a_call_that_could_outlast_the_tenure_is_not_begun(with_holder):
+    async def body(holder):
+        await asyncio.sleep(LEASE_S - CALL_S)
+        with holder.keeper.acting(CALL_S) as credentials:
+            assert_that(credentials, Is(None))
+
+    with_holder(body)
