A platform that wants no reports gets none decided; a report dropped while it is sent stays dropped

Found by reading: with orders alone each window was decided, and logged as missed 40 s later; and the end of a call whose report had been dropped meanwhile was a fault in the log.

--- a/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
@@ -53,7 +53,12 @@
         self.keeper = LeaseKeeper(store, candidates, me.instance, me.incarnation, lease_s)
         self.sharing = UsageSharing(candidates, me.incarnation, settings.window_s)
         self.reporter = UsageReporter(
-            self.keeper, self.sharing, platform, candidates, settings.window_s
+            self.keeper,
+            self.sharing,
+            platform,
+            candidates,
+            settings.window_s,
+            settings.reports_usage,
         )
         self.scaler = Scaler(self.keeper, self.sharing, platform, registry, services)
         self.keeper.connect(self._taken, self.reporter.content, self.reporter.renewed)
--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
@@ -40,14 +40,20 @@
         platform: DutyPlatform,
         candidates: LeaseCandidates,
         window_s: float,
+        reports_usage: bool = True,
         clock: Callable[[], float] = now_s,
     ) -> None:
-        """Keep the parts."""
+        """Keep the parts.
+
+        Args:
+          reports_usage: Whether the platform wants reports; without, nothing is decided.
+        """
         self._keeper = keeper
         self._sharing = sharing
         self._platform = platform
         self._candidates = candidates
         self._window_s = window_s
+        self._reports_usage = reports_usage
         self._clock = clock
         self._ledger = ReportLedger(window_s)
         self._wall_ahead_s: float | None = None
@@ -87,6 +93,8 @@
 
     def content(self) -> bytes:
         """Decide what is due, and return what the next renewal keeps."""
+        if not self._reports_usage:
+            return lease_content.to_bytes(LeaseContent())
         true_s = self._sharing.true_s()
         for report in self._ledger.decide(self._sharing.usage, true_s):
             logs.event(
--- a/packages/springbridge/springbridge/duties/usage_reports.py
+++ b/packages/springbridge/springbridge/duties/usage_reports.py
@@ -87,8 +87,9 @@
         ]
 
     def was_sent(self, window: int) -> None:
-        """Note that the platform has taken a report."""
-        self._reports[window] = replace(self._reports[window], sent=True)
+        """Note that the platform has taken a report; one that was dropped meanwhile stays so."""
+        if window in self._reports:
+            self._reports[window] = replace(self._reports[window], sent=True)
 
     def forget(self, true_s: float) -> list[Report]:
         """Drop the reports that are too late for anything; return those that were never sent."""
--- a/packages/springbridge/springbridge/duties/usage_reports_test.py
+++ b/packages/springbridge/springbridge/duties/usage_reports_test.py
@@ -42,6 +42,12 @@
     assert_that(ledger.unsent(60.0), Equals([]))
 
 
+def test_a_report_that_was_dropped_while_it_was_sent_stays_dropped():
+    ledger = ReportLedger(WINDOW_S)
+    ledger.was_sent(10)
+    assert_that(ledger.reports(), Equals([]))
+
+
 def test_a_successor_sends_what_was_decided_and_decides_it_no_more():
     ledger = ReportLedger(WINDOW_S)
     ledger.adopt([Report(10, {"councils": 3})], next_window=11)
