--- a/packages/springbridge/springbridge/digest.py
+++ b/packages/springbridge/springbridge/digest.py
@@ -20,6 +20,7 @@
 DIGEST_LIMIT = 24
 # Seconds between two digests.
 GOSSIP_INTERVAL_S = 0.5
+# Peers that get each digest.
 GOSSIP_PEERS = 2
 
 T = TypeVar("T")
