--- a/packages/springbridge/springbridge/routing/endpoint_cost.py
+++ b/packages/springbridge/springbridge/routing/endpoint_cost.py
@@ -26,8 +26,6 @@
 # of the request's route. A fetch saves a wait, and the shorter the target, the more a wait matters;
 # but each copy takes memory from the prompts of others.
 FETCH_PER_TARGET_S = 2.0
-# Least that such a token costs, for the time that its copy takes.
-LEAST_FETCH_WEIGHT = 0.5
 # Most that such a token costs: as much as one that is read.
 MOST_FETCH_WEIGHT = UNREAD_WEIGHT
 # Unread tokens beyond which a token of the backlog costs as much as one of the prompt: about one
@@ -55,7 +53,7 @@
         + _batch_cost(state)
         + _failure_domain_cost(state, demand)
         + reservation_cost(state, is_reserved, demand.prompt_tokens)
-        + _prompt_cost(demand, state.cache.fullness, own, most)
+        + _prompt_cost(demand, own, most)
     )
 
 
@@ -64,16 +62,9 @@
     return most - own >= LEAST_FETCH_TOKENS
 
 
-def fetch_weight(target_s: float, fullness: float) -> float:
-    """Return the cost of a prompt token that is fetched.
-
-    Args:
-      target_s: Target of the request's route, in seconds.
-      fullness: Share of the endpoint's memory that is in use: a copy takes room from the prompts of
-        others only where there is none left.
-    """
-    room_taken = FETCH_PER_TARGET_S * target_s * fullness
-    return min(MOST_FETCH_WEIGHT, max(LEAST_FETCH_WEIGHT, room_taken))
+def fetch_weight(target_s: float) -> float:
+    """Return the cost of a prompt token that is fetched, for a route with a target in seconds."""
+    return min(MOST_FETCH_WEIGHT, FETCH_PER_TARGET_S * target_s)
 
 
 def _backlog_cost(prefill_tokens: int) -> float:
@@ -96,8 +87,8 @@
     return CROSS_DOMAIN_SHARE * demand.prompt_tokens
 
 
-def _prompt_cost(demand: Demand, fullness: float, own: int, most: int) -> float:
+def _prompt_cost(demand: Demand, own: int, most: int) -> float:
     """Return the cost of reading and fetching what the endpoint does not keep of a prompt."""
     fetched = most - own if is_worth_fetching(own, most) else 0
     unread = max(0, demand.prompt_tokens - own - fetched)
-    return UNREAD_WEIGHT * unread + fetch_weight(demand.target_s, fullness) * fetched
+    return UNREAD_WEIGHT * unread + fetch_weight(demand.target_s) * fetched
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -7,7 +7,7 @@
 Relies on a monotonic clock in seconds. Nothing here waits or does input or output.
 """
 
-from collections.abc import Callable, Collection, Set
+from collections.abc import Callable, Collection, Iterable, Set
 from dataclasses import replace
 
 import xxhash
@@ -42,6 +42,8 @@
         self._read_s: float | None = None
         self._fingerprint = 0
         self._older_lists = OlderLists(clock)
+        # Kept with the list: to look for them takes as long as to look for candidates.
+        self._leaving: dict[str, list[EndpointState]] = {}
 
     @property
     def fingerprint(self) -> int:
@@ -85,10 +87,16 @@
         self._revision = snapshot.revision
         self._fingerprint = _fingerprint(snapshot)
         self._read_s = self._clock() - age_s
-        known = {name: state.entry for name, state in self._states.items()}
-        listed = self._older_lists.corrected(snapshot.entries, known)
+        listed = self._older_lists.corrected(snapshot.entries, self._known)
         changed = self._update(listed, capacities)
-        return self._drop_unlisted(listed, after_outage) or changed
+        changed = self._drop_unlisted(listed, after_outage) or changed
+        self._leaving = _leaving_by_service(self._states.values())
+        return changed
+
+    def _known(self, endpoint_id: str) -> EndpointEntry | None:
+        """Return the entry in use of an endpoint, None if there is none."""
+        state = self._states.get(endpoint_id)
+        return state.entry if state else None
 
     def _update(self, listed: dict[str, EndpointEntry], capacities: dict[str, int]) -> bool:
         """Add or update the listed endpoints and return whether one is new or changed."""
@@ -156,14 +164,7 @@
 
     def leaving(self, service: str) -> list[EndpointState]:
         """Return the endpoints of a service that take no requests but still give what they keep."""
-        return [
-            state
-            for state in self._states.values()
-            if state.entry.service == service
-            and state.entry.draining
-            and state.is_listed
-            and state.reachable
-        ]
+        return [state for state in self._leaving.get(service, ()) if state.reachable]
 
     def avoided(self, service: str) -> list[str]:
         """Return the ids of a service's endpoints that this instance does not use for now."""
@@ -234,6 +235,15 @@
         state.usable_until_s = self._clock()
 
 
+def _leaving_by_service(states: Iterable[EndpointState]) -> dict[str, list[EndpointState]]:
+    """Return the endpoints that are listed and draining, by service."""
+    found: dict[str, list[EndpointState]] = {}
+    for state in states:
+        if state.entry.draining and state.is_listed:
+            found.setdefault(state.entry.service, []).append(state)
+    return found
+
+
 def has_started_again(known: EndpointEntry, listed: EndpointEntry) -> bool:
     """Return whether an endpoint under the same id is another process than the one known.
 
--- a/packages/springbridge/springbridge/routing/endpoint_registry_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry_test.py
@@ -4,7 +4,9 @@
 from testtools.matchers import Equals
 
 from springbridge.routing.conftest import make_snapshot, usable_ids
+from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
+from springbridge.routing.records import EndpointEntry, EndpointSnapshot
 
 
 def known_ids(registry):
@@ -33,3 +35,18 @@
     registry.take_notice(LoadNotice(LoadPhase.ENDED, "me/1", "a"))
     registry.install(make_snapshot(3, "b", "c", "d"), {}, 0.0)
     assert_that(known_ids(registry), Equals({"b", "c", "d"}))
+
+
+def test_endpoints_that_leave_are_known_as_long_as_they_are_listed():
+    registry = EndpointRegistry(lambda: 0.0)
+    staying, leaving = (
+        EndpointEntry(name, "model", "10.0.0.1:80", "a", 4, draining)
+        for name, draining in (("e-1", False), ("e-2", True))
+    )
+    registry.install(EndpointSnapshot(1, (staying, leaving)), {}, 0.0)
+    assert_that([state.entry for state in registry.leaving("model")], Equals([leaving]))
+    assert_that(registry.leaving("desk"), Equals([]))
+    registry.unreachable(registry.find("e-2"))
+    assert_that(registry.leaving("model"), Equals([]))
+    registry.install(EndpointSnapshot(2, (staying,)), {}, 0.0)
+    assert_that(registry.leaving("model"), Equals([]))
--- a/packages/springbridge/springbridge/routing/older_lists.py
+++ b/packages/springbridge/springbridge/routing/older_lists.py
@@ -9,7 +9,7 @@
 known before holds, so that no request is sent to one that is leaving or gone.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from springbridge.routing.records import EndpointEntry
@@ -44,18 +44,20 @@
         self._left_s[endpoint_id] = now_s
 
     def corrected(
-        self, entries: Iterable[EndpointEntry], known: Mapping[str, EndpointEntry]
+        self,
+        entries: Iterable[EndpointEntry],
+        known: Callable[[str], EndpointEntry | None],
     ) -> dict[str, EndpointEntry]:
         """Return the entries to use, by id.
 
         Args:
-          known: The entries in use so far.
+          known: Returns the entry in use so far of an endpoint, None if there is none.
         """
         listed = {entry.endpoint_id: entry for entry in entries}
         if self._clock() > self._went_back_s + SETTLED_S:
             return listed
         return {
-            name: _still_draining(entry, known.get(name))
+            name: _still_draining(entry, known(name))
             for name, entry in listed.items()
             if name not in self._left_s
         }
--- a/packages/springbridge/springbridge/routing/prefix_cache.py
+++ b/packages/springbridge/springbridge/routing/prefix_cache.py
@@ -39,11 +39,6 @@
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
 
-    @property
-    def fullness(self) -> float:
-        """Return the share of the capacity that is in use; 1 where nothing can be kept."""
-        return self._tokens / self.capacity if self.capacity else 1.0
-
     def kept_tokens(self, parts: tuple[PromptPart, ...]) -> int:
         """Return how many tokens from the beginning of a prompt are probably kept."""
         return self.kept_of(prefixes(parts))
