--- a/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
@@ -79,10 +79,6 @@
             tasks.append(every(ACT_S, self.scaler.step, FIRST_LOOK_S))
         return tuple(tasks)
 
-    def store_is_up(self) -> bool:
-        """Return whether the store answered the last call about the lease."""
-        return self.keeper.dependency.up
-
     def sent(self, admitted: Admitted) -> None:
         """Count the work of a request that is sent to endpoints."""
         self.sharing.sent(admitted)
--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_candidates.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_candidates.py
@@ -1,7 +1,6 @@
 """Which nodes may take the lease of the duties; the same ones get the counts of all nodes.
 
 The ranking goes by the names of instances, so that a node that starts again has its old place.
-Nodes that say that the store does not answer them come last.
 """
 
 from springbridge.duties.lease import CANDIDATES
@@ -21,13 +20,13 @@
         self._membership = membership
 
     def rank(self) -> int:
-        """Return how many nodes come before this one, whether the store answers it or not."""
+        """Return how many nodes come before this one."""
         me = self._membership.me
         own = score(ROLE_KEY, me.instance)
         return sum(
             score(ROLE_KEY, member.instance) > own
             for member in self._membership.live()
-            if member.incarnation != me.incarnation and not member.table_out
+            if member.incarnation != me.incarnation
         )
 
     def include_me(self) -> bool:
@@ -37,10 +36,6 @@
     def others(self) -> list[Member]:
         """Return the candidates without this node."""
         me = self._membership.me.incarnation
-        ranked = sorted(self._membership.live(), key=_place)
+        live = self._membership.live()
+        ranked = sorted(live, key=lambda each: score(ROLE_KEY, each.instance), reverse=True)
         return [member for member in ranked[:CANDIDATES] if member.incarnation != me]
-
-
-def _place(member: Member) -> tuple[bool, float]:
-    """Return the sort key of a member."""
-    return (member.table_out, -score(ROLE_KEY, member.instance))
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -114,12 +114,7 @@
         self.listener = CallerListener(self._serve)
         self.catch_up = ConfigurationCatchUp(self.membership, self.configuration, self.peer_client)
         self.heartbeats = Heartbeats(
-            self.membership,
-            self.configuration,
-            self.endpoints,
-            self.catch_up,
-            self.is_ready,
-            self._store_is_up,
+            self.membership, self.configuration, self.endpoints, self.catch_up, self.is_ready
         )
         self.discovery = PeerDiscovery(
             self.membership, outside.store, self.readers, lambda: self.settings.seeds
@@ -130,10 +125,6 @@
         self._refusing = False
         outside.store.on_older_copy(self._store_went_back)
 
-    def _store_is_up(self) -> bool:
-        """Return whether the store answered this node's last calls."""
-        return self.endpoints.dependency.up and (self.duties is None or self.duties.store_is_up())
-
     def _store_went_back(self, era: int) -> None:
         """Read anew, and write again what the store may have lost."""
         self.store_steps += 1
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats.py
@@ -40,21 +40,18 @@
         endpoints: EndpointFollower,
         catch_up: ConfigurationCatchUp,
         is_ready: Callable[[], bool],
-        store_is_up: Callable[[], bool],
     ) -> None:
         """Keep the parts.
 
         Args:
           catch_up: Woken when a digest brought news and while this node has no configuration.
           is_ready: Returns whether callers may be sent here.
-          store_is_up: Returns whether the store answered this node's last calls.
         """
         self._membership = membership
         self._configuration = configuration
         self._endpoints = endpoints
         self._catch_up = catch_up
         self._is_ready = is_ready
-        self._store_is_up = store_is_up
         self._gossip: Gossip | None = None
         self._member_log = MemberLog(membership)
         self._last_beat_s = clock.now_s()
@@ -123,6 +120,6 @@
         self._membership.beat(
             self._configuration.version,
             min(OLDEST_AGE_S, self._configuration.age_s()),
-            not self._store_is_up(),
+            not self._endpoints.dependency.up,
             self._endpoints.seen(),
         )
--- a/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/heartbeats_test.py
@@ -57,12 +57,7 @@
     """Return the heartbeats of that node, on a clock that tests move."""
     monkeypatch.setattr(node_clock, "_read", clock)
     found = Heartbeats(
-        parts.membership,
-        parts.configuration,
-        parts.endpoints,
-        parts.catch_up,
-        lambda: parts.ready,
-        lambda: parts.endpoints.dependency.up,
+        parts.membership, parts.configuration, parts.endpoints, parts.catch_up, lambda: parts.ready
     )
     found.connect(parts)
     return found
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -21,7 +21,7 @@
 """
 
 # Protects callers of an instance that has just started, until its first configuration is there. A
-# start is short: 100 instances killed together had theirs 0.9 s later.
+# start is short.
 DUE_AT_START_S = 0.5
 # Protects callers that come back only once from the rest of an outage, which lasts for seconds.
 DUE_IN_OUTAGE_S = 3.0
--- a/packages/springbridge/springbridge/routing/store_freshness.py
+++ b/packages/springbridge/springbridge/routing/store_freshness.py
@@ -19,11 +19,9 @@
 
 # Hash key of the ranking. All nodes of a fleet must use the same bytes, old versions included.
 ROLE_KEY = "reader of the list of engines"
-# Nodes that wait at the configuration feed.
+# Nodes that wait at the configuration feed; each more is a call that hangs there.
 FEED_READERS = 5
-# Nodes that read the endpoint list. Two of them, every 0.5 s, in place of every node each 0.7 s
-# lowered the price of store calls from 0.0097 to 0.0054 of the served value with 7 nodes, and from
-# 0.0116 to 0.0059 with 8.
+# Nodes that read the endpoint list, which costs fewer calls than a read by each node.
 SNAPSHOT_READERS = 2
 # Age in seconds from which data that no peer confirmed counts as possibly old. Lower bound: a
 # reader's pause and a heartbeat, or nodes read although readers work.
@@ -34,8 +32,8 @@
 # Seconds between the turns of two nodes that stand in for the readers. It bounds them to 12 tries a
 # second in a fleet of any size.
 TURN_S = 0.08
-# Seconds for which a node that starts with the whole fleet asks its seeds before the store. In a
-# start of 78 nodes without it, 401 of 731 calls came in the first second.
+# Seconds for which a node that starts with the whole fleet asks its seeds before the store, which
+# the fleet would ask all at once.
 ASK_SEEDS_FIRST_S = 1.5
 # Seconds after its start for which a node with seeds reads for itself only. Until digests have come
 # it knows no other node and would take every role: of a fleet that starts together each node would
