The log says when an answer names a rate of its endpoint, another one, or none any more

Now: the platform's codec reads it as a typed fact (StatedRate), the rate table keeps the newest statement of each endpoint, engine.rate_changed and engine.rate_not_literal are logged, and springbridge_limited_engines counts. Nothing decides by it yet.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -11,6 +11,7 @@
 from springbridge.codes import Code
 from springbridge.membership import Membership, Pace, stretch_by_hops
 from springbridge.problems import Problem
+from springbridge.rates.rate_table import RateTable
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.planned_stop import address_ttl_s
@@ -48,6 +49,7 @@
 )
 from springbridge_node.gateway.peers.peer_handlers import peer_handlers
 from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
+from springbridge_node.gateway.requests.rate_watch import RateWatch
 from springbridge_node.gateway.requests.request_log import RequestLog
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
@@ -75,6 +77,7 @@
       registry: The endpoints and what is known of each.
       configuration: The configuration in force.
       endpoints: What keeps the endpoint list in the registry fresh.
+      rates: The rates that endpoints have named.
       budget: This node's share of the retries that all nodes may make together.
       router: Serves the requests.
       listener: Accepts the callers' connections.
@@ -89,6 +92,7 @@
         self.telemetry = Telemetry()
         self.membership = Membership(member_of(settings), clock.now_s, random.Random(), PACE)
         self.registry = EndpointRegistry(clock.now_s, settings.drain_s)
+        self.rates = RateTable(clock.now_s)
         self.selection_parts = SelectionParts(self.registry, self.membership)
         self.pool = ConnectionPool(self.live_nodes)
         self.budget = SharedRetryBudget(settings.budget, self.live_nodes, clock.now_s)
@@ -173,6 +177,7 @@
             gate=self.quarantine_parts.gate,
             failure_domain=self.settings.failure_domain,
             usage=self.duties or NoUsage(),
+            rates=RateWatch(self.rates),
         )
 
     async def start(self) -> None:
@@ -290,7 +295,9 @@
 
     async def _sweep(self) -> None:
         """Drop what belongs to endpoints and peers that are gone."""
-        self.pool.keep_only(self.registry.known_incarnations())
+        known = self.registry.known_incarnations()
+        self.pool.keep_only(known)
+        self.rates.keep_only(known)
         self.registry.expire_loads()
         heard = {member.incarnation for member in self.membership.reachable()}
         self.registry.keep_loads_of(heard | {self.membership.me.incarnation})
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -1,5 +1,7 @@
 """One attempt: sends a request to an endpoint and takes the answer to the caller."""
 
+from collections.abc import Callable
+
 from springbridge.routing import giving_up, retries
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.retries import End
@@ -18,20 +20,29 @@
 
 
 async def make_attempt(
-    exchange: Exchange, choice: Choice, connection: HttpConnection, codec: RequestCodec
+    exchange: Exchange,
+    choice: Choice,
+    connection: HttpConnection,
+    codec: RequestCodec,
+    heard: Callable[[Verdict, float], None],
 ) -> End:
     """Send a request to the chosen endpoint, pass its answer on, and return how that ended.
 
+    Args:
+      heard: Called with what the head of the answer says, and with when the request was sent.
+
     Raises:
       TimeoutError: Too little time is left; nothing was sent.
       CallerGoneError: The caller is gone.
     """
     ran_before = exchange.progress.may_have_run
     left_s = _send(exchange, choice, connection, codec)
+    sent_s = clock.now_s()
     silence_s = retries.silence_limit_s(exchange.route, exchange.attempts(), left_s)
     try:
         head = await read_head_within(silence_s, connection, codec, exchange.request_id)
         verdict = codec.verdict(head)
+        heard(verdict, sent_s)
         if verdict.not_run:
             exchange.progress.may_have_run = ran_before
             return await _turned_away(exchange, connection, head, verdict)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_codec.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from springbridge.rates.statements import StatedRate
 from springbridge.routing.records import Admitted, Arrival, EndpointEntry
 from tornado.httputil import HTTPHeaders
 
@@ -22,11 +23,13 @@
       request_id: The request that the answer belongs to, "" where it does not say.
       not_run: The endpoint promises that it has not run the request and never will.
       other_endpoint: Another endpoint than the one meant has this address now.
+      rate: What the answer says of the rate that its endpoint takes.
     """
 
     request_id: str
     not_run: bool
     other_endpoint: bool
+    rate: StatedRate = StatedRate()
 
 
 class RequestCodec(Protocol):
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -32,6 +32,7 @@
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
 from springbridge_node.gateway.requests.quarantine_gate import QuarantineGate
+from springbridge_node.gateway.requests.rate_watch import RateWatch
 from springbridge_node.gateway.requests.relay import relay_failure
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 from springbridge_node.gateway.requests.request_log import (
@@ -65,6 +66,7 @@
     gate: QuarantineGate
     failure_domain: str
     usage: UsageMeter
+    rates: RateWatch
 
 
 class RequestRouter:
@@ -203,7 +205,9 @@
             began = partial(self._parts.usage.began, exchange.admitted)
             with self._parts.loads.attempt(choice, exchange.demand, began) as load:
                 exchange.progress.load = load
-                end = await make_attempt(exchange, choice, connection, self._parts.codec)
+                heard = partial(self._parts.rates.heard, choice.state.entry)
+                codec = self._parts.codec
+                end = await make_attempt(exchange, choice, connection, codec, heard)
         except BaseException:
             self._parts.pool.discard(incarnation, connection)
             raise
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -65,6 +65,11 @@
             "Requests that are kept from engines because they end them",
             registry=self.registry,
         )
+        self.limited_endpoints = Gauge(
+            "springbridge_limited_engines",
+            "Engines that name a rate which they take",
+            registry=self.registry,
+        )
         self.suspensions = Gauge(
             "springbridge_suspensions",
             "Times that the machine was suspended since the start",
