--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -151,11 +151,11 @@
     return message(f"HTTP/1.1 {status} X", body, **fields | headers)
 
 
-def stream_head(request_id: str, signature: str = "sig") -> bytes:
-    """Return the head of a chunked stream of events."""
+def stream_head(request_id: str, signature: str = "sig", **headers: str) -> bytes:
+    """Return the head of a chunked stream of events, with further headers if there are any."""
     fields = {"Request_Id": request_id, "Response_Signature": signature}
     framing = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
-    return message("HTTP/1.1 200 OK", b"", **fields, **framing)
+    return message("HTTP/1.1 200 OK", b"", **fields, **framing, **headers)
 
 
 def chunk(data: bytes) -> bytes:
