An endpoint that names a rate gets no more than that from all instances together

What callers and endpoints saw: an endpoint in need that named 1 request a second got 16 in 4 s where 11 are allowed. Cause: no code read the rate; each instance sent on. Class: a limit that the other side states in its answers and that nobody heeds. Why it works: the rate is taken from every answer; the newer of two statements is told from when requests were sent and answers came. One instance for each endpoint, by rendezvous hash over the live members, grants permits at the rate, for the part that it reaches of all that may run; it begins with none. An instance without a permit holds the endpoint back until its turn, the others take the request, and where there is none the caller is refused with a time to come back.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -11,7 +11,6 @@
 from springbridge.codes import Code
 from springbridge.membership import Membership, Pace, stretch_by_hops
 from springbridge.problems import Problem
-from springbridge.rates.rate_table import RateTable
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.planned_stop import address_ttl_s
@@ -49,7 +48,7 @@
 )
 from springbridge_node.gateway.peers.peer_handlers import peer_handlers
 from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
-from springbridge_node.gateway.requests.rate_watch import RateWatch
+from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.request_log import RequestLog
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
@@ -77,7 +76,7 @@
       registry: The endpoints and what is known of each.
       configuration: The configuration in force.
       endpoints: What keeps the endpoint list in the registry fresh.
-      rates: The rates that endpoints have named.
+      rates: What keeps to the rates that endpoints name.
       budget: This node's share of the retries that all nodes may make together.
       router: Serves the requests.
       listener: Accepts the callers' connections.
@@ -92,8 +91,8 @@
         self.telemetry = Telemetry()
         self.membership = Membership(member_of(settings), clock.now_s, random.Random(), PACE)
         self.registry = EndpointRegistry(clock.now_s, settings.drain_s)
-        self.rates = RateTable(clock.now_s)
-        self.selection_parts = SelectionParts(self.registry, self.membership)
+        self.rates = RateParts(self.membership, self.registry, self.telemetry)
+        self.selection_parts = SelectionParts(self.registry, self.membership, self.rates.table)
         self.pool = ConnectionPool(self.live_nodes)
         self.budget = SharedRetryBudget(settings.budget, self.live_nodes, clock.now_s)
         self.readers = StoreReaders(
@@ -177,7 +176,8 @@
             gate=self.quarantine_parts.gate,
             failure_domain=self.settings.failure_domain,
             usage=self.duties or NoUsage(),
-            rates=RateWatch(self.rates),
+            rate_gate=self.rates.gate,
+            rate_watch=self.rates.watch,
         )
 
     async def start(self) -> None:
@@ -205,6 +205,7 @@
         self.heartbeats.connect(self.datagrams)
         self.selection_parts.connect(self.datagrams)
         self.quarantine_parts.connect(self.datagrams)
+        self.rates.connect(self.datagrams)
         if self.duties is not None:
             self.duties.connect(self.datagrams)
 
@@ -216,6 +217,7 @@
             every_tick(PROBE_INTERVAL_S, EndpointProber(self.registry, self.pool).step),
             every_tick(BEAT_S, self.heartbeats.beat),
             every_tick(BEAT_S, self.quarantine_parts.sharing.beat),
+            every_tick(BEAT_S, self.rates.sharing.beat),
             every_tick(QUARANTINE_LOOK_S, self.quarantine_parts.stored.step),
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
             every(0.0, self.catch_up.step),
@@ -297,7 +299,7 @@
         """Drop what belongs to endpoints and peers that are gone."""
         known = self.registry.known_incarnations()
         self.pool.keep_only(known)
-        self.rates.keep_only(known)
+        self.rates.forget_gone(known)
         self.registry.expire_loads()
         heard = {member.incarnation for member in self.membership.reachable()}
         self.registry.keep_loads_of(heard | {self.membership.me.incarnation})
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -14,7 +14,7 @@
     telemetry.nodes.set(gateway.live_nodes())
     telemetry.quarantined.set(gateway.quarantine_parts.quarantined_count())
     telemetry.endpoints.set(len(gateway.registry.entries()))
-    telemetry.limited_endpoints.set(len(gateway.rates))
+    telemetry.limited_endpoints.set(len(gateway.rates.table))
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
     telemetry.config_version.set(gateway.configuration.version)
     telemetry.store_up.set(int(gateway.endpoints.dependency.up))
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -37,6 +37,10 @@
     TRIAL_ENDED = 10
     USAGE = 11
     DUTY_NEWS = 12
+    RATES = 13
+    PERMIT_REQUEST = 14
+    PERMIT_REPLY = 15
+    PERMIT_BACK = 16
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
@@ -18,7 +18,9 @@
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
+from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
+from springbridge_node.gateway.telemetry import Telemetry
 
 # Datagrams that are drawn. Chosen as what a few seconds are enough for.
 DRAWN = 400
@@ -49,6 +51,9 @@
 REQUEST_ROW = [1, "other/1", [], [], "q", "model", "a", 2, 2.5, 900, [["p", 900]], True]
 REPLY_ROW = [1, "e1", "", 0, [1.0, 2.0, 3]]
 NO_AGES = ""
+RATE_ROW = ["e1", None, 2.5, 0.2, 0.1]
+PERMIT_REQUEST_ROW = [1, 2, RATE_ROW]
+PERMIT_REPLY_ROW = [1, 0, 0.5, RATE_ROW]
 
 
 def nearly(row):
@@ -67,6 +72,10 @@
     st.tuples(st.just(Kind.LOAD), notice_lists),
     st.tuples(st.just(Kind.SELECTION_REQUEST), nearly(REQUEST_ROW)),
     st.tuples(st.just(Kind.SELECTION_REPLY), nearly(REPLY_ROW)),
+    st.tuples(st.just(Kind.RATES), st.lists(nearly(RATE_ROW), min_size=1, max_size=3)),
+    st.tuples(st.just(Kind.PERMIT_REQUEST), nearly(PERMIT_REQUEST_ROW)),
+    st.tuples(st.just(Kind.PERMIT_REPLY), nearly(PERMIT_REPLY_ROW)),
+    st.tuples(st.just(Kind.PERMIT_BACK), nearly(RATE_ROW[:2])),
     st.tuples(st.just(Kind.MEMBERS_REQUEST), st.lists(json_values, max_size=5)),
 )
 
@@ -86,7 +95,9 @@
         self.registry.install(EndpointSnapshot(1, (entry,)), {"model": 1000}, 0.0)
         self.datagrams = PeerDatagrams(self.membership, 7000)
         self.gossip = Gossip(self.membership, self.datagrams, lambda: None)
-        SelectionParts(self.registry, self.membership).connect(self.datagrams)
+        rates = RateParts(self.membership, self.registry, Telemetry(), SimulatedClock())
+        rates.connect(self.datagrams)
+        SelectionParts(self.registry, self.membership, rates.table).connect(self.datagrams)
 
 
 @pytest.fixture(scope="module", autouse=True)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/pending_replies.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/pending_replies.py
@@ -19,18 +19,19 @@
         self._numbers = itertools.count()
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
 
-    async def ask(self, send: Callable[[int], None]) -> Reply | None:
+    async def ask(self, send: Callable[[int], None], longest_s: float = ANSWER_S) -> Reply | None:
         """Return the reply to a question, or None if it does not come in time.
 
         Args:
           send: Sends the question under a number, which the reply repeats.
+          longest_s: How long to wait for it, in seconds.
         """
         number = next(self._numbers)
         fut = asyncio.get_running_loop().create_future()
         self._waiting[number] = fut
         send(number)
         try:
-            async with asyncio.timeout(ANSWER_S):
+            async with asyncio.timeout(longest_s):
                 return await fut
         except TimeoutError:
             # No line here: who asked goes on without, and logs what that leads to.
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
@@ -0,0 +1,133 @@
+"""Asks the granter of an endpoint for a permit to send it a request, or answers as the granter.
+
+A question and its answer are one datagram each, and carry what either node knows of the rate, so
+that the newer statement decides. Without an answer in time there is no permit: two granters that
+both grant would double the rate.
+"""
+
+from collections.abc import Callable
+
+from springbridge.membership import Membership
+from springbridge.rates.grants import Grant, RateGrants
+from springbridge.rates.rate_table import RateTable
+from springbridge.routing.records import EndpointEntry, EndpointIncarnation
+
+from springbridge_node.gateway.peers import rate_rows
+from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.gateway.peers.granter_set import GranterSet
+from springbridge_node.gateway.peers.pending_replies import PendingReplies
+from springbridge_node.gateway.peers.rate_rows import PermitAnswer, PermitReply, PermitRequest
+from springbridge_node.gateway.peers.rate_sharing import RateSharing
+
+# Seconds to wait for a granter's reply, some round trips: the caller waits meanwhile.
+PERMIT_ANSWER_S = 0.04
+# Seconds for which the part of the instances that this node reaches is kept, the interval of the
+# heartbeats: to work it out takes a look at every member.
+SHARE_KEPT_S = 0.25
+
+
+class RatePermits:
+    """Both sides of the question."""
+
+    def __init__(
+        self,
+        table: RateTable,
+        membership: Membership,
+        granters: GranterSet,
+        sharing: RateSharing,
+        clock: Callable[[], float],
+    ) -> None:
+        """Keep the parts; nothing is granted yet."""
+        self._table = table
+        self._membership = membership
+        self._granters = granters
+        self._sharing = sharing
+        self._clock = clock
+        self._grants = RateGrants(clock)
+        self._pending: PendingReplies[PermitReply] = PendingReplies()
+        self._datagrams: PeerDatagrams | None = None
+        self._share = 1.0
+        self._share_until_s = float("-inf")
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Start to ask and to answer."""
+        self._datagrams = datagrams
+        datagrams.handle(Kind.PERMIT_REQUEST, self._answer)
+        datagrams.handle(Kind.PERMIT_REPLY, self._take_reply)
+        datagrams.handle(Kind.PERMIT_BACK, self._take_back)
+
+    async def ask(self, entry: EndpointEntry, priority: int) -> Grant | None:
+        """Return whether a request may be sent to an endpoint, None if its granter is silent."""
+        incarnation = entry.incarnation
+        granter = self._granters.of(entry)
+        if self._granters.is_me(granter) or self._datagrams is None:
+            return self._decide(incarnation, priority)
+
+        def send(number: int) -> None:
+            request = PermitRequest(number, priority, self._sharing.told(incarnation))
+            row = rate_rows.request_row(request, self._clock())
+            self._datagrams.send(Kind.PERMIT_REQUEST, row, [granter.peer_address])
+
+        reply = await self._pending.ask(send, PERMIT_ANSWER_S)
+        if reply is None:
+            return None
+        self._sharing.merge(reply.told, granter.peer_address)
+        return Grant(reply.answer is not PermitAnswer.SPENT, reply.wait_s)
+
+    def give_back(self, entry: EndpointEntry) -> None:
+        """Give back a permit whose request surely did not reach the endpoint."""
+        granter = self._granters.of(entry)
+        if self._granters.is_me(granter) or self._datagrams is None:
+            self._grants.give_back(entry.incarnation)
+            return
+        row = rate_rows.incarnation_row(entry.incarnation)
+        self._datagrams.send(Kind.PERMIT_BACK, row, [granter.peer_address])
+
+    def forget_gone(self) -> None:
+        """Forget the permits of endpoints that have no rate any more."""
+        self._grants.keep_only(set(self._table.limited()))
+
+    def _decide(self, incarnation: EndpointIncarnation, priority: int) -> Grant:
+        """Grant a permit or not, as the granter."""
+        per_s = self._table.per_s(incarnation)
+        if per_s is None:
+            return Grant(True)
+        return self._grants.ask(incarnation, per_s * self._reached_share(), priority)
+
+    def _reached_share(self) -> float:
+        """Return the part of the rate that this node may grant."""
+        now_s = self._clock()
+        if now_s >= self._share_until_s:
+            self._share = self._membership.reached_share()
+            self._share_until_s = now_s + SHARE_KEPT_S
+        return self._share
+
+    def _answer(self, row: list, sender: str) -> None:
+        """Answer a node's question."""
+        request = rate_rows.read_request(row, self._clock())
+        self._sharing.merge(request.told, sender)
+        incarnation = request.told.incarnation
+        grant = self._decide(incarnation, request.priority)
+        reply = PermitReply(
+            request.number,
+            self._answer_of(grant, incarnation),
+            grant.wait_s,
+            self._sharing.told(incarnation),
+        )
+        self._datagrams.send(Kind.PERMIT_REPLY, rate_rows.reply_row(reply, self._clock()), [sender])
+
+    def _answer_of(self, grant: Grant, incarnation: EndpointIncarnation) -> PermitAnswer:
+        if not grant.granted:
+            return PermitAnswer.SPENT
+        if self._table.per_s(incarnation) is None:
+            return PermitAnswer.NO_RATE
+        return PermitAnswer.GRANTED
+
+    def _take_reply(self, row: list, sender: str) -> None:
+        """Hand a reply to the request that waits for it."""
+        reply = rate_rows.read_reply(row, self._clock())
+        self._pending.take(reply.number, reply)
+
+    def _take_back(self, row: list, sender: str) -> None:
+        """Take back a permit."""
+        self._grants.give_back(rate_rows.read_incarnation(row))
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/rate_sharing.py
@@ -0,0 +1,152 @@
+"""Tells peers which endpoints name a rate, and takes in what they tell.
+
+The instance that gets an answer with a new rate tells up to PUSHED_PEERS at once; each that hears
+of it first tells some more, so that a fleet of hundreds knows within a few round trips. After that
+only the granter of the endpoint goes on to tell some peers at each beat, and those that are new,
+which makes up for lost datagrams. While no endpoint names a rate nothing is sent.
+"""
+
+from collections.abc import Callable, Iterable
+
+from springbridge.membership import Membership
+from springbridge.rates.rate_table import RateTable
+from springbridge.rates.statements import Statement
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.records import EndpointIncarnation
+
+from springbridge_node.gateway.peers import rate_rows
+from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.gateway.peers.gossip import PUSHED_PEERS
+from springbridge_node.gateway.peers.granter_set import GranterSet
+from springbridge_node.gateway.peers.rate_log import ANSWER, log_change
+from springbridge_node.gateway.peers.rate_rows import ToldRate
+
+# Seconds for which a node passes on a rate that came or ended. Six beats, as for news of crashes.
+NEWS_S = 1.5
+# Rates in one datagram; with about 60 bytes each it stays under 1 kB.
+RATES_PER_DATAGRAM = 16
+
+
+class RateSharing:
+    """Keeps this node's rate table and its peers' informed."""
+
+    def __init__(
+        self,
+        table: RateTable,
+        membership: Membership,
+        registry: EndpointRegistry,
+        granters: GranterSet,
+        clock: Callable[[], float],
+    ) -> None:
+        """Keep the parts."""
+        self._table = table
+        self._membership = membership
+        self._registry = registry
+        self._granters = granters
+        self._clock = clock
+        self._datagrams: PeerDatagrams | None = None
+        self._news_until_s: dict[EndpointIncarnation, float] = {}
+        self._greeted: set[str] = set()
+        self._greeted_version = -1
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Start to tell peers and to take in what they tell."""
+        self._datagrams = datagrams
+        datagrams.handle(Kind.RATES, self._take)
+
+    def heard(self, incarnation: EndpointIncarnation, statement: Statement) -> None:
+        """Take in what an answer said, and tell peers if a rate came, changed or ended."""
+        if not self._merge(incarnation, statement, ANSWER):
+            return
+        if self._is_news(incarnation):
+            self._send([incarnation], self._pushed_peers())
+        else:
+            self._tell_granter(incarnation)
+
+    def merge(self, told: ToldRate, sender: str) -> None:
+        """Take in what a peer says of a rate, in a message of its own or in another one."""
+        if self._merge(told.incarnation, told.statement, sender) and self._is_news(
+            told.incarnation
+        ):
+            self._send([told.incarnation], self._membership.gossip_targets())
+
+    def told(self, incarnation: EndpointIncarnation) -> ToldRate:
+        """Return what this node knows of an endpoint's rate."""
+        known = self._table.statement(incarnation)
+        if known is None:
+            # Older than anything that another node may know.
+            known = Statement(None, 0.0, 0.0)
+        return ToldRate(incarnation, known)
+
+    async def beat(self) -> None:
+        """Pass on what came or ended lately and what this node is the granter of."""
+        if not self._news_until_s and not len(self._table):
+            return
+        now_s = self._clock()
+        self._news_until_s = {
+            each: until_s for each, until_s in self._news_until_s.items() if until_s > now_s
+        }
+        mine = [each for each in self._table.limited() if self._grants(each)]
+        told = {*self._news_until_s, *mine}
+        if told:
+            self._send(told, self._membership.gossip_targets())
+        self._greet(mine)
+
+    def _merge(self, incarnation: EndpointIncarnation, statement: Statement, source: str) -> bool:
+        """Take in a statement, and return whether a rate came, changed or ended."""
+        was_limited = self._table.per_s(incarnation) is not None
+        change = self._table.take(incarnation, statement)
+        if change is None:
+            return False
+        log_change(change, source, self._clock() - statement.received_s)
+        if was_limited != (change.after is not None):
+            self._news_until_s[incarnation] = self._clock() + NEWS_S
+        return True
+
+    def _is_news(self, incarnation: EndpointIncarnation) -> bool:
+        """Return whether a rate came or ended lately, which all nodes have to know."""
+        return incarnation in self._news_until_s
+
+    def _grants(self, incarnation: EndpointIncarnation) -> bool:
+        """Return whether this node is the granter of an endpoint."""
+        state = self._registry.find(incarnation.endpoint_id)
+        return state is not None and self._granters.is_me(self._granters.of(state.entry))
+
+    def _tell_granter(self, incarnation: EndpointIncarnation) -> None:
+        """Tell the granter of another figure; nobody else needs it."""
+        state = self._registry.find(incarnation.endpoint_id)
+        if state is None:
+            return
+        granter = self._granters.of(state.entry)
+        if not self._granters.is_me(granter):
+            self._send([incarnation], [granter.peer_address])
+
+    def _greet(self, mine: list[EndpointIncarnation]) -> None:
+        """Tell peers that were not there at the last beat."""
+        version = self._membership.live_version()
+        if version == self._greeted_version:
+            return
+        self._greeted_version = version
+        running = {each.incarnation: each.peer_address for each in self._membership.reachable()}
+        new, self._greeted = running.keys() - self._greeted, set(running)
+        if mine and new:
+            self._send(mine, [running[incarnation] for incarnation in new])
+
+    def _pushed_peers(self) -> list[str]:
+        """Return the peers that are told at once."""
+        return self._datagrams.sample_peers(PUSHED_PEERS) if self._datagrams else []
+
+    def _send(self, incarnations: Iterable[EndpointIncarnation], receivers: list[str]) -> None:
+        """Send rates to peers."""
+        if self._datagrams is None or not receivers:
+            return
+        now_s = self._clock()
+        rows = [rate_rows.rate_row(self.told(each), now_s) for each in incarnations]
+        for start in range(0, len(rows), RATES_PER_DATAGRAM):
+            self._datagrams.send(Kind.RATES, rows[start : start + RATES_PER_DATAGRAM], receivers)
+
+    def _take(self, rows: list, sender: str) -> None:
+        """Take in what a peer tells."""
+        now_s = self._clock()
+        for row in rows:
+            self.merge(rate_rows.read_rate(row, now_s), sender)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_client.py
@@ -39,19 +39,28 @@
         datagrams.handle(Kind.SELECTION_REPLY, self._take_reply)
 
     async def ask(
-        self, demand: Demand, tried: Collection[str], attempt_id: str
+        self,
+        demand: Demand,
+        tried: Collection[str],
+        attempt_id: str,
+        held_back: Collection[str] = (),
     ) -> Selection | None:
-        """Return what a coordinator selects, or None if this node has to choose alone."""
+        """Return what a coordinator selects, or None if this node has to choose alone.
+
+        Args:
+          held_back: Ids of the endpoints whose rate is spent for this node.
+        """
         address = self._coordinators.first(demand.service)
         if address is None or self._datagrams is None:
             return None
-        reply = await self._reply(address, demand, tried, attempt_id)
+        avoided = {*self._registry.avoided(demand.service), *held_back}
+        reply = await self._reply(address, demand, tried, attempt_id, sorted(avoided))
         if reply is None:
             self._coordinators.avoid(address)
             return None
         if reply.overload is not None:
             return Selection(None, reply.overload)
-        usable = self._registry.candidates(demand.service, tried)
+        usable = self._registry.candidates(demand.service, {*tried, *held_back})
         state = next((each for each in usable if each.entry.endpoint_id == reply.endpoint_id), None)
         if state is None:
             return None
@@ -59,10 +68,14 @@
         return Selection(Choice(state, source, reply.fetched_tokens, attempt_id, address))
 
     async def _reply(
-        self, address: str, demand: Demand, tried: Collection[str], attempt_id: str
+        self,
+        address: str,
+        demand: Demand,
+        tried: Collection[str],
+        attempt_id: str,
+        avoided: list[str],
     ) -> SelectionReply | None:
         """Return a coordinator's reply, or None if it does not come in time."""
-        avoided = self._registry.avoided(demand.service)
 
         def send(number: int) -> None:
             request = SelectionRequest(number, attempt_id, list(tried), avoided, demand)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_server.py
@@ -44,14 +44,18 @@
         registry: EndpointRegistry,
         choose: Chooser,
         clock: Callable[[], float] = now_s,
+        has_rate: Callable[[str], bool] = lambda endpoint_id: False,
     ) -> None:
         """Keep the parts.
 
         Args:
           registry: Knows the load of all nodes, since every node sends its load notices here.
+          has_rate: Returns whether the endpoint of an id names a rate. A node that avoids such an
+            endpoint waits for a permit.
         """
         self._registry = registry
         self._choose = choose
+        self._has_rate = has_rate
         self._clock = clock
         self._datagrams: PeerDatagrams | None = None
         self._unconfirmed: dict[str, Unconfirmed] = {}
@@ -65,7 +69,10 @@
         """Select the endpoint for an attempt and count the attempt there."""
         self._drop_unconfirmed()
         demand = request.demand
-        selection = select(self._registry, demand, request.tried, self._choose, request.avoided)
+        held_back = [each for each in request.avoided if self._has_rate(each)]
+        selection = select(
+            self._registry, demand, request.tried, self._choose, request.avoided, held_back
+        )
         choice = selection.choice
         if choice is None:
             return SelectionReply(request.number, "", "", 0, selection.overload)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_selector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_selector.py
@@ -33,18 +33,21 @@
         self._coordinators = coordinators
         self._client = client
 
-    async def select(self, demand: Demand, tried: Collection[str]) -> Selection:
+    async def select(
+        self, demand: Demand, tried: Collection[str], held_back: Collection[str] = ()
+    ) -> Selection:
         """Return the endpoint for the next attempt, or why there is none.
 
         Args:
           tried: Ids of the endpoints that no further attempt goes to.
+          held_back: Ids of the endpoints whose rate is spent for this instance.
         """
         if self._coordinators.includes_me(demand.service):
-            return select(self._registry, demand, tried, by_token_cost)
+            return select(self._registry, demand, tried, by_token_cost, held_back=held_back)
         # Without a prompt only the requests in flight count, so no coordinator is asked.
         if demand.prompt_parts:
             attempt_id = self._loads.new_attempt_id()
-            selection = await self._client.ask(demand, tried, attempt_id)
+            selection = await self._client.ask(demand, tried, attempt_id, held_back)
             if selection is not None:
                 return selection
-        return select(self._registry, demand, tried, by_shared_prompt)
+        return select(self._registry, demand, tried, by_shared_prompt, held_back=held_back)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
@@ -0,0 +1,113 @@
+"""Keeps requests from endpoints whose rate is spent.
+
+An endpoint that names a rate gets a request only with a permit of its granter (rate_permits.py).
+While no endpoint names one, a request costs one comparison here. A request that gets no permit goes
+to another endpoint, without a retry taken from the budget and without a failure counted.
+"""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from springbridge.rates.held_back import HeldBack
+from springbridge.rates.rate_table import RateTable
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.giving_up import RatesSpent
+from springbridge.routing.records import Demand, EndpointEntry
+
+from springbridge_node.gateway.peers.rate_permits import RatePermits
+from springbridge_node.gateway.requests.exchange import Exchange
+from springbridge_node.gateway.requests.rate_gate_log import RateGateLog
+
+# Seconds for which an endpoint is held back whose granter did not answer. A node that ended is no
+# longer the granter about a second later.
+SILENT_S = 0.5
+# Longest time in seconds that one request spends on asking. Its caller waits meanwhile.
+LONGEST_ASKING_S = 0.04
+# Seconds for which an endpoint is held back that a request could not ask for in that time.
+NOT_ASKED_S = 0.1
+
+
+@dataclass(frozen=True)
+class RateGateParts:
+    """What the gate works with.
+
+    Attributes:
+      clock: Returns the moment in seconds.
+    """
+
+    table: RateTable
+    registry: EndpointRegistry
+    permits: RatePermits
+    log: RateGateLog
+    clock: Callable[[], float]
+
+
+class RateGate:
+    """Asks before each attempt at an endpoint that names a rate."""
+
+    def __init__(self, parts: RateGateParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._held = HeldBack(parts.clock)
+
+    def held_back(self, demand: Demand) -> set[str]:
+        """Return the endpoints that a request must not go to now."""
+        table = self._parts.table
+        if not len(table):
+            return set()
+        return {each for each in self._held.ids(demand.priority) if table.is_limited(each)}
+
+    async def may_send(self, exchange: Exchange, entry: EndpointEntry) -> bool:
+        """Return whether a request may be sent to an endpoint; if not, it is held back."""
+        parts, progress = self._parts, exchange.progress
+        if parts.table.per_s(entry.incarnation) is None:
+            return True
+        priority = exchange.demand.priority
+        if progress.permit_wait_s >= LONGEST_ASKING_S:
+            self._held.hold(entry.endpoint_id, priority, NOT_ASKED_S)
+            return False
+        began_s = parts.clock()
+        grant = await parts.permits.ask(entry, priority)
+        progress.permit_wait_s += parts.clock() - began_s
+        parts.log.asked(exchange, entry, grant)
+        if grant is None:
+            self._held.hold(entry.endpoint_id, 0, SILENT_S)
+            return False
+        if not grant.granted:
+            self._held.hold(entry.endpoint_id, priority, grant.wait_s)
+        return grant.granted
+
+    @contextlib.contextmanager
+    def permit(self, exchange: Exchange, entry: EndpointEntry) -> Iterator[None]:
+        """Give the permit back if the block sends nothing."""
+        is_limited = self._parts.table.per_s(entry.incarnation) is not None
+        sends = exchange.progress.sends
+        try:
+            yield
+        finally:
+            if is_limited and exchange.progress.sends == sends:
+                self._parts.permits.give_back(entry)
+
+    def spent(self, demand: Demand) -> RatesSpent | None:
+        """Return that endpoints which could serve a request have spent their rate, or None."""
+        held = self.held_back(demand)
+        if not held:
+            return None
+        states = self._parts.registry.candidates(demand.service, ())
+        spent = [each.entry for each in states if each.entry.endpoint_id in held]
+        if not spent:
+            return None
+        ids = [entry.endpoint_id for entry in spent]
+        rates = [self._parts.table.per_s(entry.incarnation) or 0.0 for entry in spent]
+        self._parts.log.refused()
+        return RatesSpent(
+            endpoints=len(spent),
+            per_s=sum(rates),
+            retry_after_s=self._held.return_s(demand.service, ids, demand.priority),
+        )
+
+    def forget_old(self) -> None:
+        """Drop what is over."""
+        self._held.forget_old()
+        self._parts.permits.forget_gone()
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
@@ -0,0 +1,60 @@
+"""Joins what keeps to the rates that endpoints name; see rate_gate.py."""
+
+from collections.abc import Callable
+
+from springbridge.membership import Membership
+from springbridge.rates.rate_table import RateTable
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.records import EndpointIncarnation
+
+from springbridge_node.clock import now_s
+from springbridge_node.gateway.peers.datagrams import PeerDatagrams
+from springbridge_node.gateway.peers.granter_set import GranterSet
+from springbridge_node.gateway.peers.rate_permits import RatePermits
+from springbridge_node.gateway.peers.rate_sharing import RateSharing
+from springbridge_node.gateway.requests.rate_gate import RateGate, RateGateParts
+from springbridge_node.gateway.requests.rate_gate_log import RateGateLog
+from springbridge_node.gateway.requests.rate_watch import RateWatch
+from springbridge_node.gateway.telemetry import Telemetry
+
+
+class RateParts:
+    """The parts that keep to rates.
+
+    Attributes:
+      table: The rates in force.
+      sharing: Tells peers of rates; its beat is due at each heartbeat.
+      gate: Asked before each attempt.
+      watch: Takes in what answers say.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        registry: EndpointRegistry,
+        telemetry: Telemetry,
+        clock: Callable[[], float] = now_s,
+    ) -> None:
+        """Join the parts."""
+        self.table = RateTable(clock)
+        granters = GranterSet(membership)
+        self.sharing = RateSharing(self.table, membership, registry, granters, clock)
+        self._permits = RatePermits(self.table, membership, granters, self.sharing, clock)
+        self.watch = RateWatch(self.table, self.sharing, clock)
+        self.gate = RateGate(
+            RateGateParts(self.table, registry, self._permits, RateGateLog(telemetry), clock)
+        )
+
+    def connect(self, datagrams: PeerDatagrams) -> None:
+        """Begin to exchange rates and permits with peers."""
+        self.sharing.connect(datagrams)
+        self._permits.connect(datagrams)
+
+    def forget_gone(self, known: set[EndpointIncarnation]) -> None:
+        """Drop what belongs to endpoints that are gone, and what is over.
+
+        Args:
+          known: The endpoints that are listed or still have requests.
+        """
+        self.table.keep_only(known)
+        self.gate.forget_old()
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_watch.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_watch.py
@@ -1,6 +1,8 @@
-"""Notes the rates that endpoints name in their answers, and logs each change."""
+"""Takes the rate that an endpoint names from each of its answers."""
 
-from springbridge.rates.rate_table import RateChange, RateTable
+from collections.abc import Callable
+
+from springbridge.rates.rate_table import RateTable
 from springbridge.rates.statements import (
     StatedRate,
     Statement,
@@ -10,7 +12,8 @@
 )
 from springbridge.routing.records import EndpointEntry
 
-from springbridge_node import clock, logs
+from springbridge_node import logs
+from springbridge_node.gateway.peers.rate_sharing import RateSharing
 from springbridge_node.gateway.requests.request_codec import Verdict
 
 # Values that are not kept to as they stand and are remembered, so that each is logged once. It
@@ -19,11 +22,13 @@
 
 
 class RateWatch:
-    """Takes in what answers and peers say of rates."""
+    """Notes what answers say of rates."""
 
-    def __init__(self, table: RateTable) -> None:
-        """Keep the table."""
+    def __init__(self, table: RateTable, sharing: RateSharing, clock: Callable[[], float]) -> None:
+        """Keep the parts."""
         self._table = table
+        self._sharing = sharing
+        self._clock = clock
         self._logged: set[tuple[str, str]] = set()
 
     def heard(self, entry: EndpointEntry, verdict: Verdict, sent_s: float) -> None:
@@ -33,19 +38,14 @@
           entry: The endpoint that the request was sent to.
           sent_s: When it was sent.
         """
-        if verdict.other_endpoint:
-            return
         stated = verdict.rate
-        if stated.per_s is None and not stated.unreadable and not len(self._table):
+        if verdict.other_endpoint or (stated == StatedRate() and not len(self._table)):
             return
         if not is_literal(stated):
             self._log_not_literal(entry, stated)
-        if not is_readable(stated):
-            return
-        told = Statement(rate_of(stated), sent_s, clock.now_s())
-        change = self._table.take(entry.incarnation, told)
-        if change is not None:
-            _log_change(change, "answer", told)
+        if is_readable(stated):
+            told = Statement(rate_of(stated), sent_s, self._clock())
+            self._sharing.heard(entry.incarnation, told)
 
     def _log_not_literal(self, entry: EndpointEntry, stated: StatedRate) -> None:
         """Log once that a value is ignored, or kept to as another one."""
@@ -61,19 +61,3 @@
             value=value,
             taken_as=taken_as,
         )
-
-
-def _log_change(change: RateChange, source: str, told: Statement) -> None:
-    """Log that a rate came, changed or ended.
-
-    Args:
-      source: "answer", or the address of the peer that told of it.
-    """
-    logs.event(
-        "engine.rate_changed",
-        engine=change.incarnation.endpoint_id,
-        before=change.before,
-        per_s=change.after,
-        source=source,
-        age_ms=round((clock.now_s() - told.received_s) * 1000),
-    )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -32,6 +32,7 @@
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
 from springbridge_node.gateway.requests.quarantine_gate import QuarantineGate
+from springbridge_node.gateway.requests.rate_gate import RateGate
 from springbridge_node.gateway.requests.rate_watch import RateWatch
 from springbridge_node.gateway.requests.relay import relay_failure
 from springbridge_node.gateway.requests.request_codec import RequestCodec
@@ -66,7 +67,8 @@
     gate: QuarantineGate
     failure_domain: str
     usage: UsageMeter
-    rates: RateWatch
+    rate_gate: RateGate
+    rate_watch: RateWatch
 
 
 class RequestRouter:
@@ -130,7 +132,8 @@
         route, progress = exchange.route, exchange.progress
         while True:
             left_out = progress.tried | progress.avoided
-            selection = await self._parts.selector.select(exchange.demand, left_out)
+            held_back = self._parts.rate_gate.held_back(exchange.demand)
+            selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
             clearance = await self._parts.gate.clear(exchange, selection.choice)
@@ -151,9 +154,28 @@
         """Send the request to the selected endpoint and return how that ended.
 
         Returns:
-          A problem if it may be sent to none, None if there was no connection to this one.
+          A problem if it may be sent to none, None if this one takes it not now or there was no
+          connection to it.
         """
-        if choice is None or not self._may_send(exchange):
+        if choice is None:
+            return self._without_endpoint(exchange)
+        entry = choice.state.entry
+        if not await self._parts.rate_gate.may_send(exchange, entry):
+            return None
+        with self._parts.rate_gate.permit(exchange, entry):
+            return await self._send_permitted(exchange, choice)
+
+    def _without_endpoint(self, exchange: Exchange) -> Problem:
+        """Return the problem of a request for which no endpoint was found."""
+        route, attempts = exchange.route, exchange.attempts()
+        spent = self._parts.rate_gate.spent(exchange.demand)
+        if spent is not None:
+            return giving_up.when_rates_spent(route, attempts, spent)
+        return giving_up.without_endpoint(route, attempts)
+
+    async def _send_permitted(self, exchange: Exchange, choice: Choice) -> End | Problem | None:
+        """Send the request to an endpoint that takes it; see _send for what is returned."""
+        if not self._may_send(exchange):
             return giving_up.without_endpoint(exchange.route, exchange.attempts())
         connection = await self._connect(exchange, choice.state)
         if connection is None:
@@ -205,7 +227,7 @@
             began = partial(self._parts.usage.began, exchange.admitted)
             with self._parts.loads.attempt(choice, exchange.demand, began) as load:
                 exchange.progress.load = load
-                heard = partial(self._parts.rates.heard, choice.state.entry)
+                heard = partial(self._parts.rate_watch.heard, choice.state.entry)
                 codec = self._parts.codec
                 end = await make_attempt(exchange, choice, connection, codec, heard)
         except BaseException:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/selection_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/selection_parts.py
@@ -5,6 +5,7 @@
 """
 
 from springbridge.membership import Membership
+from springbridge.rates.rate_table import RateTable
 from springbridge.routing.endpoint_choice import by_token_cost
 from springbridge.routing.endpoint_registry import EndpointRegistry
 
@@ -24,10 +25,12 @@
       selector: Selects the endpoint of an attempt.
     """
 
-    def __init__(self, registry: EndpointRegistry, membership: Membership) -> None:
+    def __init__(
+        self, registry: EndpointRegistry, membership: Membership, rates: RateTable
+    ) -> None:
         """Join the parts."""
         coordinators = CoordinatorSet(membership)
-        self._server = SelectionServer(registry, by_token_cost)
+        self._server = SelectionServer(registry, by_token_cost, has_rate=rates.is_limited)
         self._client = SelectionClient(registry, coordinators)
         self.loads = LoadSharing(
             registry,
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -37,6 +37,17 @@
             ["standing"],
             registry=self.registry,
         )
+        self.permits = Counter(
+            "springbridge_rate_permits",
+            "Permits that requests asked for, to be sent to engines that name a rate",
+            ["answer"],
+            registry=self.registry,
+        )
+        self.rate_refusals = Counter(
+            "springbridge_rate_refusals",
+            "Requests refused since the rates of their engines were spent",
+            registry=self.registry,
+        )
         self.first_piece = Histogram(
             "springbridge_first_piece_seconds",
             "Arrival to first piece of the answer",
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -240,6 +240,16 @@
             possible |= self._suspected_addresses()
         return 2 * (len(reachable) + 1) > len(possible) + 1
 
+    def reached_share(self) -> float:
+        """Return which part of the instances that may be running this node reaches.
+
+        Both counts have this node in them. Members that fell silent count until they are forgotten
+        or come back at their address: they may be on the other side of a cut.
+        """
+        reachable = {member.peer_address for member in self.reachable()}
+        possible = reachable | self._suspected_addresses()
+        return (len(reachable) + 1) / (len(possible - {self.me.peer_address}) + 1)
+
     def digest(self, limit: int = DIGEST_LIMIT) -> list[Member]:
         """Return what to send to a peer: this node, leaving members, and a bounded rest.
 
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -9,6 +9,7 @@
 more than ours.
 """
 
+from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
 
@@ -24,6 +25,21 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class RatesSpent:
+    """Why a request is refused: its endpoints have spent the rates that they name.
+
+    Attributes:
+      endpoints: How many have.
+      per_s: Requests a second that these take from all instances together.
+      retry_after_s: When to come back, in seconds.
+    """
+
+    endpoints: int
+    per_s: float
+    retry_after_s: float
+
+
 class FinalAnswer(Enum):
     """What the caller of a request that is given up gets."""
 
@@ -82,6 +98,14 @@
     return Problem(Code.NO_ENGINE, "no engine", retry_after_s=while_endpoints_restart())
 
 
+def when_rates_spent(route: Route, attempts: Attempts, spent: RatesSpent) -> Problem:
+    """Return the problem of a request for which there are only endpoints that take no more now."""
+    detail = f"rates spent: {spent.endpoints} engines take {spent.per_s:g} a second"
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, detail)
+    return Problem(Code.OVERLOADED, detail, retry_after_s=spent.retry_after_s)
+
+
 def in_quarantine(attempts: Attempts, crashes: int, wait_s: float) -> Problem:
     """Return the problem of a request that is kept from endpoints, as it has ended several.
 
--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -37,6 +37,7 @@
     tried: Collection[str],
     choose: Chooser,
     avoided: Collection[str] = (),
+    held_back: Collection[str] = (),
 ) -> Selection:
     """Return the endpoint for the next attempt.
 
@@ -44,12 +45,14 @@
       tried: Ids of the endpoints that had the request.
       avoided: Ids of the endpoints that another instance, which asks, cannot use. They count in the
         check for overload.
+      held_back: Ids of the endpoints whose rate is spent. They count nowhere: what they could take
+        beside their rate is of no use.
     """
     if demand.prompt_parts and not tried:
-        refusal = overload(registry.candidates(demand.service, ()), demand)
+        refusal = overload(registry.candidates(demand.service, held_back), demand)
         if refusal is not None:
             return Selection(None, refusal)
-    states = registry.candidates(demand.service, {*tried, *avoided})
+    states = registry.candidates(demand.service, {*tried, *avoided, *held_back})
     if not states:
         return Selection(None)
     leaving = registry.leaving(demand.service)
