Drawn histories of rates; an instance that has just become a granter grants little

What would have been seen: after a loss of half of the instances, or a cut, the others notice it up to three seconds apart, and ask different granters meanwhile; each granted the whole rate. Cause: an instance took itself for the only granter as soon as anybody asked it.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable
 
 from springbridge.membership import Membership
+from springbridge.rates.granters import granted_part
 from springbridge.rates.grants import Grant, RateGrants
 from springbridge.rates.rate_table import RateTable
+from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation
 
 from springbridge_node.gateway.peers import rate_rows
@@ -19,8 +21,6 @@
 from springbridge_node.gateway.peers.rate_rows import PermitAnswer, PermitReply, PermitRequest
 from springbridge_node.gateway.peers.rate_sharing import RateSharing
 
-# Seconds to wait for a granter's reply, some round trips: the caller waits meanwhile.
-PERMIT_ANSWER_S = 0.04
 # Seconds for which the part of the instances that this node reaches is kept, the interval of the
 # heartbeats: to work it out takes a look at every member.
 SHARE_KEPT_S = 0.25
@@ -33,6 +33,7 @@
         self,
         table: RateTable,
         membership: Membership,
+        registry: EndpointRegistry,
         granters: GranterSet,
         sharing: RateSharing,
         clock: Callable[[], float],
@@ -40,6 +41,7 @@
         """Keep the parts; nothing is granted yet."""
         self._table = table
         self._membership = membership
+        self._registry = registry
         self._granters = granters
         self._sharing = sharing
         self._clock = clock
@@ -56,8 +58,12 @@
         datagrams.handle(Kind.PERMIT_REPLY, self._take_reply)
         datagrams.handle(Kind.PERMIT_BACK, self._take_back)
 
-    async def ask(self, entry: EndpointEntry, priority: int) -> Grant | None:
-        """Return whether a request may be sent to an endpoint, None if its granter is silent."""
+    async def ask(self, entry: EndpointEntry, priority: int, longest_s: float) -> Grant | None:
+        """Return whether a request may be sent to an endpoint, None if its granter is silent.
+
+        Args:
+          longest_s: How long to wait for the granter, in seconds.
+        """
         incarnation = entry.incarnation
         granter = self._granters.of(entry)
         if self._granters.is_me(granter) or self._datagrams is None:
@@ -68,7 +74,7 @@
             row = rate_rows.request_row(request, self._clock())
             self._datagrams.send(Kind.PERMIT_REQUEST, row, [granter.peer_address])
 
-        reply = await self._pending.ask(send, PERMIT_ANSWER_S)
+        reply = await self._pending.ask(send, longest_s)
         if reply is None:
             return None
         self._sharing.merge(reply.told, granter.peer_address)
@@ -85,14 +91,22 @@
 
     def forget_gone(self) -> None:
         """Forget the permits of endpoints that have no rate any more."""
-        self._grants.keep_only(set(self._table.limited()))
+        limited = set(self._table.limited())
+        self._grants.keep_only(limited)
+        self._granters.forget_all_but({each.endpoint_id for each in limited})
 
     def _decide(self, incarnation: EndpointIncarnation, priority: int) -> Grant:
         """Grant a permit or not, as the granter."""
         per_s = self._table.per_s(incarnation)
         if per_s is None:
             return Grant(True)
-        return self._grants.ask(incarnation, per_s * self._reached_share(), priority)
+        part = granted_part(self._tenure_s(incarnation), self._reached_share())
+        return self._grants.ask(incarnation, per_s * part, priority)
+
+    def _tenure_s(self, incarnation: EndpointIncarnation) -> float:
+        """Return for how many seconds this node has been the granter of an endpoint."""
+        state = self._registry.find(incarnation.endpoint_id)
+        return self._granters.tenure_s(state.entry) if state else 0.0
 
     def _reached_share(self) -> float:
         """Return the part of the rate that this node may grant."""
--- a/packages/springbridge-node/springbridge_node/gateway/peers/rate_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/rate_sharing.py
@@ -80,6 +80,7 @@
 
     async def beat(self) -> None:
         """Pass on what came or ended lately and what this node is the granter of."""
+        self._granters.look()
         if not self._news_until_s and not len(self._table):
             return
         now_s = self._clock()
@@ -110,7 +111,7 @@
     def _grants(self, incarnation: EndpointIncarnation) -> bool:
         """Return whether this node is the granter of an endpoint."""
         state = self._registry.find(incarnation.endpoint_id)
-        return state is not None and self._granters.is_me(self._granters.of(state.entry))
+        return state is not None and self._granters.tenure_s(state.entry) > 0.0
 
     def _tell_granter(self, incarnation: EndpointIncarnation) -> None:
         """Tell the granter of another figure; nobody else needs it."""
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
@@ -22,7 +22,8 @@
 # Seconds for which an endpoint is held back whose granter did not answer. A node that ended is no
 # longer the granter about a second later.
 SILENT_S = 0.5
-# Longest time in seconds that one request spends on asking. Its caller waits meanwhile.
+# Longest time in seconds that one request spends on asking granters, some round trips. Its caller
+# waits meanwhile.
 LONGEST_ASKING_S = 0.04
 # Seconds for which an endpoint is held back that a request could not ask for in that time.
 NOT_ASKED_S = 0.1
@@ -64,11 +65,12 @@
         if parts.table.per_s(entry.incarnation) is None:
             return True
         priority = exchange.demand.priority
-        if progress.permit_wait_s >= LONGEST_ASKING_S:
+        left_s = LONGEST_ASKING_S - progress.permit_wait_s
+        if left_s <= 0.0:
             self._held.hold(entry.endpoint_id, priority, NOT_ASKED_S)
             return False
         began_s = parts.clock()
-        grant = await parts.permits.ask(entry, priority)
+        grant = await parts.permits.ask(entry, priority, left_s)
         progress.permit_wait_s += parts.clock() - began_s
         parts.log.asked(exchange, entry, grant)
         if grant is None:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
@@ -37,9 +37,9 @@
     ) -> None:
         """Join the parts."""
         self.table = RateTable(clock)
-        granters = GranterSet(membership)
+        granters = GranterSet(membership, clock)
         self.sharing = RateSharing(self.table, membership, registry, granters, clock)
-        self._permits = RatePermits(self.table, membership, granters, self.sharing, clock)
+        self._permits = RatePermits(self.table, membership, registry, granters, self.sharing, clock)
         self.watch = RateWatch(self.table, self.sharing, clock)
         self.gate = RateGate(
             RateGateParts(self.table, registry, self._permits, RateGateLog(telemetry), clock)
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -0,0 +1,234 @@
+"""Drawn instances with the real parts that keep to rates, and a plain choice of endpoints.
+
+An instance sends a request to the endpoint that has had the fewest from it, which is what draws
+requests to an endpoint in need on a running fleet: it has the least to do.
+"""
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from springbridge.membership import Member
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.records import Demand, EndpointEntry, EndpointSnapshot
+from springbridge_node.gateway.peers.heartbeats import BEAT_S
+from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
+from springbridge_node.gateway.requests.rate_parts import RateParts
+from springbridge_node.gateway.telemetry import Telemetry
+
+from springbridge_standins.rates.endpoints import DrawnEndpoint
+from springbridge_standins.rates.network import DrawnNetwork
+from springbridge_standins.rates.views import DrawnView
+
+SERVICE = "model"
+FAILURE_DOMAINS = ("a", "b", "c")
+# Slots of an endpoint; nothing here looks at them.
+SLOTS = 64
+# Seconds after a restart, freeze or cut in which an instance is excused.
+EXCUSED_S = 3.0
+
+
+@dataclass
+class DrawnProgress:
+    """What the gate notes of a request."""
+
+    sends: int = 0
+    permit_wait_s: float = 0.0
+
+
+@dataclass
+class DrawnExchange:
+    """A request as the gate sees it."""
+
+    request_id: str
+    demand: Demand
+    progress: DrawnProgress = field(default_factory=DrawnProgress)
+
+
+class DrawnInstance:
+    """One run of an instance.
+
+    Attributes:
+      sent: Requests that it sent, by endpoint.
+      refused_s: How long each refused caller waited for its refusal, in seconds.
+      retry_after_s: When each of them was told to come back.
+    """
+
+    def __init__(self, fleet: "DrawnFleet", number: int, incarnation: str) -> None:
+        """Start with nothing known."""
+        self.fleet = fleet
+        self.address = f"10.0.{number // 250}.{number % 250}:1"
+        domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+        self.member = Member(
+            incarnation, f"n{number}", self.address, "", domain, heartbeat=FIRST_HEARTBEAT
+        )
+        self.view = DrawnView(self.member, fleet.rng)
+        self.sent: Counter = Counter()
+        self.refused_s: list[float] = []
+        self.retry_after_s: list[float] = []
+        self._numbers = itertools.count()
+        self._tasks: set[asyncio.Task] = set()
+        clock = asyncio.get_running_loop().time
+        registry = EndpointRegistry(clock)
+        entries = tuple(each.entry for each in fleet.endpoints)
+        registry.install(EndpointSnapshot(1, entries), {}, 0.0)
+        self.parts = RateParts(self.view, registry, fleet.telemetry, clock)
+        datagrams = fleet.network.join(self.address)
+        datagrams.peers = lambda: list(self.view.known)
+        self.parts.connect(datagrams)
+        self.gate = fleet.make_gate(self)
+        self._run(self._beat())
+
+    def _run(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            await self._thawed()
+            await self.parts.sharing.beat()
+
+    async def _thawed(self) -> None:
+        """Wait until the instance runs."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < (until_s := self.fleet.network.frozen_until_s.get(self.address, 0.0)):
+            await asyncio.sleep(until_s - loop.time() + 0.001)
+
+    def kill(self) -> None:
+        """End without a word."""
+        for task in self._tasks:
+            task.cancel()
+        self.fleet.network.leave(self.address)
+
+    def serve(self, priority: int = 1) -> None:
+        """Take a caller's request."""
+        self._run(self._serve(priority))
+
+    async def _serve(self, priority: int) -> None:
+        await self._thawed()
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        name = f"{self.address}/{next(self._numbers)}"
+        demand = Demand(name, SERVICE, self.member.failure_domain, priority, 1.0)
+        exchange = DrawnExchange(name, demand)
+        while True:
+            held = self.gate.held_back(demand)
+            free = [each for each in self.fleet.endpoints if each.entry.endpoint_id not in held]
+            if not free:
+                self.refused_s.append(loop.time() - began_s)
+                spent = self.gate.spent(demand)
+                if spent is not None:
+                    self.retry_after_s.append(spent.retry_after_s)
+                return
+            endpoint = min(free, key=lambda each: (self.sent[each.entry.endpoint_id], id(each)))
+            if await self.gate.may_send(exchange, endpoint.entry):
+                await self._send(endpoint)
+                return
+
+    async def _send(self, endpoint: DrawnEndpoint) -> None:
+        await self._thawed()
+        loop = asyncio.get_running_loop()
+        self.sent[endpoint.entry.endpoint_id] += 1
+        sent_s = loop.time()
+        verdict = await endpoint.answer(self.fleet.is_excused(self.address))
+        await self._thawed()
+        self.sent[endpoint.entry.endpoint_id] -= 1
+        self.parts.watch.heard(endpoint.entry, verdict, sent_s)
+
+
+class DrawnFleet:
+    """The instances, the endpoints and the network."""
+
+    def __init__(self, rng: random.Random, size: int, endpoints: int, make_gate=None) -> None:
+        """Start all instances; each soon knows the others.
+
+        Args:
+          make_gate: Returns the gate of an instance; the real one if left out.
+        """
+        self.rng = rng
+        self.network = DrawnNetwork(rng)
+        self.telemetry = Telemetry()
+        self.make_gate = make_gate or (lambda instance: instance.parts.gate)
+        self.endpoints = [DrawnEndpoint(_entry(number), rng) for number in range(endpoints)]
+        self.excused_until_s: dict[str, float] = {}
+        self._runs = itertools.count()
+        self.instances: list[DrawnInstance] = []
+        for number in range(size):
+            self.instances.append(self._start(number))
+        for instance in self.instances:
+            for other in self.instances:
+                if other is not instance:
+                    instance.view._there(other.member)
+
+    def _start(self, number: int) -> DrawnInstance:
+        return DrawnInstance(self, number, f"{next(self._runs):010x}")
+
+    def is_excused(self, address: str) -> bool:
+        """Return whether an instance was harmed a moment ago."""
+        return asyncio.get_running_loop().time() < self.excused_until_s.get(address, 0.0)
+
+    def excuse(self, address: str, seconds: float) -> None:
+        """Excuse an instance for some seconds of harm and EXCUSED_S beyond."""
+        until_s = asyncio.get_running_loop().time() + seconds + EXCUSED_S
+        self.excused_until_s[address] = max(until_s, self.excused_until_s.get(address, 0.0))
+
+    def restart(self, number: int, down_s: float) -> None:
+        """Kill an instance, and start it anew after some seconds."""
+        old = self.instances[number]
+        old.kill()
+        for each in self.instances:
+            each.view.notice_gone(old.member)
+        self.excuse(old.address, down_s)
+        asyncio.get_running_loop().call_later(down_s, self._start_again, number)
+
+    def _start_again(self, number: int) -> None:
+        new = self._start(number)
+        self.instances[number] = new
+        for each in self.instances:
+            if each is not new and self.network.reaches(each.address, new.address):
+                each.view.notice_there(new.member)
+                new.view.notice_there(each.member)
+
+    def freeze(self, number: int, seconds: float) -> None:
+        """Let an instance stand still; the others leave it out meanwhile."""
+        instance = self.instances[number]
+        loop = asyncio.get_running_loop()
+        self.network.frozen_until_s[instance.address] = loop.time() + seconds
+        self.excuse(instance.address, seconds)
+        for each in self.instances:
+            each.view.notice_gone(instance.member)
+            loop.call_later(seconds, each.view.notice_there, instance.member)
+
+    def cut(self, numbers: set[int], seconds: float) -> None:
+        """Cut some instances off from the others."""
+        loop = asyncio.get_running_loop()
+        for number in numbers:
+            self.network.sides[self.instances[number].address] = 1
+            self.excuse(self.instances[number].address, seconds)
+        for one, other in self._pairs(numbers):
+            one.view.notice_gone(other.member)
+            other.view.notice_gone(one.member)
+        loop.call_later(seconds, self._heal, numbers)
+
+    def _heal(self, numbers: set[int]) -> None:
+        for number in numbers:
+            self.network.sides[self.instances[number].address] = 0
+        for one, other in self._pairs(numbers):
+            one.view.notice_there(other.member)
+            other.view.notice_there(one.member)
+
+    def _pairs(self, numbers: set[int]):
+        """Return each pair of an instance of some numbers and one of the others."""
+        for number in numbers:
+            for other in range(len(self.instances)):
+                if other not in numbers:
+                    yield self.instances[number], self.instances[other]
+
+
+def _entry(number: int) -> EndpointEntry:
+    domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+    return EndpointEntry(f"e{number}", SERVICE, f"10.9.0.{number}:80", domain, SLOTS, False)
