While a granter is silent a substitute is asked, which grants little; the soak has engines that name rates

The soak draws rates from 0.5 to 200 that come, change and go, beside all other harms, and checks what engines got by the users' rule; the record that checks it is the one of the drawn histories.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/granter_set.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/granter_set.py
@@ -7,11 +7,15 @@
 from collections.abc import Callable, Collection
 
 from springbridge.membership import Member, Membership
-from springbridge.rates.granters import granter
+from springbridge.rates.granters import granters
 from springbridge.routing.records import EndpointEntry
 
 from springbridge_node.gateway.peers.peer_builds import grants_permits
 
+# Seconds for which a granter that did not answer is not asked. A node that ended is no longer the
+# granter about a second later.
+SILENT_S = 0.5
+
 
 class GranterSet:
     """The granters as this node sees them."""
@@ -22,8 +26,9 @@
         self._clock = clock
         self._version = -1
         self._changed_s = clock()
-        self._by_endpoint: dict[str, Member] = {}
+        self._by_endpoint: dict[str, list[Member]] = {}
         self._mine_since_s: dict[str, float] = {}
+        self._silent_until_s: dict[str, float] = {}
 
     def look(self) -> None:
         """Notice a change of the members; due at each heartbeat."""
@@ -35,10 +40,23 @@
 
     def of(self, entry: EndpointEntry) -> Member:
         """Return the granter of an endpoint, this node itself where there is no other."""
-        self.look()
-        if entry.endpoint_id not in self._by_endpoint:
-            self._by_endpoint[entry.endpoint_id] = self._find(entry)
-        return self._by_endpoint[entry.endpoint_id]
+        return self._ranked(entry)[0]
+
+    def to_ask(self, entry: EndpointEntry) -> Member | None:
+        """Return whom to ask for a permit, None if all that may be asked are silent."""
+        now_s = self._clock()
+        for member in self._ranked(entry):
+            if self._silent_until_s.get(member.incarnation, now_s) <= now_s:
+                return member
+        return None
+
+    def silent(self, member: Member) -> None:
+        """Ask a granter that did not answer no more for SILENT_S."""
+        now_s = self._clock()
+        self._silent_until_s = {
+            each: until_s for each, until_s in self._silent_until_s.items() if until_s > now_s
+        }
+        self._silent_until_s[member.incarnation] = now_s + SILENT_S
 
     def tenure_s(self, entry: EndpointEntry) -> float:
         """Return for how many seconds this node has been an endpoint's granter, 0 if it is not.
@@ -59,7 +77,11 @@
         """Return whether a granter is this node."""
         return member.incarnation == self._membership.me.incarnation
 
-    def _find(self, entry: EndpointEntry) -> Member:
-        members = [member for member in self._membership.live() if grants_permits(member.heartbeat)]
-        found = granter(members, entry.endpoint_id, entry.failure_domain)
-        return found or self._membership.me
+    def _ranked(self, entry: EndpointEntry) -> list[Member]:
+        """Return the granter of an endpoint and its substitutes; at least this node itself."""
+        self.look()
+        if entry.endpoint_id not in self._by_endpoint:
+            members = [each for each in self._membership.live() if grants_permits(each.heartbeat)]
+            found = granters(members, entry.endpoint_id, entry.failure_domain)
+            self._by_endpoint[entry.endpoint_id] = found or [self._membership.me]
+        return self._by_endpoint[entry.endpoint_id]
--- a/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
@@ -65,7 +65,9 @@
           longest_s: How long to wait for the granter, in seconds.
         """
         incarnation = entry.incarnation
-        granter = self._granters.of(entry)
+        granter = self._granters.to_ask(entry)
+        if granter is None:
+            return None
         if self._granters.is_me(granter) or self._datagrams is None:
             return self._decide(incarnation, priority)
 
@@ -76,6 +78,7 @@
 
         reply = await self._pending.ask(send, longest_s)
         if reply is None:
+            self._granters.silent(granter)
             return None
         self._sharing.merge(reply.told, granter.peer_address)
         return Grant(reply.answer is not PermitAnswer.SPENT, reply.wait_s)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
@@ -19,14 +19,12 @@
 from springbridge_node.gateway.requests.exchange import Exchange
 from springbridge_node.gateway.requests.rate_gate_log import RateGateLog
 
-# Seconds for which an endpoint is held back whose granter did not answer. A node that ended is no
-# longer the granter about a second later.
-SILENT_S = 0.5
 # Longest time in seconds that one request spends on asking granters, some round trips. Its caller
 # waits meanwhile.
 LONGEST_ASKING_S = 0.04
-# Seconds for which an endpoint is held back that a request could not ask for in that time.
-NOT_ASKED_S = 0.1
+# Seconds for which an endpoint is held back whose granter did not answer in that time, or could not
+# be asked. After that the substitute is asked.
+NOT_ANSWERED_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -67,14 +65,14 @@
         priority = exchange.demand.priority
         left_s = LONGEST_ASKING_S - progress.permit_wait_s
         if left_s <= 0.0:
-            self._held.hold(entry.endpoint_id, priority, NOT_ASKED_S)
+            self._held.hold(entry.endpoint_id, priority, NOT_ANSWERED_S)
             return False
         began_s = parts.clock()
         grant = await parts.permits.ask(entry, priority, left_s)
         progress.permit_wait_s += parts.clock() - began_s
         parts.log.asked(exchange, entry, grant)
         if grant is None:
-            self._held.hold(entry.endpoint_id, 0, SILENT_S)
+            self._held.hold(entry.endpoint_id, 0, NOT_ANSWERED_S)
             return False
         if not grant.granted:
             self._held.hold(entry.endpoint_id, priority, grant.wait_s)
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts_test.py
@@ -0,0 +1,209 @@
+"""Tests of what instances tell each other of rates, and of the permits that they ask for.
+
+The real parts run in drawn fleets, in virtual time; the endpoints and the network are stand-ins.
+"""
+
+import asyncio
+import random
+from dataclasses import replace
+from unittest import mock
+
+import pytest
+from springbridge_standins.rates.fleet import DrawnExchange, DrawnFleet
+from springbridge_standins.virtual_loop import run_virtual
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+
+from springbridge_node import logs
+from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT_WITH_LOOKUPS
+from springbridge_node.gateway.requests.rate_gate import LONGEST_ASKING_S
+
+# Seconds within which every instance has to know of a rate.
+KNOWN_S = 0.5
+# Seconds until instances grant and have been granters for long.
+SETTLED_S = 4.0
+
+
+@pytest.fixture
+def with_instances():
+    """Return a function that runs a test's coroutine on a drawn fleet."""
+
+    def run(body, size, endpoints=1, loss=0.0):
+        async def play():
+            fleet = DrawnFleet(random.Random(size), size, endpoints)
+            fleet.network.loss = loss
+            await asyncio.sleep(SETTLED_S)
+            await body(fleet)
+            for instance in fleet.instances:
+                instance.kill()
+
+        with mock.patch.object(logs, "event"):
+            run_virtual(play())
+
+    return run
+
+
+async def name_rate(fleet, per_s):
+    """Let the first endpoint name a rate in an answer to the first instance."""
+    fleet.endpoints[0].name(per_s)
+    fleet.instances[0].serve()
+    while all(not len(each.parts.table) for each in fleet.instances):
+        await asyncio.sleep(0.01)
+
+
+def knowing(fleet):
+    return sum(len(each.parts.table) == 1 for each in fleet.instances)
+
+
+def granter_of(fleet):
+    """Return the number of the instance that grants the permits of the first endpoint."""
+    entry = fleet.endpoints[0].entry
+    member = fleet.instances[0].parts._permits._granters.of(entry)
+    return next(n for n, each in enumerate(fleet.instances) if each.member == member)
+
+
+async def ask(instance, priority=1):
+    """Ask for a permit of the first endpoint; return whether there was one, and after how long."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    entry = instance.fleet.endpoints[0].entry
+    demand = mock.Mock(priority=priority, service="model")
+    may = await instance.gate.may_send(DrawnExchange("q", demand), entry)
+    return may, loop.time() - began_s
+
+
+def test_nothing_is_sent_while_no_endpoint_names_a_rate(with_instances):
+    async def body(fleet):
+        for _ in range(20):
+            fleet.instances[0].serve()
+        await asyncio.sleep(5.0)
+        assert_that(sum(fleet.network.sent_bytes.values()), Equals(0))
+
+    with_instances(body, 8)
+
+
+@pytest.mark.parametrize(("size", "loss"), [(2, 0.0), (8, 0.1), (87, 0.03), (380, 0.1)])
+def test_every_instance_soon_knows_of_a_rate_and_of_its_end(with_instances, size, loss):
+    async def body(fleet):
+        await name_rate(fleet, 2.0)
+        await asyncio.sleep(KNOWN_S)
+        assert_that(knowing(fleet), Equals(size))
+        fleet.endpoints[0].name(None)
+        while knowing(fleet) == size:
+            fleet.instances[0].serve()
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(KNOWN_S)
+        assert_that(knowing(fleet), Equals(0))
+
+    with_instances(body, size, loss=loss)
+
+
+def test_an_instance_that_starts_is_told_of_the_rates(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 2.0)
+        await asyncio.sleep(KNOWN_S)
+        started = next(n for n in range(8) if n != granter_of(fleet))
+        fleet.restart(started, 0.5)
+        await asyncio.sleep(2.5)
+        assert_that(len(fleet.instances[started].parts.table), Equals(1))
+
+    with_instances(body, 8)
+
+
+def test_another_figure_reaches_the_granter(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 2.0)
+        await asyncio.sleep(KNOWN_S)
+        fleet.endpoints[0].name(9.0)
+        for _ in range(40):
+            fleet.instances[3].serve()
+            await asyncio.sleep(0.1)
+        table = fleet.instances[granter_of(fleet)].parts.table
+        assert_that(table.per_s(fleet.endpoints[0].entry.incarnation), Equals(9.0))
+
+    with_instances(body, 8)
+
+
+def test_a_request_is_not_held_for_a_granter_that_is_silent(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 50.0)
+        await asyncio.sleep(KNOWN_S)
+        gone = granter_of(fleet)
+        fleet.instances[gone].kill()
+        asker = fleet.instances[(gone + 1) % 8]
+        may, took_s = await ask(asker)
+        assert_that(may, Is(False))
+        assert_that(took_s, LessThan(LONGEST_ASKING_S + 0.001))
+        assert_that(asker.gate.held_back(mock.Mock(priority=0)), Equals({"e0"}))
+
+    with_instances(body, 8)
+
+
+def test_the_substitute_is_asked_while_the_granter_is_silent(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 200.0)
+        await asyncio.sleep(KNOWN_S)
+        gone = granter_of(fleet)
+        fleet.instances[gone].kill()
+        asker = fleet.instances[(gone + 1) % 8]
+        answers = []
+        for _ in range(20):
+            answers.append((await ask(asker))[0])
+            await asyncio.sleep(0.05)
+        assert_that(sum(answers), GreaterThan(5))
+
+    with_instances(body, 8)
+
+
+def test_another_instance_grants_once_the_granter_is_gone(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 50.0)
+        await asyncio.sleep(KNOWN_S)
+        gone = granter_of(fleet)
+        fleet.restart(gone, 60.0)
+        asker = fleet.instances[(gone + 1) % 8]
+        await asyncio.sleep(6.0)
+        answers = []
+        for _ in range(20):
+            answers.append((await ask(asker))[0])
+            await asyncio.sleep(0.2)
+        assert_that(sum(answers), GreaterThan(15))
+
+    with_instances(body, 8)
+
+
+def test_a_node_of_an_older_build_is_no_granter(with_instances):
+    async def body(fleet):
+        old = granter_of(fleet)
+        older = replace(fleet.instances[old].member, heartbeat=FIRST_HEARTBEAT_WITH_LOOKUPS + 9)
+        for each in fleet.instances:
+            if each is not fleet.instances[old]:
+                each.view._there(older)
+        first = fleet.instances[(old + 1) % 8]
+        granter = first.parts._permits._granters.of(fleet.endpoints[0].entry)
+        assert_that(granter.peer_address == older.peer_address, Is(False))
+
+    with_instances(body, 8)
+
+
+@pytest.mark.parametrize(("sent", "permits"), [(False, 6), (True, 2)])
+def test_a_permit_is_given_back_only_if_the_request_was_not_sent(with_instances, sent, permits):
+    async def body(fleet):
+        await name_rate(fleet, 1.0)
+        await asyncio.sleep(KNOWN_S)
+        asker = fleet.instances[(granter_of(fleet) + 1) % 8]
+        # The granter counts from the first question on.
+        await ask(asker)
+        await asyncio.sleep(3.0)
+        entry = fleet.endpoints[0].entry
+        got = 0
+        for _ in range(6):
+            exchange = DrawnExchange("q", mock.Mock(priority=1, service="model"))
+            if await asker.gate.may_send(exchange, entry):
+                got += 1
+                with asker.gate.permit(exchange, entry):
+                    exchange.progress.sends += sent
+            await asyncio.sleep(0.01)
+        assert_that(got, Equals(permits))
+
+    with_instances(body, 8)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
@@ -58,7 +58,7 @@
     """Send one request and check what comes of it."""
     path = soak.rng.choice(PATHS)
     body = bytes(soak.rng.randrange(256) for _ in range(soak.rng.randrange(1, LONGEST_BODY)))
-    soak.asked[request_id] = Asked(path, digest(body))
+    soak.asked[request_id] = Asked(path, digest(body), connection.address)
     node = soak.node_at(connection.address)
     kills_before = node.kills
     try:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import time
+from collections.abc import Callable
 
 from springbridge_standins.gateway.caller import CallerConnection
 from springbridge_standins.gateway.crashing import MARK
@@ -45,8 +46,12 @@
             connection.close()
 
 
-async def end_engine(soak: Soak, name: str) -> None:
-    """End an engine under the request that runs there, and start it anew after a while."""
+async def end_engine(soak: Soak, name: str, ended: Callable[[str], None]) -> None:
+    """End an engine under the request that runs there, and start it anew after a while.
+
+    Args:
+      ended: Called with the name of an engine that ends.
+    """
     soak.poison_arrived_s.append(time.monotonic())
     await asyncio.sleep(RUNS_S)
     engine, proxy = soak.engines[name], soak.proxy_of(name)
@@ -54,6 +59,7 @@
         return
     proxy.stop()
     engine.stop()
+    ended(name)
     soak.ended_s.append(time.monotonic())
     soak.background(_start_anew(soak, name))
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from springbridge_standins.gateway.crashing import MARK
 from springbridge_standins.http_wire import (
@@ -68,6 +69,16 @@
     return f"{request_id}:{digest(body)}".encode()
 
 
+class NamedRates(Protocol):
+    """What an engine says of its rate, and who is told what arrives."""
+
+    def arrived(self, name: str, request_id: str) -> None:
+        """Note that a request arrives at an engine."""
+
+    def headers(self, name: str) -> dict[str, str]:
+        """Return the headers for an answer of an engine."""
+
+
 class SoakScript:
     """Answers requests; by chance it fails as real engines do.
 
@@ -81,13 +92,16 @@
         record: Record,
         rng: random.Random,
         end: Callable[[str], Awaitable[None]],
+        rates: NamedRates,
     ) -> None:
         """Keep the name, the common record and the source of chance.
 
         Args:
           end: Ends the engine of a name, as under a request that does so.
+          rates: The rates that engines name.
         """
         self._end = end
+        self._rates = rates
         self._endpoint_id = endpoint_id
         self._record = record
         self._rng = rng
@@ -99,23 +113,30 @@
         if request.headers.get("expected-instance") != self._endpoint_id:
             await connection.send(answer(request.request_id, b"", 421, signature=""))
             return
+        self._rates.arrived(self._endpoint_id, request.request_id)
         if request.body.startswith(MARK):
             await self._end(self._endpoint_id)
             return
         if fault < FAULT_SHARE / 6:
-            refusal = answer(request.request_id, b"", 503, signature="", Not_Executed="1")
+            refused = {"Not_Executed": "1"} | self._headers()
+            refusal = answer(request.request_id, b"", 503, signature="", **refused)
             await connection.send(refusal)
             return
         self._note(request)
         if fault < 2 * FAULT_SHARE / 6:
             connection.reset()
         elif fault < 3 * FAULT_SHARE / 6:
-            await connection.send(answer(request.request_id, b"failed", 500))
+            failure = answer(request.request_id, b"failed", 500, **self._headers())
+            await connection.send(failure)
         elif request.target.startswith(("/stream/", "/single/")):
             await self._stream(request, connection, breaks=fault < 4 * FAULT_SHARE / 6)
         else:
             await self._plain(request, connection, surplus=fault < 5 * FAULT_SHARE / 6)
 
+    def _headers(self) -> dict[str, str]:
+        """Return the headers about the engine's rate."""
+        return self._rates.headers(self._endpoint_id)
+
     def _note(self, request: RawRequest) -> None:
         """Record that a request is begun."""
         self._record.runs[request.request_id] += 1
@@ -125,7 +146,8 @@
     async def _plain(self, request: RawRequest, connection: Connection, surplus: bool) -> None:
         """Answer with a length, sometimes with a second answer behind."""
         await asyncio.sleep(self._rng.random() * LONGEST_PLAIN_S)
-        data = answer(request.request_id, plain_of(request.request_id, request.body))
+        body = plain_of(request.request_id, request.body)
+        data = answer(request.request_id, body, **self._headers())
         if surplus:
             data += answer("of-nobody", b"surplus")
         await connection.send(data)
@@ -136,7 +158,7 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         last = events_of(request_id)
         stop = self._rng.randint(first, last) if breaks else None
-        await connection.send(stream_head(request_id))
+        await connection.send(stream_head(request_id, **self._headers()))
         for number in range(first, last + 1):
             event = event_of(request_id, number)
             if number == stop:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+import time
 from collections.abc import AsyncIterator
 
 from springbridge_standins.gateway.duties import DutyFault
@@ -210,3 +211,4 @@
         yield node
     finally:
         node.busy = False
+        node.freed_s = time.monotonic()
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -53,6 +53,7 @@
 
     Attributes:
       busy: Whether a harm holds the node, so that no other harm takes it.
+      freed_s: When the last harm let it go, on the monotonic clock.
       kills: How often it was killed; each kill excuses missing answers.
     """
 
@@ -71,6 +72,7 @@
         self.name = f"node-{number}"
         self.ports = ports
         self.busy = False
+        self.freed_s = float("-inf")
         self.kills = 0
         self._settings = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -2,7 +2,8 @@
 
 What is checked is what callers and engines see: whole answers that belong to their request, nothing
 run twice that may not be, nothing run that was reported not run, nothing run that nobody asked for,
-the right customer. All random draws come from the seed; the timing of processes does not.
+the right customer, and no engine that names a rate gets more than that. All random draws come from
+the seed; the timing of processes does not.
 """
 
 import asyncio
@@ -29,6 +30,11 @@
 from springbridge_standins.gateway.soak.engine import SoakScript
 from springbridge_standins.gateway.soak.harms import START_S, copy_forever, harm_forever
 from springbridge_standins.gateway.soak.nodes import NodeProcess, Ports
+from springbridge_standins.gateway.soak.rates import (
+    EngineRates,
+    check_rates,
+    name_rates_forever,
+)
 from springbridge_standins.gateway.soak.state import Soak
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.http_standin import running
@@ -57,7 +63,8 @@
         soak = Soak(random.Random(seed), StoreStandIn())
         await stack.enter_async_context(running(soak.store))
         await stack.enter_async_context(running(soak.duties))
-        await _start_engines(soak, stack)
+        rates = EngineRates(soak)
+        await _start_engines(soak, rates, stack)
         await soak.store.put("op", "config", configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
@@ -66,6 +73,8 @@
         tasks.append(asyncio.ensure_future(copy_forever(soak)))
         poison = send_poison_forever(soak, random.Random(f"{seed} ender"))
         tasks.append(asyncio.ensure_future(poison))
+        need = name_rates_forever(soak, rates, random.Random(f"{seed} rates"))
+        tasks.append(asyncio.ensure_future(need))
         for _ in range(LONGEST):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -81,14 +90,17 @@
         check_record(soak)
         check_poison(soak)
         check_duties(soak)
+        check_rates(soak, rates)
         return soak
 
 
-async def _start_engines(soak: Soak, stack: contextlib.AsyncExitStack) -> None:
+async def _start_engines(soak: Soak, rates: EngineRates, stack: contextlib.AsyncExitStack) -> None:
     """Start engines, each behind a proxy."""
     names = ["i-desk-1", "i-desk-2", "i-desk-3", "i-model-1", "i-model-2", "i-model-3"]
     for name in names:
-        script = SoakScript(name, soak.record, soak.rng, lambda one: end_engine(soak, one))
+        script = SoakScript(
+            name, soak.record, soak.rng, lambda one: end_engine(soak, one, rates.ended), rates
+        )
         engine = EngineStandIn(name, script)
         await stack.enter_async_context(running(engine))
         proxy = LoopbackProxy(engine.address)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -18,10 +18,15 @@
 
 @dataclass(frozen=True)
 class Asked:
-    """A request that a caller sent."""
+    """A request that a caller sent.
+
+    Attributes:
+      callers: The address for callers of the node that it was sent to.
+    """
 
     path: str
     body_digest: str
+    callers: str
 
 
 @dataclass
--- a/packages/springbridge-standins/springbridge_standins/rates/histories.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/histories.py
@@ -72,7 +72,7 @@
         task.cancel()
     for instance in fleet.instances:
         instance.kill()
-    history.over = [over for each in limited if (over := each.worst_window()) > 0]
+    history.over = [over for each in limited if (over := each.record.most_over()) > 0]
     history.longest_refusal_s = max(
         (
             longest
