--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -15,6 +15,10 @@
     telemetry.quarantined.set(gateway.quarantine_parts.quarantined_count())
     telemetry.endpoints.set(len(gateway.registry.entries()))
     telemetry.limited_endpoints.set(len(gateway.rates.table))
+    telemetry.endpoint_rate.clear()
+    for incarnation in gateway.rates.table.limited():
+        rate = telemetry.endpoint_rate.labels(incarnation.endpoint_id)
+        rate.set(gateway.rates.table.per_s(incarnation))
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
     telemetry.config_version.set(gateway.configuration.version)
     telemetry.store_up.set(int(gateway.endpoints.dependency.up))
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -81,6 +81,12 @@
             "Engines that name a rate which they take",
             registry=self.registry,
         )
+        self.endpoint_rate = Gauge(
+            "springbridge_engine_rate",
+            "Requests a second that an engine names as what it takes from all nodes together",
+            ["engine"],
+            registry=self.registry,
+        )
         self.suspensions = Gauge(
             "springbridge_suspensions",
             "Times that the machine was suspended since the start",
