--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
@@ -0,0 +1,133 @@
+"""Parts of the rule for rates that endpoints name, which a proof has to miss when taken out."""
+
+from springbridge_standins.mutants.mutant import LIBRARY, NODE, PLATFORM, STANDINS, Mutant
+
+STATEMENTS = f"{LIBRARY}/rates/statements_test.py"
+TABLE = f"{LIBRARY}/rates/rate_table_test.py"
+GRANTS = f"{LIBRARY}/rates/grants_test.py"
+HELD_BACK = f"{LIBRARY}/rates/held_back_test.py"
+PARTS = f"{NODE}/gateway/requests/rate_parts_test.py"
+HISTORIES = f"{STANDINS}/rates/histories_test.py"
+NAMED_RATE = f"{PLATFORM}/named_rate_test.py"
+
+RATES_OF_ENDPOINTS = (
+    Mutant(
+        "a rate: requests need a permit",
+        f"{NODE}/gateway/requests/router.py",
+        "if not await self._parts.rate_gate.may_send(exchange, entry):",
+        "if False:",
+        f"{NAMED_RATE}::test_an_endpoint_gets_no_more_than_the_rate_that_it_names",
+    ),
+    Mutant(
+        "a rate: it is taken from answers that refuse",
+        f"{PLATFORM}/wire_format.py",
+        "_stated_rate(head.headers.get(names.ENDPOINT_RATE)),",
+        "_stated_rate(None if not_run else head.headers.get(names.ENDPOINT_RATE)),",
+        f"{NAMED_RATE}::test_a_rate_named_with_a_refusal_holds",
+    ),
+    Mutant(
+        "a rate: an answer that may be older does not end it",
+        f"{LIBRARY}/rates/statements.py",
+        "return _is_stricter(told.per_s, known.per_s)",
+        "return True",
+        TABLE,
+    ),
+    Mutant(
+        "a rate: an older answer does not bring it back",
+        f"{LIBRARY}/rates/statements.py",
+        "if told.received_s <= known.sent_s:\n        return False",
+        "if False:\n        return False",
+        STATEMENTS,
+    ),
+    Mutant(
+        "a rate: a new start of an endpoint has none",
+        f"{LIBRARY}/rates/rate_table.py",
+        "if ended or incarnation not in incarnations:",
+        "if ended:",
+        TABLE,
+    ),
+    Mutant(
+        "permits: few are kept while nobody asks",
+        f"{LIBRARY}/rates/grants.py",
+        "permits.left = min(permits.left + came_up, _most_kept(per_s))",
+        "permits.left = permits.left + came_up",
+        GRANTS,
+    ),
+    Mutant(
+        "permits: an instance that has just started grants none",
+        f"{LIBRARY}/rates/grants.py",
+        "if now_s < self._opens_s:",
+        "if False:",
+        GRANTS,
+    ),
+    Mutant(
+        "permits: the last one is kept for a more urgent request",
+        f"{LIBRARY}/rates/grants.py",
+        "needed = 2.0 if is_kept else 1.0",
+        "needed = 1.0",
+        GRANTS,
+    ),
+    Mutant(
+        "permits: a new granter grants little",
+        f"{LIBRARY}/rates/granters.py",
+        "return reached_share if tenure_s >= HANDOVER_S else HANDOVER_PART * reached_share",
+        "return reached_share",
+        HISTORIES,
+    ),
+    Mutant(
+        "permits: a granter grants the part that it reaches",
+        f"{NODE}/gateway/peers/rate_permits.py",
+        "self._share = self._membership.reached_share()",
+        "self._share = 1.0",
+        HISTORIES,
+    ),
+    Mutant(
+        "permits: one that was not used is given back",
+        f"{NODE}/gateway/requests/rate_gate.py",
+        "if is_limited and exchange.progress.sends == sends:",
+        "if False:",
+        PARTS,
+    ),
+    Mutant(
+        "permits: a node of an older build is not asked",
+        f"{NODE}/gateway/peers/granter_set.py",
+        "if grants_permits(each.heartbeat)",
+        "if True",
+        PARTS,
+    ),
+    Mutant(
+        "permits: a substitute is asked while the granter is silent",
+        f"{NODE}/gateway/peers/rate_permits.py",
+        "self._granters.silent(granter)",
+        "pass",
+        PARTS,
+    ),
+    Mutant(
+        "news of rates: all are told at once",
+        f"{NODE}/gateway/peers/rate_sharing.py",
+        "self._send([incarnation], self._pushed_peers())",
+        "pass",
+        PARTS,
+    ),
+    Mutant(
+        "news of rates: nodes that start are told",
+        f"{NODE}/gateway/peers/rate_sharing.py",
+        "if mine and new:",
+        "if False:",
+        PARTS,
+    ),
+    Mutant(
+        "held back: a more urgent request is not",
+        f"{LIBRARY}/rates/held_back.py",
+        "if any(rank <= priority and hold.until_s > now_s for rank, hold in holds.items())",
+        "if any(hold.until_s > now_s for hold in holds.values())",
+        HELD_BACK,
+    ),
+    Mutant(
+        "held back: refused callers return one after another",
+        f"{LIBRARY}/rates/held_back.py",
+        "self._next_return_s[service] = return_s + pace_s",
+        "pass",
+        HELD_BACK,
+    ),
+)
--- a/packages/springbridge/springbridge/rates/grants.py
+++ b/packages/springbridge/springbridge/rates/grants.py
@@ -26,7 +26,7 @@
 TURNS_PER_PERMIT = 1.5
 TURNS_PER_S = 4.0
 # Longest time in seconds for which an instance is told not to ask. It bounds how long a permit is
-# left over when the instances that had asked before have no more requests.
+# left over when the instances that had asked before have no more requests, or the rate rises.
 LONGEST_WAIT_S = 4.0
 # Shortest such time in seconds, so that a request does not ask the same granter again.
 LEAST_WAIT_S = 0.02
@@ -135,7 +135,7 @@
     Args:
       next_s: Seconds until there is a permit for its request.
     """
-    latest_s = now_s + max(next_s, LONGEST_WAIT_S)
+    latest_s = now_s + LONGEST_WAIT_S
     turn_s = min(latest_s, max(now_s + next_s, permits.next_turn_s))
     permits.next_turn_s = turn_s + 1.0 / (TURNS_PER_PERMIT * per_s + TURNS_PER_S)
     return max(LEAST_WAIT_S, turn_s - now_s)
--- a/packages/springbridge/springbridge/rates/grants_test.py
+++ b/packages/springbridge/springbridge/rates/grants_test.py
@@ -74,8 +74,9 @@
     assert_that(len(set(waits)), Equals(5))
 
 
-def test_no_instance_waits_long_for_its_turn(grants):
-    waits = [grants.ask(ENDPOINT, 1.0, 1).wait_s for _ in range(1000)]
+@pytest.mark.parametrize("per_s", [0.03, 1.0, 200.0])
+def test_no_instance_waits_long_for_its_turn(grants, per_s):
+    waits = [grants.ask(ENDPOINT, per_s, 1).wait_s for _ in range(1000)]
     assert_that(max(waits), LessThan(LONGEST_WAIT_S + 0.001))
 
 
