--- a/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/rate_permits.py
@@ -21,6 +21,9 @@
 from springbridge_node.gateway.peers.rate_rows import PermitAnswer, PermitReply, PermitRequest
 from springbridge_node.gateway.peers.rate_sharing import RateSharing
 
+# Seconds from its start in which a node does not grant to itself: it may not know yet who else is
+# there, and take itself for the granter of everything. Peers that ask it know of it.
+SETTLE_S = 2.0
 # Seconds for which the part of the instances that this node reaches is kept, the interval of the
 # heartbeats: to work it out takes a look at every member.
 SHARE_KEPT_S = 0.25
@@ -46,6 +49,7 @@
         self._sharing = sharing
         self._clock = clock
         self._grants = RateGrants(clock)
+        self._settled_s = clock() + SETTLE_S
         self._pending: PendingReplies[PermitReply] = PendingReplies()
         self._datagrams: PeerDatagrams | None = None
         self._share = 1.0
@@ -69,7 +73,7 @@
         if granter is None:
             return None
         if self._granters.is_me(granter) or self._datagrams is None:
-            return self._decide(incarnation, priority)
+            return self._ask_myself(incarnation, priority)
 
         def send(number: int) -> None:
             request = PermitRequest(number, priority, self._sharing.told(incarnation))
@@ -98,6 +102,13 @@
         self._grants.keep_only(limited)
         self._granters.forget_all_but({each.endpoint_id for each in limited})
 
+    def _ask_myself(self, incarnation: EndpointIncarnation, priority: int) -> Grant:
+        """Grant a permit to this node or not."""
+        settling_s = self._settled_s - self._clock()
+        if settling_s > 0.0:
+            return Grant(False, settling_s)
+        return self._decide(incarnation, priority)
+
     def _decide(self, incarnation: EndpointIncarnation, priority: int) -> Grant:
         """Grant a permit or not, as the granter."""
         per_s = self._table.per_s(incarnation)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts_test.py
@@ -16,6 +16,7 @@
 
 from springbridge_node import logs
 from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT_WITH_LOOKUPS
+from springbridge_node.gateway.peers.rate_permits import SETTLE_S
 from springbridge_node.gateway.requests.rate_gate import LONGEST_ASKING_S
 
 # Seconds within which every instance has to know of a rate.
@@ -186,6 +187,24 @@
     with_instances(body, 8)
 
 
+def test_a_node_that_has_just_started_grants_to_peers_but_not_to_itself(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 200.0)
+        await asyncio.sleep(KNOWN_S)
+        number = granter_of(fleet)
+        started, peer = fleet.instances[number], fleet.instances[(number + 1) % 8]
+        started.parts._permits._settled_s = asyncio.get_running_loop().time() + SETTLE_S
+        mine, theirs = [], []
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            mine.append((await ask(started))[0])
+            theirs.append((await ask(peer))[0])
+        assert_that(sum(mine), Equals(0))
+        assert_that(sum(theirs), GreaterThan(7))
+
+    with_instances(body, 8)
+
+
 @pytest.mark.parametrize(("sent", "permits"), [(False, 6), (True, 2)])
 def test_a_permit_is_given_back_only_if_the_request_was_not_sent(with_instances, sent, permits):
     async def body(fleet):
--- a/packages/springbridge/springbridge/rates/grants.py
+++ b/packages/springbridge/springbridge/rates/grants.py
@@ -32,8 +32,6 @@
 LEAST_WAIT_S = 0.02
 # Seconds beyond its turn for which a refused urgent request keeps the last permit from others.
 RESERVED_S = 0.5
-# Seconds from its start in which an instance grants nothing: it may not know yet who else is there.
-SETTLE_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +75,6 @@
           clock: Returns the moment in seconds.
         """
         self._clock = clock
-        self._opens_s = clock() + SETTLE_S
         self._permits: dict[EndpointIncarnation, _Permits] = {}
 
     def ask(self, incarnation: EndpointIncarnation, per_s: float, priority: int) -> Grant:
@@ -88,8 +85,6 @@
           priority: Rank of the request, 0 most urgent.
         """
         now_s = self._clock()
-        if now_s < self._opens_s:
-            return Grant(False, max(LEAST_WAIT_S, self._opens_s - now_s))
         permits = self._counted(incarnation, per_s, now_s)
         is_kept = permits.urgent_until_s > now_s and permits.urgent < priority
         needed = 2.0 if is_kept else 1.0
