A request that got no permit never looks for the same endpoint again; the table of rates goes by incarnation

Cause: the table kept by id which incarnation has a rate. Older news of the start before, or its end, took the later one out, which still had a rate: it got no permit and was not held back, so that the request selected it again for ever, without an await, and the node stood still. Class: two records of one fact. Now there is one record, and besides a request leaves out what it got no permit for, so that no state of rates can make it go round. Also: Retry-After where a turn has just come (ValueError before, by reading).

--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -77,6 +77,7 @@
       avoided: Endpoints that it must not go to now because of other requests on trial there.
       on_trial: Whether the current attempt is a trial; see quarantine_gate.py.
       held_since_s: When it began to wait for a trial, on the monotonic clock; 0 before.
+      held_back: Endpoints that it got no permit for since it was sent last.
       permit_wait_s: How long it has waited for permits of endpoints that name a rate, in seconds.
       fingerprint: What the request has in common with other tries of the same; "" until it is
         needed, see request_fingerprint.py.
@@ -98,6 +99,7 @@
     avoided: set[str] = field(default_factory=set)
     on_trial: bool = False
     held_since_s: float = 0.0
+    held_back: set[str] = field(default_factory=set)
     permit_wait_s: float = 0.0
     fingerprint: str = ""
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
@@ -13,7 +13,7 @@
 from springbridge.rates.rate_table import RateTable
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.giving_up import RatesSpent
-from springbridge.routing.records import Demand, EndpointEntry
+from springbridge.routing.records import EndpointEntry
 
 from springbridge_node.gateway.peers.rate_permits import RatePermits
 from springbridge_node.gateway.requests.exchange import Exchange
@@ -50,18 +50,30 @@
         self._parts = parts
         self._held = HeldBack(parts.clock)
 
-    def held_back(self, demand: Demand) -> set[str]:
-        """Return the endpoints that a request must not go to now."""
+    def held_back(self, exchange: Exchange) -> set[str]:
+        """Return the endpoints that a request must not go to now.
+
+        Those that it asked for in vain are among them, whatever became of their rates: it would
+        look for an endpoint for ever where it finds the same one each time.
+        """
         table = self._parts.table
         if not len(table):
-            return set()
-        return {each for each in self._held.ids(demand.priority) if table.is_limited(each)}
+            return exchange.progress.held_back
+        held = self._held.ids(exchange.demand.priority)
+        return exchange.progress.held_back | {each for each in held if table.is_limited(each)}
 
     async def may_send(self, exchange: Exchange, entry: EndpointEntry) -> bool:
         """Return whether a request may be sent to an endpoint; if not, it is held back."""
-        parts, progress = self._parts, exchange.progress
-        if parts.table.per_s(entry.incarnation) is None:
+        if self._parts.table.per_s(entry.incarnation) is None:
+            return True
+        if await self._ask(exchange, entry):
             return True
+        exchange.progress.held_back.add(entry.endpoint_id)
+        return False
+
+    async def _ask(self, exchange: Exchange, entry: EndpointEntry) -> bool:
+        """Ask for a permit, and return whether there is one."""
+        parts, progress = self._parts, exchange.progress
         priority = exchange.demand.priority
         left_s = LONGEST_ASKING_S - progress.permit_wait_s
         if left_s <= 0.0:
@@ -83,17 +95,19 @@
         """Give the permit back if the block sends nothing."""
         is_limited = self._parts.table.per_s(entry.incarnation) is not None
         sends = exchange.progress.sends
+        exchange.progress.held_back.clear()
         try:
             yield
         finally:
             if is_limited and exchange.progress.sends == sends:
                 self._parts.permits.give_back(entry)
 
-    def spent(self, demand: Demand) -> RatesSpent | None:
+    def spent(self, exchange: Exchange) -> RatesSpent | None:
         """Return that endpoints which could serve a request have spent their rate, or None."""
-        held = self.held_back(demand)
+        held = self.held_back(exchange)
         if not held:
             return None
+        demand = exchange.demand
         states = self._parts.registry.candidates(demand.service, ())
         spent = [each.entry for each in states if each.entry.endpoint_id in held]
         if not spent:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts_test.py
@@ -135,7 +135,8 @@
         may, took_s = await ask(asker)
         assert_that(may, Is(False))
         assert_that(took_s, LessThan(LONGEST_ASKING_S + 0.001))
-        assert_that(asker.gate.held_back(mock.Mock(priority=0)), Equals({"e0"}))
+        other = DrawnExchange("r", mock.Mock(priority=0))
+        assert_that(asker.gate.held_back(other), Equals({"e0"}))
 
     with_instances(body, 8)
 
@@ -205,6 +206,22 @@
     with_instances(body, 8)
 
 
+# Guards against requests that ask for the same endpoint for ever, which stops the whole node.
+def test_an_endpoint_that_was_asked_for_in_vain_is_held_back_whatever_became_of_it(with_instances):
+    async def body(fleet):
+        await name_rate(fleet, 1.0)
+        await asyncio.sleep(KNOWN_S)
+        asker = fleet.instances[(granter_of(fleet) + 1) % 8]
+        exchange = DrawnExchange("q", mock.Mock(priority=1, service="model"))
+        while await asker.gate.may_send(exchange, fleet.endpoints[0].entry):
+            pass
+        asker.parts.table.keep_only(set())
+        await asyncio.sleep(10.0)
+        assert_that(asker.gate.held_back(exchange), Equals({"e0"}))
+
+    with_instances(body, 8)
+
+
 @pytest.mark.parametrize(("sent", "permits"), [(False, 6), (True, 2)])
 def test_a_permit_is_given_back_only_if_the_request_was_not_sent(with_instances, sent, permits):
     async def body(fleet):
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -132,7 +132,7 @@
         route, progress = exchange.route, exchange.progress
         while True:
             left_out = progress.tried | progress.avoided
-            held_back = self._parts.rate_gate.held_back(exchange.demand)
+            held_back = self._parts.rate_gate.held_back(exchange)
             selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
@@ -168,7 +168,7 @@
     def _without_endpoint(self, exchange: Exchange) -> Problem:
         """Return the problem of a request for which no endpoint was found."""
         route, attempts = exchange.route, exchange.attempts()
-        spent = self._parts.rate_gate.spent(exchange.demand)
+        spent = self._parts.rate_gate.spent(exchange)
         if spent is not None:
             return giving_up.when_rates_spent(route, attempts, spent)
         return giving_up.without_endpoint(route, attempts)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -127,8 +127,10 @@
         return f'"pid":{self._process.pid},' in self._log.read_text()
 
     def touch_settings(self) -> None:
-        """Write the settings file anew."""
-        self._settings.write_text(self._settings.read_text())
+        """Write the settings file anew, whole at every moment: a node may be starting from it."""
+        written = self._settings.with_suffix(".new")
+        written.write_text(self._settings.read_text())
+        written.replace(self._settings)
 
     async def end(self) -> None:
         """Kill the process, whatever it does."""
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -35,6 +35,7 @@
     """What the gate notes of a request."""
 
     sends: int = 0
+    held_back: set[str] = field(default_factory=set)
     permit_wait_s: float = 0.0
 
 
@@ -116,11 +117,11 @@
         demand = Demand(name, SERVICE, self.member.failure_domain, priority, 1.0)
         exchange = DrawnExchange(name, demand)
         while True:
-            held = self.gate.held_back(demand)
+            held = self.gate.held_back(exchange)
             free = [each for each in self.fleet.endpoints if each.entry.endpoint_id not in held]
             if not free:
                 self.refused_s.append(loop.time() - began_s)
-                spent = self.gate.spent(demand)
+                spent = self.gate.spent(exchange)
                 if spent is not None:
                     self.retry_after_s.append(spent.retry_after_s)
                 return
--- a/packages/springbridge-standins/springbridge_standins/rates/ways.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/ways.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from springbridge.routing.giving_up import RatesSpent
-from springbridge.routing.records import Demand, EndpointEntry
+from springbridge.routing.records import EndpointEntry
 
 from springbridge_standins.rates.fleet import DrawnExchange, DrawnFleet, DrawnInstance
 
@@ -36,7 +36,7 @@
         """Return the part of a rate that the instance takes: equal parts."""
         return 1.0 / len(self.instance.view.live())
 
-    def held_back(self, demand: Demand) -> set[str]:
+    def held_back(self, exchange: DrawnExchange) -> set[str]:
         """Return the endpoints whose part is spent."""
         return {
             each.entry.endpoint_id
@@ -54,7 +54,7 @@
         self._left[entry.endpoint_id] -= 1.0
         return True
 
-    def spent(self, demand: Demand) -> RatesSpent | None:
+    def spent(self, exchange: DrawnExchange) -> RatesSpent | None:
         """Note that a request was refused."""
         self.asked_s.append(asyncio.get_running_loop().time())
 
--- a/packages/springbridge/springbridge/rates/held_back.py
+++ b/packages/springbridge/springbridge/rates/held_back.py
@@ -14,6 +14,8 @@
 
 # Longest Retry-After in seconds. A rate may be gone by then.
 LONGEST_RETURN_S = 8.0
+# Shortest Retry-After in seconds, about what a new connection takes.
+LEAST_RETURN_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,19 +62,19 @@
         """Return the Retry-After of a caller for whom all endpoints are held back, in seconds.
 
         Args:
-          endpoint_ids: The endpoints of the service that are held back; at least one.
+          endpoint_ids: The endpoints of the service that are held back; a turn may just have come.
         """
         now_s = self._clock()
         holds = [
             hold
             for endpoint_id in endpoint_ids
-            for rank, hold in self._holds[endpoint_id].items()
-            if rank <= priority and hold.until_s > now_s
-        ]
-        first_s = min(hold.until_s for hold in holds)
+            for rank, hold in self._holds.get(endpoint_id, {}).items()
+            if rank <= priority
+        ] or [Hold(now_s, LEAST_RETURN_S)]
+        first_s = min(max(now_s + LEAST_RETURN_S, hold.until_s) for hold in holds)
         earliest_s = max(first_s, self._next_return_s.get(service, now_s))
         return_s = min(earliest_s, now_s + LONGEST_RETURN_S)
-        pace_s = 1.0 / sum(1.0 / hold.wait_s for hold in holds)
+        pace_s = 1.0 / sum(1.0 / max(LEAST_RETURN_S, hold.wait_s) for hold in holds)
         self._next_return_s[service] = return_s + pace_s
         return return_s - now_s
 
--- a/packages/springbridge/springbridge/rates/held_back_test.py
+++ b/packages/springbridge/springbridge/rates/held_back_test.py
@@ -46,6 +46,13 @@
     assert_that(min(times), GreaterThan(3.9))
 
 
+def test_a_caller_whose_turn_has_just_come_is_told_to_return_at_once(held, clock):
+    held.hold("e1", 1, 0.5)
+    clock.now_s += 0.5
+    for service, endpoint_id in (("model", "e1"), ("desk", "e2")):
+        assert_that(round(held.return_s(service, [endpoint_id], 1), 3), Equals(0.05))
+
+
 def test_what_is_over_is_forgotten(held, clock):
     held.hold("e1", 1, 0.5)
     held.return_s("model", ["e1"], 1)
--- a/packages/springbridge/springbridge/rates/rate_table.py
+++ b/packages/springbridge/springbridge/rates/rate_table.py
@@ -31,7 +31,7 @@
         """Start without a rate."""
         self._clock = clock
         self._statements: dict[EndpointIncarnation, Statement] = {}
-        self._limited: dict[str, EndpointIncarnation] = {}
+        self._limited: set[EndpointIncarnation] = set()
 
     def __len__(self) -> int:
         """Return how many endpoints have a rate."""
@@ -39,11 +39,11 @@
 
     def limited(self) -> Iterator[EndpointIncarnation]:
         """Return the endpoints that have a rate."""
-        return iter(self._limited.values())
+        return iter(self._limited)
 
     def is_limited(self, endpoint_id: str) -> bool:
         """Return whether an endpoint of this id has a rate."""
-        return endpoint_id in self._limited
+        return any(each.endpoint_id == endpoint_id for each in self._limited)
 
     def per_s(self, incarnation: EndpointIncarnation) -> float | None:
         """Return an endpoint's rate, None if it has none."""
@@ -66,9 +66,9 @@
             return None
         self._statements[incarnation] = told
         if told.per_s is None:
-            self._limited.pop(incarnation.endpoint_id, None)
+            self._limited.discard(incarnation)
         else:
-            self._limited[incarnation.endpoint_id] = incarnation
+            self._limited.add(incarnation)
         return RateChange(incarnation, known.per_s if known else None, told.per_s)
 
     def keep_only(self, incarnations: Set[EndpointIncarnation]) -> None:
@@ -78,5 +78,4 @@
             ended = known.per_s is None and known.received_s < oldest_s
             if ended or incarnation not in incarnations:
                 del self._statements[incarnation]
-                if self._limited.get(incarnation.endpoint_id) == incarnation:
-                    del self._limited[incarnation.endpoint_id]
+                self._limited.discard(incarnation)
--- a/packages/springbridge/springbridge/rates/rate_table_test.py
+++ b/packages/springbridge/springbridge/rates/rate_table_test.py
@@ -62,6 +62,20 @@
     assert_that(table.is_limited("e1"), Is(False))
 
 
+# Guards against requests that look for an endpoint for ever: one that has a rate, and is not among
+# those that have.
+@pytest.mark.parametrize("older", [Statement(2.0, 94.0, 95.0), Statement(None, 94.0, 95.0)])
+def test_older_news_of_an_earlier_start_leaves_the_rate_of_the_later_one(table, older):
+    started_again = EndpointIncarnation("e1", 2000)
+    table.take(ENDPOINT, Statement(2.0, 90.0, 91.0))
+    table.take(started_again, Statement(3.0, 92.0, 93.0))
+    table.take(ENDPOINT, older)
+    table.keep_only({started_again})
+    assert_that(table.per_s(started_again), Equals(3.0))
+    assert_that(table.is_limited("e1"), Is(True))
+    assert_that(list(table.limited()), Equals([started_again]))
+
+
 def test_the_end_of_a_rate_is_forgotten_once_no_answer_can_be_older(table, clock):
     table.take(ENDPOINT, Statement(2.0, 90.0, 91.0))
     table.take(ENDPOINT, Statement(None, 94.0, 95.0))
