--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from springbridge.codes import Code
-from springbridge.membership import Membership, Pace, stretch_by_hops
+from springbridge.membership import Membership
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.endpoint_registry import EndpointRegistry
@@ -34,12 +34,12 @@
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S, EndpointProber
 from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.gateway.http.small_server import TEXT, Reply, serve_small
-from springbridge_node.gateway.metrics_page import set_gauges
+from springbridge_node.gateway.metrics_page import METRICS_PATH, set_gauges
 from springbridge_node.gateway.outside import Outside
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.peers.heartbeats import BEAT_S, Heartbeats
-from springbridge_node.gateway.peers.own_member import member_of
+from springbridge_node.gateway.peers.own_member import PACE, member_of
 from springbridge_node.gateway.peers.peer_client import PeerClient
 from springbridge_node.gateway.peers.peer_discovery import (
     DISCOVERY_DELAY_S,
@@ -56,14 +56,9 @@
 from springbridge_node.gateway.telemetry import Telemetry
 from springbridge_node.periodic import every, every_tick
 
-# Each digest goes to three peers whatever the size of the fleet, one of them in another failure
-# domain. A peer is suspected 1.2 s after its last heartbeat, which is more than four beats; in a
-# larger fleet the time grows with the hops that news takes.
-PACE = Pace(peers=3, suspect_s=1.2, stretch=stretch_by_hops)
 # Seconds between two clean-ups of what belongs to endpoints and peers that are gone. It bounds
 # memory and idle connections, and no decision waits for it.
 SWEEP_S = 2.0
-METRICS_PATH = "/metrics"
 LEAVING = Problem(Code.NODE_LEAVING, "planned stop", retry_after_s=while_leaving())
 
 
@@ -155,7 +150,7 @@
             FollowerHooks(
                 capacities=self.configuration.token_capacities,
                 fetch=self.peer_client.endpoints,
-                changed=self._push,
+                changed=lambda: self.heartbeats.push(),
                 regained=self.configuration.refresh,
             ),
             snapshot_interval_s(self.settings.drain_s),
@@ -176,8 +171,7 @@
             gate=self.quarantine_parts.gate,
             failure_domain=self.settings.failure_domain,
             usage=self.duties or NoUsage(),
-            rate_gate=self.rates.gate,
-            rate_watch=self.rates.watch,
+            rates=self.rates,
         )
 
     async def start(self) -> None:
@@ -289,11 +283,7 @@
         """Apply the new limits to callers, and push a version that the store delivered."""
         self.listener.apply(index.configuration.limits)
         if source is Source.STORE:
-            self._push()
-
-    def _push(self) -> None:
-        """Send a digest to as many peers as gossip reaches at once."""
-        self.heartbeats.push()
+            self.heartbeats.push()
 
     async def _sweep(self) -> None:
         """Drop what belongs to endpoints and peers that are gone."""
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -4,6 +4,8 @@
 
 from springbridge_node.gateway import bounded_log
 
+METRICS_PATH = "/metrics"
+
 if TYPE_CHECKING:
     from springbridge_node.gateway.gateway import Gateway
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_gate.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True)
 class RateGateParts:
-    """What the gate works with.
+    """The parts that a RateGate asks.
 
     Attributes:
       clock: Returns the moment in seconds.
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -32,8 +32,7 @@
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
 from springbridge_node.gateway.requests.quarantine_gate import QuarantineGate
-from springbridge_node.gateway.requests.rate_gate import RateGate
-from springbridge_node.gateway.requests.rate_watch import RateWatch
+from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.relay import relay_failure
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 from springbridge_node.gateway.requests.request_log import (
@@ -67,8 +66,7 @@
     gate: QuarantineGate
     failure_domain: str
     usage: UsageMeter
-    rate_gate: RateGate
-    rate_watch: RateWatch
+    rates: RateParts
 
 
 class RequestRouter:
@@ -132,7 +130,7 @@
         route, progress = exchange.route, exchange.progress
         while True:
             left_out = progress.tried | progress.avoided
-            held_back = self._parts.rate_gate.held_back(exchange)
+            held_back = self._parts.rates.gate.held_back(exchange)
             selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
@@ -160,15 +158,15 @@
         if choice is None:
             return self._without_endpoint(exchange)
         entry = choice.state.entry
-        if not await self._parts.rate_gate.may_send(exchange, entry):
+        if not await self._parts.rates.gate.may_send(exchange, entry):
             return None
-        with self._parts.rate_gate.permit(exchange, entry):
+        with self._parts.rates.gate.permit(exchange, entry):
             return await self._send_permitted(exchange, choice)
 
     def _without_endpoint(self, exchange: Exchange) -> Problem:
         """Return the problem of a request for which no endpoint was found."""
         route, attempts = exchange.route, exchange.attempts()
-        spent = self._parts.rate_gate.spent(exchange)
+        spent = self._parts.rates.gate.spent(exchange)
         if spent is not None:
             return giving_up.when_rates_spent(route, attempts, spent)
         return giving_up.without_endpoint(route, attempts)
@@ -227,7 +225,7 @@
             began = partial(self._parts.usage.began, exchange.admitted)
             with self._parts.loads.attempt(choice, exchange.demand, began) as load:
                 exchange.progress.load = load
-                heard = partial(self._parts.rate_watch.heard, choice.state.entry)
+                heard = partial(self._parts.rates.watch.heard, choice.state.entry)
                 codec = self._parts.codec
                 end = await make_attempt(exchange, choice, connection, codec, heard)
         except BaseException:
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -19,6 +19,7 @@
         self.registry = CollectorRegistry()
         self._make_counters()
         self._make_gauges()
+        self._make_rate_metrics()
 
     def _make_counters(self) -> None:
         """Create what counts up as requests end."""
@@ -37,17 +38,6 @@
             ["standing"],
             registry=self.registry,
         )
-        self.permits = Counter(
-            "springbridge_rate_permits",
-            "Permits that requests asked for, to be sent to engines that name a rate",
-            ["answer"],
-            registry=self.registry,
-        )
-        self.rate_refusals = Counter(
-            "springbridge_rate_refusals",
-            "Requests refused since the rates of their engines were spent",
-            registry=self.registry,
-        )
         self.first_piece = Histogram(
             "springbridge_first_piece_seconds",
             "Arrival to first piece of the answer",
@@ -76,17 +66,6 @@
             "Requests that are kept from engines because they end them",
             registry=self.registry,
         )
-        self.limited_endpoints = Gauge(
-            "springbridge_limited_engines",
-            "Engines that name a rate which they take",
-            registry=self.registry,
-        )
-        self.endpoint_rate = Gauge(
-            "springbridge_engine_rate",
-            "Requests a second that an engine names as what it takes from all nodes together",
-            ["engine"],
-            registry=self.registry,
-        )
         self.suspensions = Gauge(
             "springbridge_suspensions",
             "Times that the machine was suspended since the start",
@@ -112,6 +91,31 @@
             "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
         )
 
+    def _make_rate_metrics(self) -> None:
+        """Create what tells of the rates that endpoints name."""
+        self.permits = Counter(
+            "springbridge_rate_permits",
+            "Permits that requests asked for, to be sent to engines that name a rate",
+            ["answer"],
+            registry=self.registry,
+        )
+        self.rate_refusals = Counter(
+            "springbridge_rate_refusals",
+            "Requests refused since the rates of their engines were spent",
+            registry=self.registry,
+        )
+        self.limited_endpoints = Gauge(
+            "springbridge_limited_engines",
+            "Engines that name a rate which they take",
+            registry=self.registry,
+        )
+        self.endpoint_rate = Gauge(
+            "springbridge_engine_rate",
+            "Requests a second that an engine names as what it takes from all nodes together",
+            ["engine"],
+            registry=self.registry,
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/simulated_fleet.py
@@ -15,11 +15,10 @@
 import orjson
 from springbridge.membership import Membership, SnapshotStatus
 from springbridge_node import clock
-from springbridge_node.gateway import gateway
 from springbridge_node.gateway.peers.datagrams import Kind
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.heartbeats import BEAT_S
-from springbridge_node.gateway.peers.own_member import new_member
+from springbridge_node.gateway.peers.own_member import PACE, new_member
 
 FAILURE_DOMAINS = ("a", "b", "c", "d", "e")
 # Addresses that every node starts from, as the platform's settings give them.
@@ -146,7 +145,7 @@
         failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
         me = new_member(f"n{number}", address, _caller_address(number), failure_domain)
         me = replace(me, incarnation=f"{self._started:010x}")
-        membership = Membership(me, self._clock, random.Random(self._rng.random()), gateway.PACE)
+        membership = Membership(me, self._clock, random.Random(self._rng.random()), PACE)
         membership.set_listed(_peer_address(seed) for seed in range(SEEDS))
         datagrams = self.network.join(address)
         datagrams.connect_peers(membership, self._rng)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -68,13 +68,7 @@
         await soak.store.put("op", "config", configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
-        tasks = [asyncio.ensure_future(call_forever(soak, number)) for number in range(callers)]
-        tasks.append(asyncio.ensure_future(harm_forever(soak)))
-        tasks.append(asyncio.ensure_future(copy_forever(soak)))
-        poison = send_poison_forever(soak, random.Random(f"{seed} ender"))
-        tasks.append(asyncio.ensure_future(poison))
-        need = name_rates_forever(soak, rates, random.Random(f"{seed} rates"))
-        tasks.append(asyncio.ensure_future(need))
+        tasks = _start_tasks(soak, rates, seed, callers)
         for _ in range(LONGEST):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -94,6 +88,18 @@
         return soak
 
 
+def _start_tasks(soak: Soak, rates: EngineRates, seed: int, callers: int) -> list[asyncio.Task]:
+    """Start the callers and everything that does harm."""
+    work = [
+        *(call_forever(soak, number) for number in range(callers)),
+        harm_forever(soak),
+        copy_forever(soak),
+        send_poison_forever(soak, random.Random(f"{seed} ender")),
+        name_rates_forever(soak, rates, random.Random(f"{seed} rates")),
+    ]
+    return [asyncio.ensure_future(each) for each in work]
+
+
 async def _start_engines(soak: Soak, rates: EngineRates, stack: contextlib.AsyncExitStack) -> None:
     """Start engines, each behind a proxy."""
     names = ["i-desk-1", "i-desk-2", "i-desk-3", "i-model-1", "i-model-2", "i-model-3"]
--- a/packages/springbridge/springbridge/rates/grants.py
+++ b/packages/springbridge/springbridge/rates/grants.py
@@ -21,9 +21,10 @@
 # Seconds of a rate that are kept where that is more. At high rates it outlasts the time between a
 # permit and the next question.
 KEPT_S = 0.06
-# Turns given for each permit, and further turns a second. They make up for instances that have no
-# request when their turn comes, at low rates above all.
+# Turns given for each permit. Those beyond one make up for instances that have no request when
+# their turn comes.
 TURNS_PER_PERMIT = 1.5
+# Turns a second beyond that. At low rates a permit would else wait long for somebody who asks.
 TURNS_PER_S = 4.0
 # Longest time in seconds for which an instance is told not to ask. It bounds how long a permit is
 # left over when the instances that had asked before have no more requests, or the rate rises.
