--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -36,8 +36,8 @@
       CallerGoneError: The caller is gone.
     """
     ran_before = exchange.progress.may_have_run
-    left_s = _send(exchange, choice, connection, codec)
     sent_s = clock.now_s()
+    left_s = _send(exchange, choice, connection, codec)
     silence_s = retries.silence_limit_s(exchange.route, exchange.attempts(), left_s)
     try:
         head = await read_head_within(silence_s, connection, codec, exchange.request_id)
--- a/packages/springbridge/springbridge/rates/held_back.py
+++ b/packages/springbridge/springbridge/rates/held_back.py
@@ -45,10 +45,6 @@
         until_s = self._clock() + wait_s
         self._holds.setdefault(endpoint_id, {})[priority] = Hold(until_s, wait_s)
 
-    def release(self, endpoint_id: str) -> None:
-        """Forget an endpoint."""
-        self._holds.pop(endpoint_id, None)
-
     def ids(self, priority: int) -> set[str]:
         """Return the endpoints that get no request of a priority now."""
         now_s = self._clock()
