--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -290,6 +290,7 @@
         known = self.registry.known_incarnations()
         self.pool.keep_only(known)
         self.rates.forget_gone(known)
+        self.registry.statements.forget_gone(known)
         self.registry.expire_loads()
         heard = {member.incarnation for member in self.membership.reachable()}
         self.registry.keep_loads_of(heard | {self.membership.me.incarnation})
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -21,6 +21,10 @@
     for incarnation in gateway.rates.table.limited():
         rate = telemetry.endpoint_rate.labels(incarnation.endpoint_id)
         rate.set(gateway.rates.table.per_s(incarnation))
+    known = gateway.registry.known_incarnations()
+    statements = gateway.registry.statements
+    telemetry.leaving_endpoints.set(len(known.intersection(statements.leaving())))
+    telemetry.resting_endpoints.set(sum(1 for _ in statements.resting()))
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
     telemetry.config_version.set(gateway.configuration.version)
     telemetry.store_up.set(int(gateway.endpoints.dependency.up))
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
@@ -14,7 +14,8 @@
 from springbridge_node.gateway.peers.rate_sharing import RateSharing
 from springbridge_node.gateway.requests.rate_gate import RateGate, RateGateParts
 from springbridge_node.gateway.requests.rate_gate_log import RateGateLog
-from springbridge_node.gateway.requests.rate_watch import RateWatch
+from springbridge_node.gateway.requests.statement_log import StatementLog
+from springbridge_node.gateway.requests.statement_watch import StatementWatch
 from springbridge_node.gateway.telemetry import Telemetry
 
 
@@ -40,7 +41,9 @@
         granters = GranterSet(membership, clock)
         self.sharing = RateSharing(self.table, membership, registry, granters, clock)
         self._permits = RatePermits(self.table, membership, registry, granters, self.sharing, clock)
-        self.watch = RateWatch(self.table, self.sharing, clock)
+        self.watch = StatementWatch(
+            registry.statements, self.table, self.sharing, StatementLog(telemetry), clock
+        )
         self.gate = RateGate(
             RateGateParts(self.table, registry, self._permits, RateGateLog(telemetry), clock)
         )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_codec.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from springbridge.rates.statements import StatedRate
 from springbridge.routing.records import Admitted, Arrival, EndpointEntry
+from springbridge.statements.answer_statements import NOTHING_SAID, AnswerStatements
 from tornado.httputil import HTTPHeaders
 
 from springbridge_node.gateway.callers.ingress import IncomingRequest
@@ -23,13 +23,13 @@
       request_id: The request that the answer belongs to, "" where it does not say.
       not_run: The endpoint promises that it has not run the request and never will.
       other_endpoint: Another endpoint than the one meant has this address now.
-      rate: What the answer says of the rate that its endpoint takes.
+      statements: What the answer says of its endpoint.
     """
 
     request_id: str
     not_run: bool
     other_endpoint: bool
-    rate: StatedRate = StatedRate()
+    statements: AnswerStatements = NOTHING_SAID
 
 
 class RequestCodec(Protocol):
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -225,7 +225,9 @@
             began = partial(self._parts.usage.began, exchange.admitted)
             with self._parts.loads.attempt(choice, exchange.demand, began) as load:
                 exchange.progress.load = load
-                heard = partial(self._parts.rates.watch.heard, choice.state.entry)
+                heard = partial(
+                    self._parts.rates.watch.heard, choice.state.entry, exchange.request_id
+                )
                 codec = self._parts.codec
                 end = await make_attempt(exchange, choice, connection, codec, heard)
         except BaseException:
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_log.py
@@ -0,0 +1,93 @@
+"""Logs what endpoints say of themselves, once for each change, and counts what is not understood.
+
+Endpoints may send ever new values, so that what was logged is remembered up to a bound, after which
+only the metrics count on.
+"""
+
+from springbridge.rates.statements import StatedRate, is_literal, is_readable, rate_of
+from springbridge.routing.records import EndpointEntry
+from springbridge.statements.answer_statements import AnswerStatements
+
+from springbridge_node import logs
+from springbridge_node.gateway.telemetry import Telemetry
+
+# Values and names that are remembered, so that each is logged once for each endpoint. Bounds memory
+# and log.
+MOST_LOGGED = 100
+# Names of unknown headers that are counted by themselves; those beyond are counted together.
+MOST_COUNTED = 30
+OTHERS = "others"
+
+
+class StatementLog:
+    """Writes the lines about statements."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        """Keep the metrics."""
+        self._telemetry = telemetry
+        self._logged: set[tuple[str, str, str]] = set()
+        self._counted: set[str] = set()
+
+    def leaves(self, entry: EndpointEntry, request_id: str) -> None:
+        """Log that an endpoint has told this instance that it leaves."""
+        logs.event("engine.leaves", engine=entry.endpoint_id, request_id=request_id)
+
+    def asks_rest(
+        self, entry: EndpointEntry, request_id: str, rest_s: float, left_s: float
+    ) -> None:
+        """Log that an endpoint has turned a request away and asked for rest.
+
+        Args:
+          rest_s: The rest that it named, in seconds.
+          left_s: Seconds until it gets a request of this instance again.
+        """
+        self._telemetry.rests.inc()
+        logs.event(
+            "engine.asks_rest",
+            engine=entry.endpoint_id,
+            request_id=request_id,
+            rest_s=rest_s,
+            left_ms=round(left_s * 1000),
+        )
+
+    def not_understood(self, entry: EndpointEntry, said: AnswerStatements) -> None:
+        """Log once what is passed over, or kept to as something else."""
+        if not is_literal(said.rate):
+            self._rate_not_literal(entry, said.rate)
+        for each in said.unreadable:
+            if self._is_new(entry, each.header, each.value):
+                logs.event(
+                    "engine.statement_unreadable",
+                    engine=entry.endpoint_id,
+                    header=each.header,
+                    value=each.value,
+                )
+        for name in said.unknown:
+            self._count_unknown(name)
+            if self._is_new(entry, name, ""):
+                logs.event("engine.unknown_header", engine=entry.endpoint_id, header=name)
+
+    def _rate_not_literal(self, entry: EndpointEntry, stated: StatedRate) -> None:
+        """Log once that a rate is ignored, or kept to as another one."""
+        value = stated.unreadable or str(stated.per_s)
+        if not self._is_new(entry, "rate", value):
+            return
+        taken_as = rate_of(stated) if is_readable(stated) else "ignored"
+        logs.event(
+            "engine.rate_not_literal", engine=entry.endpoint_id, value=value, taken_as=taken_as
+        )
+
+    def _count_unknown(self, name: str) -> None:
+        """Count a header by its name, as long as there are not too many."""
+        if name not in self._counted and len(self._counted) >= MOST_COUNTED:
+            name = OTHERS
+        self._counted.add(name)
+        self._telemetry.unknown_headers.labels(name).inc()
+
+    def _is_new(self, entry: EndpointEntry, header: str, value: str) -> bool:
+        """Return whether something was not logged before, and remember it."""
+        seen = (entry.endpoint_id, header, value)
+        if seen in self._logged or len(self._logged) >= MOST_LOGGED:
+            return False
+        self._logged.add(seen)
+        return True
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
@@ -0,0 +1,65 @@
+"""Takes in what endpoints say of themselves in the heads of their answers, of whatever kind."""
+
+from collections.abc import Callable
+
+from springbridge.rates.rate_table import RateTable
+from springbridge.rates.statements import StatedRate, Statement, is_readable, rate_of
+from springbridge.routing.records import EndpointEntry
+from springbridge.statements.statement_table import StatementTable
+
+from springbridge_node.gateway.peers.rate_sharing import RateSharing
+from springbridge_node.gateway.requests.request_codec import Verdict
+from springbridge_node.gateway.requests.statement_log import StatementLog
+
+
+class StatementWatch:
+    """Notes what answers say."""
+
+    def __init__(
+        self,
+        statements: StatementTable,
+        rates: RateTable,
+        sharing: RateSharing,
+        log: StatementLog,
+        clock: Callable[[], float],
+    ) -> None:
+        """Keep the parts."""
+        self._statements = statements
+        self._rates = rates
+        self._sharing = sharing
+        self._log = log
+        self._clock = clock
+
+    def heard(self, entry: EndpointEntry, request_id: str, verdict: Verdict, sent_s: float) -> None:
+        """Note what the head of an answer says.
+
+        Args:
+          entry: The endpoint that the request was sent to.
+          request_id: The request that it answers, for the log.
+          sent_s: When the request was sent.
+        """
+        if verdict.other_endpoint:
+            return
+        said = verdict.statements
+        self._log.not_understood(entry, said)
+        self._heard_rate(entry, said.rate, sent_s)
+        if said.leaves:
+            self._heard_leaving(entry, request_id)
+        if said.rest_s is None:
+            self._statements.asked_no_rest(entry.incarnation, sent_s)
+        else:
+            rest = self._statements.asked_rest(entry.incarnation, said.rest_s)
+            self._log.asks_rest(entry, request_id, said.rest_s, rest.until_s - self._clock())
+
+    def _heard_rate(self, entry: EndpointEntry, stated: StatedRate, sent_s: float) -> None:
+        """Note what an answer says of a rate."""
+        if stated == StatedRate() and not len(self._rates):
+            return
+        if is_readable(stated):
+            told = Statement(rate_of(stated), sent_s, self._clock())
+            self._sharing.heard(entry.incarnation, told)
+
+    def _heard_leaving(self, entry: EndpointEntry, request_id: str) -> None:
+        """Note that an endpoint leaves."""
+        if self._statements.heard_leaving(entry.incarnation):
+            self._log.leaves(entry, request_id)
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -20,6 +20,7 @@
         self._make_counters()
         self._make_gauges()
         self._make_rate_metrics()
+        self._make_statement_metrics()
 
     def _make_counters(self) -> None:
         """Create what counts up as requests end."""
@@ -116,6 +117,28 @@
             registry=self.registry,
         )
 
+    def _make_statement_metrics(self) -> None:
+        """Create what tells of further statements of endpoints."""
+        self.leaving_endpoints = Gauge(
+            "springbridge_leaving_engines",
+            "Engines that have told this node that they leave",
+            registry=self.registry,
+        )
+        self.resting_endpoints = Gauge(
+            "springbridge_resting_engines",
+            "Engines that have asked this node for a rest which goes on",
+            registry=self.registry,
+        )
+        self.rests = Counter(
+            "springbridge_rests", "Answers that asked for rest", registry=self.registry
+        )
+        self.unknown_headers = Counter(
+            "springbridge_unknown_headers",
+            "Headers of engines' answers that this build does not know",
+            ["header"],
+            registry=self.registry,
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/packages/springbridge-standins/springbridge_standins/rates/endpoints.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/endpoints.py
@@ -6,6 +6,7 @@
 
 from springbridge.rates.statements import StatedRate
 from springbridge.routing.records import EndpointEntry
+from springbridge.statements.answer_statements import AnswerStatements
 from springbridge_node.gateway.requests.request_codec import Verdict
 
 from springbridge_standins.rates.rate_record import Arrival, Named, RateRecord
@@ -31,4 +32,5 @@
         loop = asyncio.get_running_loop()
         self.record.arrivals.append(Arrival(loop.time(), is_excused))
         await asyncio.sleep(LEAST_WORK_S + self.rng.random() * MOST_WORK_S)
-        return Verdict("", False, False, StatedRate(self.record.answered(loop.time())))
+        rate = StatedRate(self.record.answered(loop.time()))
+        return Verdict("", False, False, AnswerStatements(rate))
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -138,7 +138,7 @@
         verdict = await endpoint.answer(self.fleet.is_excused(self.address))
         await self._thawed()
         self.sent[endpoint.entry.endpoint_id] -= 1
-        self.parts.watch.heard(endpoint.entry, verdict, sent_s)
+        self.parts.watch.heard(endpoint.entry, "", verdict, sent_s)
 
 
 class DrawnFleet:
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -19,6 +19,7 @@
 from springbridge.routing.older_lists import OlderLists
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
+from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
 # Bits dropped from the 64-bit hash of a list. Heartbeats carry the rest, and all instances of a
@@ -27,7 +28,11 @@
 
 
 class EndpointRegistry:
-    """All endpoints that this instance may use."""
+    """All endpoints that this instance may use.
+
+    Attributes:
+      statements: What the endpoints have said of themselves.
+    """
 
     def __init__(self, clock: Callable[[], float], drain_s: float = float("inf")) -> None:
         """Start without endpoints.
@@ -36,6 +41,7 @@
           drain_s: Seconds within which an endpoint that has left may still get requests.
         """
         self._clock = clock
+        self.statements = StatementTable(clock)
         self._lapse_grace_s = eligibility.lapse_grace_s(drain_s)
         self._states: dict[str, EndpointState] = {}
         self._revision = -1
--- /dev/null
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -0,0 +1,103 @@
+"""Keeps what each incarnation of an endpoint has said of itself.
+
+It is kept beyond the endpoint's entry on the list: an entry may lapse and come back, or come back
+from an older copy of the store, and the word of its endpoint still holds.
+"""
+
+from collections.abc import Callable, Iterator, Set
+from dataclasses import dataclass, field
+
+from springbridge.routing.records import EndpointIncarnation
+from springbridge.statements import rests
+from springbridge.statements.leaving import Leaving
+from springbridge.statements.rests import Rest
+
+# Seconds for which the word of an endpoint is kept that is neither listed nor has requests. Longer
+# than an outage of the store after which its entry may come back.
+KEEP_GONE_S = 600.0
+
+
+@dataclass(slots=True)
+class EndpointStatements:
+    """What one incarnation has said.
+
+    Attributes:
+      rest: The rest that it asked for, None without one.
+      known_s: When it was last known to be listed or to have requests.
+    """
+
+    known_s: float
+    leaving: Leaving = field(default_factory=Leaving)
+    rest: Rest | None = None
+
+
+class StatementTable:
+    """What this instance knows of the statements of endpoints."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Start without any."""
+        self._clock = clock
+        self._said: dict[EndpointIncarnation, EndpointStatements] = {}
+
+    def of(self, incarnation: EndpointIncarnation) -> EndpointStatements:
+        """Return the statements of an incarnation; what they hold changes with later answers."""
+        found = self._said.get(incarnation)
+        if found is None:
+            found = self._said[incarnation] = EndpointStatements(self._clock())
+        return found
+
+    def leaving(self) -> Iterator[EndpointIncarnation]:
+        """Return the incarnations that said to this instance that they leave."""
+        return (each for each, said in self._said.items() if said.leaving.is_certain)
+
+    def resting(self) -> Iterator[tuple[EndpointIncarnation, Rest]]:
+        """Return the incarnations whose rest has not ended, with their rests."""
+        now_s = self._clock()
+        for incarnation, said in self._said.items():
+            if said.rest is not None and now_s < said.rest.until_s:
+                yield incarnation, said.rest
+
+    def heard_leaving(self, incarnation: EndpointIncarnation) -> bool:
+        """Note that an endpoint says that it leaves, and return whether that is new."""
+        leaving = self.of(incarnation).leaving
+        if leaving.is_certain:
+            return False
+        leaving.heard_s = self._clock()
+        return True
+
+    def told_leaving(self, incarnation: EndpointIncarnation) -> bool:
+        """Note that a peer heard it say so, and return whether that is new."""
+        leaving = self.of(incarnation).leaving
+        if leaving.is_certain or leaving.told_s is not None:
+            return False
+        leaving.told_s = self._clock()
+        return True
+
+    def asked_rest(self, incarnation: EndpointIncarnation, rest_s: float) -> Rest:
+        """Note that an endpoint asks for rest, and return its rest as it is now."""
+        said = self.of(incarnation)
+        said.rest = rests.rest_until(said.rest, rest_s, self._clock())
+        return said.rest
+
+    def asked_no_rest(self, incarnation: EndpointIncarnation, sent_s: float) -> None:
+        """Note an answer without a wish for rest.
+
+        Args:
+          sent_s: When its request was sent.
+        """
+        said = self._said.get(incarnation)
+        if said is not None and said.rest is not None and rests.is_over(said.rest, sent_s):
+            said.rest = None
+
+    def forget_gone(self, known: Set[EndpointIncarnation]) -> None:
+        """Drop what belongs to endpoints that have been gone for long.
+
+        Args:
+          known: The endpoints that are listed or still have requests.
+        """
+        now_s = self._clock()
+        for incarnation, said in list(self._said.items()):
+            if incarnation in known:
+                said.known_s = now_s
+            elif said.known_s < now_s - KEEP_GONE_S:
+                del self._said[incarnation]
