An endpoint that says in an answer that it leaves gets no new request

Cause: only the row was read; the header passed through. Class: what the other side says in its answers is heeded by nobody. The endpoint's own word is final for its incarnation. It is kept beyond the endpoint's entry, so that neither a list, an older copy nor a lapse revives it. What was chosen and waited is looked at once more right before it is sent, without an await between.

--- a/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/scaler.py
@@ -140,7 +140,9 @@
         """Return the endpoints that stay, by failure domain."""
         entries = [entry for entry in self._registry.entries() if entry.service == service]
         staying = Counter(
-            (entry.failure_domain, entry.spot) for entry in entries if not entry.draining
+            (state.entry.failure_domain, state.entry.spot)
+            for state in self._registry.staying()
+            if state.entry.service == service
         )
         names = self._domains.setdefault(service, set())
         # One that has lost all of its endpoints still gets orders.
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -38,7 +38,7 @@
           late: Called if that is found only after REFUSAL_S, as on a node that is short of
             processor time.
         """
-        if state.entry.draining or not state.is_listed:
+        if state.is_leaving or not state.is_listed:
             return False
         incarnation = state.entry.incarnation
         task = self._results.get(incarnation)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
@@ -42,7 +42,7 @@
         self.sharing = RateSharing(self.table, membership, registry, granters, clock)
         self._permits = RatePermits(self.table, membership, registry, granters, self.sharing, clock)
         self.watch = StatementWatch(
-            registry.statements, self.table, self.sharing, StatementLog(telemetry), clock
+            registry, self.table, self.sharing, StatementLog(telemetry), clock
         )
         self.gate = RateGate(
             RateGateParts(self.table, registry, self._permits, RateGateLog(telemetry), clock)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
 
@@ -173,17 +174,33 @@
 
     async def _send_permitted(self, exchange: Exchange, choice: Choice) -> End | Problem | None:
         """Send the request to an endpoint that takes it; see _send for what is returned."""
-        if not self._may_send(exchange):
-            return giving_up.without_endpoint(exchange.route, exchange.attempts())
-        connection = await self._connect(exchange, choice.state)
-        if connection is None:
-            return None
-        end = await self._attempt(exchange, choice, connection)
+        with self._retry(exchange) as may_send:
+            if not may_send:
+                return giving_up.without_endpoint(exchange.route, exchange.attempts())
+            connection = await self._connect(exchange, choice.state)
+            if connection is None:
+                return None
+            if not self._parts.registry.may_get_request(choice.state):
+                # What the endpoint has said since it was chosen holds for this request as well.
+                self._parts.pool.release(choice.state.entry.incarnation, connection)
+                return None
+            end = await self._attempt(exchange, choice, connection)
         if await self._parts.gate.note_end(exchange, choice.state, end):
             # Nobody listens there: no other request has to find out.
             self._parts.loads.unreached(choice.state.entry)
         return end
 
+    @contextlib.contextmanager
+    def _retry(self, exchange: Exchange) -> Iterator[bool]:
+        """Give whether the request may be sent; a retry goes back if the block sends nothing."""
+        sends = exchange.progress.sends
+        may_send = self._may_send(exchange)
+        try:
+            yield may_send
+        finally:
+            if may_send and sends and exchange.progress.sends == sends:
+                self._parts.budget.give_back(exchange.demand.service)
+
     def _may_send(self, exchange: Exchange) -> bool:
         """Return whether the request may go to one more endpoint; a retry uses up the budget."""
         attempts = exchange.attempts()
--- a/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
@@ -4,8 +4,8 @@
 
 from springbridge.rates.rate_table import RateTable
 from springbridge.rates.statements import StatedRate, Statement, is_readable, rate_of
+from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.records import EndpointEntry
-from springbridge.statements.statement_table import StatementTable
 
 from springbridge_node.gateway.peers.rate_sharing import RateSharing
 from springbridge_node.gateway.requests.request_codec import Verdict
@@ -17,14 +17,14 @@
 
     def __init__(
         self,
-        statements: StatementTable,
+        registry: EndpointRegistry,
         rates: RateTable,
         sharing: RateSharing,
         log: StatementLog,
         clock: Callable[[], float],
     ) -> None:
         """Keep the parts."""
-        self._statements = statements
+        self._registry = registry
         self._rates = rates
         self._sharing = sharing
         self._log = log
@@ -46,9 +46,9 @@
         if said.leaves:
             self._heard_leaving(entry, request_id)
         if said.rest_s is None:
-            self._statements.asked_no_rest(entry.incarnation, sent_s)
+            self._registry.statements.asked_no_rest(entry.incarnation, sent_s)
         else:
-            rest = self._statements.asked_rest(entry.incarnation, said.rest_s)
+            rest = self._registry.statements.asked_rest(entry.incarnation, said.rest_s)
             self._log.asks_rest(entry, request_id, said.rest_s, rest.until_s - self._clock())
 
     def _heard_rate(self, entry: EndpointEntry, stated: StatedRate, sent_s: float) -> None:
@@ -61,5 +61,5 @@
 
     def _heard_leaving(self, entry: EndpointEntry, request_id: str) -> None:
         """Note that an endpoint leaves."""
-        if self._statements.heard_leaving(entry.incarnation):
+        if self._registry.heard_leaving(entry.incarnation):
             self._log.leaves(entry, request_id)
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -3,18 +3,24 @@
 Decided: the endpoints of a service to which a request may be sent now.
 Inputs: each endpoint's state as this instance sees it, the endpoints that had the request, and the
 moment in seconds of the instance's monotonic clock.
-Outcome: the endpoints that are listed, not draining and reachable, without those that had the
-request. Ejected endpoints are left out unless no other is left.
+Outcome: the endpoints to which there is no obstacle. Where there are none, those that are only
+behind the others; where there are none of these either, those that have just said that they leave.
 Why: an endpoint that is no longer listed has left and must get nothing. The exception is an outage
 of the platform's store: entries of live endpoints can lapse over it, so that a service which lost
 more than half of its endpoints at once keeps them for a short grace.
+
+All that may stand against an endpoint is asked here, in the order of `Obstacle`. What concerns one
+request alone (endpoints that had it, that it got no permit for, or that have enough trials) is
+left out by its id.
 """
 
 from collections import Counter
 from collections.abc import Collection, Iterable
+from enum import Enum
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointEntry
+from springbridge.statements import leaving
 
 # Seconds for which endpoints stay usable after a mass lapse. The platform says that live endpoints
 # are back on the list within about two seconds, and no endpoint may get a request 2 s after it left
@@ -28,49 +34,94 @@
 OUTAGE_S = 1.0
 
 
+class Obstacle(Enum):
+    """What stands against an endpoint, in the order in which it is asked; the values are logged."""
+
+    NOT_LISTED = "not listed"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+    EJECTED = "ejected"
+    SAID_TO_LEAVE = "said to leave by a peer"
+
+
+# Obstacles that only put an endpoint behind those without one.
+BEHIND = frozenset({Obstacle.EJECTED, Obstacle.SAID_TO_LEAVE})
+
+
 def candidates(
-    states: Iterable[EndpointState], service: str, tried: Collection[str], now_s: float
+    states: Iterable[EndpointState],
+    service: str,
+    tried: Collection[str],
+    now_s: float,
+    drain_s: float = 0.0,
 ) -> list[EndpointState]:
     """Return the endpoints of a service that may get a request, in the order of the states.
 
     Args:
       tried: Ids of the endpoints that had this request.
       now_s: The moment, in seconds of the monotonic clock.
+      drain_s: Seconds after an endpoint's word that it leaves within which it may get requests.
     """
-    usable = [
-        state
-        for state in states
-        if state.entry.service == service
-        and is_usable(state, now_s)
-        and state.entry.endpoint_id not in tried
-    ]
-    return [state for state in usable if not is_ejected(state, now_s)] or usable
+    free, behind, last = [], [], []
+    for state in states:
+        if state.entry.service != service or state.entry.endpoint_id in tried:
+            continue
+        found = obstacle(state, now_s)
+        if found is None:
+            free.append(state)
+        elif found in BEHIND:
+            behind.append(state)
+        elif found is Obstacle.LEAVING and _is_last_resort(state, drain_s, now_s):
+            last.append(state)
+    return free or behind or last
+
+
+def may_get_request(state: EndpointState, now_s: float, drain_s: float) -> bool:
+    """Return whether an endpoint that was chosen may still get a request."""
+    found = obstacle(state, now_s)
+    if found is Obstacle.LEAVING:
+        return _is_last_resort(state, drain_s, now_s)
+    return found is None or found in BEHIND
+
+
+def obstacle(state: EndpointState, now_s: float) -> Obstacle | None:
+    """Return the first thing that stands against an endpoint, None if nothing does."""
+    if state.usable_until_s <= now_s:
+        return Obstacle.NOT_LISTED
+    if state.entry.draining:
+        return Obstacle.DRAINING
+    if not state.reachable:
+        return Obstacle.UNREACHABLE
+    said = state.said
+    if said.leaving.is_certain:
+        return Obstacle.LEAVING
+    if state.ejected_until_s > now_s:
+        return Obstacle.EJECTED
+    if leaving.is_likely(said.leaving, now_s):
+        return Obstacle.SAID_TO_LEAVE
+    return None
+
+
+def _is_last_resort(state: EndpointState, drain_s: float, now_s: float) -> bool:
+    """Return whether an endpoint that leaves is used if its service has no other."""
+    return leaving.is_last_resort(state.said.leaving, drain_s, now_s)
 
 
 def avoided(states: Iterable[EndpointState], service: str, now_s: float) -> list[str]:
     """Return the ids of endpoints that this instance does not use although they do not drain.
 
-    A coordinator that chooses for this instance may not know that they are ejected or unreachable.
+    A coordinator that chooses for this instance may not know what stands against them here.
     """
     return [
         state.entry.endpoint_id
         for state in states
         if state.entry.service == service
         and not state.entry.draining
-        and (is_ejected(state, now_s) or not is_usable(state, now_s))
+        and obstacle(state, now_s) is not None
     ]
 
 
-def is_usable(state: EndpointState, now_s: float) -> bool:
-    """Return whether an endpoint may get a request, ejected or not."""
-    return not state.entry.draining and state.reachable and state.usable_until_s > now_s
-
-
-def is_ejected(state: EndpointState, now_s: float) -> bool:
-    """Return whether an endpoint gets a request only if there is no other."""
-    return state.ejected_until_s > now_s
-
-
 def lapse_grace_s(drain_s: float) -> float:
     """Return for how many seconds endpoints stay usable after a mass lapse.
 
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -19,6 +19,7 @@
 from springbridge.routing.older_lists import OlderLists
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
+from springbridge.statements.leaving import is_likely
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
@@ -41,6 +42,7 @@
           drain_s: Seconds within which an endpoint that has left may still get requests.
         """
         self._clock = clock
+        self._drain_s = drain_s
         self.statements = StatementTable(clock)
         self._lapse_grace_s = eligibility.lapse_grace_s(drain_s)
         self._states: dict[str, EndpointState] = {}
@@ -110,10 +112,12 @@
         for endpoint_id, entry in listed.items():
             state = self._states.get(endpoint_id)
             if state is None or has_started_again(state.entry, entry):
-                state = self._states[endpoint_id] = EndpointState(entry)
+                said = self.statements.of(entry.incarnation)
+                state = self._states[endpoint_id] = EndpointState(entry, said=said)
                 changed = True
             elif state.entry != _with_known_start(entry, state.entry):
                 state.entry = _with_known_start(entry, state.entry)
+                self.statements.started_at(state.entry.incarnation, state.said)
                 changed = True
             state.usable_until_s = LISTED
             state.cache.capacity = capacities.get(entry.service, 0)
@@ -126,11 +130,12 @@
         """
         now_s = self._clock()
         changed = False
-        lapsed = eligibility.lapsed_services(self.entries(), listed) if after_outage else set()
+        staying = [state.entry for state in self.staying()] if after_outage else []
+        lapsed = eligibility.lapsed_services(staying, listed)
         for endpoint_id in [name for name in self._states if name not in listed]:
             state = self._states[endpoint_id]
             if state.is_listed:
-                may_live = state.entry.service in lapsed and not state.entry.draining
+                may_live = state.entry.service in lapsed and not state.is_leaving
                 state.usable_until_s = now_s + (self._lapse_grace_s if may_live else 0.0)
                 if not after_outage:
                     self._older_lists.left(endpoint_id)
@@ -147,6 +152,15 @@
         """Return the endpoints that are listed now."""
         return tuple(state.entry for state in self._states.values() if state.is_listed)
 
+    def staying(self) -> list[EndpointState]:
+        """Return the endpoints that are listed and, as far as is known, do not leave."""
+        now_s = self._clock()
+        return [
+            state
+            for state in self._states.values()
+            if state.is_listed and not state.is_leaving and not is_likely(state.said.leaving, now_s)
+        ]
+
     def known_incarnations(self) -> set[EndpointIncarnation]:
         """Return the incarnations of all endpoints that are listed or still have requests."""
         return {state.entry.incarnation for state in self._states.values()}
@@ -166,7 +180,13 @@
         Args:
           tried: Ids of the endpoints that had this request.
         """
-        return eligibility.candidates(self._states.values(), service, tried, self._clock())
+        return eligibility.candidates(
+            self._states.values(), service, tried, self._clock(), self._drain_s
+        )
+
+    def may_get_request(self, state: EndpointState) -> bool:
+        """Return whether an endpoint that was chosen a while ago may still get a request."""
+        return eligibility.may_get_request(state, self._clock(), self._drain_s)
 
     def leaving(self, service: str) -> list[EndpointState]:
         """Return the endpoints of a service that take no requests but still give what they keep."""
@@ -176,6 +196,13 @@
         """Return the ids of a service's endpoints that this instance does not use for now."""
         return eligibility.avoided(self._states.values(), service, self._clock())
 
+    def heard_leaving(self, incarnation: EndpointIncarnation) -> bool:
+        """Note that an endpoint says in an answer that it leaves; return whether that is new."""
+        if not self.statements.heard_leaving(incarnation):
+            return False
+        self._leaving = _leaving_by_service(self._states.values())
+        return True
+
     def unreachable_endpoints(self) -> list[EndpointState]:
         """Return the endpoints that a prober has to try again: no connection came up."""
         now_s = self._clock()
@@ -242,10 +269,10 @@
 
 
 def _leaving_by_service(states: Iterable[EndpointState]) -> dict[str, list[EndpointState]]:
-    """Return the endpoints that are listed and draining, by service."""
+    """Return the endpoints that are listed and leave, by service."""
     found: dict[str, list[EndpointState]] = {}
     for state in states:
-        if state.entry.draining and state.is_listed:
+        if state.is_leaving and state.is_listed:
             found.setdefault(state.entry.service, []).append(state)
     return found
 
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -13,6 +13,7 @@
 from springbridge.routing.prompt_load import PromptLoad, is_short
 from springbridge.routing.reading_speed import ReadingSpeed
 from springbridge.routing.records import EndpointEntry
+from springbridge.statements.statement_table import EndpointStatements
 
 # Value of EndpointState.usable_until_s for an endpoint on the list.
 LISTED = float("inf")
@@ -56,6 +57,7 @@
       usable_until_s: When it may get its last request: LISTED, or a moment if it is on the list no
         more or another endpoint has its address.
       cache: Which prompt parts it probably keeps.
+      said: What it has said of itself in answers.
     """
 
     entry: EndpointEntry
@@ -69,12 +71,18 @@
     reachable: bool = True
     usable_until_s: float = LISTED
     cache: PrefixCache = field(default_factory=PrefixCache)
+    said: EndpointStatements = field(default_factory=EndpointStatements)
 
     @property
     def is_listed(self) -> bool:
         """Return whether it is on the list and was not found gone since."""
         return self.usable_until_s == LISTED
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether its entry, or it itself in an answer, says that it leaves."""
+        return self.entry.draining or self.said.leaving.is_certain
+
     @property
     def in_flight(self) -> int:
         """Return how many requests it has now."""
--- a/packages/springbridge/springbridge/routing/shared_retry_budget.py
+++ b/packages/springbridge/springbridge/routing/shared_retry_budget.py
@@ -71,6 +71,12 @@
         window.retries.append(self._clock())
         return True
 
+    def give_back(self, service: str) -> None:
+        """Give the latest retry back, as it was not sent."""
+        retries = self._window(service).retries
+        if retries:
+            retries.pop()
+
     def _window(self, service: str) -> _Window:
         """Return a service's window without the moments that have left it."""
         window = self._windows.setdefault(service, _Window())
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -26,9 +26,9 @@
       known_s: When it was last known to be listed or to have requests.
     """
 
-    known_s: float
     leaving: Leaving = field(default_factory=Leaving)
     rest: Rest | None = None
+    known_s: float = 0.0
 
 
 class StatementTable:
@@ -43,9 +43,13 @@
         """Return the statements of an incarnation; what they hold changes with later answers."""
         found = self._said.get(incarnation)
         if found is None:
-            found = self._said[incarnation] = EndpointStatements(self._clock())
+            found = self._said[incarnation] = EndpointStatements(known_s=self._clock())
         return found
 
+    def started_at(self, incarnation: EndpointIncarnation, said: EndpointStatements) -> None:
+        """Keep what an endpoint said under its incarnation, once its start is known."""
+        self._said[incarnation] = said
+
     def leaving(self) -> Iterator[EndpointIncarnation]:
         """Return the incarnations that said to this instance that they leave."""
         return (each for each, said in self._said.items() if said.leaving.is_certain)
