An endpoint that asks an instance for rest gets none of its requests until that is over

Callers of one-try routes were refused one after another by an endpoint that had said when to come again, while others were well: it answers at once, looks idle and attracts requests. Cause: Retry-After of an endpoint's 503 was read by nobody; three refusals in a row ejected it for 1 s, whatever it had asked for. Class: the same as of DRAIN and of LIMIT, a statement of the other side that is heeded by nobody. A resting endpoint is no candidate; of two rests the later end counts. At its end one request is sent, the others after its answer or 0.25 s without a refusal. It is no failure and ejects nobody. Where all rest, callers are refused at once with a time that is not before the first end and spread over a second.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -50,6 +50,7 @@
 from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
 from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.request_log import RequestLog
+from springbridge_node.gateway.requests.rest_refusals import RestRefusals
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
 from springbridge_node.gateway.requests.usage_meter import NoUsage
@@ -172,6 +173,7 @@
             failure_domain=self.settings.failure_domain,
             usage=self.duties or NoUsage(),
             rates=self.rates,
+            rest_refusals=RestRefusals(self.registry, self.telemetry),
         )
 
     async def start(self) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -46,7 +46,7 @@
         if verdict.not_run:
             exchange.progress.may_have_run = ran_before
             return await _turned_away(exchange, connection, head, verdict)
-        return await _take_answer(exchange, connection, head, codec)
+        return await _take_answer(exchange, connection, head, verdict, codec)
     except AnswerBrokenError:
         return End.BROKEN
     except SilentError:
@@ -87,17 +87,21 @@
     if verdict.other_endpoint:
         exchange.progress.misdirected += 1
         return End.OTHER_ENDPOINT
-    return End.TURNED_AWAY
+    return End.TURNED_AWAY if verdict.statements.rest_s is None else End.ASKED_REST
 
 
 async def _take_answer(
-    exchange: Exchange, connection: HttpConnection, head: Head, codec: RequestCodec
+    exchange: Exchange,
+    connection: HttpConnection,
+    head: Head,
+    verdict: Verdict,
+    codec: RequestCodec,
 ) -> End:
     """Pass an answer on, or hold back a failure that another endpoint may do better."""
     if not exchange.route.streaming and exchange.progress.load is not None:
         exchange.progress.load.read()
     if giving_up.holds_failure(exchange.route, head.status):
         exchange.progress.failure = HeldFailure(head, await read_whole(connection, head))
-        return End.ENDPOINT_ERROR
+        return End.ENDPOINT_ERROR if verdict.statements.rest_s is None else End.ASKED_REST
     await relay(exchange, connection, head, codec)
     return End.DELIVERED
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rest_refusals.py
@@ -0,0 +1,28 @@
+"""Refuses requests whose endpoints all rest, and sends their callers back one after another."""
+
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.giving_up import AllRest
+from springbridge.statements.returns import retry_after_s
+
+from springbridge_node.gateway.telemetry import Telemetry
+
+
+class RestRefusals:
+    """Counts the callers that were refused for rests, by service."""
+
+    def __init__(self, registry: EndpointRegistry, telemetry: Telemetry) -> None:
+        """Start without any."""
+        self._registry = registry
+        self._telemetry = telemetry
+        self._refused: dict[str, int] = {}
+
+    def reason(self, service: str) -> AllRest | None:
+        """Return why a request that found no endpoint is refused, None if none of them rests."""
+        resting = self._registry.resting(service)
+        if not resting:
+            return None
+        first_s = min(state.said.rest.until_s for state in resting)
+        before = self._refused.get(service, 0)
+        self._refused[service] = before + 1
+        self._telemetry.rest_refusals.inc()
+        return AllRest(len(resting), retry_after_s(before, first_s - self._registry.now_s()))
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -42,6 +42,7 @@
     Ending,
     RequestLog,
 )
+from springbridge_node.gateway.requests.rest_refusals import RestRefusals
 from springbridge_node.gateway.requests.usage_meter import UsageMeter
 
 
@@ -68,6 +69,7 @@
     failure_domain: str
     usage: UsageMeter
     rates: RateParts
+    rest_refusals: RestRefusals
 
 
 class RequestRouter:
@@ -170,6 +172,9 @@
         spent = self._parts.rates.gate.spent(exchange)
         if spent is not None:
             return giving_up.when_rates_spent(route, attempts, spent)
+        rest = self._parts.rest_refusals.reason(exchange.demand.service)
+        if rest is not None:
+            return giving_up.when_all_rest(route, attempts, rest)
         return giving_up.without_endpoint(route, attempts)
 
     async def _send_permitted(self, exchange: Exchange, choice: Choice) -> End | Problem | None:
@@ -238,6 +243,7 @@
         incarnation = choice.state.entry.incarnation
         chosen = ChosenEndpoint.from_choice(choice, exchange.demand, clock.now_s())
         exchange.progress.chosen.append(chosen)
+        self._parts.registry.sends(choice.state)
         try:
             began = partial(self._parts.usage.began, exchange.admitted)
             with self._parts.loads.attempt(choice, exchange.demand, began) as load:
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -132,6 +132,11 @@
         self.rests = Counter(
             "springbridge_rests", "Answers that asked for rest", registry=self.registry
         )
+        self.rest_refusals = Counter(
+            "springbridge_rest_refusals",
+            "Requests refused since all their engines rest",
+            registry=self.registry,
+        )
         self.unknown_headers = Counter(
             "springbridge_unknown_headers",
             "Headers of engines' answers that this build does not know",
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -20,7 +20,7 @@
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointEntry
-from springbridge.statements import leaving
+from springbridge.statements import leaving, rests
 
 # Seconds for which endpoints stay usable after a mass lapse. The platform says that live endpoints
 # are back on the list within about two seconds, and no endpoint may get a request 2 s after it left
@@ -40,6 +40,7 @@
     NOT_LISTED = "not listed"
     DRAINING = "draining"
     UNREACHABLE = "unreachable"
+    RESTING = "resting"
     LEAVING = "leaving"
     EJECTED = "ejected"
     SAID_TO_LEAVE = "said to leave by a peer"
@@ -94,6 +95,8 @@
     if not state.reachable:
         return Obstacle.UNREACHABLE
     said = state.said
+    if said.rest is not None and not rests.may_send(said.rest, now_s):
+        return Obstacle.RESTING
     if said.leaving.is_certain:
         return Obstacle.LEAVING
     if state.ejected_until_s > now_s:
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -14,11 +14,13 @@
 
 from springbridge.routing import eligibility
 from springbridge.routing.ejection import ejection_s
+from springbridge.routing.eligibility import Obstacle
 from springbridge.routing.endpoint_state import LISTED, EndpointState
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
 from springbridge.routing.older_lists import OlderLists
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
+from springbridge.statements import rests
 from springbridge.statements.leaving import is_likely
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
@@ -196,6 +198,21 @@
         """Return the ids of a service's endpoints that this instance does not use for now."""
         return eligibility.avoided(self._states.values(), service, self._clock())
 
+    def resting(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of a service that would get requests if they did not rest."""
+        now_s = self._clock()
+        return [
+            state
+            for state in self._states.values()
+            if state.entry.service == service
+            and eligibility.obstacle(state, now_s) is Obstacle.RESTING
+        ]
+
+    def sends(self, state: EndpointState) -> None:
+        """Note that a request is sent to an endpoint now."""
+        if state.said.rest is not None:
+            state.said.rest = rests.after_send(state.said.rest, self._clock())
+
     def heard_leaving(self, incarnation: EndpointIncarnation) -> bool:
         """Note that an endpoint says in an answer that it leaves; return whether that is new."""
         if not self.statements.heard_leaving(incarnation):
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -40,6 +40,19 @@
     retry_after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class AllRest:
+    """Why a request is refused: its endpoints rest, as they have asked this instance to let them.
+
+    Attributes:
+      endpoints: How many do.
+      retry_after_s: When to come back, in seconds.
+    """
+
+    endpoints: int
+    retry_after_s: float
+
+
 class FinalAnswer(Enum):
     """What the caller of a request that is given up gets."""
 
@@ -106,6 +119,14 @@
     return Problem(Code.OVERLOADED, detail, retry_after_s=spent.retry_after_s)
 
 
+def when_all_rest(route: Route, attempts: Attempts, rest: AllRest) -> Problem:
+    """Return the problem of a request for which there are only endpoints that rest."""
+    detail = f"{rest.endpoints} engines rest"
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, detail)
+    return Problem(Code.OVERLOADED, detail, retry_after_s=rest.retry_after_s)
+
+
 def in_quarantine(attempts: Attempts, crashes: int, wait_s: float) -> Problem:
     """Return the problem of a request that is kept from endpoints, as it has ended several.
 
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -33,6 +33,7 @@
 
     DELIVERED = "delivered"
     TURNED_AWAY = "turned away"
+    ASKED_REST = "asked for rest"
     OTHER_ENDPOINT = "other engine"
     ENDPOINT_ERROR = "engine error"
     BROKEN = "broken"
@@ -40,7 +41,7 @@
 
 
 # Ends that count against an endpoint's health. One that turns all requests away never has work, and
-# would be the cheapest for the next one.
+# would be the cheapest for the next one. One that asks for rest gets it, and has not failed.
 ENDPOINT_FAILURES = frozenset({End.ENDPOINT_ERROR, End.BROKEN, End.SILENT, End.TURNED_AWAY})
 
 
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -14,6 +14,7 @@
 | endpoints turned it away or time ran out unsent | `when_endpoint_full`      | 0.1 x target     |
 | every endpoint has too much for its priority    | `after_overload`          | 2 + backlog over |
 | the rates of its endpoints are spent            | `rates.held_back`         | until its turn   |
+| its endpoints rest                              | `statements.returns`      | until they end   |
 | a request like it is on trial                   | `while_on_trial`          | 1                |
 | requests like it ended endpoints                | `quarantine`              | until its trial  |
 | the instance is at the end of its planned stop  | `while_leaving`           | 0.05             |
