A node looks no further than needed for who greets a peer that starts

Each node ranked all others for each new peer: n^2 hashes a node where a fleet starts at once, 144,000 at 380.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/greeting.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/greeting.py
@@ -4,6 +4,8 @@
 tell it, so that all agree on who does without a message.
 """
 
+from itertools import islice
+
 from springbridge.hashing import score
 from springbridge.membership import Membership
 
@@ -34,4 +36,6 @@
         """Return whether this node is among those that tell a peer."""
         mine = score(incarnation, self._membership.me.incarnation)
         others = (score(incarnation, each) for each in running if each != incarnation)
-        return sum(each > mine for each in others) < GREETERS
+        # The search ends with the last greeter before this node; a fleet starts all at once.
+        before_me = islice((each for each in others if each > mine), GREETERS)
+        return sum(1 for _ in before_me) < GREETERS
