--- /dev/null
+++ b/packages/springbridge/springbridge/routing/statements_in_routing_test.py
@@ -0,0 +1,111 @@
+"""Tests of what routing does with the statements of endpoints: no candidate, and why."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from springbridge.routing.conftest import SERVICE, make_snapshot
+from springbridge.routing.ejection import FAILURES_TO_EJECT
+from springbridge.routing.eligibility import OUTAGE_S, Obstacle, obstacle
+from springbridge.statements.rests import TRIAL_S
+
+
+def leave(registry, *names):
+    """Let endpoints say that they leave."""
+    for name in names:
+        registry.heard_leaving(registry.find(name).entry.incarnation)
+
+
+def rest(registry, name, seconds):
+    """Let an endpoint ask for rest."""
+    registry.statements.asked_rest(registry.find(name).entry.incarnation, seconds)
+
+
+def candidates(registry):
+    """Return the ids of the endpoints that may get a request."""
+    return sorted(each.entry.endpoint_id for each in registry.candidates(SERVICE, ()))
+
+
+def test_an_endpoint_that_leaves_is_no_candidate_though_its_entry_says_ready(registry):
+    registry.install(make_snapshot(2, "a", "b"), {}, 0.0)
+    leave(registry, "a")
+    registry.install(make_snapshot(3, "a", "b"), {}, 0.0)
+    assert_that(candidates(registry), Equals(["b"]))
+    assert_that(registry.avoided(SERVICE), Equals(["a"]))
+    assert_that([each.entry.endpoint_id for each in registry.leaving(SERVICE)], Equals(["a"]))
+    assert_that([each.entry.endpoint_id for each in registry.staying()], Equals(["b"]))
+
+
+def test_where_all_leave_the_last_ones_are_used_for_a_moment(registry, clock):
+    registry.install(make_snapshot(2, "a", "b"), {}, 0.0)
+    leave(registry, "a", "b")
+    assert_that(candidates(registry), Equals(["a", "b"]))
+    clock.now_s += 1.95
+    assert_that(candidates(registry), Equals([]))
+
+
+def test_one_whose_entry_says_so_as_well_is_no_last_resort(registry):
+    registry.install(make_snapshot(2, "a"), {}, 0.0)
+    leave(registry, "a")
+    registry.install(make_snapshot(3, draining=("a",)), {}, 0.0)
+    assert_that(candidates(registry), Equals([]))
+
+
+def test_a_lapse_and_the_return_of_the_entry_do_not_revive_it(registry, clock):
+    registry.install(make_snapshot(2, "a", "b"), {}, 0.0)
+    leave(registry, "a")
+    clock.now_s += OUTAGE_S + 1.0
+    registry.install(make_snapshot(3), {}, 0.0)
+    # The other one has lapsed with the outage; this one is gone.
+    assert_that(candidates(registry), Equals(["b"]))
+    clock.now_s += 5.0
+    registry.install(make_snapshot(4), {}, 0.0)
+    assert_that(registry.find("a"), Is(None))
+    registry.install(make_snapshot(5, "a", "b"), {}, 0.0)
+    assert_that(candidates(registry), Equals(["b"]))
+
+
+def test_an_endpoint_that_rests_is_neither_candidate_nor_used_for_want_of_another(registry, clock):
+    registry.install(make_snapshot(2, "a", "b"), {}, 0.0)
+    for _ in range(FAILURES_TO_EJECT):
+        registry.failed(registry.find("b"))
+    rest(registry, "a", 3.0)
+    assert_that(candidates(registry), Equals(["b"]))
+    rest(registry, "b", 3.0)
+    assert_that(candidates(registry), Equals([]))
+    assert_that(len(registry.resting(SERVICE)), Equals(2))
+    clock.now_s += 3.0
+    assert_that(candidates(registry), Equals(["a", "b"]))
+
+
+def test_at_the_end_of_a_rest_the_second_request_looks_elsewhere(registry, clock):
+    registry.install(make_snapshot(2, "a", "b"), {}, 0.0)
+    rest(registry, "a", 3.0)
+    clock.now_s += 3.0
+    state = registry.find("a")
+    assert_that(registry.may_get_request(state), Is(True))
+    registry.sends(state)
+    assert_that(registry.may_get_request(state), Is(False))
+    assert_that(candidates(registry), Equals(["b"]))
+    clock.now_s += TRIAL_S
+    assert_that(candidates(registry), Equals(["a", "b"]))
+
+
+def test_obstacles_are_asked_in_their_order(registry, clock):
+    registry.install(make_snapshot(2, "a", "b"), {}, 0.0)
+    state = registry.find("a")
+    assert_that(obstacle(state, clock.now_s), Is(None))
+    registry.statements.told_leaving(state.entry.incarnation)
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.SAID_TO_LEAVE))
+    for _ in range(FAILURES_TO_EJECT):
+        registry.failed(state)
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.EJECTED))
+    leave(registry, "a")
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.LEAVING))
+    rest(registry, "a", 3.0)
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.RESTING))
+    registry.unreachable(state)
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.UNREACHABLE))
+    registry.install(make_snapshot(3, "b", draining=("a",)), {}, 0.0)
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.DRAINING))
+    registry.install(make_snapshot(4, "b"), {}, 0.0)
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.NOT_LISTED))
