The soak has engines that leave, with their row and without, and engines that ask for rest

It checks both rules from what the engines see: nothing new for an engine that leaves once the node has passed that on, and rest for one that asked for it, with freezes, restarts and harmed links excused.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import orjson
 
@@ -58,7 +59,7 @@
     """Send one request and check what comes of it."""
     path = soak.rng.choice(PATHS)
     body = bytes(soak.rng.randrange(256) for _ in range(soak.rng.randrange(1, LONGEST_BODY)))
-    soak.asked[request_id] = Asked(path, digest(body), connection.address)
+    soak.asked[request_id] = Asked(path, digest(body), connection.address, time.monotonic())
     node = soak.node_at(connection.address)
     kills_before = node.kills
     try:
@@ -75,6 +76,9 @@
         check_no_answer(soak, path, request_id, node.kills > kills_before, exc)
         return
     soak.counts[f"{path} {got.status}"] += 1
+    if "server-leaving" in got.headers:
+        left = (connection.address, got.headers["instance-id"])
+        soak.passed_on_s.setdefault(left, time.monotonic())
     check_answer(soak, path, request_id, body, got)
 
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
@@ -13,6 +13,7 @@
 from springbridge_standins.gateway.caller import CallerConnection
 from springbridge_standins.gateway.crashing import MARK
 from springbridge_standins.gateway.soak.state import Soak
+from springbridge_standins.gateway.soak.statements import start_anew
 
 # Seconds between two sends.
 PAUSE_S = 0.7
@@ -67,10 +68,7 @@
 async def _start_anew(soak: Soak, name: str) -> None:
     """Start an engine again under its id and at its address, with another start in its entry."""
     await asyncio.sleep(random.Random(len(soak.ended_s)).uniform(*DOWN_S))
-    await soak.engines[name].start()
-    await soak.proxy_of(name).start(soak.proxy_of(name).address)
-    soak.starts[name] += 1
-    await soak.list_engine(name, "ready")
+    await start_anew(soak, name)
 
 
 def check_poison(soak: Soak) -> None:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -69,8 +69,8 @@
     return f"{request_id}:{digest(body)}".encode()
 
 
-class NamedRates(Protocol):
-    """What an engine says of its rate, and who is told what arrives."""
+class Says(Protocol):
+    """What an engine says of itself, and who is told what arrives."""
 
     def arrived(self, name: str, request_id: str) -> None:
         """Note that a request arrives at an engine."""
@@ -78,6 +78,9 @@
     def headers(self, name: str) -> dict[str, str]:
         """Return the headers for an answer of an engine."""
 
+    def rest_s(self, name: str, request_id: str) -> float | None:
+        """Return the rest that an engine asks for as it turns a request away, None if it serves."""
+
 
 class SoakScript:
     """Answers requests; by chance it fails as real engines do.
@@ -92,16 +95,16 @@
         record: Record,
         rng: random.Random,
         end: Callable[[str], Awaitable[None]],
-        rates: NamedRates,
+        says: Says,
     ) -> None:
         """Keep the name, the common record and the source of chance.
 
         Args:
           end: Ends the engine of a name, as under a request that does so.
-          rates: The rates that engines name.
+          says: What engines say of themselves.
         """
         self._end = end
-        self._rates = rates
+        self._says = says
         self._endpoint_id = endpoint_id
         self._record = record
         self._rng = rng
@@ -113,12 +116,15 @@
         if request.headers.get("expected-instance") != self._endpoint_id:
             await connection.send(answer(request.request_id, b"", 421, signature=""))
             return
-        self._rates.arrived(self._endpoint_id, request.request_id)
+        self._says.arrived(self._endpoint_id, request.request_id)
         if request.body.startswith(MARK):
             await self._end(self._endpoint_id)
             return
-        if fault < FAULT_SHARE / 6:
+        rest_s = self._says.rest_s(self._endpoint_id, request.request_id)
+        if rest_s is not None or fault < FAULT_SHARE / 6:
             refused = {"Not_Executed": "1"} | self._headers()
+            if rest_s is not None:
+                refused["Retry_After"] = f"{rest_s:g}"
             refusal = answer(request.request_id, b"", 503, signature="", **refused)
             await connection.send(refusal)
             return
@@ -134,8 +140,8 @@
             await self._plain(request, connection, surplus=fault < 5 * FAULT_SHARE / 6)
 
     def _headers(self) -> dict[str, str]:
-        """Return the headers about the engine's rate."""
-        return self._rates.headers(self._endpoint_id)
+        """Return the headers about the engine."""
+        return self._says.headers(self._endpoint_id)
 
     def _note(self, request: RawRequest) -> None:
         """Record that a request is begun."""
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/rates.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/rates.py
@@ -37,7 +37,7 @@
     def arrived(self, name: str, request_id: str) -> None:
         """Note that a request arrives at an engine."""
         record = self.now.setdefault(name, RateRecord())
-        record.arrivals.append(Arrival(time.monotonic(), self._is_excused(name, request_id)))
+        record.arrivals.append(Arrival(time.monotonic(), self.is_excused(name, request_id)))
 
     def headers(self, name: str) -> dict[str, str]:
         """Return the headers for an answer of an engine."""
@@ -49,7 +49,7 @@
         if name in self.now:
             self.before.append((name, self.now.pop(name)))
 
-    def _is_excused(self, name: str, request_id: str) -> bool:
+    def is_excused(self, name: str, request_id: str) -> bool:
         """Return whether the sender, or the way to the engine, was harmed a moment ago."""
         now_s = time.monotonic()
         if self.soak.proxy_of(name).harm is not Harm.NONE:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -2,7 +2,8 @@
 
 What is checked is what callers and engines see: whole answers that belong to their request, nothing
 run twice that may not be, nothing run that was reported not run, nothing run that nobody asked for,
-the right customer, and no engine that names a rate gets more than that. All random draws come from
+the right customer, and every engine gets what it says it wants: no more than its rate, rest, and
+nothing new once it leaves. All random draws come from
 the seed; the timing of processes does not.
 """
 
@@ -36,6 +37,11 @@
     name_rates_forever,
 )
 from springbridge_standins.gateway.soak.state import Soak
+from springbridge_standins.gateway.soak.statements import (
+    EngineStatements,
+    check_statements,
+    say_forever,
+)
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.http_standin import running
 from springbridge_standins.proxy import LoopbackProxy
@@ -63,12 +69,12 @@
         soak = Soak(random.Random(seed), StoreStandIn())
         await stack.enter_async_context(running(soak.store))
         await stack.enter_async_context(running(soak.duties))
-        rates = EngineRates(soak)
-        await _start_engines(soak, rates, stack)
+        says = EngineStatements(soak, EngineRates(soak))
+        await _start_engines(soak, says, stack)
         await soak.store.put("op", "config", configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
-        tasks = _start_tasks(soak, rates, seed, callers)
+        tasks = _start_tasks(soak, says, seed, callers)
         for _ in range(LONGEST):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -84,28 +90,32 @@
         check_record(soak)
         check_poison(soak)
         check_duties(soak)
-        check_rates(soak, rates)
+        check_rates(soak, says.rates)
+        check_statements(soak, says)
         return soak
 
 
-def _start_tasks(soak: Soak, rates: EngineRates, seed: int, callers: int) -> list[asyncio.Task]:
+def _start_tasks(soak: Soak, says: EngineStatements, seed: int, callers: int) -> list[asyncio.Task]:
     """Start the callers and everything that does harm."""
     work = [
         *(call_forever(soak, number) for number in range(callers)),
         harm_forever(soak),
         copy_forever(soak),
         send_poison_forever(soak, random.Random(f"{seed} ender")),
-        name_rates_forever(soak, rates, random.Random(f"{seed} rates")),
+        name_rates_forever(soak, says.rates, random.Random(f"{seed} rates")),
+        say_forever(soak, says, random.Random(f"{seed} statements")),
     ]
     return [asyncio.ensure_future(each) for each in work]
 
 
-async def _start_engines(soak: Soak, rates: EngineRates, stack: contextlib.AsyncExitStack) -> None:
+async def _start_engines(
+    soak: Soak, says: EngineStatements, stack: contextlib.AsyncExitStack
+) -> None:
     """Start engines, each behind a proxy."""
     names = ["i-desk-1", "i-desk-2", "i-desk-3", "i-model-1", "i-model-2", "i-model-3"]
     for name in names:
         script = SoakScript(
-            name, soak.record, soak.rng, lambda one: end_engine(soak, one, rates.ended), rates
+            name, soak.record, soak.rng, lambda one: end_engine(soak, one, says.ended), says
         )
         engine = EngineStandIn(name, script)
         await stack.enter_async_context(running(engine))
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -22,11 +22,13 @@
 
     Attributes:
       callers: The address for callers of the node that it was sent to.
+      sent_s: When it was sent, on the monotonic clock.
     """
 
     path: str
     body_digest: str
     callers: str
+    sent_s: float
 
 
 @dataclass
@@ -39,6 +41,8 @@
       counts: Answers by path and status, and faults by name.
       starts: How often each engine has started again.
       ended_s: When engines ended under a request, on the monotonic clock.
+      passed_on_s: When a node first passed on an answer of an engine that leaves, on the same
+        clock; by the node's address for callers and the engine's run.
       poison_arrived_s: When the request that ends them arrived at engines, on the same clock.
     """
 
@@ -58,6 +62,7 @@
     starts: Counter = field(default_factory=Counter)
     ended_s: list[float] = field(default_factory=list)
     poison_arrived_s: list[float] = field(default_factory=list)
+    passed_on_s: dict[tuple[str, str], float] = field(default_factory=dict)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     def node_at(self, callers: str) -> NodeProcess:
