Other instances put an endpoint behind the others while it rests from one of them

A caller of a one-try route got 503 at each instance that met an endpoint which sheds, once a rest. A rest of a second or more is told once to the others as a hint. A refusal for want of an endpoint names what stood against them (obstacles).

--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_rows.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_rows.py
@@ -24,11 +24,13 @@
     Attributes:
       statement: Of its rate.
       leaves: Whether it said that it leaves, to this node or to one that told this node.
+      rest_s: What is left of a rest that it asked one of these for, in seconds; 0 for none.
     """
 
     incarnation: EndpointIncarnation
     statement: Statement
     leaves: bool = False
+    rest_s: float = 0.0
 
 
 class PermitAnswer(IntEnum):
@@ -72,13 +74,16 @@
 def rate_row(told: ToldStatements, now_s: float) -> list:
     """Return the row of statements, with ages in place of moments.
 
-    Earlier builds pass over a sixth field, so it stands only where there is something to tell.
+    Earlier builds pass over what is behind the fifth field, so it stands only where there is
+    something to tell.
     """
     statement = told.statement
     ages = [now_s - statement.sent_s, now_s - statement.received_s]
     rounded = [round(age_s, AGE_DECIMALS) for age_s in ages]
-    leaves = [LEAVES] if told.leaves else []
-    return [*incarnation_row(told.incarnation), statement.per_s, *rounded, *leaves]
+    row = [*incarnation_row(told.incarnation), statement.per_s, *rounded]
+    if told.rest_s > 0.0:
+        return [*row, int(told.leaves), round(told.rest_s, AGE_DECIMALS)]
+    return [*row, LEAVES] if told.leaves else row
 
 
 def read_rate(row: list, now_s: float) -> ToldStatements:
@@ -89,7 +94,9 @@
         now_s - max(0.0, number(sent_ago_s)) - ON_THE_WAY_S,
         now_s - max(0.0, number(received_ago_s)),
     )
-    return ToldStatements(read_incarnation([endpoint_id, born_ms]), statement, more[:1] == [LEAVES])
+    leaves = more[:1] == [LEAVES]
+    rest_s = max(0.0, number(more[1])) if len(more) > 1 else 0.0
+    return ToldStatements(read_incarnation([endpoint_id, born_ms]), statement, leaves, rest_s)
 
 
 def _read_per_s(value: object) -> float | None:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
@@ -4,9 +4,11 @@
 hears of it first tells some more, so that a fleet of hundreds knows within a few round trips. All
 pass it on at their beats for a short time, which makes up for lost datagrams. Of a rate, only the
 granter of the endpoint goes on after that. Peers that start are told by a few nodes. While no
-endpoint names a rate or leaves nothing is sent. A rest concerns one instance and is not told.
+endpoint names a rate, leaves or asks for rest nothing is sent. A rest is told once: it is a hint to
+the others, and its loss does no harm.
 """
 
+import random
 from collections.abc import Callable, Iterable
 
 from springbridge.membership import Membership
@@ -29,6 +31,14 @@
 ROWS_PER_DATAGRAM = 16
 
 
+# Shortest rest in seconds that is told. A shorter one is mostly over when the last peer hears of
+# it.
+LEAST_TOLD_REST_S = 1.0
+# Seconds over which the instances return to an endpoint that has rested, so that they do not come
+# at the same moment.
+RETURN_SPREAD_S = 1.0
+
+
 class StatementSharing:
     """Keeps this node and its peers informed of the statements of endpoints."""
 
@@ -74,11 +84,23 @@
             self._news_until_s[incarnation] = self._clock() + NEWS_S
             self._send([incarnation], self._pushed_peers())
 
+    def heard_rest(self, incarnation: EndpointIncarnation, rest_s: float) -> None:
+        """Tell peers of a rest that an endpoint asked this node for, unless one has told of it.
+
+        Args:
+          rest_s: The rest in seconds.
+        """
+        if rest_s < LEAST_TOLD_REST_S:
+            return
+        if self._registry.statements.told_rest(incarnation, rest_s, 0.0):
+            self._send([incarnation], self._pushed_peers())
+
     def merge(self, told: ToldStatements, sender: str) -> None:
         """Take in what a peer tells, in a message of its own or in another one."""
         rate_is_new = self._merge(told.incarnation, told.statement, sender)
         leaving_is_new = told.leaves and self._told_leaving(told.incarnation, sender)
-        if leaving_is_new or (rate_is_new and self._is_news(told.incarnation)):
+        rest_is_new = told.rest_s > 0.0 and self._told_rest(told)
+        if leaving_is_new or rest_is_new or (rate_is_new and self._is_news(told.incarnation)):
             self._send([told.incarnation], self._membership.gossip_targets())
 
     def told(self, incarnation: EndpointIncarnation) -> ToldStatements:
@@ -88,7 +110,10 @@
             # Older than anything that another node may know.
             known = Statement(None, 0.0, 0.0)
         said = self._registry.statements.find(incarnation)
-        return ToldStatements(incarnation, known, said is not None and said.leaving.is_known)
+        if said is None:
+            return ToldStatements(incarnation, known)
+        rest_s = max(0.0, said.peers_rest_until_s - self._clock())
+        return ToldStatements(incarnation, known, said.leaving.is_known, rest_s)
 
     async def beat(self) -> None:
         """Pass on what came or ended lately and what this node is the granter of."""
@@ -120,13 +145,24 @@
             self._news_until_s[incarnation] = self._clock() + NEWS_S
         return True
 
-    def _told_leaving(self, incarnation: EndpointIncarnation, sender: str) -> bool:
-        """Take in that an endpoint leaves, and return whether that is new.
+    def _told_rest(self, told: ToldStatements) -> bool:
+        """Take in that an endpoint rests from a peer, and return whether that is new."""
+        if not self._is_listed(told.incarnation):
+            return False
+        spread_s = RETURN_SPREAD_S * random.random()
+        return self._registry.statements.told_rest(told.incarnation, told.rest_s, spread_s)
 
-        Of one that is not listed nothing is kept: a faulty peer could tell of any number.
+    def _is_listed(self, incarnation: EndpointIncarnation) -> bool:
+        """Return whether something is kept of an endpoint.
+
+        Of others nothing is: a faulty peer could tell of any number.
         """
         state = self._registry.find(incarnation.endpoint_id)
-        if state is None or state.entry.incarnation != incarnation:
+        return state is not None and state.entry.incarnation == incarnation
+
+    def _told_leaving(self, incarnation: EndpointIncarnation, sender: str) -> bool:
+        """Take in that an endpoint leaves, and return whether that is new."""
+        if not self._is_listed(incarnation):
             return False
         if not self._registry.statements.told_leaving(incarnation):
             return False
--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing_test.py
@@ -14,7 +14,7 @@
 from testtools.matchers import Equals, Is
 
 from springbridge_node.gateway.peers.statement_rows import ToldStatements, rate_row, read_rate
-from springbridge_node.gateway.peers.statement_sharing import NEWS_S
+from springbridge_node.gateway.peers.statement_sharing import NEWS_S, RETURN_SPREAD_S
 
 # Seconds within which every instance has to know that an endpoint leaves.
 KNOWN_S = 0.5
@@ -117,3 +117,39 @@
     assert_that(
         [read_rate([*without, each], 1.0).leaves for each in (0, None, "x")], Equals([False] * 3)
     )
+
+
+def test_a_rest_is_told_to_the_others_as_a_hint(with_instances):
+    async def body(fleet):
+        fleet.instances[0].parts.sharing.heard_rest(ONE, 3.0)
+        await asyncio.sleep(KNOWN_S)
+        hinted = [obstacle_at(each) is Obstacle.RESTS_FROM_PEER for each in fleet.instances]
+        assert_that(sum(hinted), Equals(20))
+        # The only endpoint is used all the same.
+        assert_that(len(registry_of(fleet.instances[5]).candidates("model", ())), Equals(1))
+        sent = sum(fleet.network.sent_bytes.values())
+        fleet.instances[7].parts.sharing.heard_rest(ONE, 3.0)
+        await asyncio.sleep(3.0)
+        assert_that(sum(fleet.network.sent_bytes.values()), Equals(sent))
+        await asyncio.sleep(RETURN_SPREAD_S)
+        assert_that({obstacle_at(each) for each in fleet.instances}, Equals({None}))
+
+    with_instances(body, 20)
+
+
+def test_a_short_rest_is_not_told(with_instances):
+    async def body(fleet):
+        fleet.instances[0].parts.sharing.heard_rest(ONE, 0.5)
+        await asyncio.sleep(1.0)
+        assert_that(sum(fleet.network.sent_bytes.values()), Equals(0))
+
+    with_instances(body, 8)
+
+
+def test_a_row_tells_what_is_left_of_a_rest():
+    row = rate_row(ToldStatements(ONE, NO_RATE, rest_s=2.5), 1.0)
+    assert_that(row, Equals(["e0", None, None, 1.0, 1.0, 0, 2.5]))
+    read = read_rate(row, 1.0)
+    assert_that((read.leaves, read.rest_s), Equals((False, 2.5)))
+    with pytest.raises(ValueError):
+        read_rate([*row[:6], "long"], 1.0)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -117,6 +117,7 @@
             fingerprint=progress.fingerprint,
             result=ending.result,
             reason=ending.reason,
+            obstacles=progress.obstacles,
             first_ms=first_ms,
             pause_ms=round(progress.longest_pause_s * 1000),
             total_ms=_age_ms(exchange),
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -169,6 +169,7 @@
     def _without_endpoint(self, exchange: Exchange) -> Problem:
         """Return the problem of a request for which no endpoint was found."""
         route, attempts = exchange.route, exchange.attempts()
+        exchange.progress.obstacles = self._parts.registry.obstacles(exchange.demand.service)
         spent = self._parts.rates.gate.spent(exchange)
         if spent is not None:
             return giving_up.when_rates_spent(route, attempts, spent)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
@@ -50,6 +50,7 @@
             self._registry.statements.asked_no_rest(entry.incarnation, sent_s)
         else:
             rest = self._registry.statements.asked_rest(entry.incarnation, said.rest_s)
+            self._sharing.heard_rest(entry.incarnation, said.rest_s)
             self._log.asks_rest(entry, request_id, said.rest_s, rest.until_s - self._clock())
 
     def _heard_rate(self, entry: EndpointEntry, stated: StatedRate, sent_s: float) -> None:
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -44,10 +44,11 @@
     LEAVING = "leaving"
     EJECTED = "ejected"
     SAID_TO_LEAVE = "said to leave by a peer"
+    RESTS_FROM_PEER = "rests from a peer"
 
 
 # Obstacles that only put an endpoint behind those without one.
-BEHIND = frozenset({Obstacle.EJECTED, Obstacle.SAID_TO_LEAVE})
+BEHIND = frozenset({Obstacle.EJECTED, Obstacle.SAID_TO_LEAVE, Obstacle.RESTS_FROM_PEER})
 
 
 def candidates(
@@ -103,6 +104,8 @@
         return Obstacle.EJECTED
     if leaving.is_likely(said.leaving, now_s):
         return Obstacle.SAID_TO_LEAVE
+    if said.behind_until_s > now_s:
+        return Obstacle.RESTS_FROM_PEER
     return None
 
 
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -7,6 +7,7 @@
 Relies on a monotonic clock in seconds. Nothing here waits or does input or output.
 """
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Set
 from dataclasses import replace
 
@@ -208,6 +209,13 @@
             and eligibility.obstacle(state, now_s) is Obstacle.RESTING
         ]
 
+    def obstacles(self, service: str) -> dict[str, int]:
+        """Return how many endpoints of a service each obstacle stands against, by its name."""
+        now_s = self._clock()
+        states = [each for each in self._states.values() if each.entry.service == service]
+        found = Counter(eligibility.obstacle(state, now_s) for state in states)
+        return {each.value: found[each] for each in Obstacle if found[each]}
+
     def sends(self, state: EndpointState) -> None:
         """Note that a request is sent to an endpoint now."""
         if state.said.rest is not None:
--- a/packages/springbridge/springbridge/statements/rests.py
+++ b/packages/springbridge/springbridge/statements/rests.py
@@ -5,9 +5,10 @@
 of a monotonic clock.
 Outcome: yes or no.
 Why: an endpoint that turns requests away at once looks idle and would attract all of them. A rest
-is a matter between the endpoint and the instance that it answered. At its end one request is sent,
-and all others follow once that one was answered, or was not turned away for a while; if they went
-together, they would be turned away together.
+is a matter between the endpoint and the instance that it answered; other instances only put the
+endpoint behind the others meanwhile, which spares callers a refusal at each of them. At its end one
+request is sent, and all others follow once that one was answered, or was not turned away for a
+while; if they went together, they would be turned away together.
 """
 
 from dataclasses import dataclass
@@ -18,6 +19,9 @@
 # has no room says so at once.
 TRIAL_S = 0.25
 
+# Longest time in seconds for which the rest of a peer puts an endpoint behind the others here.
+LONGEST_PEERS_REST_S = 10.0
+
 
 @dataclass(slots=True)
 class Rest:
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -23,11 +23,15 @@
 
     Attributes:
       rest: The rest that it asked for, None without one.
+      peers_rest_until_s: When the latest rest ends that it asked a peer for, as far as is told.
+      behind_until_s: Until when that puts it behind the others for this instance.
       known_s: When it was last known to be listed or to have requests.
     """
 
     leaving: Leaving = field(default_factory=Leaving)
     rest: Rest | None = None
+    peers_rest_until_s: float = 0.0
+    behind_until_s: float = 0.0
     known_s: float = 0.0
 
 
@@ -87,6 +91,21 @@
         said.rest = rests.rest_until(said.rest, rest_s, self._clock())
         return said.rest
 
+    def told_rest(self, incarnation: EndpointIncarnation, rest_s: float, spread_s: float) -> bool:
+        """Note that an endpoint asked a peer for rest, and return whether that is new.
+
+        Args:
+          rest_s: What is left of that rest, in seconds.
+          spread_s: Seconds by which this instance comes back later than that.
+        """
+        said = self.of(incarnation)
+        now_s = self._clock()
+        was_told = said.peers_rest_until_s > now_s
+        until_s = now_s + min(rest_s, rests.LONGEST_PEERS_REST_S)
+        said.peers_rest_until_s = max(said.peers_rest_until_s, until_s)
+        said.behind_until_s = max(said.behind_until_s, until_s + spread_s)
+        return not was_told
+
     def asked_no_rest(self, incarnation: EndpointIncarnation, sent_s: float) -> None:
         """Note an answer without a wish for rest.
 
