An older copy of the store does not bring back an earlier run of an endpoint

Callers' requests went to an endpoint 2.0 to 2.6 s after it had said that it leaves: the store came back from a copy with the row of the endpoint's run before, which counted as another incarnation that had said nothing; its own word was heard anew, and with it the time in which the last endpoints of a service may be used began anew.

--- a/packages/springbridge/springbridge/routing/older_lists.py
+++ b/packages/springbridge/springbridge/routing/older_lists.py
@@ -5,8 +5,9 @@
 Inputs: the list, the entries in use, and the endpoints that have left a short while ago.
 Outcome: the entries to use.
 Why: an endpoint that said that it leaves, or that has left, stands on the older copy as it was
-before. Endpoints that live write their entries again within about two seconds; until then what was
-known before holds, so that no request is sent to one that is leaving or gone.
+before, and one that started again may stand there with its earlier run. Endpoints that live write
+their entries again within about two seconds; until then what was known before holds, so that no
+request is sent to one that is leaving or gone.
 """
 
 from collections.abc import Callable, Iterable
@@ -57,14 +58,27 @@
         if self._clock() > self._went_back_s + SETTLED_S:
             return listed
         return {
-            name: _still_draining(entry, known(name))
+            name: _as_known(entry, known(name))
             for name, entry in listed.items()
             if name not in self._left_s
         }
 
 
-def _still_draining(listed: EndpointEntry, known: EndpointEntry | None) -> EndpointEntry:
-    """Return a listed entry, draining if the same run of the endpoint was known to be."""
+def _as_known(listed: EndpointEntry, known: EndpointEntry | None) -> EndpointEntry:
+    """Return a listed entry, corrected by the one in use.
+
+    An earlier run of the endpoint has ended, and the later one is at the address. The same run
+    drains if it was known to.
+    """
+    if known is not None and _is_earlier(listed, known):
+        return known
     if known is None or not known.draining or known.incarnation != listed.incarnation:
         return listed
     return replace(listed, draining=True)
+
+
+def _is_earlier(one: EndpointEntry, other: EndpointEntry) -> bool:
+    """Return whether an entry is about an earlier run of an endpoint than another one."""
+    if one.born_ms is None or other.born_ms is None:
+        return False
+    return one.born_ms < other.born_ms
--- a/packages/springbridge/springbridge/routing/older_lists_test.py
+++ b/packages/springbridge/springbridge/routing/older_lists_test.py
@@ -26,9 +26,9 @@
     return Clock()
 
 
-def entry(name, draining=False):
+def entry(name, draining=False, born_ms=None):
     """Return an entry."""
-    return EndpointEntry(name, "model", "10.0.0.1:80", "a", 4, draining)
+    return EndpointEntry(name, "model", "10.0.0.1:80", "a", 4, draining, born_ms)
 
 
 def snapshot(era, revision, *entries):
@@ -78,3 +78,15 @@
     registry.install(snapshot(0, 900, entry("e-1"), entry("e-2"), entry("e-3")), {}, 0.0)
     registry.install(snapshot(1, 700, entry("e-1")), {}, 0.0)
     assert_that(usable(registry), Equals(["e-1", "e-2", "e-3"]))
+
+
+def test_the_word_of_a_later_run_holds_though_an_older_copy_names_the_run_before(clock):
+    registry = EndpointRegistry(clock)
+    leaving, other = entry("e-1", born_ms=2000), entry("e-2", born_ms=2000)
+    registry.install(snapshot(0, 900, leaving, other), {}, 0.0)
+    registry.heard_leaving(leaving.incarnation)
+    registry.install(snapshot(1, 700, entry("e-1", born_ms=1000), other), {}, 0.0)
+    assert_that(usable(registry), Equals(["e-2"]))
+    # A later run still is another one.
+    registry.install(snapshot(1, 701, entry("e-1", born_ms=3000), other), {}, 0.0)
+    assert_that(usable(registry), Equals(["e-1", "e-2"]))
