The time as a last resort is not begun anew when the list is late to name a run that leaves

The endpoint had started again under its id while the list still named the run before, which its word was kept for; with the new row it was heard anew, and its service had no other endpoint for that instance. On the users' platform each start has an id of its own, and another run answers 421.

--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -74,9 +74,17 @@
         leaving = self.of(incarnation).leaving
         if leaving.is_certain:
             return False
-        leaving.heard_s = self._clock()
+        # The list may have named the run before when the first word came, and it was kept for that
+        # one. The time as a last resort does not begin anew.
+        leaving.heard_s = min(self._words_of(incarnation.endpoint_id), default=self._clock())
         return True
 
+    def _words_of(self, endpoint_id: str) -> Iterator[float]:
+        """Return when each run of an endpoint said that it leaves."""
+        for incarnation, said in self._said.items():
+            if incarnation.endpoint_id == endpoint_id and said.leaving.heard_s is not None:
+                yield said.leaving.heard_s
+
     def told_leaving(self, incarnation: EndpointIncarnation) -> bool:
         """Note that a peer heard it say so, and return whether that is new."""
         leaving = self.of(incarnation).leaving
--- a/packages/springbridge/springbridge/statements/statement_table_test.py
+++ b/packages/springbridge/springbridge/statements/statement_table_test.py
@@ -70,3 +70,11 @@
     table.heard_leaving(unknown)
     table.started_at(ONE, table.of(unknown))
     assert_that(table.of(ONE).leaving.is_certain, Is(True))
+
+
+def test_the_time_as_a_last_resort_does_not_begin_anew_with_a_late_entry(table, clock):
+    # The list still names the run before while the later one answers.
+    table.heard_leaving(ONE)
+    clock.now_s = 100.4
+    assert_that(table.heard_leaving(AGAIN), Is(True))
+    assert_that(table.of(AGAIN).leaving.heard_s, Equals(100.0))
