--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -147,7 +147,7 @@
     Mutant(
         "the asker's own belief of an engine counts",
         f"{NODE}/gateway/peers/selection_client.py",
-        "usable = self._registry.candidates(demand.service, tried)",
+        "usable = self._registry.candidates(demand.service, {*tried, *held_back})",
         "usable = list(self._registry._states.values()) or [None]",
         f"{SELECTION_CLIENT}::test_an_engine_that_the_asker_may_not_use_is_not_taken",
     ),
--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -18,6 +18,7 @@
 from springbridge_standins.mutants.gateway_mutants import USERS_PLATFORM
 from springbridge_standins.mutants.mutant import LIBRARY, NODE, Mutant
 from springbridge_standins.mutants.rate_mutants import RATES_OF_ENDPOINTS
+from springbridge_standins.mutants.statement_mutants import STATEMENTS_OF_ENDPOINTS
 
 ROOT = Path(__file__).parents[4]
 TIMEOUT_S = 300.0
@@ -215,7 +216,13 @@
     ),
 )
 
-ALL = (*MUTANTS, *USERS_PLATFORM, *DUTIES_OF_THE_FLEET, *RATES_OF_ENDPOINTS)
+ALL = (
+    *MUTANTS,
+    *USERS_PLATFORM,
+    *DUTIES_OF_THE_FLEET,
+    *RATES_OF_ENDPOINTS,
+    *STATEMENTS_OF_ENDPOINTS,
+)
 
 
 def fails(mutant: Mutant, folder: Path) -> bool:
--- a/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
@@ -13,15 +13,15 @@
     Mutant(
         "a rate: requests need a permit",
         f"{NODE}/gateway/requests/router.py",
-        "if not await self._parts.rate_gate.may_send(exchange, entry):",
+        "if not await self._parts.rates.gate.may_send(exchange, entry):",
         "if False:",
         f"{NAMED_RATE}::test_an_endpoint_gets_no_more_than_the_rate_that_it_names",
     ),
     Mutant(
         "a rate: it is taken from answers that refuse",
-        f"{PLATFORM}/wire_format.py",
-        "_stated_rate(head.headers.get(names.ENDPOINT_RATE)),",
-        "_stated_rate(None if not_run else head.headers.get(names.ENDPOINT_RATE)),",
+        f"{PLATFORM}/answer_headers.py",
+        "rate=_stated_rate(headers.get(names.ENDPOINT_RATE)),",
+        "rate=_stated_rate(headers.get(names.ENDPOINT_RATE) if head.status < 400 else None),",
         f"{NAMED_RATE}::test_a_rate_named_with_a_refusal_holds",
     ),
     Mutant(
@@ -118,8 +118,8 @@
     Mutant(
         "news of rates: all are told at once",
         f"{NODE}/gateway/peers/statement_sharing.py",
-        "self._send([incarnation], self._pushed_peers())",
-        "pass",
+        "self._send([incarnation], self._pushed_peers())\n        else:",
+        "pass\n        else:",
         PARTS,
     ),
     Mutant(
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
@@ -0,0 +1,109 @@
+"""Parts of the rules for what endpoints say of themselves, which a proof has to miss."""
+
+from springbridge_standins.mutants.mutant import LIBRARY, NODE, PLATFORM, Mutant
+
+ROUTING = f"{LIBRARY}/routing/statements_in_routing_test.py"
+LEAVING = f"{PLATFORM}/leaving_test.py"
+REST = f"{PLATFORM}/rest_test.py"
+SHARING = f"{NODE}/gateway/peers/statement_sharing_test.py"
+
+STATEMENTS_OF_ENDPOINTS = (
+    Mutant(
+        "leaving: the endpoint's word ends its use",
+        f"{LIBRARY}/routing/eligibility.py",
+        "if said.leaving.is_certain:",
+        "if False:",
+        f"{LEAVING}::test_an_endpoint_that_says_it_leaves_gets_no_more_requests",
+    ),
+    Mutant(
+        "leaving: the last resort ends",
+        f"{LIBRARY}/statements/leaving.py",
+        "now_s < leaving.heard_s + last_resort_s(drain_s)",
+        "True",
+        f"{LEAVING}::test_an_endpoint_that_says_it_leaves_gets_no_more_requests",
+    ),
+    Mutant(
+        "leaving: the word outlasts the entry",
+        f"{LIBRARY}/routing/endpoint_registry.py",
+        "EndpointState(entry, said=said)",
+        "EndpointState(entry)",
+        f"{ROUTING}::test_a_lapse_and_the_return_of_the_entry_do_not_revive_it",
+    ),
+    Mutant(
+        "leaving: an older copy does not bring back an earlier run",
+        f"{LIBRARY}/routing/older_lists.py",
+        "return one.born_ms < other.born_ms",
+        "return False",
+        f"{LIBRARY}/routing/older_lists_test.py",
+    ),
+    Mutant(
+        "leaving: peers are told",
+        f"{NODE}/gateway/requests/statement_watch.py",
+        "            self._sharing.heard_leaving(entry.incarnation)\n",
+        "",
+        f"{LEAVING}::test_one_answer_tells_all_nodes_while_the_store_is_out",
+    ),
+    Mutant(
+        "leaving: a peer's word does not last for ever",
+        f"{LIBRARY}/statements/leaving.py",
+        "now_s < leaving.told_s + PEERS_WORD_S",
+        "True",
+        SHARING,
+    ),
+    Mutant(
+        "leaving: news of another incarnation is passed over",
+        f"{NODE}/gateway/peers/statement_sharing.py",
+        "return state is not None and state.entry.incarnation == incarnation",
+        "return True",
+        SHARING,
+    ),
+    Mutant(
+        "rest: an endpoint that rests is no candidate",
+        f"{LIBRARY}/routing/eligibility.py",
+        "if said.rest is not None and not rests.may_send(said.rest, now_s):",
+        "if False:",
+        f"{REST}::test_an_endpoint_that_asks_for_rest_gets_it",
+    ),
+    Mutant(
+        "rest: of two rests the later end counts",
+        f"{LIBRARY}/statements/rests.py",
+        "until_s if known is None else max(known.until_s, until_s)",
+        "until_s",
+        f"{LIBRARY}/statements/rests_test.py",
+    ),
+    Mutant(
+        "rest: one request goes first",
+        f"{NODE}/gateway/requests/router.py",
+        "        self._parts.registry.sends(choice.state)\n",
+        "",
+        f"{REST}::test_at_the_end_of_a_rest_one_request_goes_first",
+    ),
+    Mutant(
+        "rest: what has waited looks again before it is sent",
+        f"{NODE}/gateway/requests/router.py",
+        "if not self._parts.registry.may_get_request(choice.state):",
+        "if False:",
+        f"{REST}::test_a_request_that_waited_for_a_connection_is_not_sent_into_a_rest",
+    ),
+    Mutant(
+        "rest: it is no failure",
+        f"{NODE}/gateway/requests/attempt.py",
+        "return End.TURNED_AWAY if verdict.statements.rest_s is None else End.ASKED_REST",
+        "return End.TURNED_AWAY",
+        f"{REST}::test_a_wish_for_rest_is_no_failure_and_takes_nothing_from_others",
+    ),
+    Mutant(
+        "rest: callers are spread after its end",
+        f"{LIBRARY}/statements/returns.py",
+        "max(0.0, first_end_in_s) + SPREAD_S * (refused_before * STEP % 1.0)",
+        "max(0.0, first_end_in_s)",
+        f"{LIBRARY}/statements/returns_test.py",
+    ),
+    Mutant(
+        "a retry that is not sent goes back to the budget",
+        f"{NODE}/gateway/requests/router.py",
+        "                self._parts.budget.give_back(exchange.demand.service)\n",
+        "                pass\n",
+        f"{REST}::test_a_retry_that_is_not_sent_goes_back_to_the_budget",
+    ),
+)
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -20,12 +20,15 @@
 
 from springbridge_standins.rates.endpoints import DrawnEndpoint
 from springbridge_standins.rates.network import DrawnNetwork
+from springbridge_standins.rates.statement_record import Request
 from springbridge_standins.rates.views import DrawnView
 
 SERVICE = "model"
 FAILURE_DOMAINS = ("a", "b", "c")
 # Slots of an endpoint; nothing here looks at them.
 SLOTS = 64
+# Seconds after its word within which an endpoint that leaves may get requests.
+DRAIN_S = 2.0
 # Seconds after a restart, freeze or cut in which an instance is excused.
 EXCUSED_S = 3.0
 
@@ -72,16 +75,20 @@
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task] = set()
         clock = asyncio.get_running_loop().time
-        registry = EndpointRegistry(clock)
-        entries = tuple(each.entry for each in fleet.endpoints)
-        registry.install(EndpointSnapshot(1, entries), {}, 0.0)
-        self.parts = RateParts(self.view, registry, fleet.telemetry, clock)
+        self.registry = EndpointRegistry(clock, DRAIN_S)
+        self.list_ready(1)
+        self.parts = RateParts(self.view, self.registry, fleet.telemetry, clock)
         datagrams = fleet.network.join(self.address)
         datagrams.peers = lambda: list(self.view.known)
         self.parts.connect(datagrams)
         self.gate = fleet.make_gate(self)
         self._run(self._beat())
 
+    def list_ready(self, revision: int) -> None:
+        """Install a list that says of every endpoint that it is ready."""
+        entries = tuple(each.entry for each in self.fleet.endpoints)
+        self.registry.install(EndpointSnapshot(revision, entries), {}, 0.0)
+
     def _run(self, work) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
@@ -118,7 +125,10 @@
         exchange = DrawnExchange(name, demand)
         while True:
             held = self.gate.held_back(exchange)
-            free = [each for each in self.fleet.endpoints if each.entry.endpoint_id not in held]
+            states = {
+                state.entry.endpoint_id: state for state in self.registry.candidates(SERVICE, held)
+            }
+            free = [each for each in self.fleet.endpoints if each.entry.endpoint_id in states]
             if not free:
                 self.refused_s.append(loop.time() - began_s)
                 spent = self.gate.spent(exchange)
@@ -126,19 +136,31 @@
                     self.retry_after_s.append(spent.retry_after_s)
                 return
             endpoint = min(free, key=lambda each: (self.sent[each.entry.endpoint_id], id(each)))
-            if await self.gate.may_send(exchange, endpoint.entry):
-                await self._send(endpoint)
+            if not await self.gate.may_send(exchange, endpoint.entry):
+                continue
+            await self._thawed()
+            state = states[endpoint.entry.endpoint_id]
+            if self.registry.may_get_request(state):
+                self.registry.sends(state)
+                await self._send(endpoint, began_s)
                 return
 
-    async def _send(self, endpoint: DrawnEndpoint) -> None:
-        await self._thawed()
+    async def _send(self, endpoint: DrawnEndpoint, began_s: float) -> None:
+        """Send a request to an endpoint and take in the head of its answer.
+
+        Args:
+          began_s: When the caller sent it.
+        """
         loop = asyncio.get_running_loop()
         self.sent[endpoint.entry.endpoint_id] += 1
         sent_s = loop.time()
-        verdict = await endpoint.answer(self.fleet.is_excused(self.address))
+        request = Request(self.member.incarnation, began_s, self.fleet.is_excused(self.address))
+        verdict = await endpoint.answer(request)
         await self._thawed()
         self.sent[endpoint.entry.endpoint_id] -= 1
         self.parts.watch.heard(endpoint.entry, "", verdict, sent_s)
+        if verdict.statements.leaves:
+            endpoint.said.passed_on(self.member.incarnation, loop.time())
 
 
 class DrawnFleet:
--- a/packages/springbridge-standins/springbridge_standins/rates/histories.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/histories.py
@@ -64,9 +64,9 @@
     await asyncio.sleep(2.5)
     limited = rng.sample(fleet.endpoints, rng.randint(1, len(fleet.endpoints)))
     base_per_s = RATES_PER_S[0] * (RATES_PER_S[1] / RATES_PER_S[0]) ** rng.random()
-    tasks = [asyncio.ensure_future(_name(rng, each, base_per_s)) for each in limited]
-    tasks.append(asyncio.ensure_future(_call(rng, fleet, base_per_s * len(fleet.endpoints))))
-    tasks.append(asyncio.ensure_future(_harm(rng, fleet)))
+    tasks = [asyncio.ensure_future(name(rng, each, base_per_s)) for each in limited]
+    tasks.append(asyncio.ensure_future(call(rng, fleet, base_per_s * len(fleet.endpoints))))
+    tasks.append(asyncio.ensure_future(harm(rng, fleet)))
     await asyncio.sleep(seconds)
     for task in tasks:
         task.cancel()
@@ -85,7 +85,7 @@
     history.bytes_per_s = max(fleet.network.sent_bytes.values(), default=0) / seconds
 
 
-async def _name(rng: random.Random, endpoint: DrawnEndpoint, per_s: float) -> None:
+async def name(rng: random.Random, endpoint: DrawnEndpoint, per_s: float) -> None:
     """Let an endpoint name a rate, another one now and then, and none at times."""
     while True:
         await asyncio.sleep(rng.random() * 4.0)
@@ -95,7 +95,7 @@
             endpoint.name(None)
 
 
-async def _call(rng: random.Random, fleet: DrawnFleet, rates_per_s: float) -> None:
+async def call(rng: random.Random, fleet: DrawnFleet, rates_per_s: float) -> None:
     """Let callers ask, at all instances or at a few."""
     asked_per_s = min(MOST_ASKED_PER_S, rates_per_s * rng.uniform(0.3, MOST_ASKED))
     few = rng.random() < 0.4
@@ -106,7 +106,7 @@
         fleet.instances[rng.choice(asked)].serve(rng.randrange(3))
 
 
-async def _harm(rng: random.Random, fleet: DrawnFleet) -> None:
+async def harm(rng: random.Random, fleet: DrawnFleet) -> None:
     """Harm instances, again and again."""
     numbers = range(len(fleet.instances))
     while True:
