An endpoint that leaves or rests is not probed either

By reading: the prober connected each 0.25 s to an endpoint that could not be reached, whatever it had said before. statements_in_routing_test.py has the case, which fails without the mend.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
@@ -29,8 +29,6 @@
 NEWS_S = 1.5
 # Rows in one datagram; with about 60 bytes each it stays under 1 kB.
 ROWS_PER_DATAGRAM = 16
-
-
 # Shortest rest in seconds that is told. A shorter one is mostly over when the last peer hears of
 # it.
 LEAST_TOLD_REST_S = 1.0
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -234,7 +234,9 @@
         return [
             state
             for state in self._states.values()
-            if not state.reachable and state.usable_until_s > now_s
+            if not state.reachable
+            and state.usable_until_s > now_s
+            and not state.said.wants_nothing(now_s)
         ]
 
     def take_notice(self, notice: LoadNotice) -> None:
--- a/packages/springbridge/springbridge/routing/statements_in_routing_test.py
+++ b/packages/springbridge/springbridge/routing/statements_in_routing_test.py
@@ -109,3 +109,16 @@
     assert_that(obstacle(state, clock.now_s), Is(Obstacle.DRAINING))
     registry.install(make_snapshot(4, "b"), {}, 0.0)
     assert_that(obstacle(state, clock.now_s), Is(Obstacle.NOT_LISTED))
+
+
+def test_an_endpoint_that_wants_nothing_is_not_probed(registry, clock):
+    registry.install(make_snapshot(2, "a", "b", "c"), {}, 0.0)
+    for name in ("a", "b", "c"):
+        registry.unreachable(registry.find(name))
+    leave(registry, "a")
+    rest(registry, "b", 3.0)
+    probed = [each.entry.endpoint_id for each in registry.unreachable_endpoints()]
+    assert_that(probed, Equals(["c"]))
+    clock.now_s += 3.0
+    probed = [each.entry.endpoint_id for each in registry.unreachable_endpoints()]
+    assert_that(probed, Equals(["b", "c"]))
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -34,6 +34,10 @@
     behind_until_s: float = 0.0
     known_s: float = 0.0
 
+    def wants_nothing(self, now_s: float) -> bool:
+        """Return whether it has told this instance to send it nothing for now."""
+        return self.leaving.is_certain or (self.rest is not None and now_s < self.rest.until_s)
+
 
 class StatementTable:
     """What this instance knows of the statements of endpoints."""
