--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_rows.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_rows.py
@@ -71,7 +71,7 @@
     told: ToldStatements
 
 
-def rate_row(told: ToldStatements, now_s: float) -> list:
+def told_row(told: ToldStatements, now_s: float) -> list:
     """Return the row of statements, with ages in place of moments.
 
     Earlier builds pass over what is behind the fifth field, so it stands only where there is
@@ -86,7 +86,7 @@
     return [*row, LEAVES] if told.leaves else row
 
 
-def read_rate(row: list, now_s: float) -> ToldStatements:
+def read_told(row: list, now_s: float) -> ToldStatements:
     """Return the statements of a row."""
     endpoint_id, born_ms, per_s, sent_ago_s, received_ago_s, *more = row
     statement = Statement(
@@ -126,19 +126,19 @@
 
 def request_row(request: PermitRequest, now_s: float) -> list:
     """Return the row of a question."""
-    return [request.number, request.priority, rate_row(request.told, now_s)]
+    return [request.number, request.priority, told_row(request.told, now_s)]
 
 
 def read_request(row: list, now_s: float) -> PermitRequest:
     """Return the question of a row."""
     count, priority, told, *_ = row
-    return PermitRequest(whole(count), whole(priority), read_rate(told, now_s))
+    return PermitRequest(whole(count), whole(priority), read_told(told, now_s))
 
 
 def reply_row(reply: PermitReply, now_s: float) -> list:
     """Return the row of an answer."""
     wait_s = round(reply.wait_s, AGE_DECIMALS)
-    return [reply.number, int(reply.answer), wait_s, rate_row(reply.told, now_s)]
+    return [reply.number, int(reply.answer), wait_s, told_row(reply.told, now_s)]
 
 
 def read_reply(row: list, now_s: float) -> PermitReply:
@@ -148,5 +148,5 @@
         whole(count),
         PermitAnswer(whole(answer)),
         max(0.0, number(wait_s)),
-        read_rate(told, now_s),
+        read_told(told, now_s),
     )
--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
@@ -195,7 +195,7 @@
         if self._datagrams is None or not receivers:
             return
         now_s = self._clock()
-        rows = [statement_rows.rate_row(self.told(each), now_s) for each in incarnations]
+        rows = [statement_rows.told_row(self.told(each), now_s) for each in incarnations]
         for start in range(0, len(rows), ROWS_PER_DATAGRAM):
             self._datagrams.send(Kind.RATES, rows[start : start + ROWS_PER_DATAGRAM], receivers)
 
@@ -203,4 +203,4 @@
         """Take in what a peer tells."""
         now_s = self._clock()
         for row in rows:
-            self.merge(statement_rows.read_rate(row, now_s), sender)
+            self.merge(statement_rows.read_told(row, now_s), sender)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing_test.py
@@ -13,7 +13,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from springbridge_node.gateway.peers.statement_rows import ToldStatements, rate_row, read_rate
+from springbridge_node.gateway.peers.statement_rows import ToldStatements, read_told, told_row
 from springbridge_node.gateway.peers.statement_sharing import NEWS_S, RETURN_SPREAD_S
 
 # Seconds within which every instance has to know that an endpoint leaves.
@@ -109,13 +109,13 @@
 
 
 def test_a_row_has_a_sixth_field_only_where_an_endpoint_leaves():
-    without = rate_row(ToldStatements(ONE, NO_RATE), 1.0)
+    without = told_row(ToldStatements(ONE, NO_RATE), 1.0)
     assert_that(without, Equals(["e0", None, None, 1.0, 1.0]))
-    with_it = rate_row(ToldStatements(ONE, NO_RATE, leaves=True), 1.0)
+    with_it = told_row(ToldStatements(ONE, NO_RATE, leaves=True), 1.0)
     assert_that(with_it, Equals([*without, 1]))
-    assert_that(read_rate(with_it, 1.0).leaves, Is(True))
+    assert_that(read_told(with_it, 1.0).leaves, Is(True))
     assert_that(
-        [read_rate([*without, each], 1.0).leaves for each in (0, None, "x")], Equals([False] * 3)
+        [read_told([*without, each], 1.0).leaves for each in (0, None, "x")], Equals([False] * 3)
     )
 
 
@@ -147,9 +147,9 @@
 
 
 def test_a_row_tells_what_is_left_of_a_rest():
-    row = rate_row(ToldStatements(ONE, NO_RATE, rest_s=2.5), 1.0)
+    row = told_row(ToldStatements(ONE, NO_RATE, rest_s=2.5), 1.0)
     assert_that(row, Equals(["e0", None, None, 1.0, 1.0, 0, 2.5]))
-    read = read_rate(row, 1.0)
+    read = read_told(row, 1.0)
     assert_that((read.leaves, read.rest_s), Equals((False, 2.5)))
     with pytest.raises(ValueError):
-        read_rate([*row[:6], "long"], 1.0)
+        read_told([*row[:6], "long"], 1.0)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rate_parts.py
@@ -1,4 +1,4 @@
-"""Joins what keeps to the rates that endpoints name; see rate_gate.py."""
+"""Joins what takes in the statements of endpoints and keeps to their rates; see rate_gate.py."""
 
 from collections.abc import Callable
 
@@ -20,11 +20,11 @@
 
 
 class RateParts:
-    """The parts that keep to rates.
+    """The parts that take in what endpoints say, and keep to their rates.
 
     Attributes:
       table: The rates in force.
-      sharing: Tells peers of rates; its beat is due at each heartbeat.
+      sharing: Tells peers of statements; its beat is due at each heartbeat.
       gate: Asked before each attempt.
       watch: Takes in what answers say.
     """
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -8,16 +8,18 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Set
-from dataclasses import replace
-
-import xxhash
+from collections.abc import Callable, Collection, Set
 
 from springbridge.routing import eligibility
 from springbridge.routing.ejection import ejection_s
 from springbridge.routing.eligibility import Obstacle
-from springbridge.routing.endpoint_state import LISTED, EndpointState
-from springbridge.routing.load_notices import LoadNotice, LoadPhase
+from springbridge.routing.endpoint_state import LISTED, EndpointState, leaving_by_service
+from springbridge.routing.listed_entries import (
+    fingerprint_of,
+    has_started_again,
+    with_known_start,
+)
+from springbridge.routing.load_notices import LoadNotice, LoadPhase, is_about
 from springbridge.routing.older_lists import OlderLists
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
@@ -26,10 +28,6 @@
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
-# Bits dropped from the 64-bit hash of a list. Heartbeats carry the rest, and all instances of a
-# mixed fleet compare it, so that its length is fixed.
-FINGERPRINT_SHIFT = 32
-
 
 class EndpointRegistry:
     """All endpoints that this instance may use.
@@ -96,12 +94,12 @@
             self._older_lists.went_back()
         after_outage = went_back or self.age_s() > eligibility.OUTAGE_S + age_s
         self._revision = snapshot.revision
-        self._fingerprint = _fingerprint(snapshot)
+        self._fingerprint = fingerprint_of(snapshot)
         self._read_s = self._clock() - age_s
         listed = self._older_lists.corrected(snapshot.entries, self._known)
         changed = self._update(listed, capacities)
         changed = self._drop_unlisted(listed, after_outage) or changed
-        self._leaving = _leaving_by_service(self._states.values())
+        self._leaving = leaving_by_service(self._states.values())
         return changed
 
     def _known(self, endpoint_id: str) -> EndpointEntry | None:
@@ -118,8 +116,8 @@
                 said = self.statements.of(entry.incarnation)
                 state = self._states[endpoint_id] = EndpointState(entry, said=said)
                 changed = True
-            elif state.entry != _with_known_start(entry, state.entry):
-                state.entry = _with_known_start(entry, state.entry)
+            elif state.entry != with_known_start(entry, state.entry):
+                state.entry = with_known_start(entry, state.entry)
                 self.statements.started_at(state.entry.incarnation, state.said)
                 changed = True
             state.usable_until_s = LISTED
@@ -225,7 +223,7 @@
         """Note that an endpoint says in an answer that it leaves; return whether that is new."""
         if not self.statements.heard_leaving(incarnation):
             return False
-        self._leaving = _leaving_by_service(self._states.values())
+        self._leaving = leaving_by_service(self._states.values())
         return True
 
     def unreachable_endpoints(self) -> list[EndpointState]:
@@ -251,9 +249,9 @@
                 state.read(notice.attempt_id, self._clock())
             case LoadPhase.ENDED:
                 state.ended(notice.attempt_id)
-            case LoadPhase.UNREACHED if _is_about(notice, state.entry):
+            case LoadPhase.UNREACHED if is_about(notice, state.entry):
                 self.unreachable(state)
-            case LoadPhase.GONE if _is_about(notice, state.entry):
+            case LoadPhase.GONE if is_about(notice, state.entry):
                 self.gone(state)
 
     def expire_loads(self) -> None:
@@ -293,47 +291,3 @@
         It gets no request until a list is installed that still has it.
         """
         state.usable_until_s = self._clock()
-
-
-def _leaving_by_service(states: Iterable[EndpointState]) -> dict[str, list[EndpointState]]:
-    """Return the endpoints that are listed and leave, by service."""
-    found: dict[str, list[EndpointState]] = {}
-    for state in states:
-        if state.is_leaving and state.is_listed:
-            found.setdefault(state.entry.service, []).append(state)
-    return found
-
-
-def has_started_again(known: EndpointEntry, listed: EndpointEntry) -> bool:
-    """Return whether an endpoint under the same id is another process than the one known.
-
-    The new process holds nothing of the old one: no request, no cached prompt, no connection. Where
-    either entry does not tell its start, nothing can be concluded.
-    """
-    starts = (known.born_ms, listed.born_ms)
-    return None not in starts and starts[0] != starts[1]
-
-
-def _is_about(notice: LoadNotice, entry: EndpointEntry) -> bool:
-    """Return whether a notice may be about the process that is listed now."""
-    return None in (notice.born_ms, entry.born_ms) or notice.born_ms == entry.born_ms
-
-
-def _with_known_start(listed: EndpointEntry, known: EndpointEntry) -> EndpointEntry:
-    """Return a listed entry with the start that is known where it tells none.
-
-    Instances of an older build pass lists on without the starts.
-    """
-    return listed if listed.born_ms is not None else replace(listed, born_ms=known.born_ms)
-
-
-def _fingerprint(snapshot: EndpointSnapshot) -> int:
-    """Return a hash of a list's content, whatever its revision and order."""
-    rows = sorted(_fingerprint_row(entry) for entry in snapshot.entries)
-    return xxhash.xxh3_64_intdigest("\n".join(rows).encode()) >> FINGERPRINT_SHIFT
-
-
-def _fingerprint_row(entry: EndpointEntry) -> str:
-    """Return the text of an entry; without a start it is that of builds which read none."""
-    row = f"{entry.endpoint_id} {entry.service} {entry.address} {entry.draining}"
-    return row if entry.born_ms is None else f"{row} {entry.born_ms}"
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -5,7 +5,7 @@
 nobody would report its end, and it would count as backlog long after the endpoint was done.
 """
 
-from collections.abc import Set
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
 from springbridge.routing.load_notices import LoadNotice, incarnation_of
@@ -152,3 +152,12 @@
         self.prefill_tokens -= load.prefill_tokens
         self.loads[attempt_id] = Load(0, load.since_s, load.is_short)
         return load.prefill_tokens
+
+
+def leaving_by_service(states: Iterable[EndpointState]) -> dict[str, list[EndpointState]]:
+    """Return the endpoints that are listed and leave, by service."""
+    found: dict[str, list[EndpointState]] = {}
+    for state in states:
+        if state.is_leaving and state.is_listed:
+            found.setdefault(state.entry.service, []).append(state)
+    return found
--- a/packages/springbridge/springbridge/routing/load_notices.py
+++ b/packages/springbridge/springbridge/routing/load_notices.py
@@ -71,3 +71,8 @@
 def endpoint_notice(phase: LoadPhase, entry: EndpointEntry) -> LoadNotice:
     """Return a notice about an endpoint itself, UNREACHED or GONE."""
     return LoadNotice(phase, "", entry.endpoint_id, born_ms=entry.born_ms)
+
+
+def is_about(notice: LoadNotice, entry: EndpointEntry) -> bool:
+    """Return whether a notice may be about the process that is listed now."""
+    return None in (notice.born_ms, entry.born_ms) or notice.born_ms == entry.born_ms
