--- a/packages/springbridge-node/springbridge_node/gateway/requests/rest_refusals.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/rest_refusals.py
@@ -16,8 +16,8 @@
         self._telemetry = telemetry
         self._refused: dict[str, int] = {}
 
-    def reason(self, service: str) -> AllRest | None:
-        """Return why a request that found no endpoint is refused, None if none of them rests."""
+    def refuse(self, service: str) -> AllRest | None:
+        """Count a refusal and return why, None if no endpoint of the service rests."""
         resting = self._registry.resting(service)
         if not resting:
             return None
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -173,7 +173,7 @@
         spent = self._parts.rates.gate.spent(exchange)
         if spent is not None:
             return giving_up.when_rates_spent(route, attempts, spent)
-        rest = self._parts.rest_refusals.reason(exchange.demand.service)
+        rest = self._parts.rest_refusals.refuse(exchange.demand.service)
         if rest is not None:
             return giving_up.when_all_rest(route, attempts, rest)
         return giving_up.without_endpoint(route, attempts)
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -118,7 +118,7 @@
                 changed = True
             elif state.entry != with_known_start(entry, state.entry):
                 state.entry = with_known_start(entry, state.entry)
-                self.statements.started_at(state.entry.incarnation, state.said)
+                self.statements.keep_under(state.entry.incarnation, state.said)
                 changed = True
             state.usable_until_s = LISTED
             state.cache.capacity = capacities.get(entry.service, 0)
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -58,7 +58,7 @@
         """Return the statements of an incarnation, None if it is not known."""
         return self._said.get(incarnation)
 
-    def started_at(self, incarnation: EndpointIncarnation, said: EndpointStatements) -> None:
+    def keep_under(self, incarnation: EndpointIncarnation, said: EndpointStatements) -> None:
         """Keep what an endpoint said under its incarnation, once its start is known."""
         self._said[incarnation] = said
 
--- a/packages/springbridge/springbridge/statements/statement_table_test.py
+++ b/packages/springbridge/springbridge/statements/statement_table_test.py
@@ -68,7 +68,7 @@
 def test_what_is_known_of_an_endpoint_stays_when_its_start_becomes_known(table):
     unknown = EndpointIncarnation("e1", None)
     table.heard_leaving(unknown)
-    table.started_at(ONE, table.of(unknown))
+    table.keep_under(ONE, table.of(unknown))
     assert_that(table.of(ONE).leaving.is_certain, Is(True))
 
 
