--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
@@ -27,7 +27,7 @@
 # Records in one datagram. At about 60 bytes for each crash a datagram stays under some kB.
 RECORDS_PER_DATAGRAM = 12
 # Seconds for which a node passes on a record that was news to it. Six beats, in which a fleet of
-# hundreds is reached with a tenth of the datagrams lost (simulated).
+# hundreds is reached though some of the datagrams are lost.
 NEWS_S = 1.5
 Later = Callable[[float, Callable[[], None]], object]
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/gossip.py
@@ -32,13 +32,12 @@
 # Rows of other members in a plain digest.
 OTHERS_IN_PLAIN_DIGEST = 4
 # Rows of other members in a digest with ages that is not whole. Two rows less than in a plain one
-# make room for the ages: 3.8 kB a second for each of 9 nodes, 3.9 kB before (simulated).
+# make room for the ages.
 OTHERS_WITH_AGES = 2
-# Ages in a digest, at the least. Simulated with a tenth of the datagrams lost: 48 among 78 nodes
-# leave a view older than the time to suspicion 0.01% of the time; 24 among 78 do 1.2%.
+# Ages in a digest, at the least. With fewer a view is at times older than the time to suspicion
+# where datagrams are lost.
 AGES_AT_LEAST = 48
-# Ages in a digest, as a share of a larger fleet. Simulated as above, 127 among 380 nodes that know
-# each other leave a view too old 0.06% of the time.
+# Ages in a digest, as a share of a larger fleet.
 AGES_SHARE = 1 / 3
 
 
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -8,8 +8,8 @@
 
 The age of a heartbeat counts from the moment at which its member sent it: what a third node tells
 of comes with its age. All nodes then suspect a member that ended at about the same moment, however
-long its last heartbeats are passed on. With the moment of arrival in its place an ended node was
-counted for 11.5 s among 78 nodes (simulated).
+long its last heartbeats are passed on. With the moment of arrival in its place an ended node would
+be counted for as long as they are.
 
 observations.py has who counts as running; digest.py has what nodes send each other, and to whom;
 suspicion.py says how old a last heartbeat may be; member.py has the records.
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -39,9 +39,7 @@
 # floor.
 FULL_LEAST_S = 0.05
 
-# Protects callers from coming back into the same burst, which lasts for seconds. Five runs without
-# processor limits: 0.8 s and 4 s gave sums of served value of 4.00 and 4.01 against 3.96 for 2 s,
-# which is within noise, so 2 s stayed.
+# Protects callers from coming back into the same burst, which lasts for seconds.
 BURST_S = 2.0
 
 # Long enough for the caller to open a connection to another instance, which serves it at once.
--- a/packages/springbridge/springbridge/routing/store_freshness.py
+++ b/packages/springbridge/springbridge/routing/store_freshness.py
@@ -38,7 +38,7 @@
 # Seconds after its start for which a node with seeds reads for itself only. Until digests have come
 # it knows no other node and would take every role: of a fleet that starts together each node would
 # wait at the feed and read the list for all. Two beats, in which a node learns of half of a fleet
-# of 195 (simulated).
+# of hundreds.
 ROLES_AFTER_S = 0.5
 # Age in seconds of the endpoint list at which a node whose read failed asks any peer for a younger
 # one. Above CONFIRMED_S, so that peers' digests get to confirm the list first.
