A request that has waited is not sent to an endpoint that leaves by then, nor to a run that is listed no more

Cause: the look right before the send passed every endpoint that had just said that it leaves as a last resort, also one that had been chosen while it stayed and others were there; and it asked the record of the endpoint that was chosen, though another run was listed by then. Neither breaks the users' rule, which counts from when the caller sent; callers met an endpoint that goes, or a process that is gone. Whether an endpoint was chosen as a last resort is now kept with the request.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -79,6 +79,7 @@
       held_since_s: When it began to wait for a trial, on the monotonic clock; 0 before.
       held_back: Endpoints that it got no permit for since it was sent last.
       permit_wait_s: How long it has waited for permits of endpoints that name a rate, in seconds.
+      last_resort: Whether the endpoint chosen last had said by then that it leaves.
       obstacles: What stood against how many endpoints of its service when none was found, by the
         names in eligibility.py.
       fingerprint: What the request has in common with other tries of the same; "" until it is
@@ -103,6 +104,7 @@
     held_since_s: float = 0.0
     held_back: set[str] = field(default_factory=set)
     permit_wait_s: float = 0.0
+    last_resort: bool = False
     obstacles: dict[str, int] = field(default_factory=dict)
     fingerprint: str = ""
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -137,6 +137,8 @@
             selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
+            chosen = selection.choice
+            progress.last_resort = chosen is not None and chosen.state.said.leaving.is_certain
             clearance = await self._parts.gate.clear(exchange, selection.choice)
             if clearance.problem is not None:
                 return clearance.problem
@@ -186,7 +188,9 @@
             connection = await self._connect(exchange, choice.state)
             if connection is None:
                 return None
-            if not self._parts.registry.may_get_request(choice.state):
+            if not self._parts.registry.may_get_request(
+                choice.state, exchange.progress.last_resort
+            ):
                 # What the endpoint has said since it was chosen holds for this request as well.
                 self._parts.pool.release(choice.state.entry.incarnation, connection)
                 return None
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/statements.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/statements.py
@@ -10,19 +10,16 @@
 
 from springbridge_standins.gateway.soak.rates import EngineRates
 from springbridge_standins.gateway.soak.state import Soak
+from springbridge_standins.rates.statement_record import DRAIN_S, UNDER_WAY_S
 
-# Seconds after an answer which says that its engine leaves within which it may get requests; the
-# drain time in the nodes' settings.
-DRAIN_S = 2.0
 # Seconds for which an engine that leaves serves on, from and to, and for which it is down then.
 SERVES_ON_S, DOWN_S = (2.5, 6.0), (0.3, 1.5)
 # Rests that are asked for, in seconds, and how long an engine asks for them, from and to.
 RESTS_S, SHEDS_S = (0.2, 1.0, 3.0, 8.0, 30.0), (0.3, 4.0)
 # Longest pause between two engines that begin to leave or to ask for rest, in seconds.
 PAUSE_S = 2.5
-# Seconds after an answer that asks for rest in which requests may still be under way, and the most
-# requests from one node in the rest of that time: the users' rule.
-UNDER_WAY_S, MOST_IN_A_REST = 0.5, 2
+# The most requests from one node in a rest, the users' rule.
+MOST_IN_A_REST = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/springbridge-standins/springbridge_standins/gateway/speaking.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/speaking.py
@@ -20,13 +20,12 @@
     event,
     stream_head,
 )
+from springbridge_standins.rates.statement_record import UNDER_WAY_S
 
 # Seconds that an answer takes, so that several requests are under way at a time.
 WORK_S = 0.01
 # Number of the one event that a stream has.
 ONLY_EVENT = 1
-# Seconds after an answer that asks for rest in which requests may still be under way.
-UNDER_WAY_S = 0.5
 # Longest pause of a caller between two requests, in seconds.
 PAUSE_S = 0.1
 # Beginnings of prompts that requests share, enough for each engine to be preferred for some.
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -60,8 +60,8 @@
     Mutant(
         "the grace of lapsed entries ends with the time to drain",
         f"{LIBRARY}/routing/eligibility.py",
-        "min(LAPSE_GRACE_S, drain_s - DRAIN_MARGIN_S)",
-        "LAPSE_GRACE_S",
+        "return leaving.within_bound_s(LAPSE_GRACE_S, drain_s)",
+        "return LAPSE_GRACE_S",
         f"{ELIGIBILITY}::test_lapsed_engines_get_nothing_once_the_time_to_drain_is_over",
     ),
     Mutant(
--- a/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
@@ -18,8 +18,8 @@
     Mutant(
         "leaving: the last resort ends",
         f"{LIBRARY}/statements/leaving.py",
-        "now_s < leaving.heard_s + last_resort_s(drain_s)",
-        "True",
+        "return now_s < leaving.heard_s + within_bound_s(LONGEST_LAST_RESORT_S, drain_s)",
+        "return True",
         f"{LEAVING}::test_an_endpoint_that_says_it_leaves_gets_no_more_requests",
     ),
     Mutant(
@@ -81,9 +81,9 @@
     Mutant(
         "rest: what has waited looks again before it is sent",
         f"{NODE}/gateway/requests/router.py",
-        "if not self._parts.registry.may_get_request(choice.state):",
-        "if False:",
-        f"{REST}::test_a_request_that_waited_for_a_connection_is_not_sent_into_a_rest",
+        "if not self._parts.registry.may_get_request(",
+        "if False and not self._parts.registry.may_get_request(",
+        f"{PLATFORM}/news_while_waiting_test.py",
     ),
     Mutant(
         "rest: it is no failure",
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -20,15 +20,13 @@
 
 from springbridge_standins.rates.endpoints import DrawnEndpoint
 from springbridge_standins.rates.network import DrawnNetwork
-from springbridge_standins.rates.statement_record import Request
+from springbridge_standins.rates.statement_record import DRAIN_S, Request
 from springbridge_standins.rates.views import DrawnView
 
 SERVICE = "model"
 FAILURE_DOMAINS = ("a", "b", "c")
 # Slots of an endpoint; nothing here looks at them.
 SLOTS = 64
-# Seconds after its word within which an endpoint that leaves may get requests.
-DRAIN_S = 2.0
 # Seconds after a restart, freeze or cut in which an instance is excused.
 EXCUSED_S = 3.0
 
@@ -136,11 +134,12 @@
                     self.retry_after_s.append(spent.retry_after_s)
                 return
             endpoint = min(free, key=lambda each: (self.sent[each.entry.endpoint_id], id(each)))
+            state = states[endpoint.entry.endpoint_id]
+            last_resort = state.said.leaving.is_certain
             if not await self.gate.may_send(exchange, endpoint.entry):
                 continue
             await self._thawed()
-            state = states[endpoint.entry.endpoint_id]
-            if self.registry.may_get_request(state):
+            if self.registry.may_get_request(state, last_resort):
                 self.registry.sends(state)
                 await self._send(endpoint, began_s)
                 return
--- a/packages/springbridge-standins/springbridge_standins/rates/statement_record.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/statement_record.py
@@ -9,7 +9,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-# Seconds after an answer that says so in which an endpoint that leaves may get requests.
+# Seconds after an answer that says so in which an endpoint that leaves may get requests; also the
+# drain time in the settings of the soak's nodes.
 DRAIN_S = 2.0
 # Seconds after an answer that asks for rest in which requests may be under way.
 UNDER_WAY_S = 0.5
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -26,9 +26,6 @@
 # are back on the list within about two seconds, and no endpoint may get a request 2 s after it left
 # (the default of drain_s).
 LAPSE_GRACE_S = 1.9
-# Seconds by which the grace ends before drain_s is over. The last request is sent before that
-# moment and not at it.
-DRAIN_MARGIN_S = 0.1
 # Age of the list in seconds above which a gap counts as an outage of the store. It is twice the
 # half second at which the list is read.
 OUTAGE_S = 1.0
@@ -79,11 +76,17 @@
     return free or behind or last
 
 
-def may_get_request(state: EndpointState, now_s: float, drain_s: float) -> bool:
-    """Return whether an endpoint that was chosen may still get a request."""
+def may_get_request(
+    state: EndpointState, now_s: float, drain_s: float, last_resort: bool = False
+) -> bool:
+    """Return whether an endpoint that was chosen may still get a request.
+
+    Args:
+      last_resort: Whether it was chosen though it leaves, for want of another.
+    """
     found = obstacle(state, now_s)
     if found is Obstacle.LEAVING:
-        return _is_last_resort(state, drain_s, now_s)
+        return last_resort and _is_last_resort(state, drain_s, now_s)
     return found is None or found in BEHIND
 
 
@@ -134,7 +137,7 @@
     Args:
       drain_s: Seconds after which an endpoint that has left must get no more requests.
     """
-    return max(0.0, min(LAPSE_GRACE_S, drain_s - DRAIN_MARGIN_S))
+    return leaving.within_bound_s(LAPSE_GRACE_S, drain_s)
 
 
 def lapsed_services(known: Iterable[EndpointEntry], listed: Collection[str]) -> set[str]:
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -185,9 +185,16 @@
             self._states.values(), service, tried, self._clock(), self._drain_s
         )
 
-    def may_get_request(self, state: EndpointState) -> bool:
-        """Return whether an endpoint that was chosen a while ago may still get a request."""
-        return eligibility.may_get_request(state, self._clock(), self._drain_s)
+    def may_get_request(self, state: EndpointState, last_resort: bool = False) -> bool:
+        """Return whether an endpoint that was chosen a while ago may still get a request.
+
+        Args:
+          last_resort: Whether it was chosen though it leaves, for want of another.
+        """
+        if self._states.get(state.entry.endpoint_id) is not state:
+            # Another run of the endpoint is listed since then.
+            return False
+        return eligibility.may_get_request(state, self._clock(), self._drain_s, last_resort)
 
     def leaving(self, service: str) -> list[EndpointState]:
         """Return the endpoints of a service that take no requests but still give what they keep."""
--- a/packages/springbridge/springbridge/statements/leaving.py
+++ b/packages/springbridge/springbridge/statements/leaving.py
@@ -12,8 +12,9 @@
 
 from dataclasses import dataclass
 
-# Seconds by which the last request to an endpoint that leaves is sent before the operators' bound.
-MARGIN_S = 0.1
+# Seconds by which the last request to an endpoint that leaves, or has left, is sent before the
+# operators' bound. It is sent before that moment and not at it.
+DRAIN_MARGIN_S = 0.1
 # Seconds after the endpoint's word for which it may be the last resort at the most.
 LONGEST_LAST_RESORT_S = 1.9
 # Seconds for which a peer's word puts an endpoint behind the others. The list, which is read every
@@ -49,15 +50,18 @@
     return leaving.told_s is not None and now_s < leaving.told_s + PEERS_WORD_S
 
 
-def last_resort_s(drain_s: float) -> float:
-    """Return for how many seconds after its word an endpoint may be the last resort.
+def within_bound_s(wanted_s: float, drain_s: float) -> float:
+    """Return for how many seconds an endpoint that leaves, or has left, may still be used.
 
     Args:
-      drain_s: Seconds after its word within which it may get requests.
+      wanted_s: For how long it would be.
+      drain_s: The operators' bound: seconds after which it must get no more requests.
     """
-    return max(0.0, min(LONGEST_LAST_RESORT_S, drain_s - MARGIN_S))
+    return max(0.0, min(wanted_s, drain_s - DRAIN_MARGIN_S))
 
 
 def is_last_resort(leaving: Leaving, drain_s: float, now_s: float) -> bool:
     """Return whether an endpoint that leaves may still be used if all of its service leave."""
-    return leaving.heard_s is not None and now_s < leaving.heard_s + last_resort_s(drain_s)
+    if leaving.heard_s is None:
+        return False
+    return now_s < leaving.heard_s + within_bound_s(LONGEST_LAST_RESORT_S, drain_s)
--- a/packages/springbridge/springbridge/statements/leaving_test.py
+++ b/packages/springbridge/springbridge/statements/leaving_test.py
@@ -5,13 +5,13 @@
 from testtools.matchers import Equals, Is
 
 from springbridge.statements.leaving import (
+    DRAIN_MARGIN_S,
     LONGEST_LAST_RESORT_S,
-    MARGIN_S,
     PEERS_WORD_S,
     Leaving,
     is_last_resort,
     is_likely,
-    last_resort_s,
+    within_bound_s,
 )
 
 
@@ -31,10 +31,10 @@
 
 @pytest.mark.parametrize(
     ("drain_s", "seconds"),
-    [(2.0, LONGEST_LAST_RESORT_S), (0.4, 0.4 - MARGIN_S), (0.05, 0.0), (float("inf"), 1.9)],
+    [(2.0, LONGEST_LAST_RESORT_S), (0.4, 0.4 - DRAIN_MARGIN_S), (0.05, 0.0), (float("inf"), 1.9)],
 )
 def test_the_last_resort_ends_before_the_operators_bound(drain_s, seconds):
-    assert_that(last_resort_s(drain_s), Equals(seconds))
+    assert_that(within_bound_s(LONGEST_LAST_RESORT_S, drain_s), Equals(seconds))
 
 
 def test_one_that_leaves_is_the_last_resort_for_a_moment():
