--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
@@ -9,6 +9,7 @@
 from springbridge.duties.lease import LeaseReading
 from springbridge.duties.usage import window_at
 from springbridge.duties.usage_reports import Report, ReportLedger
+from springbridge.store_stamp import era_of
 
 from springbridge_node import logs
 from springbridge_node.clock import now_s
@@ -80,6 +81,15 @@
         current = window_at(self._sharing.true_s(), self._window_s)
         self._ledger.begin(min([current, *self._sharing.usage.windows()]))
         self._sharing.usage.restore(content.totals, content.kept_s)
+        logs.event(
+            "usage.continued",
+            row_era=before.row.era if before.row else None,
+            store_era=era_of(before.stamp),
+            kept=[report.window for report in content.reports],
+            told=sorted(self._sharing.heard),
+            own=[report.window for report in own],
+            next_window=self._ledger.next_window,
+        )
 
     def _read(self, before: LeaseReading) -> LeaseContent:
         """Return what the holder before kept."""
