A holder without a row of the lease no longer decides anew what it was told

Cause: ReportLedger.adopt set where to go on only if the row named a window. Without a row it took in the reports that peers had told of, begin() started at the first window with counts, and decide() wrote over them. The new test failed before: windows 9 and 10 were decided anew over a report that was told. Why it works: the ledger goes on behind the last report that it knows, wherever that came from.

--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/usage_histories.py
@@ -0,0 +1,246 @@
+"""Drawn histories of usage reports: real keepers, sharings and reporters on a store that fails.
+
+Instances count requests, tell each other in datagrams that may be lost, and report each window
+while they hold the lease. They freeze, are killed, cut off and replaced, change places in the
+ranking, and their clocks jump; the store is down and comes back from older copies, also several
+times in a row. What the platform gets is checked: a window has one report, and counts that were
+reported are those that were decided.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import orjson
+from returns.result import Failure, Result, Success
+from springbridge.codes import Code
+from springbridge.duties.usage import Counts, window_at
+from springbridge.duties.usage_reports import LATEST_S, Report
+from springbridge.problems import Problem
+from springbridge_node.gateway.duties.duty_platform import Credentials
+from springbridge_node.gateway.duties.usage_reporter import UsageReporter
+from springbridge_node.gateway.duties.usage_sharing import TELL_S, UsageSharing
+from springbridge_node.gateway.peers.datagrams import Handler, Kind
+
+from springbridge_standins.lease_histories import NODES, DrawnNode, History
+from springbridge_standins.virtual_loop import run_virtual
+
+# Seconds of one history, and of one window.
+HISTORY_S, WINDOW_S = 60.0, 5.0
+# Seconds since the start of 1970 at the start of a history, the start of a window.
+START_S = 1_000_000.0
+# Seconds between two requests that an instance counts, and between two looks for reports to send.
+REQUEST_S, ACT_S = 0.2, 0.5
+# Places in the ranking that may take the lease.
+CANDIDATES = 3
+# Seconds on the way of a datagram.
+WAY_S = 0.002
+# Largest jump of a clock, in seconds.
+CLOCK_JUMP_S = 3.0
+
+
+@dataclass(frozen=True)
+class Harms:
+    """What befalls a history.
+
+    Attributes:
+      kinds: Names of the harms, each a function of this module.
+      pause_s: Longest pause between two.
+      lost: Part of the datagrams that are lost.
+    """
+
+    kinds: tuple[str, ...] = ("freeze", "kill", "cut", "rank", "down", "go_back", "leave", "jump")
+    pause_s: float = 3.0
+    lost: float = 0.1
+
+
+@dataclass
+class Told:
+    """The platform: what it was told about each window, and what it was told twice.
+
+    Attributes:
+      reports: Counts by window, as they were first told.
+      twice: Windows with two counts, a line each.
+    """
+
+    reports: dict[int, Counts] = field(default_factory=dict)
+    twice: list[str] = field(default_factory=list)
+
+    def take(self, instance: str, report: Report) -> None:
+        """Take a report."""
+        first = self.reports.setdefault(report.window, dict(report.counts))
+        if first != report.counts:
+            self.twice.append(f"window {report.window}: {first}, then {report.counts} {instance}")
+
+
+class ReportingNode(DrawnNode):
+    """A machine with the run of an instance that counts and reports."""
+
+    def __init__(self, history: "UsageHistory", number: int) -> None:
+        """Start the first run."""
+        self.clock_ahead_s = 0.0
+        self.handlers: dict[Kind, Handler] = {}
+        super().__init__(history, number)
+
+    def start(self) -> None:
+        """Start a run, which knows nothing of those before."""
+        super().start()
+        loop, history = asyncio.get_running_loop(), self._history
+        self.incarnation = f"{self.name}.{self._runs}"
+        self.sharing = UsageSharing(self, self.incarnation, WINDOW_S, loop.time, self._wall_s)
+        self.sharing.connect(DrawnDatagrams(history, self))
+        self.reporter = UsageReporter(
+            self.keeper, self.sharing, DrawnPlatform(history, self), self, WINDOW_S
+        )
+        self.keeper.connect(self.reporter.taken, self.reporter.content, self.reporter.renewed)
+        self._tasks += [
+            asyncio.ensure_future(work) for work in (self._count(), self._share(), self._report())
+        ]
+
+    def others(self) -> list[SimpleNamespace]:
+        """Return the candidates without this node."""
+        return [
+            SimpleNamespace(incarnation=node.incarnation, peer_address=node.name)
+            for node in self._history.nodes
+            if node is not self and node.place < CANDIDATES
+        ]
+
+    def _wall_s(self) -> float:
+        """Return the time of day as the machine has it."""
+        return START_S + asyncio.get_running_loop().time() + self.clock_ahead_s
+
+    async def _count(self) -> None:
+        while True:
+            await asyncio.sleep(REQUEST_S * (0.5 + self._history.rng.random()))
+            await self.thawed()
+            self.sharing.began("councils")
+
+    async def _share(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_S)
+            await self.thawed()
+            await self.sharing.step()
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(ACT_S)
+            await self.thawed()
+            await self.reporter.step()
+
+
+class DrawnDatagrams:
+    """The datagrams of one node."""
+
+    def __init__(self, history: "UsageHistory", node: ReportingNode) -> None:
+        """Start with no handlers, as a run that has just begun."""
+        self._history = history
+        self._node = node
+        node.handlers = {}
+
+    def handle(self, kind: Kind, handler: Handler) -> None:
+        """Set who takes the rows of a kind."""
+        self._node.handlers[kind] = handler
+
+    def send(self, kind: Kind, rows: list, peer_addresses: list[str]) -> None:
+        """Send rows, each of which may be lost."""
+        raw = orjson.dumps(rows)
+        for node in self._history.nodes:
+            if node.name in peer_addresses and self._history.arrives():
+                handlers = node.handlers
+                asyncio.get_running_loop().call_later(WAY_S, _hand_over, handlers, kind, raw)
+
+    def sample_peers(self, limit: int) -> list[str]:
+        """Return some other nodes."""
+        others = [node.name for node in self._history.nodes if node is not self._node]
+        return others[:limit]
+
+
+class DrawnPlatform:
+    """The platform as one node reaches it; calls or their answers may be lost."""
+
+    def __init__(self, history: "UsageHistory", node: ReportingNode) -> None:
+        """Keep both."""
+        self._history = history
+        self._node = node
+
+    async def report_usage(self, credentials: Credentials, report: Report) -> Result[None, Problem]:
+        """Take a report, unless the call is lost."""
+        rng = self._history.rng
+        await asyncio.sleep(rng.random() * 0.1)
+        await self._node.thawed()
+        if rng.random() < self._history.harms.lost:
+            return Failure(Problem(Code.TABLE_UNAVAILABLE))
+        self._history.told.take(self._node.incarnation, report)
+        if rng.random() < self._history.harms.lost:
+            return Failure(Problem(Code.TABLE_UNAVAILABLE))
+        return Success(None)
+
+
+class UsageHistory(History):
+    """One drawn history of reports.
+
+    Attributes:
+      told: What the platform got.
+      steps: Moments at which the store went back, in virtual seconds.
+    """
+
+    def __init__(self, seed: int, harms: Harms) -> None:
+        """Draw from a seed."""
+        super().__init__(seed)
+        self.harms = harms
+        self.told = Told()
+        self.steps: list[float] = []
+        self.nodes: list[ReportingNode] = []
+
+    def arrives(self) -> bool:
+        """Return whether a datagram arrives."""
+        return self.rng.random() >= self.harms.lost
+
+    def missed(self) -> int:
+        """Return how many windows that were due got no report."""
+        first = window_at(START_S, WINDOW_S)
+        due = window_at(START_S + HISTORY_S - LATEST_S, WINDOW_S)
+        return sum(window not in self.told.reports for window in range(first, due))
+
+    async def play(self) -> None:
+        """Play the history."""
+        for number in range(NODES):
+            self.nodes.append(ReportingNode(self, number))
+        loop = asyncio.get_running_loop()
+        copying = asyncio.ensure_future(self._copy())
+        while loop.time() < HISTORY_S:
+            await asyncio.sleep(self.rng.random() * self.harms.pause_s)
+            self._harm(self.rng.choice(self.harms.kinds))
+        copying.cancel()
+        for node in self.nodes:
+            node.kill()
+
+    def _harm(self, kind: str) -> None:
+        if kind == "jump":
+            self.rng.choice(self.nodes).clock_ahead_s = self.rng.uniform(-1, 1) * CLOCK_JUMP_S
+            return
+        if kind == "go_back":
+            self.steps.append(asyncio.get_running_loop().time())
+        harm: Callable[[list[ReportingNode]], None] = getattr(self, f"_{kind}")
+        harm(self.nodes)
+
+
+def play_reports(seed: int, harms: Harms = Harms()) -> UsageHistory:
+    """Play the history of a seed to its end."""
+    history = UsageHistory(seed, harms)
+    run_virtual(history.play())
+    return history
+
+
+def twice(seeds: range, harms: Harms = Harms()) -> Iterator[tuple[int, list[str]]]:
+    """Play histories and return those with a window that was reported with two counts."""
+    for seed in seeds:
+        history = play_reports(seed, harms)
+        if history.told.twice:
+            yield seed, history.told.twice
+
+
+def _hand_over(handlers: dict[Kind, Handler], kind: Kind, raw: bytes) -> None:
+    """Give rows to the run that they were sent to, as they were sent."""
+    handlers[kind](orjson.loads(raw), "")
--- a/packages/springbridge/springbridge/duties/usage_reports.py
+++ b/packages/springbridge/springbridge/duties/usage_reports.py
@@ -58,9 +58,8 @@
             if report.sent and not known.sent and known.counts == report.counts:
                 self._reports[report.window] = report
         starts = [start for start in (self._next, next_window) if start is not None]
-        if starts:
-            after_last = max((window + 1 for window in self._reports), default=0)
-            self._next = max(*starts, after_last)
+        starts += [window + 1 for window in self._reports]
+        self._next = max(starts, default=None)
 
     def begin(self, first_window: int) -> None:
         """Start with a window if no holder was there before."""
--- a/packages/springbridge/springbridge/duties/usage_reports_test.py
+++ b/packages/springbridge/springbridge/duties/usage_reports_test.py
@@ -64,6 +64,17 @@
     assert_that(ledger.decide(usage_of(w10=9), 60.0), Equals([]))
 
 
+# Guards against a second report of a window: a holder without a row of the lease decided anew what
+# peers had told it.
+def test_what_was_told_of_a_report_holds_though_the_row_is_missing():
+    ledger = ReportLedger(WINDOW_S)
+    ledger.adopt([Report(10, {"councils": 3})], next_window=None)
+    ledger.begin(9)
+    assert_that(ledger.decide(usage_of(w9=1, w10=9), 60.0), Equals([]))
+    assert_that(ledger.reports(), Equals([Report(10, {"councils": 3})]))
+    assert_that(ledger.next_window, Equals(11))
+
+
 def test_the_first_version_of_a_report_stays():
     ledger = ReportLedger(WINDOW_S)
     ledger.adopt([Report(10, {"councils": 3})], next_window=11)
