After an older copy, windows that may have been decided are not decided again

Cause: a decision stood in the row of the lease, in a datagram to the candidates of that moment, and in the memory of whoever was one. An older copy takes the row back; a holder that was no candidate then, or started since, decided the window anew from what other nodes told it. Mend: what is forgotten was decided before the store came back, so before the new holder first saw the row as it came back. It leaves out the windows that were settled then, unless their reports are known. The content names its era, since a row that only names a new holder keeps older content. A holder that nobody can have followed goes on where it was. One pass over windows is bounded, also where a row names a first window far back. Mutants (usage: four new ones) fail.

--- a/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/duty_parts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Coroutine
 
-from springbridge.duties.lease import LeaseReading, length_s, renewal_s
+from springbridge.duties.lease import Takeover, length_s, renewal_s
 from springbridge.membership import Membership
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.records import Admitted, Service
@@ -104,9 +104,9 @@
         """Hand the lease on because this node is stopped."""
         await self.keeper.leave()
 
-    def _taken(self, before: LeaseReading, at_s: float) -> None:
+    def _taken(self, takeover: Takeover) -> None:
         """Go on from where the holder before this node was."""
-        self.reporter.taken(before, at_s)
+        self.reporter.taken(takeover)
         self.scaler.taken()
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_content.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_content.py
@@ -16,6 +16,8 @@
 # Bytes of the totals that are kept; a row of the store holds little more. What is beyond is lost if
 # all nodes are lost at once.
 MOST_TOTALS_BYTES = 24 << 10
+# Era of a content that nobody kept.
+NO_ERA = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +30,8 @@
       next_window: First window that is not decided; None before the first.
       reports: Reports that were decided lately.
       totals: Counts of windows that are not decided.
+      era: Era of the store in which it was kept. A row that only names a new holder has the content
+        of the holder before.
     """
 
     kept_s: float = 0.0
@@ -35,6 +39,7 @@
     next_window: int | None = None
     reports: tuple[Report, ...] = ()
     totals: dict[int, Counts] = field(default_factory=dict)
+    era: int = NO_ERA
 
 
 def to_bytes(content: LeaseContent) -> bytes:
@@ -49,13 +54,17 @@
             "next_window": content.next_window,
             "reports": [[each.window, each.counts, each.sent] for each in content.reports],
             "totals": totals,
+            "era": content.era,
         }
     )
 
 
-def from_bytes(raw: bytes) -> LeaseContent:
+def from_bytes(raw: bytes, row_era: int) -> LeaseContent:
     """Return the content of a row.
 
+    Args:
+      row_era: Era in which the row was written, for the content of earlier builds, which name none.
+
     Raises:
       ValueError, TypeError, KeyError: The row is of another writer.
     """
@@ -70,4 +79,5 @@
             for window, counts, sent in found["reports"]
         ),
         totals={int(window): read_counts(counts) for window, counts in found["totals"].items()},
+        era=whole(found.get("era", row_era)),
     )
--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 
 from returns.result import Failure, Success
 from springbridge.codes import Code
 from springbridge.duties import lease
-from springbridge.duties.lease import LeaseReading, LeaseRow, Sight, Step, Tenure
+from springbridge.duties.lease import LeaseReading, LeaseRow, Sight, Step, Takeover, Tenure
 from springbridge.problems import Problem
 from springbridge.store_stamp import era_of
 
@@ -63,24 +64,24 @@
         self._leaving = False
         self._acting = 0
         self._step = asyncio.Lock()
-        self._taken: Callable[[LeaseReading, float], None] = lambda reading, at_s: None
-        self._content: Callable[[], bytes] = bytes
+        self._alone_until_s = -math.inf
+        self._taken: Callable[[Takeover], None] = lambda takeover: None
+        self._content: Callable[[int], bytes] = lambda era: b""
         self._renewed: Callable[[], None] = lambda: None
         self.dependency = Dependency("lease of duties")
         self.changes = 0
 
     def connect(
         self,
-        taken: Callable[[LeaseReading, float], None],
-        content: Callable[[], bytes],
+        taken: Callable[[Takeover], None],
+        content: Callable[[int], bytes],
         renewed: Callable[[], None],
     ) -> None:
         """Set who works under the lease.
 
         Args:
-          taken: Called when this node has taken the lease, with the reading of before and the
-            moment of the answer.
-          content: Returns what the next renewal keeps for the successors.
+          taken: Called when this node has taken the lease.
+          content: Returns what the next renewal keeps for the successors, given the store's era.
           renewed: Called when the store has what content() last returned.
         """
         self._taken, self._content, self._renewed = taken, content, renewed
@@ -140,7 +141,7 @@
             await self._read()
         match self._next_step(rank):
             case Step.TAKE:
-                await self._take(self._sight.reading)
+                await self._take(self._sight)
             case Step.WAIT:
                 self._sight = None
 
@@ -159,8 +160,9 @@
                 self.dependency.failed(problem.detail)
         return None
 
-    async def _take(self, before: LeaseReading) -> None:
+    async def _take(self, sight: Sight) -> None:
         """Write this node as the holder, with what the holder before it kept."""
+        before = sight.reading
         row = self._row(before.row.content if before.row else b"", before.stamp)
         sent_s = self._clock()
         result = await self._store.write_lease(DUTY, row, before.stamp)
@@ -183,13 +185,14 @@
             before=before.row.holder if before.row else "",
             handed_on=bool(before.row and before.row.handed_on),
         )
-        self._taken(LeaseReading(before.stamp, before.row, written.store_s), self._clock())
+        reading = replace(before, store_s=written.store_s)
+        self._taken(Takeover(reading, sight.since_s, self._clock(), self._alone_until_s))
         # At once, since a report may be due that can be sent only after a renewal.
         await self._renew(self._tenure)
 
     async def _renew(self, tenure: Tenure) -> None:
         """Renew the lease with what the successors need."""
-        row = self._row(self._content(), tenure.stamp)
+        row = self._row(self._content(era_of(tenure.stamp)), tenure.stamp)
         sent_s = self._clock()
         result = await self._store.write_lease(DUTY, row, tenure.stamp)
         if isinstance(result, Failure):
@@ -197,6 +200,7 @@
             return
         self.dependency.answered()
         self._tenure = lease.renewed(tenure, result.unwrap().stamp, sent_s, self._lease_s)
+        self._alone_until_s = sent_s + self._lease_s
         self._renewed()
 
     async def _after_refused_renewal(self, tenure: Tenure, problem: Problem) -> None:
@@ -217,7 +221,9 @@
         self._tenure = None
         while self._acting:
             await asyncio.sleep(POLL_S)
-        row = replace(self._row(self._content(), tenure.stamp), handed_on=True)
+        self._alone_until_s = -math.inf
+        content = self._content(era_of(tenure.stamp))
+        row = replace(self._row(content, tenure.stamp), handed_on=True)
         result = await self._store.write_lease(DUTY, row, tenure.stamp)
         if isinstance(result, Failure):
             # The successor waits for the whole length then.
--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 
 from returns.result import Failure, Success
-from springbridge.duties.lease import LeaseReading
+from springbridge.duties.lease import LeaseReading, Takeover
 from springbridge.duties.usage import window_at
 from springbridge.duties.usage_reports import Report, ReportLedger
-from springbridge.store_stamp import era_of
 
 from springbridge_node import logs
 from springbridge_node.clock import now_s
@@ -59,50 +58,74 @@
         self._ledger = ReportLedger(window_s)
         self._wall_ahead_s: float | None = None
         self._kept_windows: set[int] = set()
+        self._kept_next: int | None = None
         self._pending: set[int] = set()
+        self._pending_next: int | None = None
         self.sent = 0
         self.missed = 0
 
-    def taken(self, before: LeaseReading, at_s: float) -> None:
-        """Go on from what the holder before this node kept.
-
-        Args:
-          at_s: Moment of the store's answer.
-        """
+    def taken(self, takeover: Takeover) -> None:
+        """Go on from what the holder before this node kept."""
+        before = takeover.before
         content = self._read(before)
+        true_time = self._sharing.true_time
         if content.wall_ahead_s is not None:
-            self._sharing.true_time.told(at_s, before.store_s + content.wall_ahead_s)
-        self._wall_ahead_s = self._sharing.true_time.at(at_s) - before.store_s
+            true_time.told(takeover.at_s, before.store_s + content.wall_ahead_s)
+        self._wall_ahead_s = true_time.at(takeover.at_s) - before.store_s
         # What this node decided and the store never had is dropped: others may have decided since.
         own = [each for each in self._ledger.reports() if each.window in self._kept_windows]
         self._ledger = ReportLedger(self._window_s)
         self._ledger.adopt(content.reports, content.next_window)
         self._ledger.adopt([*self._sharing.heard.values(), *own], content.next_window)
         current = window_at(self._sharing.true_s(), self._window_s)
-        self._ledger.begin(min([current, *self._sharing.usage.windows()]))
+        earliest = min([current, *self._sharing.usage.windows()])
+        self._ledger.begin(earliest)
+        self._leave_out(takeover, content)
+        left_out = self._ledger.unknown_from(
+            earliest if content.next_window is None else content.next_window
+        )
+        self.missed += len(left_out)
         self._sharing.usage.restore(content.totals, content.kept_s)
         logs.event(
             "usage.continued",
-            row_era=before.row.era if before.row else None,
-            store_era=era_of(before.stamp),
+            row_era=content.era,
+            store_era=takeover.era,
             kept=[report.window for report in content.reports],
             told=sorted(self._sharing.heard),
             own=[report.window for report in own],
+            left_out=left_out,
             next_window=self._ledger.next_window,
         )
 
+    def _leave_out(self, takeover: Takeover, content: LeaseContent) -> None:
+        """Pass over what may have been decided and forgotten.
+
+        All that may be forgotten was decided before the store came back, and so before this node
+        first saw the row as it came back.
+        """
+        if content.era >= takeover.era or _is_first(takeover):
+            return
+        if takeover.follows_itself:
+            self._ledger.adopt([], self._kept_next)
+            return
+        self._ledger.pass_over(self._sharing.true_time.at(takeover.seen_s))
+
     def _read(self, before: LeaseReading) -> LeaseContent:
         """Return what the holder before kept."""
         if before.row is None or not before.row.content:
             return LeaseContent()
         try:
-            return lease_content.from_bytes(before.row.content)
+            return lease_content.from_bytes(before.row.content, before.row.era)
         except (ValueError, TypeError, KeyError) as exc:
             logs.event("lease.unreadable", holder=before.row.holder, detail=type(exc).__name__)
             return LeaseContent()
 
-    def content(self) -> bytes:
-        """Decide what is due, and return what the next renewal keeps."""
+    def content(self, era: int) -> bytes:
+        """Decide what is due, and return what the next renewal keeps.
+
+        Args:
+          era: Era of the store that the renewal is for.
+        """
         if not self._reports_usage:
             return lease_content.to_bytes(LeaseContent())
         true_s = self._sharing.true_s()
@@ -117,6 +140,7 @@
             self.missed += 1
             logs.event("usage.missed", window=report.window)
         self._pending = {report.window for report in self._ledger.reports()}
+        self._pending_next = self._ledger.next_window
         self._sharing.usage.forget(self._ledger.next_window or 0)
         return lease_content.to_bytes(
             LeaseContent(
@@ -128,12 +152,13 @@
                     window: self._sharing.usage.totals(window)
                     for window in self._sharing.usage.windows()
                 },
+                era=era,
             )
         )
 
     def renewed(self) -> None:
         """Note that the store has what content() returned, and tell the other candidates."""
-        self._kept_windows = self._pending
+        self._kept_windows, self._kept_next = self._pending, self._pending_next
         reports = [report for report in self._ledger.reports() if not report.sent]
         addresses = [member.peer_address for member in self._candidates.others()]
         self._sharing.tell_news(reports, addresses)
@@ -159,3 +184,8 @@
                 logs.event("usage.sent", window=report.window, token=credentials.token)
             case Failure(problem):
                 logs.event("usage.not_sent", window=report.window, detail=problem.detail)
+
+
+def _is_first(takeover: Takeover) -> bool:
+    """Return whether nobody has held the lease before: no row, and no older copy that lost one."""
+    return takeover.before.row is None and takeover.era == 0
--- a/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
@@ -5,6 +5,8 @@
 
 LEASE = f"{LIBRARY}/duties/lease_test.py"
 HISTORIES = f"{NODE}/gateway/duties/lease_histories_test.py"
+USAGE_HISTORIES = f"{NODE}/gateway/duties/usage_histories_test.py"
+REPORTER = f"{NODE}/gateway/duties/usage_reporter_test.py"
 SCALER = f"{NODE}/gateway/duties/scaler_test.py"
 OLDER_COPY = f"{PLATFORM}/older_copy_test.py"
 DUTIES = f"{PLATFORM}/duties_test.py"
@@ -52,6 +54,34 @@
         "known = self._reports[report.window] = report",
         f"{LIBRARY}/duties/usage_reports_test.py",
     ),
+    Mutant(
+        "usage: without a row, what was told goes on counting as decided",
+        f"{LIBRARY}/duties/usage_reports.py",
+        "starts += [window + 1 for window in self._reports]",
+        "starts += []",
+        f"{LIBRARY}/duties/usage_reports_test.py",
+    ),
+    Mutant(
+        "usage: after an older copy, windows that may have been decided are left out",
+        f"{NODE}/gateway/duties/usage_reporter.py",
+        "if content.era >= takeover.era or _is_first(takeover):",
+        "if True:",
+        USAGE_HISTORIES,
+    ),
+    Mutant(
+        "usage: a row that only names a new holder keeps the era of its content",
+        f"{NODE}/gateway/duties/usage_reporter.py",
+        "if content.era >= takeover.era or _is_first(takeover):",
+        "if takeover.before.row is None or takeover.before.row.era >= takeover.era:",
+        REPORTER,
+    ),
+    Mutant(
+        "usage: a holder follows itself only if nobody can have been between",
+        f"{LIBRARY}/duties/lease.py",
+        "return self.seen_s <= self.alone_until_s",
+        "return self.alone_until_s > -math.inf",
+        LEASE,
+    ),
     Mutant(
         "orders: none before the list has been seen whole",
         f"{NODE}/gateway/duties/scaler.py",
--- a/packages/springbridge-standins/springbridge_standins/usage_histories.py
+++ b/packages/springbridge-standins/springbridge_standins/usage_histories.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
@@ -16,7 +16,7 @@
 from returns.result import Failure, Result, Success
 from springbridge.codes import Code
 from springbridge.duties.usage import Counts, window_at
-from springbridge.duties.usage_reports import LATEST_S, Report
+from springbridge.duties.usage_reports import Report
 from springbridge.problems import Problem
 from springbridge_node.gateway.duties.duty_platform import Credentials
 from springbridge_node.gateway.duties.usage_reporter import UsageReporter
@@ -32,6 +32,8 @@
 START_S = 1_000_000.0
 # Seconds between two requests that an instance counts, and between two looks for reports to send.
 REQUEST_S, ACT_S = 0.2, 0.5
+# Seconds after the end of a window after which a report counts as missed.
+DUE_S = 15.0
 # Places in the ranking that may take the lease.
 CANDIDATES = 3
 # Seconds on the way of a datagram.
@@ -45,12 +47,22 @@
     """What befalls a history.
 
     Attributes:
-      kinds: Names of the harms, each a function of this module.
+      kinds: Names of the harms, each a method of UsageHistory.
       pause_s: Longest pause between two.
       lost: Part of the datagrams that are lost.
     """
 
-    kinds: tuple[str, ...] = ("freeze", "kill", "cut", "rank", "down", "go_back", "leave", "jump")
+    kinds: tuple[str, ...] = (
+        "freeze",
+        "kill",
+        "kill_all",
+        "cut",
+        "rank",
+        "down",
+        "go_back",
+        "leave",
+        "jump",
+    )
     pause_s: float = 3.0
     lost: float = 0.1
 
@@ -198,9 +210,9 @@
         return self.rng.random() >= self.harms.lost
 
     def missed(self) -> int:
-        """Return how many windows that were due got no report."""
+        """Return how many windows that were over for DUE_S got no report."""
         first = window_at(START_S, WINDOW_S)
-        due = window_at(START_S + HISTORY_S - LATEST_S, WINDOW_S)
+        due = window_at(START_S + HISTORY_S - DUE_S, WINDOW_S)
         return sum(window not in self.told.reports for window in range(first, due))
 
     async def play(self) -> None:
@@ -217,14 +229,21 @@
             node.kill()
 
     def _harm(self, kind: str) -> None:
-        if kind == "jump":
-            self.rng.choice(self.nodes).clock_ahead_s = self.rng.uniform(-1, 1) * CLOCK_JUMP_S
-            return
-        if kind == "go_back":
-            self.steps.append(asyncio.get_running_loop().time())
         harm: Callable[[list[ReportingNode]], None] = getattr(self, f"_{kind}")
         harm(self.nodes)
 
+    def _go_back(self, nodes: list[ReportingNode]) -> None:
+        super()._go_back(nodes)
+        self.steps.append(asyncio.get_running_loop().time())
+
+    def _kill_all(self, nodes: list[ReportingNode]) -> None:
+        for node in nodes:
+            node.kill()
+            asyncio.get_running_loop().call_later(self.rng.random(), node.start)
+
+    def _jump(self, nodes: list[ReportingNode]) -> None:
+        self.rng.choice(nodes).clock_ahead_s = self.rng.uniform(-1, 1) * CLOCK_JUMP_S
+
 
 def play_reports(seed: int, harms: Harms = Harms()) -> UsageHistory:
     """Play the history of a seed to its end."""
@@ -233,14 +252,6 @@
     return history
 
 
-def twice(seeds: range, harms: Harms = Harms()) -> Iterator[tuple[int, list[str]]]:
-    """Play histories and return those with a window that was reported with two counts."""
-    for seed in seeds:
-        history = play_reports(seed, harms)
-        if history.told.twice:
-            yield seed, history.told.twice
-
-
 def _hand_over(handlers: dict[Kind, Handler], kind: Kind, raw: bytes) -> None:
     """Give rows to the run that they were sent to, as they were sent."""
     handlers[kind](orjson.loads(raw), "")
--- a/packages/springbridge/springbridge/duties/lease.py
+++ b/packages/springbridge/springbridge/duties/lease.py
@@ -16,6 +16,7 @@
 every row counts as just seen, and a tenure of before ends.
 """
 
+import math
 from dataclasses import dataclass, replace
 from enum import Enum, auto
 
@@ -99,6 +100,34 @@
         return now_s + call_s <= self.until_s
 
 
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """How an instance took a lease.
+
+    Attributes:
+      before: The reading that it waited under; store_s is the moment of the write.
+      seen_s: When it first saw the row as it was.
+      at_s: Moment of the store's answer.
+      alone_until_s: Until when nobody else can have taken the lease after the tenure that this run
+        had before; minus infinity if it had none, or has handed it on.
+    """
+
+    before: LeaseReading
+    seen_s: float
+    at_s: float
+    alone_until_s: float = -math.inf
+
+    @property
+    def era(self) -> int:
+        """Return the era of the store in which the lease was taken."""
+        return era_of(self.before.stamp)
+
+    @property
+    def follows_itself(self) -> bool:
+        """Return whether nobody else can have held the lease since this run did."""
+        return self.seen_s <= self.alone_until_s
+
+
 class Step(Enum):
     """What an instance does about a lease now."""
 
--- a/packages/springbridge/springbridge/duties/lease_test.py
+++ b/packages/springbridge/springbridge/duties/lease_test.py
@@ -109,3 +109,10 @@
 
 def test_a_lease_is_never_shorter_than_the_time_in_which_nobody_returns():
     assert_that((lease.length_s(1.0), lease.length_s(5.0)), Equals((lease.LEAST_LENGTH_S, 5.0)))
+
+
+def test_a_holder_follows_itself_only_while_its_own_tenure_kept_others_away():
+    reading = LeaseReading(stamp(1, 3), None, 0.0)
+    assert_that(lease.Takeover(reading, 10.0, 14.0, alone_until_s=10.5).follows_itself, Is(True))
+    assert_that(lease.Takeover(reading, 10.0, 14.0, alone_until_s=9.5).follows_itself, Is(False))
+    assert_that(lease.Takeover(reading, 10.0, 14.0).follows_itself, Is(False))
--- a/packages/springbridge/springbridge/duties/usage_reports.py
+++ b/packages/springbridge/springbridge/duties/usage_reports.py
@@ -5,19 +5,23 @@
 Outcome: Report records, in the order of their windows.
 Why: two reports of one window with other counts are worse than none. A window is decided once: its
 counts are written down with the lease before they are sent, and whoever sends them again sends the
-same ones. Other candidates are told of them as well, since a store that comes back from an older
-copy forgets what it was told last.
+same ones. A store that comes back from an older copy forgets what was written down last. Other
+candidates are told of reports for that case, but nobody may be left who was: a holder that finds
+such a store passes over the windows that an earlier one may have decided.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from springbridge.duties.usage import Counts, FleetUsage, window_end_s
+from springbridge.duties.usage import Counts, FleetUsage, window_at, window_end_s
 
 # Seconds after the end of a window in which the counts of all instances arrive.
 SETTLE_S = 2.5
 # Seconds after the end of a window for which its report is still sent.
 LATEST_S = 40.0
+# Seconds by which the true time of an earlier holder may have been ahead of this one's.
+AHEAD_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +70,27 @@
         if self._next is None:
             self._next = first_window
 
+    def pass_over(self, until_s: float) -> None:
+        """Leave out the windows that may have been decided by a moment of true time."""
+        if self._next is not None:
+            self._next = max(self._next, window_at(until_s + AHEAD_S - SETTLE_S, self._window_s))
+
+    def unknown_from(self, window: int) -> list[int]:
+        """Return the windows from one on that stay undecided and have no report known here."""
+        if self._next is None:
+            return []
+        kept = math.ceil(LATEST_S / self._window_s)
+        first = max(window, self._next - kept)
+        return [each for each in range(first, self._next) if each not in self._reports]
+
     def decide(self, usage: FleetUsage, true_s: float) -> list[Report]:
-        """Decide the windows that are over, and return their reports."""
+        """Decide the windows that are over and not too late, and return their reports."""
+        if self._next is None:
+            return []
+        # The number may be of another writer, far back.
+        self._next = max(self._next, window_at(true_s - LATEST_S, self._window_s) - 1)
         decided = []
-        while self._next is not None and self._is_settled(self._next, true_s):
+        while self._is_settled(self._next, true_s):
             if not self._is_too_late(self._next, true_s):
                 report = Report(self._next, usage.totals(self._next))
                 self._reports[self._next] = report
--- a/packages/springbridge/springbridge/duties/usage_reports_test.py
+++ b/packages/springbridge/springbridge/duties/usage_reports_test.py
@@ -89,3 +89,12 @@
     late_s = 11 * WINDOW_S + LATEST_S + 0.1
     assert_that(ledger.forget(late_s), Equals([Report(10, {"councils": 3})]))
     assert_that(ledger.reports(), Equals([]))
+
+
+def test_a_first_window_far_back_costs_no_time():
+    ledger = ReportLedger(WINDOW_S)
+    ledger.adopt([], next_window=0)
+    true_s = 1.7e9
+    decided = ledger.decide(usage_of(), true_s)
+    assert_that(len(decided), Equals(int((LATEST_S - SETTLE_S) / WINDOW_S) + 1))
+    assert_that(ledger.unknown_from(0)[:1], Equals([]))
