--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -1,10 +1,11 @@
 """Keeps the newest configuration in force, from the store's feed and from peers.
 
-Owns the configuration of this node. Relies on routing/store_freshness.py, which decides who reads
-the store. A few nodes wait at the store's feed, which delivers changes at once, and pass them on to
-the others. Digests carry the seconds since the version in force was last known to be the newest, so
-a node whose peers confirm its version leaves the store alone. A node that cannot reach the store
-gets new versions from its peers. A version is never replaced by an older one.
+Owns the configuration of this node, and hands on what the same table says of evacuations. Relies on
+routing/store_freshness.py, which decides who reads the store. A few nodes wait at the store's feed,
+which delivers changes at once, and pass them on to the others. Digests carry the seconds since the
+version in force was last known to be the newest, so a node whose peers confirm its version leaves
+the store alone. A node that cannot reach the store gets new versions from its peers. A version is
+never replaced by an older one.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from returns.result import Failure, Success
 from springbridge.codes import Code
 from springbridge.routing.admission import RouteIndex
+from springbridge.routing.evacuations import EvacuationNews
 from springbridge.routing.records import Service
 from springbridge.routing.retry_after import without_configuration
 from springbridge.routing.store_freshness import (
@@ -54,6 +56,7 @@
         installed: Installed,
         readers: StoreReaders,
         clock: Callable[[], float] = now_s,
+        evacuations: Callable[[int, EvacuationNews], None] = lambda stamp, news: None,
     ) -> None:
         """Start without a configuration.
 
@@ -61,12 +64,14 @@
           read: Parses an operators' document.
           installed: Called with each new version and where it came from.
           readers: Says whether this node reads the store for all.
+          evacuations: Called with what each answer of the store says of them, and its stamp.
         """
         self._store = store
         self._read = read
         self._installed = installed
         self._readers = readers
         self._clock = clock
+        self._evacuations = evacuations
         self._feed_is_up = False
         self._unreadable = ""
         self._confirmed_s = float("-inf")
@@ -196,6 +201,7 @@
                 self._dependency.answered()
                 self._confirmed_s = self._clock()
                 self._note_unreadable(news.unreadable)
+                self._evacuations(news.cursor, news.evacuations)
                 if news.document is not None:
                     self.offer(news.document, Source.STORE)
                 return news.cursor
--- a/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
@@ -9,6 +9,7 @@
 
 from returns.result import Result
 from springbridge.problems import Problem
+from springbridge.routing.evacuations import EvacuationNews
 from springbridge.routing.records import Configuration, EndpointSnapshot
 
 from springbridge_node.gateway.duties.duty_platform import LeaseStore
@@ -36,11 +37,13 @@
       cursor: Where the next wait continues.
       document: The newest configuration, or None if there is no new one that can be read.
       unreadable: Why there is one that does not even tell its version; "" if there is none.
+      evacuations: What the operators ask for of failure domains.
     """
 
     cursor: int
     document: ConfigurationDocument | None
     unreadable: str = ""
+    evacuations: EvacuationNews = EvacuationNews()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -38,6 +38,7 @@
 from springbridge_node.gateway.outside import Outside
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
+from springbridge_node.gateway.peers.evacuation_sharing import EvacuationSharing
 from springbridge_node.gateway.peers.heartbeats import BEAT_S, Heartbeats
 from springbridge_node.gateway.peers.own_member import PACE, member_of
 from springbridge_node.gateway.peers.peer_client import PeerClient
@@ -73,6 +74,7 @@
       configuration: The configuration in force.
       endpoints: What keeps the endpoint list in the registry fresh.
       rates: What keeps to the rates that endpoints name.
+      evacuations: Which failure domains get nothing, as the operators ask.
       budget: This node's share of the retries that all nodes may make together.
       router: Serves the requests.
       listener: Accepts the callers' connections.
@@ -100,6 +102,7 @@
             self.membership, self.registry, self.pool, outside.store, self.readers, self.telemetry
         )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
+        self.evacuations = EvacuationSharing(self.membership, self.registry)
         self.configuration = self._configuration_follower()
         self.duties = duty_parts(
             settings.duties,
@@ -139,6 +142,7 @@
             self._outside.read_configuration,
             self._configuration_installed,
             self.readers,
+            evacuations=self.evacuations.read,
         )
 
     def _endpoint_follower(self) -> EndpointFollower:
@@ -202,6 +206,7 @@
         self.selection_parts.connect(self.datagrams)
         self.quarantine_parts.connect(self.datagrams)
         self.rates.connect(self.datagrams)
+        self.evacuations.connect(self.datagrams)
         if self.duties is not None:
             self.duties.connect(self.datagrams)
 
@@ -214,6 +219,7 @@
             every_tick(BEAT_S, self.heartbeats.beat),
             every_tick(BEAT_S, self.quarantine_parts.sharing.beat),
             every_tick(BEAT_S, self.rates.sharing.beat),
+            every_tick(BEAT_S, self.evacuations.beat),
             every_tick(QUARANTINE_LOOK_S, self.quarantine_parts.stored.step),
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
             every(0.0, self.catch_up.step),
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -25,6 +25,7 @@
     statements = gateway.registry.statements
     telemetry.leaving_endpoints.set(len(known.intersection(statements.leaving())))
     telemetry.resting_endpoints.set(sum(1 for _ in statements.resting()))
+    telemetry.evacuated_domains.set(len(gateway.evacuations.domains))
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
     telemetry.config_version.set(gateway.configuration.version)
     telemetry.store_up.set(int(gateway.endpoints.dependency.up))
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -41,6 +41,7 @@
     PERMIT_REQUEST = 14
     PERMIT_REPLY = 15
     PERMIT_BACK = 16
+    EVACUATIONS = 17
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/evacuation_sharing_test.py
@@ -0,0 +1,90 @@
+"""Tests of telling peers which failure domains are evacuated."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+from springbridge.membership import Member, Membership
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.evacuations import EvacuationNews
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from springbridge_node.gateway.peers.evacuation_sharing import TELL_END_S, EvacuationSharing
+
+
+@pytest.fixture
+def fleet(clock, wire):
+    """Return ten nodes that know each other."""
+    members = [
+        Member(f"run-{n}", f"node-{n}", f"10.0.0.{n}:7000", f"10.0.0.{n}:80", "a")
+        for n in range(10)
+    ]
+    nodes = []
+    for member in members:
+        membership = Membership(member, clock, random.Random(member.incarnation))
+        membership.merge(members)
+        sharing = EvacuationSharing(membership, EndpointRegistry(clock), clock)
+        end = wire.end(member.peer_address)
+        end._membership = membership
+        sharing.connect(end)
+        nodes.append(sharing)
+    return SimpleNamespace(nodes=nodes, members=members, wire=wire, clock=clock)
+
+
+def asked(*domains):
+    """Return news that just these domains are evacuated."""
+    return EvacuationNews(True, tuple((domain, True) for domain in domains))
+
+
+def known(fleet):
+    """Return what each node evacuates."""
+    return {tuple(sorted(node.domains)) for node in fleet.nodes}
+
+
+async def beat(fleet, times):
+    """Let all nodes beat."""
+    for _ in range(times):
+        fleet.clock.now_s += 0.25
+        for node in fleet.nodes:
+            await node.beat()
+
+
+def test_all_know_at_once_what_one_has_read(fleet):
+    fleet.nodes[0].read(10, asked("a"))
+    assert_that(known(fleet), Equals({("a",)}))
+    fleet.nodes[3].read(11, asked())
+    assert_that(known(fleet), Equals({()}))
+
+
+def test_a_node_that_was_cut_off_learns_it_at_a_beat(fleet):
+    cut = fleet.members[5].peer_address
+    fleet.wire.silent.add(cut)
+    fleet.nodes[0].read(10, asked("a"))
+    assert_that(known(fleet), Equals({("a",), ()}))
+    fleet.wire.silent.clear()
+    asyncio.run(beat(fleet, 8))
+    assert_that(known(fleet), Equals({("a",)}))
+
+
+def test_a_node_that_missed_the_end_is_told_in_answer_to_what_it_tells(fleet):
+    fleet.nodes[0].read(10, asked("a"))
+    fleet.wire.silent.add(fleet.members[5].peer_address)
+    fleet.nodes[0].read(11, asked())
+    fleet.clock.now_s += TELL_END_S + 1.0
+    fleet.wire.silent.clear()
+    for member in fleet.members:
+        for node in fleet.nodes:
+            node._membership.merge([member])
+    asyncio.run(fleet.nodes[5].beat())
+    assert_that(known(fleet), Equals({()}))
+
+
+def test_nothing_is_sent_while_nothing_was_asked(fleet):
+    sent = []
+    for node in fleet.nodes:
+        node._datagrams.send = lambda *args: sent.append(args)
+    fleet.nodes[0].read(10, asked())
+    asyncio.run(beat(fleet, 4))
+    assert_that(sent, HasLength(0))
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -58,6 +58,11 @@
             "Entries of the engine list, as this node last read it, that name no engine",
             registry=self.registry,
         )
+        self.evacuated_domains = Gauge(
+            "springbridge_evacuated_domains",
+            "Failure domains that the operators evacuate, as this node knows",
+            registry=self.registry,
+        )
         self.nodes = Gauge("springbridge_live_nodes", "Nodes alive", registry=self.registry)
         self.store_up = Gauge(
             "springbridge_store_up", "1 while the store answers", registry=self.registry
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 
 from springbridge.routing.shared_retry_budget import BudgetTerms
 from springbridge_node.gateway.gateway import Gateway
@@ -51,7 +52,9 @@
             if service in name:
                 await engine.start("127.0.0.1")
 
-    async def list_engine(self, name: str, service: str, state: str = "ready", **more: int) -> None:
+    async def list_engine(
+        self, name: str, service: str, state: str = "ready", **more: object
+    ) -> None:
         """Write an engine's entry into the platform's list, with further fields if any."""
         await list_engine(self.store, name, service, self.engines[name].address, state, **more)
 
@@ -63,7 +66,7 @@
     address: str,
     state: str,
     slots: int = 4,
-    **more: int,
+    **more: object,
 ) -> None:
     """Write an engine's entry into the platform's list, with further fields if there are any."""
     entry = {
@@ -122,11 +125,13 @@
     scripts: dict[str, tuple[str, Script]],
     nodes: int = 1,
     duties: DutySettings = DutySettings(),
+    zones: Mapping[str, str] = MappingProxyType({}),
 ) -> AsyncIterator[Fleet]:
     """Run a store, engines and nodes until the block ends.
 
     Args:
       scripts: For each engine its service and how it answers.
+      zones: The zones of engines that do not stand in the usual one.
       duties: What one node does for all.
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -136,7 +141,8 @@
         fleet = Fleet(store, engines)
         for name, engine in engines.items():
             await stack.enter_async_context(running(engine))
-            await fleet.list_engine(name, scripts[name][0])
+            zone = {"zone": zones[name]} if name in zones else {}
+            await fleet.list_engine(name, scripts[name][0], **zone)
         await store.put("op", "config", configuration(1))
         settings = [replace(one, duties=duties) for one in _settings(nodes)]
         for one in settings:
--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -36,12 +36,17 @@
 
 @dataclass(frozen=True)
 class Row:
-    """One row."""
+    """One row.
+
+    Attributes:
+      gone: Whether it was removed; the feed tells of it, and nothing else does.
+    """
 
     table: str
     key: str
     value: bytes
     version: int
+    gone: bool = False
 
 
 @dataclass(frozen=True)
@@ -87,7 +92,8 @@
         """Remove a row."""
         async with self._changed:
             self.version += 1
-            self._rows.pop((table, key), None)
+            if (table, key) in self._rows:
+                self._rows[(table, key)] = Row(table, key, b"", self.version, gone=True)
             self._changed.notify_all()
 
     def take_copy(self) -> None:
@@ -108,7 +114,7 @@
             lost = [
                 row
                 for key, row in self._rows.items()
-                if row.table in WRITTEN_AGAIN and copy.rows.get(key) != row
+                if row.table in WRITTEN_AGAIN and not row.gone and copy.rows.get(key) != row
             ]
             self.version, self._rows = copy.version, dict(copy.rows)
             self.era += 1
@@ -118,7 +124,7 @@
     def value_of(self, table: str, key: str) -> bytes | None:
         """Return the content of a row, None if there is none."""
         row = self._rows.get((table, key))
-        return row.value if row else None
+        return None if row is None or row.gone else row.value
 
     async def _write(self, table: str, key: str, value: bytes) -> None:
         async with self._changed:
@@ -158,7 +164,8 @@
             changes = request.json()
             for condition in changes["expectedRevision"]:
                 row = self._rows.get((condition["table"], condition["key"]))
-                if (row.version if row else 0) != condition["ver"]:
+                version = 0 if row is None or row.gone else row.version
+                if version != condition["ver"]:
                     return 412, {"rows": [], "ver": self.version, "now_ms": self._now_ms()}
             for row in changes["put"]:
                 await self._write(row["table"], row["key"], base64.b64decode(row["value"]))
@@ -178,20 +185,22 @@
         return 200, self._shown(query["table"], since)
 
     def _shown(self, table: str, since: int) -> dict:
-        """Return the rows of a table that changed after a version."""
+        """Return the rows of a table that changed after a version, all that are there at -1."""
         rows = [
-            {
-                "table": table,
-                "part": "",
-                "key": row.key,
-                "value": base64.b64encode(row.value).decode(),
-                "ver": row.version,
-            }
+            _shown_row(row)
             for row in self._rows.values()
-            if row.table == table and row.version > since
+            if row.table == table and row.version > since and not (row.gone and since < 0)
         ]
         return {"rows": rows, "ver": self.version, "now_ms": self._now_ms()}
 
     def _now_ms(self) -> int:
         """Return the moment on the store's steady clock."""
         return int(time.monotonic() * 1000)
+
+
+def _shown_row(row: Row) -> dict:
+    """Return a row as the store's answers have it."""
+    shown = {"table": row.table, "part": "", "key": row.key, "ver": row.version}
+    if row.gone:
+        return shown | {"gone": True}
+    return shown | {"value": base64.b64encode(row.value).decode()}
--- a/packages/springbridge-standins/springbridge_standins/pages.py
+++ b/packages/springbridge-standins/springbridge_standins/pages.py
@@ -20,7 +20,8 @@
 MODULE_FILE = re.compile(r"(?!\*)[\w./-]*\w\.(?:py|proto|toml|sh|json|csv|txt)\Z")
 LOG_TYPE = re.compile(
     r"(?:springbridge\.)?"
-    r"((?:node|request|engine|engines|member|members|peers|dependency|configuration|settings|scheduler"
+    r"((?:node|request|engine|engines|domain|member|members|peers|dependency|configuration|settings"
+    r"|scheduler"
     r"|table|order|invariant|quarantine|lease|usage|scaling|store)\.[a-z_]+|fault|library)\Z"
 )
 LOG_ROW = re.compile(r"^\| ((?:`[a-z_.]+`(?:, )?)+) \| ([^|]+) \|", re.MULTILINE)
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -36,6 +36,7 @@
 
     NOT_LISTED = "not listed"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     UNREACHABLE = "unreachable"
     RESTING = "resting"
     LEAVING = "leaving"
@@ -96,6 +97,8 @@
         return Obstacle.NOT_LISTED
     if state.entry.draining:
         return Obstacle.DRAINING
+    if state.evacuated:
+        return Obstacle.EVACUATED
     if not state.reachable:
         return Obstacle.UNREACHABLE
     said = state.said
@@ -120,13 +123,15 @@
 def avoided(states: Iterable[EndpointState], service: str, now_s: float) -> list[str]:
     """Return the ids of endpoints that this instance does not use although they do not drain.
 
-    A coordinator that chooses for this instance may not know what stands against them here.
+    A coordinator that chooses for this instance may not know what stands against them here. That
+    endpoints drain or are evacuated it knows.
     """
     return [
         state.entry.endpoint_id
         for state in states
         if state.entry.service == service
         and not state.entry.draining
+        and not state.evacuated
         and obstacle(state, now_s) is not None
     ]
 
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -51,6 +51,7 @@
         self._read_s: float | None = None
         self._fingerprint = 0
         self._older_lists = OlderLists(clock)
+        self._evacuated: frozenset[str] = frozenset()
         # Kept with the list: to look for them takes as long as to look for candidates.
         self._leaving: dict[str, list[EndpointState]] = {}
 
@@ -121,6 +122,7 @@
                 self.statements.keep_under(state.entry.incarnation, state.said)
                 changed = True
             state.usable_until_s = LISTED
+            state.evacuated = state.entry.failure_domain in self._evacuated
             state.cache.capacity = capacities.get(entry.service, 0)
         return changed
 
@@ -145,6 +147,12 @@
                 del self._states[endpoint_id]
         return changed
 
+    def evacuate(self, failure_domains: frozenset[str]) -> None:
+        """Send nothing to the endpoints of some failure domains, and again to those of others."""
+        self._evacuated = failure_domains
+        for state in self._states.values():
+            state.evacuated = state.entry.failure_domain in failure_domains
+
     def find(self, endpoint_id: str) -> EndpointState | None:
         """Return an endpoint by its id."""
         return self._states.get(endpoint_id)
@@ -240,6 +248,7 @@
             state
             for state in self._states.values()
             if not state.reachable
+            and not state.evacuated
             and state.usable_until_s > now_s
             and not state.said.wants_nothing(now_s)
         ]
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -56,6 +56,7 @@
       reachable: Whether the last attempt to connect succeeded; if not, it gets no request.
       usable_until_s: When it may get its last request: LISTED, or a moment if it is on the list no
         more or another endpoint has its address.
+      evacuated: Whether the operators evacuate its failure domain; it gets no request then.
       cache: Which prompt parts it probably keeps.
       said: What it has said of itself in answers.
     """
@@ -70,6 +71,7 @@
     ejected_until_s: float = 0.0
     reachable: bool = True
     usable_until_s: float = LISTED
+    evacuated: bool = False
     cache: PrefixCache = field(default_factory=PrefixCache)
     said: EndpointStatements = field(default_factory=EndpointStatements)
 
--- a/packages/springbridge/springbridge/routing/statements_in_routing_test.py
+++ b/packages/springbridge/springbridge/routing/statements_in_routing_test.py
@@ -105,6 +105,8 @@
     assert_that(obstacle(state, clock.now_s), Is(Obstacle.RESTING))
     registry.unreachable(state)
     assert_that(obstacle(state, clock.now_s), Is(Obstacle.UNREACHABLE))
+    registry.evacuate(frozenset({"perth-a"}))
+    assert_that(obstacle(state, clock.now_s), Is(Obstacle.EVACUATED))
     registry.install(make_snapshot(3, "b", draining=("a",)), {}, 0.0)
     assert_that(obstacle(state, clock.now_s), Is(Obstacle.DRAINING))
     registry.install(make_snapshot(4, "b"), {}, 0.0)
@@ -122,3 +124,24 @@
     clock.now_s += 3.0
     probed = [each.entry.endpoint_id for each in registry.unreachable_endpoints()]
     assert_that(probed, Equals(["b", "c"]))
+
+
+def test_endpoints_of_an_evacuated_domain_are_no_candidates_also_for_want_of_others(registry):
+    registry.evacuate(frozenset({"perth-a"}))
+    assert_that(candidates(registry), Equals([]))
+    assert_that(registry.avoided(SERVICE), Equals([]))
+    assert_that(registry.may_get_request(registry.find("a"), last_resort=True), Is(False))
+    registry.evacuate(frozenset())
+    assert_that(candidates(registry), Equals(["a", "b", "c", "d"]))
+
+
+def test_an_endpoint_that_comes_into_an_evacuated_domain_is_no_candidate(registry):
+    registry.evacuate(frozenset({"perth-a"}))
+    registry.install(make_snapshot(2, "e"), {}, 0.0)
+    assert_that(candidates(registry), Equals([]))
+
+
+def test_an_unreachable_endpoint_of_an_evacuated_domain_is_not_probed(registry):
+    registry.unreachable(registry.find("a"))
+    registry.evacuate(frozenset({"perth-a"}))
+    assert_that(registry.unreachable_endpoints(), Equals([]))
