Taking away the last customer no longer opens every route

Callers without a key, and with the key that was taken away, were served on routes that need one once operators had removed the last customer. Cause: a key was asked for only while the configuration had a customer, so that a system without customers works.

--- a/packages/springbridge/springbridge/routing/admission.py
+++ b/packages/springbridge/springbridge/routing/admission.py
@@ -119,8 +119,9 @@
 
 
 def _needs_customer(index: RouteIndex, route: Route) -> bool:
-    """Return whether a caller has to show a key; without any customer nobody could."""
-    return route.needs_key and bool(index.configuration.customers)
+    """Return whether a caller has to show a key, which needs operators that keep customers."""
+    configuration = index.configuration
+    return route.needs_key and (configuration.keeps_customers or bool(configuration.customers))
 
 
 def _service(index: RouteIndex, route: Route, request_id: str) -> Service:
--- a/packages/springbridge/springbridge/routing/admission_test.py
+++ b/packages/springbridge/springbridge/routing/admission_test.py
@@ -1,9 +1,11 @@
 """Tests of admission.py: route, customer, service, priority and deadline of a request."""
 
+from dataclasses import replace
+
 import pytest
 from returns.result import Failure
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, Is
 
 from springbridge.codes import Code
 from springbridge.routing.admission import RouteIndex, admit, find_route, pick_service
@@ -80,6 +82,15 @@
     assert_that(found.customer, Equals(""))
 
 
+# Guards against opening every route by taking away the last customer.
+@pytest.mark.parametrize("key", [None, "key-1"])
+def test_where_operators_keep_customers_taking_away_the_last_one_opens_nothing(key):
+    index = index_of(make_route(), customers=())
+    kept = replace(index, configuration=replace(index.configuration, keeps_customers=True))
+    refused = admit(kept, make_arrival(key=key), DUE_S).failure()
+    assert_that(refused.code, Is(Code.UNKNOWN_KEY))
+
+
 def test_a_service_that_the_configuration_does_not_describe_gets_the_fewest_connections():
     route = make_route(services=(WeightedService("other", 1.0),))
     found = admit(index_of(route), make_arrival(), DUE_S).unwrap()
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -116,13 +116,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """The operators' configuration at one version; versions only grow."""
+    """The operators' configuration at one version; versions only grow.
+
+    Attributes:
+      keeps_customers: Whether the operators keep a list of customers, also an empty one: a caller
+        without a customer's key is refused then on routes that need one.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     customers: tuple[CustomerKeys, ...]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    keeps_customers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
