An acquitted request does not come back into quarantine with an older copy

Callers of a request that had come to a good end were refused or kept waiting by nodes that started after the store had come back from an older copy with its row. Cause: rows of requests in quarantine were written again after such a return, removals were not. Mend: who removed a row removes it again. The new test of it failed before; the two beside it, for rows that were lost and for requests that came back, passed. Left: the loss of all nodes together with the return.

--- a/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
@@ -51,10 +51,12 @@
         self._to_write: dict[str, None] = {}
         self._written: dict[str, None] = {}
         self._to_remove: dict[str, None] = {}
+        self._removed: dict[str, None] = {}
 
     def entered(self, fingerprint: str) -> None:
         """Write the row of a request soon."""
         self._to_remove.pop(fingerprint, None)
+        self._removed.pop(fingerprint, None)
         self._to_write[fingerprint] = None
         _bound(self._to_write)
 
@@ -71,9 +73,11 @@
             self.left(fingerprint)
 
     def write_again(self) -> None:
-        """Write the rows of this node soon: the store has come back from an older copy."""
+        """Write and remove anew what this node did: the store has come back from an older copy."""
         for fingerprint in self._written:
             self.entered(fingerprint)
+        for fingerprint in self._removed:
+            self.left(fingerprint)
 
     async def step(self) -> None:
         """Do what is due; what fails is tried again at the next look."""
@@ -87,6 +91,8 @@
         for fingerprint in list(self._to_remove):
             if _is_done("remove", await self._store.remove_crashes(fingerprint)):
                 self._to_remove.pop(fingerprint, None)
+                self._removed[fingerprint] = None
+                _bound(self._removed)
 
     async def _write(self, fingerprint: str) -> bool:
         """Write the row of a request, and return whether nothing is left to do."""
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine_steps_test.py
@@ -0,0 +1,84 @@
+"""Tests of the rows of requests in quarantine when the store comes back from an older copy."""
+
+import asyncio
+
+import pytest
+from returns.result import Success
+from springbridge.crash_records import CrashRecords
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
+
+
+class Rows:
+    """A store of such rows."""
+
+    def __init__(self):
+        self.fingerprints = set()
+
+    async def read_crashes(self):
+        """Return none."""
+        return Success([])
+
+    async def write_crashes(self, stored):
+        """Keep a row."""
+        self.fingerprints.add(stored.fingerprint)
+        return Success(None)
+
+    async def remove_crashes(self, fingerprint):
+        """Remove a row."""
+        self.fingerprints.discard(fingerprint)
+        return Success(None)
+
+
+class EveryReader:
+    """Says that this node reads for all."""
+
+    def include_me(self, readers):
+        """Return that it does."""
+        return True
+
+
+@pytest.fixture
+def rows():
+    """Return a store without rows."""
+    return Rows()
+
+
+@pytest.fixture
+def quarantine(rows):
+    """Return what keeps one request in quarantine there, after its row was written."""
+    records = CrashRecords(lambda: 0.0)
+    records.note_crash("f", 1)
+    kept = StoredQuarantine(rows, EveryReader(), records, lambda told: None)
+    kept.entered("f")
+    asyncio.run(kept.step())
+    return kept
+
+
+def test_a_row_that_an_older_copy_lacks_is_written_again(quarantine, rows):
+    rows.fingerprints.clear()
+    quarantine.write_again()
+    asyncio.run(quarantine.step())
+    assert_that(rows.fingerprints, Equals({"f"}))
+
+
+# Guards against quarantine for an acquitted request: an older copy brought its row back.
+def test_a_row_that_an_older_copy_brings_back_is_removed_again(quarantine, rows):
+    quarantine.left("f")
+    asyncio.run(quarantine.step())
+    rows.fingerprints.add("f")
+    quarantine.write_again()
+    asyncio.run(quarantine.step())
+    assert_that(rows.fingerprints, Equals(set()))
+
+
+def test_a_request_that_came_into_quarantine_again_keeps_its_row(quarantine, rows):
+    quarantine.left("f")
+    asyncio.run(quarantine.step())
+    quarantine.entered("f")
+    asyncio.run(quarantine.step())
+    quarantine.write_again()
+    asyncio.run(quarantine.step())
+    assert_that(rows.fingerprints, Equals({"f"}))
