Cold endpoints get no more requests a second than they bear

Cause: coldRemainingMs was checked and read by nothing, coldPerS not read at all. Mend: while an endpoint is cold its service's rate is in force, kept to by the permits that named rates have. The list says who is cold, for services that name a rate. An endpoint that comes back from an evacuation, or is reached again, counts as cold for 2 s, until the list tells.

--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -93,6 +93,10 @@
         services = self.index.configuration.services
         return {name: service.token_capacity for name, service in services.items()}
 
+    def cold_services(self) -> set[str]:
+        """Return the services that name a rate for endpoints which are cold."""
+        return {name for name, service in self.services().items() if service.cold_per_s}
+
     def services(self) -> dict[str, Service]:
         """Return the services of the configuration in force."""
         return {} if self.index is None else self.index.configuration.services
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
 from springbridge.membership import Membership, SnapshotStatus
 from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.listed_entries import with_cold_of
 from springbridge.routing.records import EndpointSnapshot
 from springbridge.routing.store_freshness import (
     ASK_PEERS_AFTER_S,
@@ -79,12 +80,14 @@
       fetch: Returns the list of the peer at an address, or with None of any peer.
       changed: Called when this node has read a changed list from the store.
       regained: Called when the store answers again after a failure.
+      cold_services: Returns the services of which it matters who is cold.
     """
 
     capacities: Callable[[], dict[str, int]]
     fetch: FetchSnapshot
     changed: Callable[[], None]
     regained: Callable[[], None]
+    cold_services: Callable[[], Collection[str]] = tuple
 
 
 class EndpointFollower:
@@ -225,7 +228,8 @@
 
     def _install(self, aged: AgedSnapshot, source: Source) -> bool:
         """Install a list, log it if it changed anything, and return whether it did."""
-        changed = self._registry.install(aged.snapshot, self._hooks.capacities(), aged.age_s)
+        snapshot = with_cold_of(aged.snapshot, self._hooks.cold_services())
+        changed = self._registry.install(snapshot, self._hooks.capacities(), aged.age_s)
         if changed:
             logs.event(
                 "engines.changed",
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -89,7 +89,12 @@
         self.telemetry = Telemetry()
         self.membership = Membership(member_of(settings), clock.now_s, random.Random(), PACE)
         self.registry = EndpointRegistry(clock.now_s, settings.drain_s)
-        self.rates = RateParts(self.membership, self.registry, self.telemetry)
+        self.rates = RateParts(
+            self.membership,
+            self.registry,
+            self.telemetry,
+            services=lambda: self.configuration.services(),
+        )
         self.selection_parts = SelectionParts(self.registry, self.membership, self.rates.table)
         self.pool = ConnectionPool(self.live_nodes)
         self.budget = SharedRetryBudget(settings.budget, self.live_nodes, clock.now_s)
@@ -102,7 +107,9 @@
             self.membership, self.registry, self.pool, outside.store, self.readers, self.telemetry
         )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
-        self.evacuations = EvacuationSharing(self.membership, self.registry)
+        self.evacuations = EvacuationSharing(
+            self.membership, self.registry, changed=self.rates.look_for_cold
+        )
         self.configuration = self._configuration_follower()
         self.duties = duty_parts(
             settings.duties,
@@ -157,6 +164,7 @@
                 fetch=self.peer_client.endpoints,
                 changed=lambda: self.heartbeats.push(),
                 regained=self.configuration.refresh,
+                cold_services=self.configuration.cold_services,
             ),
             snapshot_interval_s(self.settings.drain_s),
         )
@@ -218,7 +226,7 @@
             every_tick(PROBE_INTERVAL_S, EndpointProber(self.registry, self.pool).step),
             every_tick(BEAT_S, self.heartbeats.beat),
             every_tick(BEAT_S, self.quarantine_parts.sharing.beat),
-            every_tick(BEAT_S, self.rates.sharing.beat),
+            every_tick(BEAT_S, self.rates.beat),
             every_tick(BEAT_S, self.evacuations.beat),
             every_tick(QUARANTINE_LOOK_S, self.quarantine_parts.stored.step),
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -16,7 +16,8 @@
     telemetry.nodes.set(gateway.live_nodes())
     telemetry.quarantined.set(gateway.quarantine_parts.quarantined_count())
     telemetry.endpoints.set(len(gateway.registry.entries()))
-    telemetry.limited_endpoints.set(len(gateway.rates.table))
+    telemetry.limited_endpoints.set(len(gateway.rates.table.limited()))
+    telemetry.cold_endpoints.set(len(gateway.rates.table.cold()))
     telemetry.endpoint_rate.clear()
     for incarnation in gateway.rates.table.limited():
         rate = telemetry.endpoint_rate.labels(incarnation.endpoint_id)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -218,16 +218,18 @@
     # Beside the rows, because older builds take rows of six fields only and pass over the rest.
     starts = {entry.endpoint_id: entry.born_ms for entry in entries if entry.born_ms is not None}
     spot = [entry.endpoint_id for entry in entries if entry.spot]
-    further = {"born": starts, "spot": spot}
+    cold = [entry.endpoint_id for entry in entries if entry.cold]
+    further = {"born": starts, "spot": spot, "cold": cold}
     return _compress(body | {name: field for name, field in further.items() if field})
 
 
 def read_snapshot(body: dict) -> AgedSnapshot:
     """Return the list of endpoints of a decompressed body."""
     starts = body.get("born", {})
-    spot = set(body.get("spot", ()))
+    spot, cold = set(body.get("spot", ())), set(body.get("cold", ()))
     entries = tuple(
-        EndpointEntry(*row, starts.get(row[0]), row[0] in spot) for row in body["entries"]
+        EndpointEntry(*row, starts.get(row[0]), row[0] in spot, row[0] in cold)
+        for row in body["entries"]
     )
     return AgedSnapshot(EndpointSnapshot(body["revision"], entries), body["age_s"])
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/evacuation_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/evacuation_sharing.py
@@ -34,11 +34,17 @@
         membership: Membership,
         registry: EndpointRegistry,
         clock: Callable[[], float] = now_s,
+        changed: Callable[[], None] = lambda: None,
     ) -> None:
-        """Start without evacuations."""
+        """Start without evacuations.
+
+        Args:
+          changed: Called when the registry goes by other evacuations.
+        """
         self._membership = membership
         self._registry = registry
         self._clock = clock
+        self._changed = changed
         self._table = EvacuationTable(clock)
         self._in_force: frozenset[str] = frozenset()
         self._tell_until_s = float("-inf")
@@ -74,6 +80,7 @@
         self._in_force = after
         self._tell_until_s = self._clock() + TELL_END_S
         self._registry.evacuate(after)
+        self._changed()
         for domain in sorted(after - before):
             logs.event("domain.evacuated", failure_domain=domain, source=source)
         for domain in sorted(before - after):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
@@ -120,21 +120,21 @@
         if new_peers:
             known = self._registry.known_incarnations()
             leaving = known.intersection(self._registry.statements.leaving())
-            self._send({*self._table.limited(), *leaving}, new_peers)
-        if not self._news_until_s and not len(self._table):
+            self._send({*self._table.named(), *leaving}, new_peers)
+        if not self._news_until_s and not self._table.named():
             return
         now_s = self._clock()
         self._news_until_s = {
             each: until_s for each, until_s in self._news_until_s.items() if until_s > now_s
         }
-        mine = [each for each in self._table.limited() if self._grants(each)]
+        mine = [each for each in self._table.named() if self._grants(each)]
         told = {*self._news_until_s, *mine}
         if told:
             self._send(told, self._membership.gossip_targets())
 
     def _merge(self, incarnation: EndpointIncarnation, statement: Statement, source: str) -> bool:
         """Take in a statement, and return whether a rate came, changed or ended."""
-        was_limited = self._table.per_s(incarnation) is not None
+        was_limited = incarnation in self._table.named()
         change = self._table.take(incarnation, statement)
         if change is None:
             return False
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -58,6 +58,11 @@
             "Entries of the engine list, as this node last read it, that name no engine",
             registry=self.registry,
         )
+        self.cold_endpoints = Gauge(
+            "springbridge_cold_engines",
+            "Engines that are cold, or may be, and have a rate for it",
+            registry=self.registry,
+        )
         self.evacuated_domains = Gauge(
             "springbridge_evacuated_domains",
             "Failure domains that the operators evacuate, as this node knows",
--- a/packages/springbridge/springbridge/rates/rate_table.py
+++ b/packages/springbridge/springbridge/rates/rate_table.py
@@ -1,11 +1,14 @@
 """The rates that are in force, by endpoint, as one instance knows them.
 
-A rate holds until an answer says otherwise, however long the endpoint is asked nothing: the next
-request that is allowed finds out. What ended is kept for a while, so that older answers and older
-news do not bring it back.
+A rate that an endpoint names holds until an answer says otherwise, however long the endpoint is
+asked nothing: the next request that is allowed finds out. What ended is kept for a while, so that
+older answers and older news do not bring it back.
+
+The operators may name a rate for endpoints that are cold. It is not news that instances tell each
+other: each sees on the list who is cold. Of two rates of an endpoint the lower one is in force.
 """
 
-from collections.abc import Callable, Iterator, Set
+from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass
 
 from springbridge.rates.statements import Statement, joined, replaces
@@ -32,23 +35,37 @@
         self._clock = clock
         self._statements: dict[EndpointIncarnation, Statement] = {}
         self._limited: set[EndpointIncarnation] = set()
+        self._cold: dict[EndpointIncarnation, float] = {}
 
     def __len__(self) -> int:
-        """Return how many endpoints have a rate."""
-        return len(self._limited)
+        """Return how many rates there are."""
+        return len(self._limited) + len(self._cold)
 
-    def limited(self) -> Iterator[EndpointIncarnation]:
+    def limited(self) -> Set[EndpointIncarnation]:
         """Return the endpoints that have a rate."""
-        return iter(self._limited)
+        return self._limited | self._cold.keys()
+
+    def named(self) -> Set[EndpointIncarnation]:
+        """Return the endpoints that name a rate themselves."""
+        return self._limited
 
     def is_limited(self, endpoint_id: str) -> bool:
         """Return whether an endpoint of this id has a rate."""
-        return any(each.endpoint_id == endpoint_id for each in self._limited)
+        return any(each.endpoint_id == endpoint_id for each in self.limited())
 
     def per_s(self, incarnation: EndpointIncarnation) -> float | None:
         """Return an endpoint's rate, None if it has none."""
         known = self._statements.get(incarnation)
-        return known.per_s if known else None
+        rates = [known.per_s if known else None, self._cold.get(incarnation)]
+        return min((rate for rate in rates if rate is not None), default=None)
+
+    def cold(self) -> Set[EndpointIncarnation]:
+        """Return the endpoints that have a rate because they are cold."""
+        return self._cold.keys()
+
+    def set_cold(self, rates: Mapping[EndpointIncarnation, float]) -> None:
+        """Set which endpoints are cold, and the rate of each in requests a second."""
+        self._cold = dict(rates)
 
     def statement(self, incarnation: EndpointIncarnation) -> Statement | None:
         """Return the newest statement about an endpoint that had a rate, None if it never had."""
--- a/packages/springbridge/springbridge/rates/rate_table_test.py
+++ b/packages/springbridge/springbridge/rates/rate_table_test.py
@@ -84,3 +84,24 @@
     clock.now_s = 95.0 + KEEP_ENDED_S + 1.0
     table.keep_only({ENDPOINT})
     assert_that(table.statement(ENDPOINT), Is(None))
+
+
+def test_of_two_rates_of_an_endpoint_the_lower_one_is_in_force(clock):
+    table, endpoint = RateTable(clock), EndpointIncarnation("e", 1)
+    table.set_cold({endpoint: 5.0})
+    assert_that(table.per_s(endpoint), Equals(5.0))
+    table.take(endpoint, Statement(2.0, 0.0, 0.1))
+    assert_that(table.per_s(endpoint), Equals(2.0))
+    table.take(endpoint, Statement(9.0, 1.0, 1.1))
+    assert_that(table.per_s(endpoint), Equals(5.0))
+    table.set_cold({})
+    assert_that(table.per_s(endpoint), Equals(9.0))
+
+
+def test_an_answer_without_a_rate_does_not_end_the_one_of_a_cold_endpoint(clock):
+    table, endpoint = RateTable(clock), EndpointIncarnation("e", 1)
+    table.set_cold({endpoint: 5.0})
+    table.take(endpoint, Statement(None, 1.0, 1.1))
+    assert_that(table.per_s(endpoint), Equals(5.0))
+    assert_that(table.named(), Equals(set()))
+    assert_that(table.limited(), Equals({endpoint}))
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -28,6 +28,10 @@
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
+# Seconds after which the list says whether an endpoint is cold that has just come back: endpoints
+# write their entries each second, and readers take half a second.
+COLD_NEWS_S = 2.0
+
 
 class EndpointRegistry:
     """All endpoints that this instance may use.
@@ -150,8 +154,12 @@
     def evacuate(self, failure_domains: frozenset[str]) -> None:
         """Send nothing to the endpoints of some failure domains, and again to those of others."""
         self._evacuated = failure_domains
+        perhaps_cold_until_s = self._clock() + COLD_NEWS_S
         for state in self._states.values():
-            state.evacuated = state.entry.failure_domain in failure_domains
+            is_evacuated = state.entry.failure_domain in failure_domains
+            if state.evacuated and not is_evacuated:
+                state.perhaps_cold_until_s = perhaps_cold_until_s
+            state.evacuated = is_evacuated
 
     def find(self, endpoint_id: str) -> EndpointState | None:
         """Return an endpoint by its id."""
@@ -212,6 +220,13 @@
         """Return the ids of a service's endpoints that this instance does not use for now."""
         return eligibility.avoided(self._states.values(), service, self._clock())
 
+    def cold(self) -> list[EndpointState]:
+        """Return the endpoints that are listed and are cold, or may be."""
+        now_s = self._clock()
+        return [
+            state for state in self._states.values() if state.is_listed and state.is_cold(now_s)
+        ]
+
     def resting(self, service: str) -> list[EndpointState]:
         """Return the endpoints of a service that would get requests if they did not rest."""
         now_s = self._clock()
@@ -299,6 +314,8 @@
 
     def reached(self, state: EndpointState) -> None:
         """Note that a connection to an endpoint came up."""
+        if not state.reachable:
+            state.perhaps_cold_until_s = self._clock() + COLD_NEWS_S
         state.reachable = True
 
     def gone(self, state: EndpointState) -> None:
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -56,6 +56,7 @@
       reachable: Whether the last attempt to connect succeeded; if not, it gets no request.
       usable_until_s: When it may get its last request: LISTED, or a moment if it is on the list no
         more or another endpoint has its address.
+      perhaps_cold_until_s: Before this moment it may be cold though its entry does not say so yet.
       evacuated: Whether the operators evacuate its failure domain; it gets no request then.
       cache: Which prompt parts it probably keeps.
       said: What it has said of itself in answers.
@@ -71,6 +72,7 @@
     ejected_until_s: float = 0.0
     reachable: bool = True
     usable_until_s: float = LISTED
+    perhaps_cold_until_s: float = 0.0
     evacuated: bool = False
     cache: PrefixCache = field(default_factory=PrefixCache)
     said: EndpointStatements = field(default_factory=EndpointStatements)
@@ -85,6 +87,10 @@
         """Return whether its entry, or it itself in an answer, says that it leaves."""
         return self.entry.draining or self.said.leaving.is_certain
 
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether it is cold, or may be."""
+        return self.entry.cold or self.perhaps_cold_until_s > now_s
+
     @property
     def in_flight(self) -> int:
         """Return how many requests it has now."""
--- a/packages/springbridge/springbridge/routing/listed_entries.py
+++ b/packages/springbridge/springbridge/routing/listed_entries.py
@@ -4,6 +4,7 @@
 pass lists on without the starts of endpoints, so that what is known of a start is kept.
 """
 
+from collections.abc import Collection
 from dataclasses import replace
 
 import xxhash
@@ -33,6 +34,18 @@
     return listed if listed.born_ms is not None else replace(listed, born_ms=known.born_ms)
 
 
+def with_cold_of(snapshot: EndpointSnapshot, services: Collection[str]) -> EndpointSnapshot:
+    """Return a list that says of the endpoints of some services alone whether they are cold.
+
+    Where nobody heeds it, a list would change for nothing, and each instance would fetch it.
+    """
+    entries = tuple(
+        replace(entry, cold=False) if entry.cold and entry.service not in services else entry
+        for entry in snapshot.entries
+    )
+    return replace(snapshot, entries=entries)
+
+
 def fingerprint_of(snapshot: EndpointSnapshot) -> int:
     """Return a hash of a list's content, whatever its revision and order."""
     rows = sorted(_fingerprint_row(entry) for entry in snapshot.entries)
@@ -42,4 +55,5 @@
 def _fingerprint_row(entry: EndpointEntry) -> str:
     """Return the text of an entry; without a start it is that of builds which read none."""
     row = f"{entry.endpoint_id} {entry.service} {entry.address} {entry.draining}"
-    return row if entry.born_ms is None else f"{row} {entry.born_ms}"
+    started = row if entry.born_ms is None else f"{row} {entry.born_ms}"
+    return f"{started} cold" if entry.cold else started
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -81,6 +81,8 @@
         plain services.
       fetches: Whether an endpoint can fetch what another one keeps of a prompt.
       scaling: Within which limits endpoints may be ordered; None if they may not.
+      cold_per_s: Requests a second that an endpoint bears while it is cold, from all instances
+        together; 0 if the operators name none.
     """
 
     name: str
@@ -89,6 +91,7 @@
     token_capacity: int = 0
     fetches: bool = False
     scaling: ScalingLimits | None = None
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +157,7 @@
       draining: Whether the endpoint is about to leave and takes no new requests.
       born_ms: See EndpointIncarnation.
       spot: Whether the endpoint costs less and may be taken away at short notice.
+      cold: Whether the endpoint says that it is cold; only of services that name a rate for it.
     """
 
     endpoint_id: str
@@ -164,6 +168,7 @@
     draining: bool
     born_ms: int | None = None
     spot: bool = False
+    cold: bool = False
 
     @property
     def incarnation(self) -> EndpointIncarnation:
