--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_histories_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_histories_test.py
@@ -8,15 +8,17 @@
 STEPS_AND_KILLS = Harms(("go_back", "kill"), lost=0.0)
 STEPS_AND_RANKS = Harms(("go_back", "rank"), lost=0.0)
 STEPS_AND_LOSSES = Harms(("go_back", "kill_all"), lost=0.0)
+MANY = Harms(("freeze", "kill", "cut", "rank", "down", "go_back", "leave", "jump"))
 SELDOM = Harms(("go_back", "kill"), pause_s=12.0, lost=0.02)
 # Histories whose seeds once had a window with two counts.
 ONCE_BROKEN = (
     *((seed, STEPS_AND_KILLS) for seed in (0, 2, 3, 4, 5, 8, 9, 12, 14)),
     *((seed, STEPS_AND_RANKS) for seed in (6, 8, 14)),
-    *((seed, Harms()) for seed in (1, 2, 6)),
+    *((seed, MANY) for seed in (1, 2, 6)),
+    *((seed, Harms()) for seed in (1000, 1001, 1002)),
 )
 DRAWN = tuple(
-    (seed, harms) for seed in range(1000, 1008) for harms in (STEPS_AND_LOSSES, SELDOM, Harms())
+    (seed, harms) for seed in range(1003, 1011) for harms in (STEPS_AND_LOSSES, SELDOM, Harms())
 )
 
 
