A test of the clock counts ticks, not seconds of a busy machine

Its bound of 0.2 s of the steady clock left 0.13 s for a tick that the machine runs late. In its place, as strict: the timer goes off before the second tick after its moment was passed.

--- a/packages/springbridge-node/springbridge_node/clock_test.py
+++ b/packages/springbridge-node/springbridge_node/clock_test.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import re
-import time
 from pathlib import Path
 
 import pytest
@@ -73,16 +72,16 @@
 
 @pytest.mark.parametrize("seconds", [0.2, 3.0, 30.0])
 def test_timers_whose_moment_passed_go_off_at_the_next_tick(suspend, seconds):
-    gone_off_after_s = []
+    ticks, gone_off_after_ticks = [], []
 
     async def main():
         loop = asyncio.get_running_loop()
-        begun_s = time.monotonic()
-        loop.call_later(seconds, lambda: gone_off_after_s.append(time.monotonic() - begun_s))
+        loop.call_later(seconds, lambda: gone_off_after_ticks.append(len(ticks)))
         loop.call_later(0.02, suspend, seconds)
-        while not gone_off_after_s:
-            # A tick, as of the heartbeats.
+        while not gone_off_after_ticks:
+            # A tick, as of the heartbeats. On the steady clock alone four of them pass in 0.2 s.
             await asyncio.sleep(0.05)
+            ticks.append(loop.time())
 
     clock.run(main())
-    assert_that(gone_off_after_s[0], LessThan(0.2))
+    assert_that(gone_off_after_ticks[0], LessThan(2))
