--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -19,6 +19,8 @@
         self.registry = CollectorRegistry()
         self._make_counters()
         self._make_gauges()
+        self._make_duty_gauges()
+        self._make_operator_gauges()
         self._make_rate_metrics()
         self._make_statement_metrics()
 
@@ -58,16 +60,6 @@
             "Entries of the engine list, as this node last read it, that name no engine",
             registry=self.registry,
         )
-        self.cold_endpoints = Gauge(
-            "springbridge_cold_engines",
-            "Engines that are cold, or may be, and have a rate for it",
-            registry=self.registry,
-        )
-        self.evacuated_domains = Gauge(
-            "springbridge_evacuated_domains",
-            "Failure domains that the operators evacuate, as this node knows",
-            registry=self.registry,
-        )
         self.nodes = Gauge("springbridge_live_nodes", "Nodes alive", registry=self.registry)
         self.store_up = Gauge(
             "springbridge_store_up", "1 while the store answers", registry=self.registry
@@ -82,6 +74,17 @@
             "Times that the machine was suspended since the start",
             registry=self.registry,
         )
+        self.store_steps = Gauge(
+            "springbridge_store_steps",
+            "Times that the store came back from an older copy",
+            registry=self.registry,
+        )
+        self.dropped_lines = Gauge(
+            "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
+        )
+
+    def _make_duty_gauges(self) -> None:
+        """Create what tells of the duties of the whole fleet."""
         self.lease_token = Gauge(
             "springbridge_lease_token",
             "Fencing token while this node holds the lease of the duties, else 0",
@@ -93,13 +96,18 @@
             ["result"],
             registry=self.registry,
         )
-        self.store_steps = Gauge(
-            "springbridge_store_steps",
-            "Times that the store came back from an older copy",
+
+    def _make_operator_gauges(self) -> None:
+        """Create what tells of endpoints that operators or their services spare."""
+        self.cold_endpoints = Gauge(
+            "springbridge_cold_engines",
+            "Engines that are cold, or may be, and have a rate for it",
             registry=self.registry,
         )
-        self.dropped_lines = Gauge(
-            "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
+        self.evacuated_domains = Gauge(
+            "springbridge_evacuated_domains",
+            "Failure domains that the operators evacuate, as this node knows",
+            registry=self.registry,
         )
 
     def _make_rate_metrics(self) -> None:
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -81,8 +81,7 @@
         plain services.
       fetches: Whether an endpoint can fetch what another one keeps of a prompt.
       scaling: Within which limits endpoints may be ordered; None if they may not.
-      cold_per_s: Requests a second that an endpoint bears while it is cold, from all instances
-        together; 0 if the operators name none.
+      cold_per_s: Requests a second that a cold endpoint bears from all instances; 0 if unknown.
     """
 
     name: str
