--- a/conftest.py
+++ b/conftest.py
@@ -17,6 +17,10 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the list."""
+    """Print the list, and what was seen where a listed test failed."""
     for entry in ENTRIES:
         terminalreporter.write_line(f"known red: {entry.test}: {entry.cause} ({entry.tracked})")
+    for report in terminalreporter.stats.get("xfailed", []):
+        crash = getattr(report.longrepr, "reprcrash", None)
+        seen = crash.message if crash is not None else report.longrepr
+        terminalreporter.write_line(f"failed as listed: {report.nodeid}: {seen}")
