--- a/packages/springbridge-node/springbridge_node/gateway/peers/evacuation_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/evacuation_sharing.py
@@ -1,9 +1,9 @@
 """Keeps this node and its peers informed of which failure domains the operators evacuate.
 
 The nodes that wait at the store's feed learn it first and tell up to PUSHED_PEERS at once. While
-something is asked for, and for a while after, each node passes it on with its heartbeats, so that
+a domain is evacuated, and for a while after, each node passes it on with its heartbeats, so that
 nodes that start, and those that lost a datagram, know within a few beats. A node that is told
-something older answers with what it knows. While nothing was asked nothing is sent.
+something older answers with what it knows. Before the first evacuation nothing is sent.
 """
 
 from collections.abc import Callable
@@ -22,8 +22,8 @@
 # Seconds for which the end of an evacuation is passed on. A node that was cut off for longer hears
 # of it in answer to what it tells itself.
 TELL_END_S = 30.0
-# Source, in the log, of the end of an ask that an older copy of the store does not have.
-HELD_LONG_ENOUGH = "not asked again"
+# Source, in the log, of the end of an evacuation that an older copy of the store does not have.
+NOT_CONFIRMED = "not confirmed"
 
 
 class EvacuationSharing:
@@ -67,8 +67,8 @@
             self._send(self._datagrams.sample_peers(PUSHED_PEERS) if self._datagrams else [])
 
     async def beat(self) -> None:
-        """End what has run out, and pass on what is asked for."""
-        self._apply(HELD_LONG_ENOUGH)
+        """End what has run out, and pass on what is evacuated."""
+        self._apply(NOT_CONFIRMED)
         if self._in_force or self._clock() < self._tell_until_s:
             self._send(self._membership.gossip_targets())
 
@@ -84,7 +84,7 @@
         for domain in sorted(after - before):
             logs.event("domain.evacuated", failure_domain=domain, source=source)
         for domain in sorted(before - after):
-            logs.event("domain.taken_back", failure_domain=domain, source=source)
+            logs.event("domain.restored", failure_domain=domain, source=source)
         return True
 
     def _send(self, addresses: list[str]) -> None:
@@ -99,14 +99,14 @@
         self._table.take(told)
         if self._apply(sender):
             self._send(self._membership.gossip_targets())
-        elif told.stamp < known.stamp and told.asked != known.asked:
+        elif told.stamp < known.stamp and told.evacuated != known.evacuated:
             self._send([sender])
 
 
 def reading_rows(reading: EvacuationReading) -> list:
     """Return the rows of a reading."""
     lost = [[domain, round(for_s, 1)] for domain, for_s in reading.lost_for_s]
-    return [reading.stamp, sorted(reading.asked), lost]
+    return [reading.stamp, sorted(reading.evacuated), lost]
 
 
 def read_reading(rows: list) -> EvacuationReading:
@@ -115,6 +115,6 @@
     Raises:
       ValueError, TypeError: No node sends such rows.
     """
-    stamp, asked, lost = rows
+    stamp, evacuated, lost = rows
     lost_for_s = tuple((text(domain), number(for_s)) for domain, for_s in lost)
-    return EvacuationReading(whole(stamp), frozenset(texts(asked)), lost_for_s)
+    return EvacuationReading(whole(stamp), frozenset(texts(evacuated)), lost_for_s)
--- a/packages/springbridge/springbridge/routing/evacuations_test.py
+++ b/packages/springbridge/springbridge/routing/evacuations_test.py
@@ -70,7 +70,7 @@
     assert_that(table.domains(), Equals({"a"}))
 
 
-def test_one_that_is_asked_again_after_the_return_ends_when_it_is_taken_away(table):
+def test_one_that_is_confirmed_after_the_return_ends_when_it_is_taken_away(table):
     table.take_news(stamp(1, 5), asked())
     table.take_news(stamp(1, 6), asked("a", whole=False))
     table.take_news(stamp(1, 7), ended("a"))
