--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -120,7 +120,8 @@
             if status and not _was_still_starting(node, status):
                 soak.violated("a planned stop exits with status 0", f"{node.name} status {status}")
         except TimeoutError:
-            soak.violated("a planned stop ends within its grace period", node.name)
+            detail = f"{node.name}, last logged {', '.join(node.last_events())}"
+            soak.violated("a planned stop ends within its grace period", detail)
             node.signal(signal.SIGKILL)
             await node.wait_exit()
         await node.start()
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -7,6 +7,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import orjson
+
+# Number of logged events that tell what a node did last.
+LAST_EVENTS = 5
+
 SETTINGS = """
 nodeName = "{name}"
 ip = "{ip}"
@@ -126,6 +131,11 @@
         """Return whether the process has logged its start; before that it serves no requests."""
         return f'"pid":{self._process.pid},' in self._log.read_text()
 
+    def last_events(self) -> list[str]:
+        """Return time and name of the last events that the node logged, the latest one last."""
+        lines = self._log.read_text(errors="replace").splitlines()[-LAST_EVENTS:]
+        return [_time_and_name(line) for line in lines]
+
     def touch_settings(self) -> None:
         """Rewrite the settings file atomically, as a node may be reading it."""
         written = self._settings.with_suffix(".new")
@@ -138,3 +148,12 @@
         self.signal(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
+
+
+def _time_and_name(line: str) -> str:
+    """Return the time of day and the name of a logged event; a line of other output as it is."""
+    try:
+        event = orjson.loads(line)
+        return f"{event['timestamp']:.2f} {event['message_type']}"
+    except (ValueError, KeyError, TypeError):
+        return line
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -34,6 +34,7 @@
     copy_forever,
     inject_faults_forever,
 )
+from springbridge_standins.gateway.soak.lateness import measure_delays_forever
 from springbridge_standins.gateway.soak.nodes import NodeProcess, Ports
 from springbridge_standins.gateway.soak.rates import (
     EngineRates,
@@ -110,6 +111,7 @@
         send_poison_forever(soak, random.Random(f"{seed} ender")),
         name_rates_forever(soak, statements.rates, random.Random(f"{seed} rates")),
         make_statements_forever(soak, statements, random.Random(f"{seed} statements")),
+        measure_delays_forever(soak),
     ]
     return [asyncio.ensure_future(each) for each in work]
 
