Stamps of the soak beside the nodes' logs; a node logs which run of an endpoint it takes a statement for

An endpoint may start again under its id while a node's list still has the run before. From the logs one could not tell which run a node kept a statement or an end for, nor when the stand-in started, left, rested or crashed. Each soak now writes stamps.jsonl into the folder of its logs, with the time of day of the logs and the time of the checks; engine.leaves, engine.asks_rest, request.crashed_engine and the endpoints of request.ended have born_ms of the run. Nothing decides by it.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_changes_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_changes_log.py
@@ -29,14 +29,20 @@
     )
 
 
-def log_leaving(endpoint_id: str, source: str, request_id: str = "") -> None:
-    """Log that an endpoint leaves.
+def log_leaving(incarnation: EndpointIncarnation, source: str, request_id: str = "") -> None:
+    """Log that an endpoint leaves, and in which run as this node knows it.
 
     Args:
       source: ANSWER, or the address of the peer that reported it.
       request_id: Id of the request whose answer stated it; "" if a peer reported it.
     """
-    logs.event("engine.leaves", engine=endpoint_id, source=source, request_id=request_id)
+    logs.event(
+        "engine.leaves",
+        engine=incarnation.endpoint_id,
+        born_ms=incarnation.born_ms,
+        source=source,
+        request_id=request_id,
+    )
 
 
 def log_cold(before: Set[EndpointIncarnation], after: Mapping[EndpointIncarnation, float]) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/statement_sharing.py
@@ -171,7 +171,7 @@
             return False
         if not self._registry.statements.told_leaving(incarnation):
             return False
-        log_leaving(incarnation.endpoint_id, sender)
+        log_leaving(incarnation, sender)
         self._resend_until_s[incarnation] = self._clock() + RESEND_S
         return True
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -29,6 +29,7 @@
     """An endpoint that a request was sent to, with its load as known to this instance then.
 
     Attributes:
+      born_ms: Start of its run as this instance knew it, see `EndpointIncarnation`.
       in_flight: Requests in flight at the endpoint.
       prefill_tokens: Prompt tokens that it had not processed yet.
       kept_tokens: Tokens of this prompt that its cache probably held.
@@ -38,6 +39,7 @@
     """
 
     endpoint: str
+    born_ms: int | None
     in_flight: int
     prefill_tokens: int
     kept_tokens: int
@@ -51,6 +53,7 @@
         state = choice.state
         return cls(
             endpoint=state.entry.endpoint_id,
+            born_ms=state.entry.born_ms,
             in_flight=state.in_flight,
             prefill_tokens=state.prefill_tokens,
             kept_tokens=state.cache.cached_tokens(demand.prompt_parts),
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -209,7 +209,7 @@
             return
         self._parts.sharing.share(fingerprint, exchange.demand.service)
         found = self._parts.quarantine.verdict(fingerprint)
-        self._parts.log.crashed(exchange, entry.endpoint_id, found, on_trial)
+        self._parts.log.crashed(exchange, entry, found, on_trial)
         if found.standing is Standing.QUARANTINED:
             self._parts.stored.entered(fingerprint)
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
@@ -1,6 +1,7 @@
 """Logs and counts the standing of requests that were running when endpoints crashed."""
 
 from springbridge.quarantine import Verdict
+from springbridge.routing.records import EndpointEntry
 
 from springbridge_node import logs
 from springbridge_node.gateway.requests.exchange import Exchange
@@ -15,14 +16,17 @@
         """Keep the metrics."""
         self._telemetry = telemetry
 
-    def crashed(self, exchange: Exchange, endpoint_id: str, found: Verdict, on_trial: bool) -> None:
+    def crashed(
+        self, exchange: Exchange, entry: EndpointEntry, found: Verdict, on_trial: bool
+    ) -> None:
         """Log that an endpoint crashed while it ran a request of this instance."""
         self._telemetry.crashes.labels(found.standing.value).inc()
         logs.event(
             "request.crashed_engine",
             request_id=exchange.request_id,
             fingerprint=fingerprint_of(exchange),
-            engine=endpoint_id,
+            engine=entry.endpoint_id,
+            born_ms=entry.born_ms,
             crashes=found.crashes,
             standing=found.standing.value,
             on_trial=on_trial,
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -129,6 +129,7 @@
     """Return the log fields of an endpoint that a request was sent to."""
     return {
         "engine": chosen.endpoint,
+        "born_ms": chosen.born_ms,
         "in_flight": chosen.in_flight,
         "prefill_tokens": chosen.prefill_tokens,
         "kept_tokens": chosen.kept_tokens,
--- a/packages/springbridge-node/springbridge_node/gateway/requests/statement_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_log.py
@@ -43,6 +43,7 @@
         logs.event(
             "engine.asks_rest",
             engine=entry.endpoint_id,
+            born_ms=entry.born_ms,
             request_id=request_id,
             rest_s=rest_s,
             left_ms=round(left_s * 1000),
--- a/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
@@ -70,5 +70,5 @@
     def _record_leaving(self, entry: EndpointEntry, request_id: str) -> None:
         """Record that an endpoint leaves, and share it with peers if it is new."""
         if self._registry.mark_leaving(entry.incarnation):
-            log_leaving(entry.endpoint_id, ANSWER, request_id)
+            log_leaving(entry.incarnation, ANSWER, request_id)
             self._sharing.on_leaving(entry.incarnation)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
@@ -79,6 +79,8 @@
     if "server-leaving" in response.headers:
         leaving_run = (connection.address, response.headers["instance-id"])
         soak.leaving_relayed_s.setdefault(leaving_run, time.monotonic())
+        run = response.headers["instance-id"]
+        soak.stamp("leaving relayed", run=run, node=node.name, request_id=request_id)
     check_answer(soak, path, request_id, body, response)
 
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
@@ -53,6 +53,7 @@
       on_end: Called with the name of the engine when it crashes.
     """
     soak.poison_arrived_s.append(time.monotonic())
+    soak.stamp("poison arrived", run=f"{name}/{soak.starts[name]}")
     await asyncio.sleep(RUN_S)
     engine, proxy = soak.engines[name], soak.proxy_of(name)
     if not proxy.is_listening:
@@ -61,6 +62,7 @@
     engine.stop()
     on_end(name)
     soak.crashed_s.append(time.monotonic())
+    soak.stamp("poison crashed", run=f"{name}/{soak.starts[name]}")
     soak.start_background(_restart_later(soak, name))
 
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -73,8 +73,10 @@
     proxy.fault = soak.rng.choice(
         [harm for harm in ConnectionFault if harm is not ConnectionFault.NONE]
     )
+    soak.stamp("link harmed", link=proxy.address, fault=proxy.fault.value)
     await asyncio.sleep(soak.rng.random() * MAX_FAULT_S)
     proxy.fault = ConnectionFault.NONE
+    soak.stamp("link mended", link=proxy.address)
 
 
 async def _harm_store(soak: Soak) -> None:
@@ -82,10 +84,12 @@
     soak.store.fault = soak.rng.choice(
         [fault for fault in StoreFault if fault is not StoreFault.NONE]
     )
+    soak.stamp("store harmed", fault=soak.store.fault.value)
     if soak.rng.random() < HISTORY_LOST_SHARE:
         soak.store.history_lost_before = soak.store.version
     await asyncio.sleep(soak.rng.random() * MAX_FAULT_S)
     soak.store.fault = StoreFault.NONE
+    soak.stamp("store mended")
 
 
 async def _kill_node(soak: Soak) -> None:
@@ -185,6 +189,7 @@
 async def _store_from_older_copy(soak: Soak) -> None:
     """Restore the store from a copy some seconds old; the lost rows are rewritten later."""
     lost = await soak.store.restore_older_copy(-soak.rng.randint(1, MAX_COPIES_BACK))
+    soak.stamp("store went back", lost=[row.key for row in lost])
     restored = {(row.table, row.key): soak.store.value_of(row.table, row.key) for row in lost}
     await asyncio.sleep(soak.rng.random() * MAX_REWRITE_DELAY_S)
     for row in lost:
@@ -210,8 +215,10 @@
         return
     node = soak.rng.choice(free)
     node.busy = True
+    soak.stamp("node harmed", node=node.name)
     try:
         yield node
     finally:
         node.busy = False
         node.released_s = time.monotonic()
+        soak.stamp("node released", node=node.name)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import orjson
 import typer
 
 from springbridge_standins.free_addresses import free_ports, loopback_network
@@ -97,9 +98,20 @@
         check_duties(soak)
         check_rates(soak, statements.rates)
         check_statements(soak, statements)
+        _write_stamps(soak, folder / "stamps.jsonl")
         return soak
 
 
+def _write_stamps(soak: Soak, path: Path) -> None:
+    """Write what the soak did and saw, in the order of time, one JSON object a line."""
+    names = {
+        proxy.address: name
+        for name, proxy in zip(sorted(soak.engines), soak.engine_proxies, strict=True)
+    }
+    lines = [{"event": "links to engines", "names": names}, *soak.stamps]
+    path.write_bytes(b"".join(orjson.dumps(line) + b"\n" for line in lines))
+
+
 def _start_tasks(
     soak: Soak, statements: EngineStatements, seed: int, callers: int
 ) -> list[asyncio.Task]:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -44,6 +45,7 @@
       leaving_relayed_s: When a node first relayed an answer in which an engine says that it
         leaves, on the same clock; by the node's caller address and the engine's incarnation.
       poison_arrived_s: When the poison request arrived at engines, on the same clock.
+      stamps: What the soak did and saw, in order, to be read beside the logs of the nodes.
     """
 
     rng: random.Random
@@ -63,6 +65,7 @@
     crashed_s: list[float] = field(default_factory=list)
     poison_arrived_s: list[float] = field(default_factory=list)
     leaving_relayed_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    stamps: list[dict[str, Any]] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     def node_at(self, caller_address: str) -> NodeProcess:
@@ -74,12 +77,21 @@
         proxy = self.proxy_of(name)
         service = "desk" if "desk" in name else "model"
         start = {"born": self.starts[name]} if self.starts[name] else {}
+        self.stamp("listed", engine=name, state=state, **start)
         await list_engine(self.store, name, service, proxy.address, state, slots=8, **start)
 
     def proxy_of(self, name: str) -> LoopbackProxy:
         """Return the proxy of an engine."""
         return self.engine_proxies[sorted(self.engines).index(name)]
 
+    def stamp(self, event: str, **fields: Any) -> None:
+        """Record that something happened now.
+
+        It has the time of day, which the logs of the nodes have, and the time of the checks.
+        """
+        now = {"timestamp": time.time(), "at_s": time.monotonic()}
+        self.stamps.append(now | {"event": event} | fields)
+
     def start_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background until it or the soak ends."""
         task = asyncio.ensure_future(work)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/statements.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/statements.py
@@ -73,6 +73,9 @@
         """Record that a request arrives at an engine."""
         self.rates.on_arrival(name, request_id)
         sent = self.soak.sent.get(request_id)
+        run = self.incarnation_of(name)
+        sender = sent and self.soak.node_at(sent.caller_address).name
+        self.soak.stamp("arrived", run=run, request_id=request_id, node=sender)
         if sent is not None:
             excused = self.rates.is_excused(name, request_id)
             now_s = time.monotonic()
@@ -105,10 +108,15 @@
                 self.incarnation_of(name), sent.caller_address, time.monotonic(), rest_s
             )
             self.rest_requests.append(rest_request)
+            node = self.soak.node_at(sent.caller_address).name
+            self.soak.stamp(
+                "asked for rest", run=rest_request.incarnation, node=node, rest_s=rest_s
+            )
         return rest_s
 
     def on_end(self, name: str) -> None:
         """Record that an engine ends; its next incarnation makes no statement at first."""
+        self.soak.stamp("ended", run=self.incarnation_of(name))
         self.rates.on_end(name)
         self.leaving.discard(name)
         self.rests_s.pop(name, None)
@@ -140,10 +148,12 @@
     incarnation = statements.incarnation_of(name)
     statements.leaving.add(name)
     soak.counts["engines that leave"] += 1
+    soak.stamp("leaves", run=incarnation)
     match rng.randrange(3):
         case 0:
             await soak.list_engine(name, "draining")
         case 1:
+            soak.stamp("row removed", engine=name)
             await soak.store.remove("servers", name)
     await asyncio.sleep(rng.uniform(*SERVING_S))
     if statements.incarnation_of(name) != incarnation or not soak.proxy_of(name).is_listening:
@@ -173,6 +183,7 @@
     await soak.engines[name].start()
     await soak.proxy_of(name).start(soak.proxy_of(name).address)
     soak.starts[name] += 1
+    soak.stamp("started", run=f"{name}/{soak.starts[name]}")
     await soak.list_engine(name, "ready")
 
 
