A decision that nobody saw stored is not sent from a row that the store came back with

Cause: a renewal that its holder gave up (no answer within the time limit, or a link that holds the bytes back) is executed late, after the restore: its condition is a bare revision, which the older copy has again. The row then names a decision X. The next holder of the era before had taken the lease, decided Y and sent it. UsageReporter.continue_from adopted the row's reports first, so X was sent after Y, even by a holder that had been told of Y. Why it works: the content of the row says up to which window the holder's acknowledged writes had stored decisions. Only the holder of the row can have decided those; any later one has read them there. Of a row of an earlier era the other decisions are left out, and a report that was told after an acknowledged write, or that this node had stored itself, counts before what a row says. In the row's own era the take-over's condition proves that the row is the last one, so that nothing changes there. A row of an earlier build has no mark; after a restore none of its unsent decisions count.

--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_content.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_content.py
@@ -32,6 +32,9 @@
       totals: Counts of undecided windows.
       era: Era of the store in which it was stored. A row that only names a new holder still has the
         content of the previous holder.
+      stored_next: First window that was undecided in the holder's last acknowledged write, None if
+        no write of its is known to be acknowledged. Reports from this window on were decided with
+        the write of this content, and nobody may ever have learnt that it took effect.
     """
 
     kept_s: float = 0.0
@@ -40,6 +43,15 @@
     reports: tuple[Report, ...] = ()
     totals: dict[int, Counts] = field(default_factory=dict)
     era: int = NO_ERA
+    stored_next: int | None = None
+
+    def stored_reports(self) -> tuple[Report, ...]:
+        """Return the reports that an earlier, acknowledged write has stored as well."""
+        return tuple(
+            each
+            for each in self.reports
+            if each.sent or (self.stored_next is not None and each.window < self.stored_next)
+        )
 
 
 def to_bytes(content: LeaseContent) -> bytes:
@@ -55,6 +67,7 @@
             "reports": [[each.window, each.counts, each.sent] for each in content.reports],
             "totals": totals,
             "era": content.era,
+            "stored_next": content.stored_next,
         }
     )
 
@@ -64,13 +77,14 @@
 
     Args:
       row_era: Era in which the row was written; used for content of earlier builds, which has no
-        era.
+        era and no stored_next.
 
     Raises:
       ValueError, TypeError, KeyError: The content has another format.
     """
     found = orjson.loads(raw)
     ahead_s, next_window = found["wall_ahead_s"], found["next_window"]
+    stored_next = found.get("stored_next")
     return LeaseContent(
         kept_s=number(found["kept_s"]),
         wall_ahead_s=None if ahead_s is None else number(ahead_s),
@@ -81,4 +95,5 @@
         ),
         totals={int(window): read_counts(counts) for window, counts in found["totals"].items()},
         era=whole(found.get("era", row_era)),
+        stored_next=None if stored_next is None else whole(stored_next),
     )
--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
@@ -63,6 +63,7 @@
         self._kept_next: int | None = None
         self._pending: set[int] = set()
         self._pending_next: int | None = None
+        self._stored_next: int | None = None
         self.sent = 0
         self.missed = 0
 
@@ -77,16 +78,22 @@
         # Reports that this node decided but never got stored are dropped: another holder may have
         # decided the same windows since.
         own = [each for each in self._ledger.reports() if each.window in self._kept_windows]
+        row_reports = _reports_to_adopt(takeover, content)
         self._ledger = ReportLedger(self._window_s)
-        self._ledger.adopt(content.reports, content.next_window)
-        self._ledger.adopt([*self._sharing.received_reports.values(), *own], content.next_window)
+        self._ledger.adopt([*own, *self._sharing.received_reports.values()], content.next_window)
+        self._ledger.adopt(row_reports, content.next_window)
         current = window_at(self._sharing.true_s(), self._window_s)
         earliest = min([current, *self._sharing.usage.windows()])
         self._ledger.begin(earliest)
         self._skip_lost_decisions(takeover, content)
         left_out = self._ledger.skipped_without_report(
-            earliest if content.next_window is None else content.next_window
+            min(
+                [earliest if content.next_window is None else content.next_window]
+                + [each.window for each in content.reports if each not in row_reports]
+            )
         )
+        # The row that this node replaced is stored, and so are the decisions adopted from it.
+        self._stored_next = self._ledger.next_window
         self.missed += len(left_out)
         self._sharing.usage.restore(content.totals, content.kept_s)
         logs.event(
@@ -156,12 +163,14 @@
                     for window in self._sharing.usage.windows()
                 },
                 era=era,
+                stored_next=self._stored_next,
             )
         )
 
     def on_renewed(self) -> None:
         """Mark what decide_content() returned as stored, and send it to the other candidates."""
         self._kept_windows, self._kept_next = self._pending, self._pending_next
+        self._stored_next = self._pending_next
         reports = [report for report in self._ledger.reports() if not report.sent]
         addresses = [member.peer_address for member in self._candidates.others()]
         self._sharing.send_reports(reports, addresses)
@@ -189,6 +198,16 @@
                 logs.event("usage.not_sent", window=report.window, detail=problem.detail)
 
 
+def _reports_to_adopt(takeover: Takeover, content: LeaseContent) -> tuple[Report, ...]:
+    """Return the reports of the replaced row that are the only ones decided for their windows.
+
+    A write that its holder gave up may take effect after the store was restored, since its
+    condition names only a revision. Another holder may have decided the same windows before the
+    restore. Of a row of an earlier era, only reports that an acknowledged write had stored count.
+    """
+    return content.reports if content.era >= takeover.era else content.stored_reports()
+
+
 def _is_first(takeover: Takeover) -> bool:
     """Return whether this is the first holder ever: no row, and no restore that lost one."""
     return takeover.before.row is None and takeover.era == 0
--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter_test.py
@@ -101,6 +101,50 @@
     assert_that(reporter.missed, Equals(0))
 
 
+def decided(era, stored_next):
+    """Return the content of a holder that has decided windows 100 and 101."""
+    reports = (Report(100, {"councils": 1}), Report(101, {"councils": 2}))
+    return lease_content.to_bytes(
+        LeaseContent(
+            wall_ahead_s=START_S,
+            next_window=102,
+            reports=reports,
+            era=era,
+            stored_next=stored_next,
+        )
+    )
+
+
+# Guards against a second report of a window: its holder had given up the write with the decision,
+# which took effect after the store was restored.
+def test_a_decision_of_an_earlier_era_counts_only_if_an_acknowledged_write_had_it(reporter):
+    reporter.continue_from(takeover(decided(0, 101), row_era=0, store_era=1, seen_s=13.0))
+    assert_that(reporter._ledger.reports(), Equals([Report(100, {"councils": 1})]))
+    assert_that((next_window(reporter), reporter.missed), Equals((102, 1)))
+
+
+def test_a_decision_of_this_era_counts_though_its_write_was_given_up(reporter):
+    reporter.continue_from(takeover(decided(1, 100), row_era=1, store_era=1))
+    assert_that([each.window for each in reporter._ledger.reports()], Equals([100, 101]))
+    assert_that(reporter.missed, Equals(0))
+
+
+def test_what_the_holder_told_counts_before_what_a_row_says(reporter):
+    reporter._sharing.received_reports[100] = Report(100, {"councils": 7})
+    reporter.continue_from(takeover(decided(0, 102), row_era=0, store_era=1, seen_s=13.0))
+    assert_that(reporter._ledger.reports()[0], Equals(Report(100, {"councils": 7})))
+
+
+def test_a_content_names_the_decisions_that_the_write_before_had_stored(reporter):
+    reporter.continue_from(takeover(kept(100, era=0), row_era=0, store_era=0))
+    first = lease_content.from_bytes(reporter.decide_content(0), 0)
+    assert_that((first.next_window, first.stored_next), Equals((103, 100)))
+    assert_that(first.stored_reports(), Equals(()))
+    reporter.on_renewed()
+    second = lease_content.from_bytes(reporter.decide_content(0), 0)
+    assert_that(second.stored_reports(), Equals(first.reports))
+
+
 def test_content_of_an_earlier_build_has_the_era_of_its_row(reporter):
     content = kept(100, era=1).replace(b',"era":1', b"")
     reporter.continue_from(takeover(content, row_era=1, store_era=1))
--- a/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
@@ -6,6 +6,7 @@
 HISTORIES = f"{NODE}/gateway/duties/lease_histories_test.py"
 USAGE_HISTORIES = f"{NODE}/gateway/duties/usage_histories_test.py"
 REPORTER = f"{NODE}/gateway/duties/usage_reporter_test.py"
+LATE_RENEWAL = f"{NODE}/gateway/duties/late_renewal_test.py"
 SCALER = f"{NODE}/gateway/duties/scaler_test.py"
 OLDER_COPY = f"{PLATFORM}/older_copy_test.py"
 DUTIES = f"{PLATFORM}/duties_test.py"
@@ -74,6 +75,21 @@
         "if takeover.before.row is None or takeover.before.row.era >= takeover.era:",
         REPORTER,
     ),
+    Mutant(
+        "usage: after an older copy, a decision counts only if a write with it was acknowledged",
+        f"{NODE}/gateway/duties/usage_reporter.py",
+        "return content.reports if content.era >= takeover.era else content.stored_reports()",
+        "return content.reports",
+        LATE_RENEWAL,
+    ),
+    Mutant(
+        "usage: what an acknowledged write had stored counts before what a row says",
+        f"{NODE}/gateway/duties/usage_reporter.py",
+        "self._ledger.adopt([*own, *self._sharing.received_reports.values()], content.next_window)",
+        "self._ledger.adopt(row_reports, content.next_window)\n"
+        "        self._ledger.adopt([*self._sharing.received_reports.values()], None)",
+        REPORTER,
+    ),
     Mutant(
         "usage: a holder succeeds itself only if no other holder was possible in between",
         f"{LIBRARY}/duties/lease.py",
