A signal after a finished stop does not change its exit status

What callers saw: nothing; whoever stops a node saw a planned stop that ended with status -1, -15 or -2. Cause: the event loop resets the handlers of SIGTERM, SIGINT and SIGHUP when it closes. Until the process has ended, 0.1 s of processor time later, their default action ends it: a second SIGTERM or a reload that comes in this time turns a finished stop into a failed one. Evidence: nodes with stand-ins: SIGHUP each 10 ms through a stop gave status -1 after node.stopped; SIGTERM and SIGINT each 0.5 s gave -15. The test failed before with -1, -15 and -2. Why it works: the last step of the stop blocks the three signals for the rest of the process.

--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
@@ -27,6 +27,9 @@
 # Exceptions from a settings file that is unreadable, lacks a value or has a value of another type.
 SETTINGS_ERRORS = (ValueError, KeyError, OSError, TypeError, IndexError, AttributeError)
 
+# Signals that a node handles while it runs.
+HANDLED_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
+
 Load = Callable[[], GatewaySettings]
 
 
@@ -43,6 +46,8 @@
 async def run(gateway: Gateway, settings_path: str, load: Load) -> None:
     """Run a node until SIGTERM or SIGINT, then perform a planned stop.
 
+    Leaves these signals and SIGHUP blocked, so that later ones do not change the exit status.
+
     Args:
       settings_path: Settings file; a change of it, or SIGHUP, triggers a reload.
       load: Reads and checks that file.
@@ -65,6 +70,9 @@
         await stop_planned(gateway)
         reloading.cancel()
     logs.event("node.stopped", instance=gateway.settings.name)
+    # The event loop resets the handlers when it closes, and the default action of a signal that
+    # comes after it would turn a finished stop into a failed one.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 async def stop_planned(gateway: Gateway) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
@@ -1,6 +1,8 @@
 """Tests of lifecycle.py: order and duration of a planned stop, and reloads of the settings."""
 
 import asyncio
+import subprocess
+import sys
 from types import SimpleNamespace
 
 import pytest
@@ -98,3 +100,35 @@
 
     asyncio.run(body())
     assert_that(gateway.steps, Equals(["later"]))
+
+
+# Runs a stand-in for a gateway to the end of its stop, and then gets a signal again.
+SIGNALLED_AFTER_STOP = """
+import asyncio, os, signal, sys
+from types import SimpleNamespace
+from springbridge_node.gateway import lifecycle
+from springbridge_node.gateway.lifecycle_test import Leaving
+
+class Running(Leaving):
+    membership = SimpleNamespace(me=SimpleNamespace(incarnation="n.1"))
+    async def start(self):
+        self.settings.name = "n"
+        self.listener.in_progress.clear()
+        os.kill(os.getpid(), signal.SIGTERM)
+    async def end(self):
+        pass
+
+async def body():
+    await lifecycle.run(Running(), "", None)
+
+asyncio.run(body())
+os.kill(os.getpid(), signal.Signals[sys.argv[1]])
+"""
+
+
+# Guards against a finished stop that counts as failed: the status was that of a signal which came
+# after the event loop had reset the handlers.
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM", "SIGINT"])
+def test_a_signal_after_the_stop_does_not_change_the_exit_status(name):
+    found = subprocess.run([sys.executable, "-c", SIGNALLED_AFTER_STOP, name], timeout=60)
+    assert_that(found.returncode, Equals(0))
