A crash is confirmed by a connection attempt made after the break

Cause: CrashConfirmation kept the result of a connection attempt for a second for all requests that broke with the endpoint, also the result "accepted". An accepted connection shows that the process ran then; it was taken as an answer about requests that broke later. So an endpoint that had reset one connection, and that a request ended within the second after, counted as running.

A result now holds for a request that has just broken only if the attempt has not begun yet or has confirmed a crash. Requests that break during an attempt share the next one, so that there is one at a time for an endpoint; an accepted connection takes the place of the one that broke, in the pool.

Both new tests failed before.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -3,11 +3,13 @@
 An endpoint that resets a connection, truncates an answer or is cut off by the network is still
 running. One that has crashed refuses connections at once, since its host is up and no process
 listens on the port. So one connection attempt tells the two apart, and its result is shared by all
-requests that broke with the endpoint.
+requests that broke with the endpoint. An accepted connection shows that the process was running
+then; it tells nothing of a request that breaks later, which needs an attempt of its own.
 """
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointIncarnation
@@ -18,19 +20,30 @@
 # Seconds that a request whose attempt broke waits for the result, some round trips: a refusal comes
 # within one, and a longer silence shows nothing.
 REFUSAL_TIMEOUT_S = 0.05
-# Seconds for which the result holds for the other requests that broke with the endpoint. Limits the
-# extra connections to an endpoint that resets many: one a second from each instance. Less than the
-# time after which another endpoint may have the address.
+# Seconds for which a confirmed crash holds for the other requests that broke with the endpoint.
+# Less than the time after which another endpoint may have the address.
 RESULT_TTL_S = 1.0
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """A connection attempt, whose result is whether the endpoint refused it.
+
+    Attributes:
+      has_begun: Whether the connection may have been accepted already.
+    """
+
+    task: asyncio.Task[bool] | None = None
+    has_begun: bool = False
+
+
 class CrashConfirmation:
-    """Confirms crashes of endpoints, with one connection attempt for each."""
+    """Confirms crashes of endpoints, with one connection attempt at a time for each."""
 
     def __init__(self, pool: ConnectionPool) -> None:
         """Start without results."""
         self._pool = pool
-        self._results: dict[EndpointIncarnation, asyncio.Task[bool]] = {}
+        self._latest: dict[EndpointIncarnation, _Attempt] = {}
 
     async def has_crashed(self, state: EndpointState, on_late_crash: Callable[[], None]) -> bool:
         """Return whether an endpoint has crashed; one that is leaving or not listed never counts.
@@ -41,12 +54,7 @@
         """
         if state.is_leaving or not state.is_listed:
             return False
-        incarnation = state.entry.incarnation
-        task = self._results.get(incarnation)
-        if task is None:
-            task = asyncio.ensure_future(self._refuses(state))
-            self._results[incarnation] = task
-            task.add_done_callback(lambda _: self._forget_later(incarnation))
+        task = self._attempt_for_break_now(state)
         # asyncio.wait does not cancel the task when one of the requests that wait for it is.
         done, _ = await asyncio.wait({task}, timeout=REFUSAL_TIMEOUT_S)
         if done:
@@ -54,6 +62,31 @@
         task.add_done_callback(lambda finished: on_late_crash() if _found_crash(finished) else None)
         return False
 
+    def _attempt_for_break_now(self, state: EndpointState) -> asyncio.Task[bool]:
+        """Return an attempt whose result holds for a request that has just broken.
+
+        That is one that has not begun yet, one that has confirmed a crash, or a new one.
+        """
+        incarnation = state.entry.incarnation
+        latest = self._latest.get(incarnation)
+        if latest is not None and (not latest.has_begun or _found_crash(latest.task)):
+            return latest.task
+        attempt = self._latest[incarnation] = _Attempt()
+        attempt.task = asyncio.ensure_future(self._refuses_after(latest, attempt, state))
+        attempt.task.add_done_callback(lambda _: self._forget_later(incarnation, attempt))
+        return attempt.task
+
+    async def _refuses_after(
+        self, previous: _Attempt | None, attempt: _Attempt, state: EndpointState
+    ) -> bool:
+        """Return whether an endpoint refuses a connection, in the previous attempt or a new one."""
+        if previous is not None:
+            await asyncio.wait({previous.task})
+            if _found_crash(previous.task):
+                return True
+        attempt.has_begun = True
+        return await self._refuses(state)
+
     async def _refuses(self, state: EndpointState) -> bool:
         """Return whether an endpoint refuses a connection; if not, the pool keeps it for use."""
         try:
@@ -65,12 +98,16 @@
             return False
         return False
 
-    def _forget_later(self, incarnation: EndpointIncarnation) -> None:
-        """Drop a result after RESULT_TTL_S."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(RESULT_TTL_S, self._results.pop, incarnation, None)
+    def _forget_later(self, incarnation: EndpointIncarnation, attempt: _Attempt) -> None:
+        """Drop a result after RESULT_TTL_S, unless a later attempt has replaced it."""
+
+        def forget() -> None:
+            if self._latest.get(incarnation) is attempt:
+                del self._latest[incarnation]
+
+        asyncio.get_running_loop().call_later(RESULT_TTL_S, forget)
 
 
-def _found_crash(finished: asyncio.Task[bool]) -> bool:
-    """Return the result of a finished connection attempt; a cancelled one confirms no crash."""
-    return not finished.cancelled() and finished.result()
+def _found_crash(task: asyncio.Task[bool]) -> bool:
+    """Return whether a connection attempt has confirmed a crash; a cancelled one has not."""
+    return task.done() and not task.cancelled() and task.result()
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -68,6 +68,41 @@
     run(body)
 
 
+def test_a_crash_right_after_a_connection_was_accepted_is_confirmed(run):
+    async def body(engine, state, confirmation):
+        # A request broke although the endpoint is running: it reset the connection.
+        assert_that(await confirmation.has_crashed(state, no_late_crash), Is(False))
+        engine.stop()
+        assert_that(await confirmation.has_crashed(state, no_late_crash), Is(True))
+
+    run(body)
+
+
+def test_a_break_during_a_connection_attempt_is_confirmed_by_a_later_attempt(run, monkeypatch):
+    async def body(engine, state, confirmation):
+        accepted, attempts = asyncio.Event(), []
+
+        async def accepted_then_refused(entry):
+            attempts.append(entry)
+            if len(attempts) > 1:
+                raise ConnectFailedError("ConnectionRefusedError", refused=True)
+            await accepted.wait()
+
+        monkeypatch.setattr(confirmation._pool, "warm", accepted_then_refused)
+        first = asyncio.ensure_future(confirmation.has_crashed(state, no_late_crash))
+        while not attempts:
+            await asyncio.sleep(0)
+        later = [
+            asyncio.ensure_future(confirmation.has_crashed(state, no_late_crash)) for _ in range(20)
+        ]
+        await asyncio.sleep(0)
+        accepted.set()
+        found = await asyncio.gather(*later)
+        assert_that((await first, set(found), len(attempts)), Equals((False, {True}, 2)))
+
+    run(body)
+
+
 def test_a_draining_or_unlisted_endpoint_does_not_count_as_crashed(run):
     async def body(engine, state, confirmation):
         engine.stop()
