A planned stop waits until the end of each stream is in the socket

What callers saw: nothing that was traced to it; a caller that reads slowly could get all events and then a connection that closed without the last chunk, when the node left just then.

Cause: CallerAnswer.finish does not wait for the last chunk, which tornado keeps if the socket took the last event whole and is full. The task of the request ends, CallerListener.in_progress is empty, stop_planned returns and the process ends with these bytes unsent.

Evidence: a listener whose socket is filled right before finish: 0 requests in progress while the end of the stream waits in the process.

Failed before: test_a_stream_is_in_progress_until_its_end_is_in_the_socket (0 for 1).

Why it works: the task waits for an empty write, which is done after all bytes before it, or until the connection is closed. The wait is within the bound of the stop like that for any other answer.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -4,6 +4,8 @@
 three ways: finish(), refuse() or abort().
 """
 
+import contextlib
+
 import orjson
 from springbridge.problems import Problem
 from tornado.http1connection import HTTP1Connection
@@ -57,6 +59,14 @@
         self.ended = True
         self._connection.finish()
 
+    async def wait_sent(self) -> None:
+        """Wait until the end of the answer is in the socket, or the connection is closed.
+
+        finish() does not wait for the last bytes, and a process that ends would drop them.
+        """
+        with contextlib.suppress(StreamClosedError):
+            await self._connection.stream.write(b"")
+
     def abort(self) -> None:
         """Close the connection, so that the caller sees that the answer is incomplete."""
         self.ended = True
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -110,6 +110,7 @@
         """Serve a request; abort its answer if serving fails to end it."""
         try:
             await self._serve(request, answer)
+            await answer.wait_sent()
         except CallerGoneError:
             # The router has logged the end of the request; there is no caller left to answer.
             pass
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
@@ -0,0 +1,58 @@
+"""Tests of ingress.py: until when a request counts as in progress."""
+
+import asyncio
+import socket
+
+from springbridge.routing.records import CallerLimits
+from springbridge_standins.free_addresses import free_ports
+from springbridge_standins.gateway.caller import request_bytes
+from springbridge_standins.gateway.fleet import until
+from springbridge_standins.http_wire import CRLF, read_answer
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from tornado.httputil import HTTPHeaders
+
+from springbridge_node.gateway.callers.ingress import CallerListener
+
+
+def fill(sock):
+    """Send chunks of a body until the socket takes no more; return the bytes that it took."""
+    taken = 0
+    while True:
+        try:
+            sock.send(b"1" + CRLF + b"x" + CRLF)
+            taken += 1
+        except BlockingIOError:
+            return taken
+
+
+# Guards against a planned stop that ends before the end of a stream is in the socket: a caller that
+# reads slowly got all events and then a connection that closed without the last chunk.
+def test_a_stream_is_in_progress_until_its_end_is_in_the_socket():
+    filled = []
+
+    async def serve(request, answer):
+        await answer.start(200, "OK", HTTPHeaders(), b"")
+        # As if the socket had just taken the last event whole and were full now.
+        filled.append(fill(answer._connection.stream.socket))
+        answer.finish()
+
+    async def body():
+        listener = CallerListener(serve)
+        (port,) = free_ports(1)
+        listener.listen(f"127.0.0.1:{port}", CallerLimits())
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+        await asyncio.get_running_loop().sock_sendall(sock, request_bytes("/stream/x"))
+        await until(lambda: filled)
+        await asyncio.sleep(0.1)
+        assert_that(len(listener.in_progress), Equals(1))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        got = await read_answer(reader)
+        assert_that((got.is_complete, len(got.body)), Equals((True, filled[0])))
+        await until(lambda: not listener.in_progress)
+        writer.close()
+
+    asyncio.run(body())
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -29,6 +29,13 @@
         "return True",
         f"{REQUESTS}::test_a_request_that_may_not_be_repeated_is_sent_once",
     ),
+    Mutant(
+        "an answer is in progress until its end is in the socket",
+        f"{NODE}/gateway/callers/ingress.py",
+        "            await answer.wait_sent()\n",
+        "",
+        f"{NODE}/gateway/callers/ingress_test.py",
+    ),
     Mutant(
         "answers are matched by id",
         f"{NODE}/gateway/requests/endpoint_answer.py",
