A statement that comes before the list names the endpoint's new run counts for that run

Cause: an endpoint that starts again under its id answers before this instance's list names the new run. Its statement is recorded for the run that the entry of the attempt named (StatementWatch._record_leaving). The next list makes a new state with a record of its own (EndpointRegistry._update), so that the statement is lost; if the instance has no request for it for 2 s (a rate, a rest, a link that is down), the next one is late. Besides, heard_s of a run was the earliest of all runs of ten minutes, so that an endpoint that had left once was no last resort.

Failed before: eight cases of late_lists_test.py (['e-1', 'e-2'] for ['e-2']) and test_a_statement_that_comes_before_the_list_names_the_run_counts_for_it (1 late request for 0).

Why it works: the registry notes until when a list named each run, and carries a statement over to the listed run unless a later list shows that the run before was still the latest. It holds for 10 s from the statement, as a peer's word does, since it may be of the run before.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -144,8 +144,7 @@
             selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
-            chosen = selection.choice
-            progress.last_resort = chosen is not None and chosen.state.statements.leaving.is_certain
+            progress.last_resort = _may_be_leaving(selection.choice)
             decision = await self._parts.gate.check(exchange, selection.choice)
             if decision.problem is not None:
                 return decision.problem
@@ -303,3 +302,8 @@
                 await relay_failure(exchange, failure, self._parts.codec)
             case FinalAnswer.REFUSAL:
                 await answer.refuse(problem)
+
+
+def _may_be_leaving(choice: Choice | None) -> bool:
+    """Return whether an endpoint was chosen although it has stated, or may have, that it leaves."""
+    return choice is not None and choice.state.statements.leaving.first_heard_s is not None
--- a/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
@@ -11,14 +11,14 @@
     Mutant(
         "leaving: an endpoint that says it leaves gets no more requests",
         f"{LIBRARY}/routing/eligibility.py",
-        "if said.leaving.is_certain:",
+        "if leaving.wants_nothing(said.leaving, now_s):",
         "if False:",
         f"{LEAVING}::test_an_endpoint_that_says_it_leaves_gets_no_more_requests",
     ),
     Mutant(
         "leaving: use as a last resort is bounded in time",
         f"{LIBRARY}/statements/leaving.py",
-        "return now_s < leaving.heard_s + within_bound_s(MAX_LAST_RESORT_S, drain_s)",
+        "return now_s < heard_s + within_bound_s(MAX_LAST_RESORT_S, drain_s)",
         "return True",
         f"{LEAVING}::test_an_endpoint_that_says_it_leaves_gets_no_more_requests",
     ),
@@ -36,6 +36,13 @@
         "return False",
         f"{LIBRARY}/routing/older_lists_test.py",
     ),
+    Mutant(
+        "leaving: a statement counts for the run that the list names late",
+        f"{LIBRARY}/routing/endpoint_registry.py",
+        "                self.statements.carry_over(entry.incarnation)\n",
+        "",
+        f"{LIBRARY}/routing/late_lists_test.py",
+    ),
     Mutant(
         "leaving: peers are notified",
         f"{NODE}/gateway/requests/statement_watch.py",
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -135,7 +135,7 @@
                 return
             endpoint = min(free, key=lambda each: (self.sent[each.entry.endpoint_id], id(each)))
             state = states[endpoint.entry.endpoint_id]
-            last_resort = state.statements.leaving.is_certain
+            last_resort = state.statements.leaving.first_heard_s is not None
             if not await self.gate.acquire_permit(exchange, endpoint.entry):
                 continue
             await self._wait_while_frozen()
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -106,7 +106,7 @@
     said = state.statements
     if said.rest is not None and not rests.may_send(said.rest, now_s):
         return ExclusionReason.RESTING
-    if said.leaving.is_certain:
+    if leaving.wants_nothing(said.leaving, now_s):
         return ExclusionReason.LEAVING
     if state.ejected_until_s > now_s:
         return ExclusionReason.EJECTED
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -24,13 +24,16 @@
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
 from springbridge.statements import rests
-from springbridge.statements.leaving import is_likely
+from springbridge.statements.leaving import is_likely, wants_nothing
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
 # Seconds after which the list shows whether an endpoint that has just come back is cold: endpoints
 # write their entries every second, and readers take another half second.
 COLD_FLAG_DELAY_S = 2.0
+# Seconds by which a peer's confirmation of the list may be older than it says: its way here, and
+# its wait in the socket of a busy instance.
+CONFIRMATION_DELAY_S = 0.1
 
 
 class EndpointRegistry:
@@ -54,6 +57,7 @@
         self._states: dict[str, EndpointState] = {}
         self._revision = -1
         self._read_s: float | None = None
+        self._current_s: float | None = None
         self._fingerprint = 0
         self._rollback_corrector = StoreRollbackCorrector(clock)
         self._evacuated: frozenset[str] = frozenset()
@@ -82,6 +86,16 @@
         """Record that the list in use was confirmed as the newest age_s seconds ago."""
         if self._read_s is not None:
             self._read_s = max(self._read_s, self._clock() - age_s)
+            self._record_current(age_s + CONFIRMATION_DELAY_S)
+
+    def _record_current(self, age_s: float) -> None:
+        """Record that the list in use named the runs of all endpoints as they were age_s ago.
+
+        After the store was restored from an older copy a list may name runs that have ended.
+        """
+        if self._rollback_corrector.is_settled():
+            at_s = self._clock() - age_s
+            self._current_s = at_s if self._current_s is None else max(self._current_s, at_s)
 
     def install(self, snapshot: EndpointSnapshot, capacities: dict[str, int], age_s: float) -> bool:
         """Install an endpoint list unless a newer one is in use.
@@ -105,6 +119,7 @@
         listed = self._rollback_corrector.corrected(snapshot.entries, self._known)
         changed = self._update(listed, capacities)
         changed = self._drop_unlisted(listed, after_outage) or changed
+        self._record_current(age_s)
         self._leaving = leaving_by_service(self._states.values())
         return changed
 
@@ -119,13 +134,19 @@
         for endpoint_id, entry in listed.items():
             state = self._states.get(endpoint_id)
             if state is None or has_restarted(state.entry, entry):
+                if state is not None:
+                    state.statements.named_until_s = self._current_s
                 said = self.statements.of(entry.incarnation)
                 state = self._states[endpoint_id] = EndpointState(entry, statements=said)
+                said.address, said.named_until_s = entry.address, None
+                self.statements.carry_over(entry.incarnation)
                 changed = True
             elif state.entry != with_known_start(entry, state.entry):
                 state.entry = with_known_start(entry, state.entry)
                 self.statements.keep_under(state.entry.incarnation, state.statements)
                 changed = True
+            state.statements.address = state.entry.address
+            state.statements.named_until_s = None
             state.usable_until_s = LISTED
             state.evacuated = state.entry.failure_domain in self._evacuated
             state.cache.capacity = capacities.get(entry.service, 0)
@@ -142,6 +163,8 @@
         lapsed = eligibility.lapsed_services(staying, listed)
         for endpoint_id in [name for name in self._states if name not in listed]:
             state = self._states[endpoint_id]
+            if state.statements.named_until_s is None:
+                state.statements.named_until_s = self._current_s
             if state.is_listed:
                 may_live = state.entry.service in lapsed and not state.is_leaving
                 state.usable_until_s = now_s + (self._lapse_grace_s if may_live else 0.0)
@@ -178,6 +201,7 @@
             for state in self._states.values()
             if state.is_listed
             and not state.is_leaving
+            and not wants_nothing(state.statements.leaving, now_s)
             and not is_likely(state.statements.leaving, now_s)
         ]
 
@@ -254,7 +278,12 @@
 
     def mark_leaving(self, incarnation: EndpointIncarnation) -> bool:
         """Record an endpoint's statement that it is leaving; return whether that is new."""
-        if not self.statements.heard_leaving(incarnation):
+        is_new = self.statements.heard_leaving(incarnation)
+        state = self._states.get(incarnation.endpoint_id)
+        if state is not None and state.entry.incarnation != incarnation:
+            # The list has named another run since the request was sent.
+            self.statements.carry_over(state.entry.incarnation)
+        if not is_new:
             return False
         self._leaving = leaving_by_service(self._states.values())
         return True
--- a/packages/springbridge/springbridge/routing/older_lists.py
+++ b/packages/springbridge/springbridge/routing/older_lists.py
@@ -35,6 +35,10 @@
         """Record that the store was restored from an older copy now."""
         self._rolled_back_s = self._clock()
 
+    def is_settled(self) -> bool:
+        """Return whether the list names the endpoints as they are: no older copy may be in use."""
+        return self._clock() > self._rolled_back_s + SETTLED_S
+
     def record_departure(self, endpoint_id: str) -> None:
         """Record that an endpoint has left the list while the store was up."""
         now_s = self._clock()
@@ -54,7 +58,7 @@
           known: Returns the current entry of an endpoint by its id, None if there is none.
         """
         listed = {entry.endpoint_id: entry for entry in entries}
-        if self._clock() > self._rolled_back_s + SETTLED_S:
+        if self.is_settled():
             return listed
         return {
             name: _as_known(entry, known(name))
--- a/packages/springbridge/springbridge/statements/leaving.py
+++ b/packages/springbridge/springbridge/statements/leaving.py
@@ -8,6 +8,10 @@
 An endpoint leaves once, so its own statement is final for its incarnation, whatever a list, a later
 response or a peer says. A peer's report may be wrong, so it only ranks the endpoint behind the
 others, for a time that repeated reports do not extend; a later request to the endpoint finds out.
+
+A list may be late to name an endpoint that has started again under its id and at its address. A
+statement that comes meanwhile is recorded for the run that the list names, though it may be the
+next run's. It then counts for that one as well, and ends after a while, as it may be wrong.
 """
 
 from dataclasses import dataclass
@@ -20,6 +24,9 @@
 # Seconds for which a peer's report ranks an endpoint behind the others. The list, which is read
 # every half second, shows the same long before that unless the store is unavailable.
 PEER_REPORT_S = 10.0
+# Seconds for which a statement counts that may be of another run of the endpoint. As long as a
+# peer's report, which may be wrong too.
+UNASSIGNED_S = 10.0
 
 
 @dataclass(slots=True)
@@ -28,23 +35,40 @@
 
     Attributes:
       heard_s: When this instance first got the endpoint's own statement; None if it did not.
+      latest_s: When this instance last got it; not before heard_s.
       told_s: When a peer first reported one; None if none did.
+      unassigned_s: When this instance got a statement that may be of this or of another run of the
+        endpoint; None if it did not.
     """
 
     heard_s: float | None = None
+    latest_s: float = float("-inf")
     told_s: float | None = None
+    unassigned_s: float | None = None
 
     @property
     def is_certain(self) -> bool:
         """Return whether this instance got the endpoint's own statement."""
         return self.heard_s is not None
 
+    @property
+    def first_heard_s(self) -> float | None:
+        """Return when the endpoint's own statement came, also if it may be of another run."""
+        return self.unassigned_s if self.heard_s is None else self.heard_s
+
     @property
     def is_known(self) -> bool:
         """Return whether the endpoint stated or a peer reported that it is leaving."""
         return self.is_certain or self.told_s is not None
 
 
+def wants_nothing(leaving: Leaving, now_s: float) -> bool:
+    """Return whether an endpoint's own statement keeps requests away from it now."""
+    if leaving.is_certain:
+        return True
+    return leaving.unassigned_s is not None and now_s < leaving.unassigned_s + UNASSIGNED_S
+
+
 def is_likely(leaving: Leaving, now_s: float) -> bool:
     """Return whether a peer's report makes an endpoint get requests only if there is no other."""
     return leaving.told_s is not None and now_s < leaving.told_s + PEER_REPORT_S
@@ -62,6 +86,7 @@
 
 def is_last_resort(leaving: Leaving, drain_s: float, now_s: float) -> bool:
     """Return whether a leaving endpoint may still be used if its whole service is leaving."""
-    if leaving.heard_s is None:
+    heard_s = leaving.first_heard_s
+    if heard_s is None:
         return False
-    return now_s < leaving.heard_s + within_bound_s(MAX_LAST_RESORT_S, drain_s)
+    return now_s < heard_s + within_bound_s(MAX_LAST_RESORT_S, drain_s)
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from springbridge.routing.records import EndpointIncarnation
-from springbridge.statements import rests
+from springbridge.statements import leaving, rests
 from springbridge.statements.leaving import Leaving
 from springbridge.statements.rests import Rest
 
@@ -26,6 +26,8 @@
       peers_rest_until_s: When the latest rest ends that peers have reported.
       behind_until_s: Until when this instance ranks it behind the others because of that.
       known_s: When it was last known to be listed or to have requests.
+      address: Its address on the list that named it last.
+      named_until_s: When that list was last known to be current; None while it is in use.
     """
 
     leaving: Leaving = field(default_factory=Leaving)
@@ -33,10 +35,14 @@
     peers_rest_until_s: float = 0.0
     behind_until_s: float = 0.0
     known_s: float = 0.0
+    address: str = ""
+    named_until_s: float | None = None
 
     def wants_nothing(self, now_s: float) -> bool:
         """Return whether it has asked this instance not to send requests now."""
-        return self.leaving.is_certain or (self.rest is not None and now_s < self.rest.until_s)
+        if leaving.wants_nothing(self.leaving, now_s):
+            return True
+        return self.rest is not None and now_s < self.rest.until_s
 
 
 class StatementTable:
@@ -46,6 +52,7 @@
         """Create an empty table; the clock returns monotonic seconds."""
         self._clock = clock
         self._said: dict[EndpointIncarnation, EndpointStatements] = {}
+        self._runs: dict[str, set[EndpointIncarnation]] = {}
 
     def of(self, incarnation: EndpointIncarnation) -> EndpointStatements:
         """Return the statements of an incarnation, a new record if there is none.
@@ -54,7 +61,8 @@
         """
         found = self._said.get(incarnation)
         if found is None:
-            found = self._said[incarnation] = EndpointStatements(known_s=self._clock())
+            found = EndpointStatements(known_s=self._clock())
+            self.keep_under(incarnation, found)
         return found
 
     def find(self, incarnation: EndpointIncarnation) -> EndpointStatements | None:
@@ -64,6 +72,40 @@
     def keep_under(self, incarnation: EndpointIncarnation, said: EndpointStatements) -> None:
         """Store an endpoint's statements under its incarnation once its start time is known."""
         self._said[incarnation] = said
+        self._runs.setdefault(incarnation.endpoint_id, set()).add(incarnation)
+
+    def _others(
+        self, incarnation: EndpointIncarnation
+    ) -> Iterator[tuple[EndpointIncarnation, EndpointStatements]]:
+        """Return the other runs of an endpoint with their statements."""
+        for run in self._runs.get(incarnation.endpoint_id, ()):
+            if run != incarnation:
+                yield run, self._said[run]
+
+    def carry_over(self, incarnation: EndpointIncarnation) -> None:
+        """Let what was recorded for other runs count for the one that the list names now.
+
+        Only what may be its own: what came at a moment for which no list shows that the other run
+        was still the latest.
+        """
+        said = self.of(incarnation)
+        now_s = self._clock()
+        recent = [
+            heard_s
+            for heard_s in self._perhaps_heard(incarnation)
+            if now_s < heard_s + leaving.UNASSIGNED_S
+        ]
+        said.leaving.unassigned_s = min(recent, default=said.leaving.unassigned_s)
+
+    def _perhaps_heard(self, incarnation: EndpointIncarnation) -> Iterator[float]:
+        """Return when statements came that are recorded for other runs and may be of this one."""
+        address = self.of(incarnation).address
+        for run, its in self._others(incarnation):
+            if its.leaving.heard_s is None or its.address != address:
+                continue
+            for heard_s in (its.leaving.heard_s, its.leaving.latest_s):
+                if _may_be_of(incarnation, run, its, heard_s):
+                    yield heard_s
 
     def leaving(self) -> Iterator[EndpointIncarnation]:
         """Return the incarnations that stated to this instance that they are leaving."""
@@ -78,26 +120,24 @@
 
     def heard_leaving(self, incarnation: EndpointIncarnation) -> bool:
         """Record an endpoint's statement that it is leaving; return whether that is new."""
-        leaving = self.of(incarnation).leaving
-        if leaving.is_certain:
+        known = self.of(incarnation).leaving
+        known.latest_s = self._clock()
+        if known.is_certain:
             return False
         # The list may still have had the previous run when the first statement came, which was then
         # recorded for that run. The time as a last resort must not start again.
-        leaving.heard_s = min(self._leaving_times(incarnation.endpoint_id), default=self._clock())
+        earlier = [known.latest_s, *self._perhaps_heard(incarnation)]
+        known.heard_s = min(
+            earlier if known.unassigned_s is None else [*earlier, known.unassigned_s]
+        )
         return True
 
-    def _leaving_times(self, endpoint_id: str) -> Iterator[float]:
-        """Return when each run of an endpoint first stated that it is leaving."""
-        for incarnation, said in self._said.items():
-            if incarnation.endpoint_id == endpoint_id and said.leaving.heard_s is not None:
-                yield said.leaving.heard_s
-
     def told_leaving(self, incarnation: EndpointIncarnation) -> bool:
         """Record a peer's report that an endpoint is leaving; return whether that is new."""
-        leaving = self.of(incarnation).leaving
-        if leaving.is_known:
+        known = self.of(incarnation).leaving
+        if known.is_known:
             return False
-        leaving.told_s = self._clock()
+        known.told_s = self._clock()
         return True
 
     def asked_rest(self, incarnation: EndpointIncarnation, rest_s: float) -> Rest:
@@ -144,4 +184,34 @@
             if incarnation in known:
                 said.known_s = now_s
             elif said.known_s < now_s - KEEP_GONE_S:
-                del self._said[incarnation]
+                self._forget(incarnation)
+
+    def _forget(self, incarnation: EndpointIncarnation) -> None:
+        """Drop the statements of an incarnation."""
+        del self._said[incarnation]
+        runs = self._runs[incarnation.endpoint_id]
+        runs.discard(incarnation)
+        if not runs:
+            del self._runs[incarnation.endpoint_id]
+
+
+def _may_be_of(
+    incarnation: EndpointIncarnation,
+    other: EndpointIncarnation,
+    said: EndpointStatements,
+    heard_s: float,
+) -> bool:
+    """Return whether a statement recorded for another run may be of the run that is listed now.
+
+    Args:
+      incarnation: The run that the list names now.
+      other: The run for which the statement was recorded.
+      said: What is recorded for that one.
+      heard_s: When the statement came.
+    """
+    if said.named_until_s is None or heard_s > said.named_until_s:
+        return True
+    if incarnation.born_ms is None or other.born_ms is None:
+        return False
+    # No run comes before an earlier one: the list is an older copy, and the later run is up.
+    return incarnation.born_ms < other.born_ms
