A list that is being read shows the runs of the call's begin, not those of its end

Cause: EndpointFollower dates a list by the end of the call that read it. An endpoint that starts again and states that it leaves while the answer is under way looked like the run on the list, which seemed to be current after the statement, so that the statement was not carried over.

Evidence and failed before: test_a_read_under_way_does_not_show_which_run_stated_that_it_leaves, with a call of 0.4 s (the endpoint was a candidate 2.2 s after its statement).

Why it works: the moment until when a list shows the runs is counted from the begin of the call. The age that peers are told stays as it is: with a slow store more of them would read it themselves.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -207,10 +207,12 @@
 
     async def _read_store(self) -> None:
         """Read the store once; if that fails and the list is too old, fetch it from a peer."""
+        began_s = self._clock()
         match await self._store.read_endpoints():
             case Success(snapshot):
                 self.unreadable.note(snapshot.unreadable)
-                if self._install(AgedSnapshot(snapshot, 0.0), Source.STORE):
+                took_s = self._clock() - began_s
+                if self._install(AgedSnapshot(snapshot, 0.0), Source.STORE, took_s):
                     self._hooks.on_changed()
                 if self.dependency.answered():
                     self._hooks.on_regained()
@@ -227,10 +229,14 @@
         if aged is not None and aged.age_s < self._registry.age_s():
             self._install(aged, Source.PEER)
 
-    def _install(self, aged: AgedSnapshot, source: Source) -> bool:
-        """Install a list, log the change if there is one, and return whether there is."""
+    def _install(self, aged: AgedSnapshot, source: Source, took_s: float = 0.0) -> bool:
+        """Install a list, log the change if there is one, and return whether there is.
+
+        Args:
+          took_s: Seconds that the call took which read it from the store.
+        """
         snapshot = with_cold_only_for(aged.snapshot, self._hooks.cold_services())
-        changed = self._registry.install(snapshot, self._hooks.capacities(), aged.age_s)
+        changed = self._registry.install(snapshot, self._hooks.capacities(), aged.age_s, took_s)
         if changed:
             logs.event(
                 "engines.changed",
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import fields
+from dataclasses import fields, replace
 
 import pytest
 from returns.result import Failure, Success
@@ -13,7 +13,7 @@
 from springbridge.routing.records import EndpointEntry, EndpointSnapshot
 from springbridge.routing.store_freshness import CHECK_INTERVAL_S, CONFIRMED_S, SNAPSHOT_INTERVAL_S
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, HasLength
 
 from springbridge_node.gateway.config.conftest import Clock
 from springbridge_node.gateway.config.endpoint_follower import (
@@ -36,13 +36,17 @@
     def __init__(self):
         self.up = True
         self.reads = 0
+        self.listing = LISTING
+        self.during_read = lambda: None
 
     async def read_endpoints(self):
         """Return the list."""
         self.reads += 1
         if not self.up:
             return Failure(Problem(Code.TABLE_UNAVAILABLE, "down"))
-        return Success(LISTING)
+        listing = self.listing
+        self.during_read()
+        return Success(listing)
 
 
 class Readers:
@@ -197,6 +201,26 @@
     assert_that(other.registry.age_s(), Equals(0.0))
 
 
+def test_a_read_under_way_does_not_show_which_run_stated_that_it_leaves(reader):
+    before, after = (replace(LISTING.entries[0], born_ms=born_ms) for born_ms in (1000, 2000))
+    reader.store.listing = EndpointSnapshot(7, (before,))
+    reader.steps()
+
+    def start_again_and_leave():
+        reader.clock.now_s += 0.2
+        reader.registry.mark_leaving(before.incarnation)
+        reader.clock.now_s += 0.2
+
+    reader.store.during_read = start_again_and_leave
+    reader.steps()
+    reader.store.during_read = lambda: None
+    reader.store.listing = EndpointSnapshot(8, (after,))
+    reader.steps()
+    assert_that(reader.registry.find("e1").entry, Equals(after))
+    reader.clock.now_s += 2.0
+    assert_that(reader.registry.candidates("model", ()), HasLength(0))
+
+
 def test_a_working_reader_confirms_the_list_before_others_read_it_themselves():
     assert_that(CONFIRMED_S, GreaterThan(SNAPSHOT_INTERVAL_S + HEARTBEAT_INTERVAL_S))
 
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -97,12 +97,19 @@
             at_s = self._clock() - age_s
             self._current_s = at_s if self._current_s is None else max(self._current_s, at_s)
 
-    def install(self, snapshot: EndpointSnapshot, capacities: dict[str, int], age_s: float) -> bool:
+    def install(
+        self,
+        snapshot: EndpointSnapshot,
+        capacities: dict[str, int],
+        age_s: float,
+        took_s: float = 0.0,
+    ) -> bool:
         """Install an endpoint list unless a newer one is in use.
 
         Args:
           capacities: Prompt cache capacity in tokens of an endpoint, by service.
           age_s: Seconds since the list was read.
+          took_s: Seconds that the call took which read it; it may be as old as the call's begin.
 
         Returns:
           Whether an endpoint was added, removed or changed.
@@ -119,7 +126,7 @@
         listed = self._rollback_corrector.corrected(snapshot.entries, self._known)
         changed = self._update(listed, capacities)
         changed = self._drop_unlisted(listed, after_outage) or changed
-        self._record_current(age_s)
+        self._record_current(age_s + took_s)
         self._leaving = leaving_by_service(self._states.values())
         return changed
 
