A statement that comes before the list names the endpoint's new run holds for that run, rests as well

Cause: StatementWatch.record keeps a statement under the incarnation of the entry by which the request was sent. An endpoint answers before its entry is written and read, so that the word of the new run is kept for the run before, and EndpointRegistry._update installs the new run with a record of its own.

A rule by the connection alone, with leaving as the endpoint's own word, was tried and dropped: it kept a run that had started again without a rest from its callers for 10 s (test_another_run_of_an_endpoint_that_left_is_used). So what is only possibly the new run's own counts as a peer's report.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
@@ -208,7 +208,7 @@
 
     def start_again_and_leave():
         reader.clock.now_s += 0.2
-        reader.registry.mark_leaving(before.incarnation)
+        reader.registry.mark_leaving(before.incarnation, reader.clock.now_s)
         reader.clock.now_s += 0.2
 
     reader.store.during_read = start_again_and_leave
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -95,6 +95,7 @@
     """A connection that carries one request at a time.
 
     Attributes:
+      opened_s: When it was opened, on the monotonic clock.
       idle_since_s: When it was opened or its last answer ended, on the monotonic clock.
       keep_alive_s: Keep-alive time that the other side sent, in seconds, or None if it sent none.
     """
@@ -105,7 +106,8 @@
         self._unread = bytearray()
         self._sent: asyncio.Future | None = None
         self._may_be_kept = True
-        self.idle_since_s = clock.now_s()
+        self.opened_s = clock.now_s()
+        self.idle_since_s = self.opened_s
         self.keep_alive_s: float | None = None
 
     def abort(self) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -27,13 +27,13 @@
     choice: Choice,
     connection: HttpConnection,
     codec: RequestCodec,
-    on_answer_head: Callable[[AnswerMetadata, float], None],
+    on_answer_head: Callable[[AnswerMetadata, float, float], None],
 ) -> AttemptOutcome:
     """Send a request to the chosen endpoint, relay its answer, and return how that ended.
 
     Args:
-      on_answer_head: Called with the metadata in the head of the answer and the time when the
-        request was sent, on the clock of `clock.now_s`.
+      on_answer_head: Called with the metadata in the head of the answer, and the times when the
+        request was sent and when its connection was opened, on the clock of `clock.now_s`.
 
     Raises:
       TimeoutError: Too little time is left before the deadline; nothing was sent.
@@ -46,7 +46,7 @@
     try:
         head = await read_head_within(silence_s, connection, codec, exchange.request_id)
         metadata = codec.answer_metadata(head)
-        on_answer_head(metadata, sent_s)
+        on_answer_head(metadata, sent_s, connection.opened_s)
         if metadata.not_run:
             exchange.progress.may_have_run = ran_before
             return await _read_refusal(exchange, connection, head, metadata)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
@@ -2,6 +2,10 @@
 
 A statement is a rate limit, a request for rest (for no requests during some seconds) or the
 announcement that the endpoint leaves. Any answer may carry one, whatever its status.
+
+An endpoint that restarts under its id answers before the list names its new run. Its statements are
+recorded for the run that was listed when the request was sent, and hold for the new run as well if
+the connection may lead to it (attribution.py).
 """
 
 from collections.abc import Callable
@@ -36,7 +40,12 @@
         self._clock = clock
 
     def record(
-        self, entry: EndpointEntry, request_id: str, metadata: AnswerMetadata, sent_s: float
+        self,
+        entry: EndpointEntry,
+        request_id: str,
+        metadata: AnswerMetadata,
+        sent_s: float,
+        opened_s: float,
     ) -> None:
         """Record the statements in the head of an answer.
 
@@ -44,6 +53,7 @@
           entry: The endpoint that the request was sent to.
           request_id: Id of the answered request, for the log.
           sent_s: When the request was sent, on the monotonic clock.
+          opened_s: When its connection was opened, on the same clock.
         """
         if metadata.other_endpoint:
             return
@@ -51,11 +61,11 @@
         self._log.not_understood(entry, statements)
         self._record_rate(entry, statements.rate, sent_s)
         if statements.leaves:
-            self._record_leaving(entry, request_id)
+            self._record_leaving(entry, request_id, opened_s)
         if statements.rest_s is None:
             self._registry.statements.asked_no_rest(entry.incarnation, sent_s)
         else:
-            rest = self._registry.statements.asked_rest(entry.incarnation, statements.rest_s)
+            rest = self._registry.mark_resting(entry.incarnation, statements.rest_s, opened_s)
             self._sharing.on_rest(entry.incarnation, statements.rest_s)
             self._log.asks_rest(entry, request_id, statements.rest_s, rest.until_s - self._clock())
 
@@ -67,8 +77,8 @@
             statement = Statement(rate_of(stated), sent_s, self._clock())
             self._sharing.on_statement(entry.incarnation, statement)
 
-    def _record_leaving(self, entry: EndpointEntry, request_id: str) -> None:
+    def _record_leaving(self, entry: EndpointEntry, request_id: str, opened_s: float) -> None:
         """Record that an endpoint leaves, and share it with peers if it is new."""
-        if self._registry.mark_leaving(entry.incarnation):
+        if self._registry.mark_leaving(entry.incarnation, opened_s):
             log_leaving(entry.incarnation, ANSWER, request_id)
             self._sharing.on_leaving(entry.incarnation)
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -158,7 +158,7 @@
         metadata = await endpoint.answer(request)
         await self._wait_while_frozen()
         self.sent[endpoint.entry.endpoint_id] -= 1
-        self.parts.watch.record(endpoint.entry, "", metadata, sent_s)
+        self.parts.watch.record(endpoint.entry, "", metadata, sent_s, opened_s=sent_s)
         if metadata.statements.leaves:
             endpoint.statement_record.passed_on(self.member.incarnation, loop.time())
 
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -15,6 +15,7 @@
 from springbridge.routing.eligibility import ExclusionReason
 from springbridge.routing.endpoint_state import LISTED, EndpointState, leaving_by_service
 from springbridge.routing.listed_entries import (
+    ENTRY_DELAY_S,
     fingerprint_of,
     has_restarted,
     with_known_start,
@@ -24,17 +25,12 @@
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
 from springbridge.statements import rests
+from springbridge.statements.attribution import LONG_AGO_S
 from springbridge.statements.leaving import is_likely, wants_nothing
+from springbridge.statements.rests import Rest
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
-# Seconds after which the list shows whether an endpoint that has just come back is cold: endpoints
-# write their entries every second, and readers take another half second.
-COLD_FLAG_DELAY_S = 2.0
-# Seconds by which a peer's confirmation of the list may be older than it says: its way here, and
-# its wait in the socket of a busy instance.
-CONFIRMATION_DELAY_S = 0.1
-
 
 class EndpointRegistry:
     """All endpoints that this instance may use, by id.
@@ -86,7 +82,7 @@
         """Record that the list in use was confirmed as the newest age_s seconds ago."""
         if self._read_s is not None:
             self._read_s = max(self._read_s, self._clock() - age_s)
-            self._record_current(age_s + CONFIRMATION_DELAY_S)
+            self._record_current(age_s)
 
     def _record_current(self, age_s: float) -> None:
         """Record that the list in use named the runs of all endpoints as they were age_s ago.
@@ -185,7 +181,7 @@
     def set_evacuated_domains(self, failure_domains: frozenset[str]) -> None:
         """Exclude the endpoints of the evacuated failure domains, and include all others again."""
         self._evacuated = failure_domains
-        perhaps_cold_until_s = self._clock() + COLD_FLAG_DELAY_S
+        perhaps_cold_until_s = self._clock() + ENTRY_DELAY_S
         for state in self._states.values():
             is_evacuated = state.entry.failure_domain in failure_domains
             if state.evacuated and not is_evacuated:
@@ -283,17 +279,38 @@
         if state.statements.rest is not None:
             state.statements.rest = rests.after_send(state.statements.rest, self._clock())
 
-    def mark_leaving(self, incarnation: EndpointIncarnation) -> bool:
-        """Record an endpoint's statement that it is leaving; return whether that is new."""
-        is_new = self.statements.heard_leaving(incarnation)
+    def mark_leaving(self, incarnation: EndpointIncarnation, opened_s: float = LONG_AGO_S) -> bool:
+        """Record an endpoint's statement that it is leaving; return whether that is new.
+
+        Args:
+          incarnation: The run that the list named when the request was sent.
+          opened_s: When the connection was opened on which the statement came.
+        """
+        is_new = self.statements.heard_leaving(incarnation, opened_s)
+        self._carry_over_if_replaced(incarnation)
+        if is_new:
+            self._leaving = leaving_by_service(self._states.values())
+        return is_new
+
+    def mark_resting(
+        self, incarnation: EndpointIncarnation, rest_s: float, opened_s: float = LONG_AGO_S
+    ) -> Rest:
+        """Record that an endpoint asks for a rest; return the resulting rest.
+
+        Args:
+          incarnation: The run that the list named when the request was sent.
+          rest_s: Seconds for which it wants no requests.
+          opened_s: When the connection was opened on which it asked.
+        """
+        rest = self.statements.asked_rest(incarnation, rest_s, opened_s)
+        self._carry_over_if_replaced(incarnation)
+        return rest
+
+    def _carry_over_if_replaced(self, incarnation: EndpointIncarnation) -> None:
+        """Carry statements over if the list has named another run since the request was sent."""
         state = self._states.get(incarnation.endpoint_id)
         if state is not None and state.entry.incarnation != incarnation:
-            # The list has named another run since the request was sent.
             self.statements.carry_over(state.entry.incarnation)
-        if not is_new:
-            return False
-        self._leaving = leaving_by_service(self._states.values())
-        return True
 
     def unreachable_endpoints(self) -> list[EndpointState]:
         """Return the endpoints that the prober has to retry because a connection failed."""
@@ -354,7 +371,7 @@
     def mark_reachable(self, state: EndpointState) -> None:
         """Record that connecting to an endpoint succeeded."""
         if not state.reachable:
-            state.perhaps_cold_until_s = self._clock() + COLD_FLAG_DELAY_S
+            state.perhaps_cold_until_s = self._clock() + ENTRY_DELAY_S
         state.reachable = True
 
     def mark_gone(self, state: EndpointState) -> None:
--- a/packages/springbridge/springbridge/routing/late_lists_test.py
+++ b/packages/springbridge/springbridge/routing/late_lists_test.py
@@ -8,10 +8,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from springbridge.routing.endpoint_registry import CONFIRMATION_DELAY_S, EndpointRegistry
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.listed_entries import ENTRY_DELAY_S
 from springbridge.routing.older_lists import SETTLED_S
 from springbridge.routing.records import EndpointEntry, EndpointSnapshot
-from springbridge.statements.leaving import UNASSIGNED_S
+from springbridge.statements.leaving import CARRIED_S
 from springbridge.store_stamp import stamp
 
 SERVICE = "model"
@@ -58,7 +59,7 @@
 def test_a_statement_counts_for_the_run_that_the_list_names_late(registry, lists, clock):
     lists(run(1000))
     clock.advance(0.4)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     clock.advance(0.1)
     lists(run(2000))
     assert_that(usable(registry), Equals(["e-2"]))
@@ -72,25 +73,27 @@
 def test_the_runs_own_statement_makes_it_final(registry, lists, clock):
     lists(run(1000))
     clock.advance(0.4)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     lists(run(2000))
-    assert_that(registry.mark_leaving(run(2000).incarnation), Equals(True))
-    clock.advance(UNASSIGNED_S + 1.0)
+    assert_that(registry.mark_leaving(run(2000).incarnation, clock()), Equals(True))
+    clock.advance(CARRIED_S + 1.0)
     assert_that(usable(registry), Equals(["e-2"]))
 
 
 def test_a_run_of_which_it_is_not_known_gets_requests_after_a_while(registry, lists, clock):
     lists(run(1000))
     clock.advance(0.4)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     lists(run(2000))
-    clock.advance(UNASSIGNED_S + 0.1)
+    clock.advance(CARRIED_S + 0.1)
     assert_that(usable(registry), Equals(["e-1", "e-2"]))
 
 
 def test_a_statement_of_a_run_that_a_later_list_names_is_that_runs(registry, lists, clock):
     lists(run(1000))
-    registry.mark_leaving(run(1000).incarnation)
+    opened_s = clock()
+    clock.advance(ENTRY_DELAY_S)
+    registry.mark_leaving(run(1000).incarnation, opened_s)
     clock.advance(0.5)
     lists(run(1000))
     clock.advance(0.5)
@@ -98,16 +101,32 @@
     assert_that(usable(registry), Equals(["e-1", "e-2"]))
 
 
+def test_a_statement_on_a_new_connection_may_be_of_a_run_without_an_entry(registry, lists, clock):
+    lists(run(1000))
+    clock.advance(0.4)
+    registry.mark_leaving(run(1000).incarnation, clock())
+    registry.mark_resting(run(1000).incarnation, 30.0, clock())
+    clock.advance(0.1)
+    lists(run(1000))
+    clock.advance(0.5)
+    lists(run(2000))
+    # As a peer's report: it gets requests only if there is no other, and not for long.
+    assert_that(usable(registry), Equals(["e-2"]))
+    assert_that(usable(registry, {"e-2"}), Equals(["e-1"]))
+    clock.advance(CARRIED_S)
+    assert_that(usable(registry), Equals(["e-1", "e-2"]))
+
+
 @pytest.mark.parametrize(
     ("since_s", "expected"),
-    [(CONFIRMATION_DELAY_S / 2, ["e-2"]), (CONFIRMATION_DELAY_S * 2, ["e-1", "e-2"])],
+    [(ENTRY_DELAY_S / 2, ["e-2"]), (ENTRY_DELAY_S * 2, ["e-1", "e-2"])],
 )
 def test_a_peers_confirmation_shows_the_run_of_a_moment_ago(
     registry, lists, clock, since_s, expected
 ):
     lists(run(1000))
     clock.advance(0.4)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     clock.advance(since_s)
     registry.confirm(0.0)
     lists(run(2000))
@@ -120,17 +139,17 @@
     lists(run(2000))
     clock.advance(0.1)
     # The request was sent while the list named the run before.
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     assert_that(usable(registry), Equals(["e-2"]))
 
 
 def test_a_second_answer_counts_though_the_run_before_had_stated_the_same(registry, lists, clock):
     lists(run(1000))
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     clock.advance(1.0)
     lists(run(1000))
     clock.advance(0.4)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     lists(run(2000))
     assert_that(usable(registry), Equals(["e-2"]))
 
@@ -138,7 +157,7 @@
 def test_a_list_without_the_endpoint_in_between_takes_nothing_away(registry, lists, clock):
     lists(run(None))
     clock.advance(0.4)
-    registry.mark_leaving(run(None).incarnation)
+    registry.mark_leaving(run(None).incarnation, clock())
     lists()
     clock.advance(0.5)
     lists()
@@ -152,7 +171,7 @@
     lists.era = 1
     lists(run(1000))
     clock.advance(0.1)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     clock.advance(0.5)
     lists(run(1000))
     lists(run(2000))
@@ -164,7 +183,7 @@
     lists.era = 1
     lists(run(2000))
     clock.advance(SETTLED_S)
-    registry.mark_leaving(run(2000).incarnation)
+    registry.mark_leaving(run(2000).incarnation, clock())
     clock.advance(0.5)
     lists(run(2000))
     lists(run(1000))
@@ -174,18 +193,18 @@
 def test_a_run_at_another_address_is_not_concerned(registry, lists, clock):
     lists(run(1000))
     clock.advance(0.4)
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     lists(run(2000, "10.0.0.3:80"))
     assert_that(usable(registry), Equals(["e-1", "e-2"]))
 
 
 def test_the_time_as_a_last_resort_is_not_that_of_a_run_long_gone(registry, lists, clock):
     lists(run(1000))
-    registry.mark_leaving(run(1000).incarnation)
+    registry.mark_leaving(run(1000).incarnation, clock())
     clock.advance(30.0)
     lists(run(1000))
     lists(run(2000))
     clock.advance(30.0)
     lists(run(2000))
-    registry.mark_leaving(run(2000).incarnation)
+    registry.mark_leaving(run(2000).incarnation, clock())
     assert_that(usable(registry, {"e-2"}), Equals(["e-1"]))
--- a/packages/springbridge/springbridge/routing/listed_entries.py
+++ b/packages/springbridge/springbridge/routing/listed_entries.py
@@ -15,6 +15,9 @@
 # Bits dropped from the 64-bit hash of a list. Heartbeats carry the rest, which instances of all
 # releases in a fleet compare, so its length is fixed.
 FINGERPRINT_SHIFT = 32
+# Seconds after which the list shows what an endpoint writes about itself: endpoints write their
+# entries every second, and readers take another half second.
+ENTRY_DELAY_S = 2.0
 
 
 def has_restarted(known: EndpointEntry, listed: EndpointEntry) -> bool:
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -9,6 +9,7 @@
 
 from springbridge.routing.records import EndpointIncarnation
 from springbridge.statements import leaving, rests
+from springbridge.statements.attribution import LONG_AGO_S, Attribution, Receipt, attribution
 from springbridge.statements.leaving import Leaving
 from springbridge.statements.rests import Rest
 
@@ -23,6 +24,7 @@
 
     Attributes:
       rest: The rest that it asked this instance for, None without one.
+      rest_receipt: When it last asked for one.
       peers_rest_until_s: When the latest rest ends that peers have reported.
       behind_until_s: Until when this instance ranks it behind the others because of that.
       known_s: When it was last known to be listed or to have requests.
@@ -32,6 +34,7 @@
 
     leaving: Leaving = field(default_factory=Leaving)
     rest: Rest | None = None
+    rest_receipt: Receipt | None = None
     peers_rest_until_s: float = 0.0
     behind_until_s: float = 0.0
     known_s: float = 0.0
@@ -77,35 +80,57 @@
     def _others(
         self, incarnation: EndpointIncarnation
     ) -> Iterator[tuple[EndpointIncarnation, EndpointStatements]]:
-        """Return the other runs of an endpoint with their statements."""
+        """Return the other runs of an endpoint at the same address, with their statements."""
+        address = self.of(incarnation).address
         for run in self._runs.get(incarnation.endpoint_id, ()):
-            if run != incarnation:
-                yield run, self._said[run]
+            its = self._said[run]
+            if run != incarnation and its.address == address:
+                yield run, its
 
     def carry_over(self, incarnation: EndpointIncarnation) -> None:
-        """Let what was recorded for other runs count for the one that the list names now.
+        """Apply to the run that the list names now what may be its own statements.
 
-        Only what may be its own: what came at a moment for which no list shows that the other run
-        was still the latest.
+        They are recorded for other runs, which the list named when they came. What is probably its
+        own holds, but leaving only for a while, since it is final and another run may have stated
+        it. What is possibly its own counts as a peer's report does.
         """
-        said = self.of(incarnation)
-        now_s = self._clock()
+        own, now_s = self.of(incarnation), self._clock()
+        for run, its in self._others(incarnation):
+            self._carry_rest(incarnation, run, its)
         recent = [
-            heard_s
-            for heard_s in self._perhaps_heard(incarnation)
-            if now_s < heard_s + leaving.UNASSIGNED_S
+            (found, heard_s)
+            for found, heard_s in self._perhaps_heard(incarnation)
+            if now_s < heard_s + leaving.CARRIED_S
         ]
-        said.leaving.unassigned_s = min(recent, default=said.leaving.unassigned_s)
-
-    def _perhaps_heard(self, incarnation: EndpointIncarnation) -> Iterator[float]:
+        probable = [heard_s for found, heard_s in recent if found is Attribution.PROBABLE]
+        own.leaving.probable_s = min(probable, default=own.leaving.probable_s)
+        possible = [heard_s for found, heard_s in recent if found is Attribution.POSSIBLE]
+        own.leaving.possible_s = min(possible, default=own.leaving.possible_s)
+
+    def _carry_rest(
+        self, incarnation: EndpointIncarnation, run: EndpointIncarnation, its: EndpointStatements
+    ) -> None:
+        """Apply to the listed run a rest that is recorded for another one and may be its own."""
+        own, now_s = self.of(incarnation), self._clock()
+        if its.rest is None or its.rest_receipt is None or now_s >= its.rest.until_s:
+            return
+        match attribution(its.rest_receipt, run, its.named_until_s, incarnation):
+            case Attribution.PROBABLE:
+                own.rest = rests.rest_until(own.rest, its.rest.until_s - now_s, now_s)
+                own.rest_receipt = its.rest_receipt
+            case Attribution.POSSIBLE:
+                until_s = min(its.rest.until_s, its.rest_receipt.heard_s + rests.MAX_PEER_REST_S)
+                own.behind_until_s = max(own.behind_until_s, until_s)
+
+    def _perhaps_heard(
+        self, incarnation: EndpointIncarnation
+    ) -> Iterator[tuple[Attribution, float]]:
         """Return when statements came that are recorded for other runs and may be of this one."""
-        address = self.of(incarnation).address
         for run, its in self._others(incarnation):
-            if its.leaving.heard_s is None or its.address != address:
-                continue
-            for heard_s in (its.leaving.heard_s, its.leaving.latest_s):
-                if _may_be_of(incarnation, run, its, heard_s):
-                    yield heard_s
+            for receipt in its.leaving.receipts():
+                found = attribution(receipt, run, its.named_until_s, incarnation)
+                if found is not Attribution.NO:
+                    yield found, receipt.heard_s
 
     def leaving(self) -> Iterator[EndpointIncarnation]:
         """Return the incarnations that stated to this instance that they are leaving."""
@@ -118,18 +143,24 @@
             if said.rest is not None and now_s < said.rest.until_s:
                 yield incarnation, said.rest
 
-    def heard_leaving(self, incarnation: EndpointIncarnation) -> bool:
-        """Record an endpoint's statement that it is leaving; return whether that is new."""
+    def heard_leaving(self, incarnation: EndpointIncarnation, opened_s: float = LONG_AGO_S) -> bool:
+        """Record an endpoint's statement that it is leaving; return whether that is new.
+
+        Args:
+          incarnation: The run that the list named when the request was sent.
+          opened_s: When the connection was opened on which the statement came.
+        """
         known = self.of(incarnation).leaving
-        known.latest_s = self._clock()
+        known.latest = Receipt(self._clock(), opened_s)
         if known.is_certain:
             return False
         # The list may still have had the previous run when the first statement came, which was then
         # recorded for that run. The time as a last resort must not start again.
-        earlier = [known.latest_s, *self._perhaps_heard(incarnation)]
-        known.heard_s = min(
-            earlier if known.unassigned_s is None else [*earlier, known.unassigned_s]
-        )
+        earlier = [heard_s for _, heard_s in self._perhaps_heard(incarnation)]
+        if known.probable_s is not None:
+            earlier.append(known.probable_s)
+        known.first = known.latest
+        known.heard_s = min([known.latest.heard_s, *earlier])
         return True
 
     def told_leaving(self, incarnation: EndpointIncarnation) -> bool:
@@ -140,10 +171,19 @@
         known.told_s = self._clock()
         return True
 
-    def asked_rest(self, incarnation: EndpointIncarnation, rest_s: float) -> Rest:
-        """Record that an endpoint asks for a rest; return the resulting rest."""
+    def asked_rest(
+        self, incarnation: EndpointIncarnation, rest_s: float, opened_s: float = LONG_AGO_S
+    ) -> Rest:
+        """Record that an endpoint asks for a rest; return the resulting rest.
+
+        Args:
+          incarnation: The run that the list named when the request was sent.
+          rest_s: Seconds for which it wants no requests.
+          opened_s: When the connection was opened on which it asked.
+        """
         said = self.of(incarnation)
         said.rest = rests.rest_until(said.rest, rest_s, self._clock())
+        said.rest_receipt = Receipt(self._clock(), opened_s)
         return said.rest
 
     def told_rest(self, incarnation: EndpointIncarnation, rest_s: float, spread_s: float) -> bool:
@@ -193,25 +233,3 @@
         runs.discard(incarnation)
         if not runs:
             del self._runs[incarnation.endpoint_id]
-
-
-def _may_be_of(
-    incarnation: EndpointIncarnation,
-    other: EndpointIncarnation,
-    said: EndpointStatements,
-    heard_s: float,
-) -> bool:
-    """Return whether a statement recorded for another run may be of the run that is listed now.
-
-    Args:
-      incarnation: The run that the list names now.
-      other: The run for which the statement was recorded.
-      said: What is recorded for that one.
-      heard_s: When the statement came.
-    """
-    if said.named_until_s is None or heard_s > said.named_until_s:
-        return True
-    if incarnation.born_ms is None or other.born_ms is None:
-        return False
-    # No run comes before an earlier one: the list is an older copy, and the later run is up.
-    return incarnation.born_ms < other.born_ms
