A soak whose fleet served nobody is a violation

Each check of the soak looks for something wrong in what was seen, and none asks whether anything was seen. The new test failed before (`[] != ['the fleet serves callers: ...']`).

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
@@ -11,11 +11,10 @@
 import orjson
 
 from springbridge_standins.gateway.caller import CallerConnection, ask
-from springbridge_standins.gateway.soak.checks import check_answer, check_no_answer
+from springbridge_standins.gateway.soak.checks import PATHS, check_answer, check_no_answer
 from springbridge_standins.gateway.soak.engine import digest
 from springbridge_standins.gateway.soak.state import SentRequest, Soak
 
-PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
 # Number of shared prompt prefixes; few, so that several requests with one reach the same engine.
 SHARED_PREFIXES = 6
 # Tokens of the shared prefix and of the rest of each prompt.
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
@@ -6,7 +6,9 @@
 
 # Customer of the key that all callers of the soak use.
 CUSTOMER = "councils"
-# Paths whose requests may be executed only once.
+# Paths of the callers' requests.
+PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
+# Those whose requests may be executed only once.
 NOT_REPEATABLE = frozenset({"/once/x", "/single/x"})
 # Statuses that report a request as not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -55,6 +57,12 @@
         )
 
 
+def check_served(soak: Soak) -> None:
+    """Check that the fleet served callers at all; without that no other check sees anything."""
+    if not any(soak.counts[f"{path} 200"] for path in PATHS):
+        soak.violated("the fleet serves callers", f"of {len(soak.sent)} requests none got 200")
+
+
 def check_duties(soak: Soak) -> None:
     """Check who made duty calls, and that no window was reported twice with different counts."""
     for line in soak.duties.violations():
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -23,7 +23,7 @@
 from springbridge_standins.gateway.engine import EngineStandIn
 from springbridge_standins.gateway.fleet import configuration
 from springbridge_standins.gateway.soak.callers import call_forever
-from springbridge_standins.gateway.soak.checks import check_duties, check_record
+from springbridge_standins.gateway.soak.checks import check_duties, check_record, check_served
 from springbridge_standins.gateway.soak.crashes import (
     check_poison,
     crash_engine,
@@ -93,6 +93,7 @@
         for task in done:
             task.result()
         soak.stop_background()
+        check_served(soak)
         check_record(soak)
         check_poison(soak)
         check_duties(soak)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -1,10 +1,12 @@
 """Short soaks with fixed seeds find no violation; longer ones are run by hand, `make soak`."""
 
 import asyncio
+from types import SimpleNamespace
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
 
+from springbridge_standins.gateway.soak import nodes
 from springbridge_standins.gateway.soak.soak import run_soak
 
 
@@ -30,3 +32,10 @@
 def test_a_window_is_reported_once_though_the_store_loses_the_decision(tmp_path):
     soak = asyncio.run(run_soak(9402, 15.0, tmp_path, nodes=20))
     assert_that(soak.violations, Equals([]))
+
+
+# Guards against a soak that finds no violation because its nodes never served.
+def test_a_soak_whose_nodes_never_serve_is_a_violation(tmp_path, monkeypatch):
+    monkeypatch.setattr(nodes, "sys", SimpleNamespace(executable="/bin/false"))
+    soak = asyncio.run(run_soak(1, 0.5, tmp_path, nodes=1))
+    assert_that(soak.violations, Equals(["the fleet serves callers: of 0 requests none got 200"]))
