A soak begins once its nodes serve, and a node is free for the next harm once it serves again

Cause: the harness waited 2 s for a start whatever the machine did (NODE_START_S), in `_start_nodes` and after a kill or a planned stop. Beside busy processes a start takes 3 to 25 s (0.42 to 0.68 s of processor time for a single node). Harms then ended processes that were still importing, again and again. Each node is waited for until it has logged its start or ended, 60 s at the most, and 2 s at the least as before. While it starts it serves nobody, so that no check passes over more than before.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -13,7 +13,8 @@
 from springbridge_standins.gateway.store import StoreFault
 from springbridge_standins.proxy import ConnectionFault, LoopbackProxy
 
-# Time for a node process to start and find its peers, with a margin for a busy machine.
+# Shortest time for a node process to start and find its peers. A process that takes longer, on a
+# busy machine, is waited for: otherwise harms would end most processes before they serve.
 NODE_START_S = 2.0
 # Grace period of a planned stop, graceS in the nodes' settings.
 GRACE_S = 6.0
@@ -100,7 +101,7 @@
             await node.wait_exit()
             await asyncio.sleep(soak.rng.random())
             await node.start()
-            await asyncio.sleep(NODE_START_S)
+            await node.wait_started(NODE_START_S)
 
 
 async def _freeze_node(soak: Soak) -> None:
@@ -129,14 +130,14 @@
             node.signal(signal.SIGKILL)
             await node.wait_exit()
         await node.start()
-        await asyncio.sleep(NODE_START_S)
+        await node.wait_started(NODE_START_S)
 
 
 def _was_still_starting(node: NodeProcess, status: int) -> bool:
     """Return whether the signal ended a process that did not serve requests yet.
 
-    On a busy machine the interpreter may take longer than NODE_START_S to start, and the
-    signal then arrives before the program has installed its handler.
+    On a busy machine the interpreter may take longer than MAX_START_S to start, and the signal
+    then arrives before the program has installed its handler.
     """
     return status == -signal.SIGTERM and not node.had_started()
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -4,11 +4,14 @@
 import os
 import signal
 import sys
+import time
 from dataclasses import dataclass
 from pathlib import Path
 
 import orjson
 
+# Longest time for a node process to log its start, on a busy machine, and pause between two looks.
+MAX_START_S, START_POLL_S = 60.0, 0.2
 # Number of logged events that tell what a node did last.
 LAST_EVENTS = 5
 
@@ -131,6 +134,19 @@
         """Return whether the process has logged its start; before that it serves no requests."""
         return f'"pid":{self._process.pid},' in self._log.read_text()
 
+    async def wait_started(self, least_s: float) -> None:
+        """Wait until the process has logged its start or has ended, at most MAX_START_S.
+
+        Args:
+          least_s: How long to wait at least, in seconds.
+        """
+        began_s = time.monotonic()
+        await asyncio.sleep(least_s)
+        while self._process.returncode is None and not self.had_started():
+            if time.monotonic() > began_s + MAX_START_S:
+                return
+            await asyncio.sleep(START_POLL_S)
+
     def last_events(self) -> list[str]:
         """Return time and name of the last events that the node logged, the latest one last."""
         lines = self._log.read_text(errors="replace").splitlines()[-LAST_EVENTS:]
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -168,7 +168,7 @@
         await node.start()
         stack.push_async_callback(node.end)
         soak.nodes.append(node)
-    await asyncio.sleep(NODE_START_S)
+    await asyncio.gather(*(node.wait_started(NODE_START_S) for node in soak.nodes))
 
 
 def main(seed: int = 1, minutes: float = 1.0, seeds: int = 1, nodes: int = 4) -> None:
