--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -275,4 +275,19 @@
         "    def other_time(self) -> float:",
         f"{SUSPENSION}::test_a_request_whose_time_passed_is_ended_and_sent_to_nobody",
     ),
+    Mutant(
+        "a process that has stopped does not wait for the teardown of the interpreter",
+        f"{PLATFORM}/main.py",
+        "    lifecycle.end_process()\n",
+        "",
+        f"{PLATFORM}/start_test.py",
+    ),
+    Mutant(
+        "requests in progress go on when a planned stop begins to refuse",
+        f"{NODE}/gateway/lifecycle.py",
+        "    gateway.refuse_new()\n",
+        "    gateway.refuse_new()\n    [each.cancel() for each in gateway.listener.in_progress]\n",
+        f"{PLATFORM}/freshness_test.py::"
+        "test_a_planned_stop_cuts_nothing_off_and_is_not_ready_at_once",
+    ),
 )
