--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -280,7 +280,7 @@
         f"{PLATFORM}/main.py",
         "    lifecycle.end_process()\n",
         "",
-        f"{PLATFORM}/start_test.py",
+        f"{PLATFORM}/stop_test.py",
     ),
     Mutant(
         "requests in progress go on when a planned stop begins to refuse",
