--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_histories_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_histories_test.py
@@ -10,15 +10,21 @@
 STEPS_AND_LOSSES = Faults(("go_back", "kill_all"), loss_rate=0.0)
 MANY = Faults(("freeze", "kill", "cut", "rank", "down", "go_back", "leave", "jump"))
 SELDOM = Faults(("go_back", "kill"), max_pause_s=12.0, loss_rate=0.02)
+GIVEN_UP_WRITES = Faults(
+    ("kill_all", "kill", "leave", "jump"), max_pause_s=6.0, loss_rate=0.2, give_up_rate=0.15
+)
 # Seeds of fixed faults: a window was reported twice with different counts.
 ONCE_BROKEN = (
     *((seed, STEPS_AND_KILLS) for seed in (0, 2, 3, 4, 5, 8, 9, 12, 14)),
     *((seed, STEPS_AND_RANKS) for seed in (6, 8, 14)),
     *((seed, MANY) for seed in (1, 2, 6)),
     *((seed, Faults()) for seed in (1000, 1001, 1002)),
+    *((seed, GIVEN_UP_WRITES) for seed in (54, 112)),
 )
 DRAWN = tuple(
-    (seed, faults) for seed in range(1003, 1011) for faults in (STEPS_AND_LOSSES, SELDOM, Faults())
+    (seed, faults)
+    for seed in range(1003, 1011)
+    for faults in (STEPS_AND_LOSSES, SELDOM, GIVEN_UP_WRITES, Faults())
 )
 
 
--- a/packages/springbridge-standins/springbridge_standins/lease_histories.py
+++ b/packages/springbridge-standins/springbridge_standins/lease_histories.py
@@ -84,8 +84,12 @@
     def go_back(self) -> None:
         """Restore one of the last five copies, if there are any, and begin a new era."""
         if self.copies:
-            self.revision, self.row, self.row_revision = self.rng.choice(self.copies[-5:])
-            self.era += 1
+            self.restore(self.rng.choice(self.copies[-5:]))
+
+    def restore(self, copy: tuple[int, LeaseRow | None, int]) -> None:
+        """Restore a copy, and begin a new era."""
+        self.revision, self.row, self.row_revision = copy
+        self.era += 1
 
 
 class NodeStoreClient:
@@ -165,7 +169,7 @@
         incarnation = f"{self.name}.{self._runs}"
         loop = asyncio.get_running_loop()
         self.keeper = LeaseKeeper(
-            NodeStoreClient(self._history.store, self),
+            self.store_client(),
             self,
             self.name,
             incarnation,
@@ -177,6 +181,10 @@
             asyncio.ensure_future(self._make_calls()),
         ]
 
+    def store_client(self) -> NodeStoreClient:
+        """Return a new access to the store."""
+        return NodeStoreClient(self._history.store, self)
+
     def kill(self) -> None:
         """Stop the incarnation without releasing the lease."""
         for task in self._tasks:
--- a/packages/springbridge-standins/springbridge_standins/usage_histories.py
+++ b/packages/springbridge-standins/springbridge_standins/usage_histories.py
@@ -15,15 +15,23 @@
 import orjson
 from returns.result import Failure, Result, Success
 from springbridge.codes import Code
+from springbridge.duties.lease import LeaseReading, LeaseRow
 from springbridge.duties.usage import Counts, window_at
 from springbridge.duties.usage_reports import Report
 from springbridge.problems import Problem
 from springbridge_node.gateway.duties.duty_platform import Credentials
+from springbridge_node.gateway.duties.lease_content import from_bytes
 from springbridge_node.gateway.duties.usage_reporter import UsageReporter
 from springbridge_node.gateway.duties.usage_sharing import SEND_INTERVAL_S, UsageSharing
 from springbridge_node.gateway.peers.datagrams import Handler, Kind
 
-from springbridge_standins.lease_histories import NODES, LeaseHistory, SimulatedNode
+from springbridge_standins.lease_histories import (
+    NODES,
+    TIMEOUT_S,
+    LeaseHistory,
+    NodeStoreClient,
+    SimulatedNode,
+)
 from springbridge_standins.virtual_loop import run_virtual
 
 # Virtual length of one history, and of one window.
@@ -38,6 +46,9 @@
 CANDIDATES = 3
 # Delay of a datagram.
 DATAGRAM_DELAY_S = 0.002
+# Longest time from a write that is given up to the restore of the store. Beyond the lease, so that
+# another holder may have decided meanwhile.
+MAX_RESTORE_DELAY_S = 6.0
 # Largest jump of a clock, in either direction.
 CLOCK_JUMP_S = 3.0
 
@@ -50,6 +61,8 @@
       kinds: Names of the faults; "kill" selects the method _kill of UsageHistory.
       max_pause_s: Longest pause between two faults, in seconds.
       loss_rate: Share of the datagrams that are lost, and of the reports and of their answers.
+      give_up_rate: Share of the writes with decisions that get no answer, and take effect around a
+        restore of the store from a copy of before.
     """
 
     kinds: tuple[str, ...] = (
@@ -65,6 +78,7 @@
     )
     max_pause_s: float = 3.0
     loss_rate: float = 0.1
+    give_up_rate: float = 0.0
 
 
 @dataclass
@@ -114,6 +128,10 @@
             asyncio.ensure_future(work) for work in (self._count(), self._share(), self._report())
         ]
 
+    def store_client(self) -> NodeStoreClient:
+        """Return a new access to the store, in which writes with decisions may be given up."""
+        return ReportingStoreClient(self._history, self)
+
     def others(self) -> list[SimpleNamespace]:
         """Return the candidates without this node."""
         return [
@@ -145,6 +163,31 @@
             await self.reporter.step()
 
 
+class ReportingStoreClient(NodeStoreClient):
+    """One node's access to the store, in which writes with decisions may be given up."""
+
+    def __init__(self, history: "UsageHistory", node: ReportingNode) -> None:
+        """Connect a node to the store of a history."""
+        super().__init__(history.store, node)
+        self._history = history
+
+    async def write_lease(
+        self, duty: str, row: LeaseRow, before: int
+    ) -> Result[LeaseReading, Problem]:
+        """Write the row, or give the write up and cut the node off for a while."""
+        if not self._history.is_given_up(row):
+            return await super().write_lease(duty, row, before)
+        rng, loop = self._history.rng, asyncio.get_running_loop()
+        restore_s = rng.random() * MAX_RESTORE_DELAY_S
+        landing_s = restore_s + rng.uniform(-0.5, 1.5)
+        loop.call_later(restore_s, self._history.restore_copy_of_now())
+        loop.call_later(landing_s, self._store.write_late, row, before)
+        self._node.cut_until_s = loop.time() + rng.random() * 2 * MAX_RESTORE_DELAY_S
+        await asyncio.sleep(TIMEOUT_S)
+        await self._node.wait_while_frozen()
+        return Failure(Problem(Code.TABLE_UNAVAILABLE))
+
+
 class SimulatedDatagrams:
     """The datagram socket of one node."""
 
@@ -215,6 +258,24 @@
         """Draw whether a datagram arrives."""
         return self.rng.random() >= self.faults.loss_rate
 
+    def is_given_up(self, row: LeaseRow) -> bool:
+        """Draw whether a write is given up; only one with decisions is."""
+        rate = self.faults.give_up_rate
+        if not rate or not row.content or not from_bytes(row.content, row.era).reports:
+            return False
+        return self.rng.random() < rate
+
+    def restore_copy_of_now(self) -> Callable[[], None]:
+        """Take a copy, and return a function that restores the store from it."""
+        self.store.copy()
+        copy = self.store.copies[-1]
+
+        def restore() -> None:
+            self.store.restore(copy)
+            self.restores_s.append(asyncio.get_running_loop().time())
+
+        return restore
+
     def missed_windows(self) -> int:
         """Return how many windows that ended REPORT_DUE_S or more ago got no report."""
         first = window_at(START_S, WINDOW_S)
