A node that starts fetches crash records before it serves requests

Cause: a node serves requests as soon as it has a configuration and a list. Crash records came to it only from peers that had heard its heartbeat, at their next beat; until then every request was free of suspicion for it. What load made late is that beat, and the restart itself.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -196,6 +196,10 @@
         self._open_listeners()
         await self._open_datagrams()
         self.membership.set_listed(self.settings.seeds)
+        # Before the tasks, which fetch the configuration: the node serves requests once it has one,
+        # but peers send it crash records only some heartbeats after they know it.
+        for record in await self.peer_client.crash_records():
+            self.quarantine_parts.sharing.merge(record)
         self._tasks = [asyncio.ensure_future(work) for work in self._periodic_work()]
 
     def _open_listeners(self) -> None:
@@ -204,7 +208,10 @@
         book = AddressBook(self.membership, address_ttl_s(self.settings.longest_ttl_s))
         serve_small(addresses.ready, self._ports.ready_handlers(self.is_ready))
         serve_small(addresses.directory, self._ports.directory_handlers(book))
-        serve_small(addresses.peers, peer_handlers(lambda: self.configuration, self.registry))
+        handlers = peer_handlers(
+            lambda: self.configuration, self.registry, self.quarantine_parts.sharing.suspects
+        )
+        serve_small(addresses.peers, handlers)
         serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
         self.listener.listen(addresses.callers, CallerLimits())
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -9,10 +9,11 @@
 
 import base64
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 import orjson
+from springbridge.crash_records import CrashReport
 from springbridge.membership import Member, Phase, SnapshotStatus
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
 from springbridge.routing.overload import Overload
@@ -20,6 +21,7 @@
 
 from springbridge_node.gateway.config.endpoint_follower import AgedSnapshot
 from springbridge_node.gateway.config.platform_store import ConfigurationDocument
+from springbridge_node.gateway.peers import crash_rows
 from springbridge_node.gateway.peers.row_fields import number, text, texts, whole
 from springbridge_node.gateway.peers.selection_messages import SelectionReply, SelectionRequest
 
@@ -235,6 +237,16 @@
     return AgedSnapshot(EndpointSnapshot(body["revision"], entries), body["age_s"])
 
 
+def crash_records_body(records: Iterable[CrashReport]) -> bytes:
+    """Encode crash records."""
+    return _compress({"crashes": [crash_rows.record_row(each) for each in records]})
+
+
+def read_crash_records(body: dict) -> list[CrashReport]:
+    """Decode crash records."""
+    return [crash_rows.read_record(row) for row in body["crashes"]]
+
+
 def _endpoint_row(entry: EndpointEntry) -> list:
     """Encode an endpoint, in the order of the class's fields."""
     return [
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
@@ -4,8 +4,9 @@
 reported only to the trial coordinators of the service, which combine the reports of several nodes.
 The record of a request with two crashes goes to all nodes: at once to MAX_PUSHED_PEERS, and from
 each node that receives it to some peers at each of its next heartbeats, which makes up for lost
-datagrams. A node that starts gets these records from the nodes that rank first for it. A peer that
-still counts crashes from before a successful completion it does not know of is sent the record.
+datagrams. A node that starts fetches these records before its first configuration, and gets
+what is new since then from the nodes that rank first for it. A peer that still counts crashes from
+before a successful completion it does not know of is sent the record.
 """
 
 import asyncio
@@ -98,12 +99,21 @@
         if self._records.merge(record) and _is_suspect(self._records.find(record.fingerprint)):
             self._mark_recent(record.fingerprint)
 
+    def suspects(self) -> list[CrashReport]:
+        """Return the records of all requests under suspicion, which a node that starts needs."""
+        reports = map(self._records.report, self._suspect_names())
+        return [report for report in reports if report is not None]
+
+    def _suspect_names(self) -> list[str]:
+        """Return the fingerprints of all requests under suspicion."""
+        return [each.fingerprint for each in self._records.all() if _is_suspect(each)]
+
     def _send_to_new_peers(self) -> None:
         """Send the records of all suspect requests to peers that are new since the last beat."""
         new = self._new_peers.detect()
         if not new:
             return
-        names = [each.fingerprint for each in self._records.all() if _is_suspect(each)]
+        names = self._suspect_names()
         if names:
             self._send(names, new)
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
@@ -1,14 +1,16 @@
-"""Fetches the configuration and the endpoint list from peers over HTTP.
+"""Fetches the configuration, the endpoint list and crash records from peers over HTTP.
 
 Fetching from peers spares the store most calls, and serves a node whose calls the store refuses.
 While no peer is known, the configured seeds are asked.
 """
 
+import asyncio
 import random
 import zlib
 from collections.abc import Callable
 from typing import TypeVar
 
+from springbridge.crash_records import CrashReport
 from springbridge.membership import Membership
 
 from springbridge_node import logs
@@ -16,7 +18,11 @@
 from springbridge_node.gateway.config.platform_store import ConfigurationDocument
 from springbridge_node.gateway.http.calls import CallFailedError, HttpClient
 from springbridge_node.gateway.peers import codec
-from springbridge_node.gateway.peers.peer_handlers import CONFIGURATION_PATH, ENDPOINTS_PATH
+from springbridge_node.gateway.peers.peer_handlers import (
+    CONFIGURATION_PATH,
+    CRASH_RECORDS_PATH,
+    ENDPOINTS_PATH,
+)
 
 # Maximum number of peers asked for the same data. Two, so that one dead peer does not prevent a
 # reply.
@@ -32,7 +38,7 @@
 
 
 class PeerClient:
-    """Fetches configurations and endpoint lists from peers."""
+    """Fetches configurations, endpoint lists and crash records from peers."""
 
     def __init__(self, membership: Membership, seeds: Callable[[], list[str]]) -> None:
         """Create a client.
@@ -69,6 +75,20 @@
         snapshots = [aged for aged in replies if aged is not None]
         return min(snapshots, key=lambda aged: aged.age_s, default=None)
 
+    async def crash_records(self) -> list[CrashReport]:
+        """Return the records of requests under suspicion of a few random peers.
+
+        The peers are asked at the same time, as a node that starts waits for them.
+        """
+        peers = [member.peer_address for member in self._membership.reachable()] or self._seeds()
+        replies = await asyncio.gather(
+            *(
+                _fetch(address, CRASH_RECORDS_PATH, codec.read_crash_records)
+                for address in _sample(peers)
+            )
+        )
+        return [record for reply in replies for record in reply or ()]
+
 
 def _sample(addresses: list[str]) -> list[str]:
     """Return up to MAX_QUERIED_PEERS addresses, chosen at random."""
@@ -79,7 +99,7 @@
     """Return a peer's decoded reply, or None if it has no data or its reply is malformed.
 
     A failure is logged: at most MAX_QUERIED_PEERS lines for each step of the calling task, whose
-    steps are 0.2 s or more apart.
+    steps are 0.2 s or more apart, and as many when the node starts.
     """
     client = HttpClient(address)
     try:
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -4,7 +4,7 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import astuple, dataclass, field, replace
 from types import MappingProxyType
 
 from springbridge.routing.shared_retry_budget import RetryBudgetLimits
@@ -177,6 +177,24 @@
     await gateway.end()
 
 
+async def add_node(fleet: Fleet, make_outside: MakeOutside) -> Gateway:
+    """Start one more node, on an IP of its own, and return it without waiting until it is ready."""
+    known = fleet.nodes[0].settings
+    ip = f"127.0.0.{len(fleet.nodes) + 2}"
+    addresses = (each.replace(known.ip, ip) for each in astuple(known.addresses))
+    settings = replace(
+        known,
+        name=f"node-{len(fleet.nodes)}",
+        ip=ip,
+        addresses=Addresses(*addresses),
+        seeds=tuple(node.settings.addresses.peers for node in fleet.nodes),
+    )
+    gateway = Gateway(settings, make_outside(fleet.store.address))
+    fleet.nodes.append(gateway)
+    await gateway.start()
+    return gateway
+
+
 def _settings(nodes: int) -> list[GatewaySettings]:
     """Return settings for nodes, each with the others as its gossip seeds."""
     ips = [f"127.0.0.{number + 2}" for number in range(nodes)]
