A node that starts waits 0.3 s at the most for crash records

After a loss of all nodes the seeds may be silent, and callers wait for the node; a peer that runs answers within some round trips. A late one is logged.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
@@ -27,6 +27,9 @@
 # Maximum number of peers asked for the same data. Two, so that one dead peer does not prevent a
 # reply.
 MAX_QUERIED_PEERS = 2
+# Seconds for which a node that starts waits for a peer, some round trips. A peer that does not
+# answer in that time may be gone, and callers wait for this node.
+STARTUP_TIMEOUT_S = 0.3
 # Timeout of a call in seconds. Below the 1.1 s for which an endpoint list counts as confirmed.
 TIMEOUT_S = 0.8
 # Status of a reply that has the requested data.
@@ -78,16 +81,22 @@
     async def crash_records(self) -> list[CrashReport]:
         """Return the records of requests under suspicion of a few random peers.
 
-        The peers are asked at the same time, as a node that starts waits for them.
+        A node that starts waits for them, so the peers are asked at the same time and those that
+        take longer than STARTUP_TIMEOUT_S are passed over.
         """
         peers = [member.peer_address for member in self._membership.reachable()] or self._seeds()
-        replies = await asyncio.gather(
-            *(
-                _fetch(address, CRASH_RECORDS_PATH, codec.read_crash_records)
-                for address in _sample(peers)
-            )
-        )
-        return [record for reply in replies for record in reply or ()]
+        fetches = [
+            asyncio.ensure_future(_fetch(address, CRASH_RECORDS_PATH, codec.read_crash_records))
+            for address in _sample(peers)
+        ]
+        if not fetches:
+            return []
+        done, late = await asyncio.wait(fetches, timeout=STARTUP_TIMEOUT_S)
+        for each in late:
+            each.cancel()
+        if late:
+            logs.event("peers.crash_records_late", asked=len(fetches), late=len(late))
+        return [record for fetch in done for record in fetch.result() or ()]
 
 
 def _sample(addresses: list[str]) -> list[str]:
