A statement counts for the next run alone, not for those after it

Cause: the rule asked until when lists had named the run for which the statement was recorded, and not whether they had named a later one since. Failed before: test_a_statement_does_not_count_for_the_run_after_the_next (['e-2'] for both endpoints). Why it works: what counts is until when lists named any other run of the endpoint.

--- a/packages/springbridge/springbridge/routing/late_lists_test.py
+++ b/packages/springbridge/springbridge/routing/late_lists_test.py
@@ -154,6 +154,21 @@
     assert_that(usable(registry), Equals(["e-2"]))
 
 
+def test_a_statement_does_not_count_for_the_run_after_the_next(registry, lists, clock):
+    lists(run(1000))
+    clock.advance(0.4)
+    registry.mark_leaving(run(1000).incarnation, clock())
+    registry.mark_resting(run(1000).incarnation, 30.0, clock())
+    clock.advance(0.1)
+    lists(run(2000))
+    assert_that(usable(registry), Equals(["e-2"]))
+    clock.advance(ENTRY_DELAY_S)
+    lists(run(2000))
+    clock.advance(0.5)
+    lists(run(3000))
+    assert_that(usable(registry), Equals(["e-1", "e-2"]))
+
+
 def test_a_list_without_the_endpoint_in_between_takes_nothing_away(registry, lists, clock):
     lists(run(None))
     clock.advance(0.4)
--- a/packages/springbridge/springbridge/statements/attribution.py
+++ b/packages/springbridge/springbridge/statements/attribution.py
@@ -1,8 +1,8 @@
 """Attribution of statements: which run of an endpoint made a statement.
 
 Decides whether a statement that is recorded for one run may have been made by the run that the list
-names now. Inputs are both runs, until when the list named the first one, when the statement came
-and when its connection was opened, in seconds of a monotonic clock.
+names now. Inputs are both runs, until when lists named another run, when the statement came and
+when its connection was opened, in seconds of a monotonic clock.
 
 An endpoint that starts again under its id and address answers before the list names its new run,
 and its statements are recorded for the run that the list still names. Two facts tell the runs
@@ -45,7 +45,7 @@
 def attribution(
     receipt: Receipt,
     recorded_for: EndpointIncarnation,
-    named_until_s: float | None,
+    shown_until_s: float | None,
     listed: EndpointIncarnation,
 ) -> Attribution:
     """Return whether a statement was made by the listed run.
@@ -53,18 +53,19 @@
     Args:
       receipt: When the statement came.
       recorded_for: The run that the list named then.
-      named_until_s: When a list that named that run was last known to be current; None if none was.
+      shown_until_s: When a list that named another run than the listed one was last known to be
+        current; None if none was.
       listed: The run that the list names now.
     """
     if _is_earlier(listed, recorded_for):
         # No run comes before an earlier one: the list is an older copy, and the later run is up.
         return Attribution.PROBABLE
-    if named_until_s is None:
+    if shown_until_s is None:
         return Attribution.PROBABLE
     # The entry of a later run may be written and read up to ENTRY_DELAY_S after its start.
-    if receipt.opened_s <= named_until_s - ENTRY_DELAY_S:
+    if receipt.opened_s <= shown_until_s - ENTRY_DELAY_S:
         return Attribution.NO
-    return Attribution.PROBABLE if receipt.heard_s > named_until_s else Attribution.POSSIBLE
+    return Attribution.PROBABLE if receipt.heard_s > shown_until_s else Attribution.POSSIBLE
 
 
 def _is_earlier(one: EndpointIncarnation, other: EndpointIncarnation) -> bool:
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -87,6 +87,12 @@
             if run != incarnation and its.address == address:
                 yield run, its
 
+    def _shown_until_s(self, incarnation: EndpointIncarnation) -> float | None:
+        """Return until when lists named another run of an endpoint, None if none did."""
+        runs = self._runs.get(incarnation.endpoint_id, set()) - {incarnation}
+        named = (self._said[run].named_until_s for run in runs)
+        return max((each for each in named if each is not None), default=None)
+
     def carry_over(self, incarnation: EndpointIncarnation) -> None:
         """Apply to the run that the list names now what may be its own statements.
 
@@ -114,7 +120,8 @@
         own, now_s = self.of(incarnation), self._clock()
         if its.rest is None or its.rest_receipt is None or now_s >= its.rest.until_s:
             return
-        match attribution(its.rest_receipt, run, its.named_until_s, incarnation):
+        shown_until_s = self._shown_until_s(incarnation)
+        match attribution(its.rest_receipt, run, shown_until_s, incarnation):
             case Attribution.PROBABLE:
                 own.rest = rests.rest_until(own.rest, its.rest.until_s - now_s, now_s)
                 own.rest_receipt = its.rest_receipt
@@ -126,9 +133,10 @@
         self, incarnation: EndpointIncarnation
     ) -> Iterator[tuple[Attribution, float]]:
         """Return when statements came that are recorded for other runs and may be of this one."""
+        shown_until_s = self._shown_until_s(incarnation)
         for run, its in self._others(incarnation):
             for receipt in its.leaving.receipts():
-                found = attribution(receipt, run, its.named_until_s, incarnation)
+                found = attribution(receipt, run, shown_until_s, incarnation)
                 if found is not Attribution.NO:
                     yield found, receipt.heard_s
 
