Lists without an endpoint that has requests do not move on until when its run was named

The endpoint gets requests in its rest.

Cause: EndpointRegistry keeps the state of an endpoint that left the list while it has requests, or in the grace after a lapse. _drop_unlisted notes until when a list named its run, but _update overwrites that once the new run is listed with the time of the last list, which did not name the run. So a statement that came after the run was last named looks as if the run was still named after it: it counts as a peer's report, 10 s at the most (or not at all after 2 s), instead of as the new run's own.

Evidence, failed before: test_a_rest_holds_though_lists_were_without_the_endpoint_that_has_a_request (a rest of 30 s, a request running, two lists without the endpoint, then the new run: a candidate 20 s later, ['e-1', 'e-2'] for ['e-2']).

Why it works: the moment is noted once, by the first list that does not name the run, and is cleared when a list names it again.

--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -137,7 +137,7 @@
         for endpoint_id, entry in listed.items():
             state = self._states.get(endpoint_id)
             if state is None or has_restarted(state.entry, entry):
-                if state is not None:
+                if state is not None and state.statements.named_until_s is None:
                     state.statements.named_until_s = self._current_s
                 said = self.statements.of(entry.incarnation)
                 state = self._states[endpoint_id] = EndpointState(entry, statements=said)
--- a/packages/springbridge/springbridge/routing/late_lists_test.py
+++ b/packages/springbridge/springbridge/routing/late_lists_test.py
@@ -10,6 +10,7 @@
 
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.listed_entries import ENTRY_DELAY_S
+from springbridge.routing.load_notices import LoadNotice, LoadPhase
 from springbridge.routing.older_lists import SETTLED_S
 from springbridge.routing.records import EndpointEntry, EndpointSnapshot
 from springbridge.statements.leaving import CARRIED_S
@@ -223,3 +224,19 @@
     lists(run(2000))
     registry.mark_leaving(run(2000).incarnation, clock())
     assert_that(usable(registry, {"e-2"}), Equals(["e-1"]))
+
+
+def test_a_rest_holds_though_lists_were_without_the_endpoint_that_has_a_request(
+    registry, lists, clock
+):
+    lists(run(1000))
+    clock.advance(0.4)
+    registry.apply_notice(LoadNotice(LoadPhase.STARTED, "a-1", "e-1"))
+    registry.mark_resting(run(1000).incarnation, 30.0, clock())
+    clock.advance(0.1)
+    lists()
+    clock.advance(0.5)
+    lists()
+    lists(run(2000))
+    clock.advance(20.0)
+    assert_that(usable(registry), Equals(["e-2"]))
