A statement that has ceased to count does not shorten the next run's time as a last resort

What callers saw: nothing; found in a review by a forced order. If all endpoints of a service leave, callers are refused at once instead of served for up to 1.9 s more.

Cause: StatementTable.heard_leaving sets heard_s to the earliest statement that may be of the run. A statement counts as possibly the new run's if its connection was opened within 2 s before the last list that named the run before: that is the usual case for a run that gets new connections when it leaves. Nothing bounds its age but KEEP_GONE_S (600 s), nor that of probable_s. So a run that starts again after a planned end and leaves some minutes later is no last resort.

Evidence, failed before: test_the_time_as_a_last_resort_is_not_that_of_a_run_on_a_connection_as_young ([] for ['e-1'], the runs' statements 31 s apart). The test of a run long gone has a statement that came 30 s before the last list of its run, which the rule of the connection already excludes. Tests of routing and statements passed after.

Why it works: an earlier statement counts for that only as long as it counts for anything (CARRIED_S). Within that time the last resort does not start again, as before.

--- a/packages/springbridge/springbridge/routing/late_lists_test.py
+++ b/packages/springbridge/springbridge/routing/late_lists_test.py
@@ -240,3 +240,18 @@
     lists(run(2000))
     clock.advance(20.0)
     assert_that(usable(registry), Equals(["e-2"]))
+
+
+def test_the_time_as_a_last_resort_is_not_that_of_a_run_on_a_connection_as_young(
+    registry, lists, clock
+):
+    lists(run(1000))
+    clock.advance(0.4)
+    registry.mark_leaving(run(1000).incarnation, clock())
+    clock.advance(0.1)
+    lists(run(1000))
+    clock.advance(0.5)
+    lists(run(2000))
+    clock.advance(CARRIED_S + 20.0)
+    registry.mark_leaving(run(2000).incarnation, clock())
+    assert_that(usable(registry, {"e-2"}), Equals(["e-1"]))
--- a/packages/springbridge/springbridge/statements/statement_table.py
+++ b/packages/springbridge/springbridge/statements/statement_table.py
@@ -163,12 +163,15 @@
         if known.is_certain:
             return False
         # The list may still have had the previous run when the first statement came, which was then
-        # recorded for that run. The time as a last resort must not start again.
+        # recorded for that run. The time as a last resort must not start again, unless the earlier
+        # statement has ceased to count: the run was used since, and another one probably made it.
+        now_s = known.latest.heard_s
         earlier = [heard_s for _, heard_s in self._perhaps_heard(incarnation)]
         if known.probable_s is not None:
             earlier.append(known.probable_s)
+        recent = [heard_s for heard_s in earlier if now_s < heard_s + leaving.CARRIED_S]
         known.first = known.latest
-        known.heard_s = min([known.latest.heard_s, *earlier])
+        known.heard_s = min([now_s, *recent])
         return True
 
     def told_leaving(self, incarnation: EndpointIncarnation) -> bool:
