The end of an endpoint whose statement of leaving was carried over is no crash

What callers saw: nothing; found in a review by a forced order. A request that breaks when an endpoint ends as planned is recorded as one that crashed it.

Cause: has_crashed asks EndpointState.is_leaving, which is true for a statement that is recorded for the run itself. One that came before the list named the run is carried over as probably the run's (Leaving.probable_s); the registry then sends it nothing, but crashes went by is_certain alone. A request that was sent to the run between its listing and the late answer, or as the last resort, and that breaks when the run ends counts as the cause of a crash.

Evidence, failed before: test_an_endpoint_whose_statement_of_leaving_was_carried_over_has_not_crashed (True for False). Tests of endpoints and requests passed after.

Why it works: an endpoint that leaving.wants_nothing keeps requests away from does not count, by the same rule as in eligibility.py; it ends to count so after CARRIED_S.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -13,7 +13,9 @@
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointIncarnation
+from springbridge.statements import leaving
 
+from springbridge_node.clock import now_s
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.http_connection import ConnectFailedError
 
@@ -54,6 +56,8 @@
         """
         if state.is_leaving or not state.is_listed:
             return False
+        if leaving.wants_nothing(state.statements.leaving, now_s()):
+            return False
         task = self._attempt_for_break_now(state)
         # asyncio.wait does not cancel the task when one of the requests that wait for it is.
         done, _ = await asyncio.wait({task}, timeout=REFUSAL_TIMEOUT_S)
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -10,6 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from springbridge_node.clock import now_s
 from springbridge_node.gateway.endpoints.crash_confirmation import (
     REFUSAL_TIMEOUT_S,
     CrashConfirmation,
@@ -150,3 +151,12 @@
         assert_that(await confirmation.has_crashed(state, no_late_crash), Is(False))
 
     run(body)
+
+
+def test_an_endpoint_whose_statement_of_leaving_was_carried_over_has_not_crashed(run):
+    async def body(engine, state, confirmation):
+        engine.stop()
+        state.statements.leaving.probable_s = now_s()
+        assert_that(await confirmation.has_crashed(state, no_late_crash), Is(False))
+
+    run(body)
