A confirmed crash does not hold for a request that was sent after it

A request is recorded as the cause of a crash though its endpoint runs.

Cause: a refusal is kept for RESULT_TTL_S (1 s) under the incarnation that the list names. An endpoint that starts again under its id and address within that time is reached by the prober (each 0.25 s) and gets requests before the list names its new run. If it resets the connection of one of these, the refusal that the run before gave is taken as the answer: an attempt made before the break.

Evidence, failed before: test_a_confirmed_crash_does_not_hold_for_a_request_that_was_sent_after_it (True for False; run before the change without the new argument). A unit test; how often an endpoint starts again within a second was not measured. Tests of endpoints and requests passed after. The double of has_crashed and the request in quarantine_gate_test.py have the time of the send now, which the router always records before an attempt; no assertion of it changed.

Why it works: a result counts only for requests that were sent before it came; a later one gets an attempt of its own. Requests that broke with the run that refused were sent before.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -4,7 +4,8 @@
 running. One that has crashed refuses connections at once, since its host is up and no process
 listens on the port. So one connection attempt tells the two apart, and its result is shared by all
 requests that broke with the endpoint. An accepted connection shows that the process was running
-then; it tells nothing of a request that breaks later, which needs an attempt of its own.
+then; it tells nothing of a request that breaks later, which needs an attempt of its own. A refusal
+tells nothing of a request that was sent after it, to a process that has started there since.
 """
 
 import asyncio
@@ -33,10 +34,12 @@
 
     Attributes:
       has_begun: Whether the connection may have been accepted already.
+      ended_s: When it ended, on the clock of `clock.now_s`; infinite before.
     """
 
     task: asyncio.Task[bool] | None = None
     has_begun: bool = False
+    ended_s: float = float("inf")
 
 
 class CrashConfirmation:
@@ -47,18 +50,24 @@
         self._pool = pool
         self._latest: dict[EndpointIncarnation, _Attempt] = {}
 
-    async def has_crashed(self, state: EndpointState, on_late_crash: Callable[[], None]) -> bool:
+    async def has_crashed(
+        self,
+        state: EndpointState,
+        on_late_crash: Callable[[], None],
+        sent_s: float = float("-inf"),
+    ) -> bool:
         """Return whether an endpoint has crashed; one that is leaving or not listed never counts.
 
         Args:
           on_late_crash: Called if a crash is confirmed only after REFUSAL_TIMEOUT_S, as on an
             instance that is short of processor time.
+          sent_s: When the request that broke was sent, on the clock of `clock.now_s`.
         """
         if state.is_leaving or not state.is_listed:
             return False
         if leaving.wants_nothing(state.statements.leaving, now_s()):
             return False
-        task = self._attempt_for_break_now(state)
+        task = self._attempt_for_break_now(state, sent_s)
         # asyncio.wait does not cancel the task when one of the requests that wait for it is.
         done, _ = await asyncio.wait({task}, timeout=REFUSAL_TIMEOUT_S)
         if done:
@@ -66,13 +75,16 @@
         task.add_done_callback(lambda finished: on_late_crash() if _found_crash(finished) else None)
         return False
 
-    def _attempt_for_break_now(self, state: EndpointState) -> asyncio.Task[bool]:
+    def _attempt_for_break_now(self, state: EndpointState, sent_s: float) -> asyncio.Task[bool]:
         """Return an attempt whose result holds for a request that has just broken.
 
-        That is one that has not begun yet, one that has confirmed a crash, or a new one.
+        That is one that has not begun yet, one that has confirmed a crash since the request was
+        sent, or a new one.
         """
         incarnation = state.entry.incarnation
         latest = self._latest.get(incarnation)
+        if latest is not None and latest.ended_s < sent_s:
+            latest = None
         if latest is not None and (not latest.has_begun or _found_crash(latest.task)):
             return latest.task
         attempt = self._latest[incarnation] = _Attempt()
@@ -84,12 +96,15 @@
         self, previous: _Attempt | None, attempt: _Attempt, state: EndpointState
     ) -> bool:
         """Return whether an endpoint refuses a connection, in the previous attempt or a new one."""
-        if previous is not None:
-            await asyncio.wait({previous.task})
-            if _found_crash(previous.task):
-                return True
-        attempt.has_begun = True
-        return await self._refuses(state)
+        try:
+            if previous is not None:
+                await asyncio.wait({previous.task})
+                if _found_crash(previous.task):
+                    return True
+            attempt.has_begun = True
+            return await self._refuses(state)
+        finally:
+            attempt.ended_s = now_s()
 
     async def _refuses(self, state: EndpointState) -> bool:
         """Return whether an endpoint refuses a connection; if not, the pool keeps it for use."""
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -153,6 +153,21 @@
     run(body)
 
 
+def test_a_confirmed_crash_does_not_hold_for_a_request_that_was_sent_after_it(run):
+    async def body(engine, state, confirmation):
+        port = engine.address.rpartition(":")[2]
+        engine.stop()
+        assert_that(await confirmation.has_crashed(state, no_late_crash), Is(True))
+        # Another process listens at the address before the list names it, and closes the connection
+        # of a request.
+        server = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", port)
+        async with server:
+            found = await confirmation.has_crashed(state, no_late_crash, now_s())
+            assert_that(found, Is(False))
+
+    run(body)
+
+
 def test_an_endpoint_whose_statement_of_leaving_was_carried_over_has_not_crashed(run):
     async def body(engine, state, confirmation):
         engine.stop()
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -181,7 +181,9 @@
         def record_crash() -> None:
             self._record_crash(exchange, state, on_trial)
 
-        has_crashed = await self._parts.confirmation.has_crashed(state, on_late_crash=record_crash)
+        has_crashed = await self._parts.confirmation.has_crashed(
+            state, on_late_crash=record_crash, sent_s=exchange.progress.chosen[-1].sent_s
+        )
         if has_crashed:
             record_crash()
         return has_crashed
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
@@ -14,7 +14,7 @@
 from testtools.matchers import Equals, Is, Not
 
 from springbridge_node import clock as node_clock
-from springbridge_node.gateway.requests.exchange import Progress
+from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Progress
 from springbridge_node.gateway.requests.quarantine_gate import GateParts, QuarantineGate
 
 NAME = "f00d"
@@ -48,7 +48,7 @@
         """Record a fingerprint that the store has to keep."""
         self.stored.append(fingerprint)
 
-    async def has_crashed(self, state, on_late_crash):
+    async def has_crashed(self, state, on_late_crash, sent_s):
         """Confirm the crash of the endpoint."""
         return True
 
@@ -84,7 +84,8 @@
     route = Route(
         "r", "h", "/", (WeightedService("model", 1),), False, True, False, target_s=TARGET_S
     )
-    progress = Progress(fingerprint=NAME)
+    sent = ChosenEndpoint("i-1", None, 0, 0, 0, "", "", sent_s=0.0)
+    progress = Progress(fingerprint=NAME, chosen=[sent])
     return SimpleNamespace(
         route=route,
         request_id="q",
