The mutant of a peer's report that expires names the present text

What callers saw: nothing; a test of the mutants failed: test_the_text_to_replace_occurs_once[leaving: a peer's report expires], 0 for 1, so that this mutant could not be applied.

Evidence: failed before. With the mutant's text in place, test_a_peer_s_report_ranks_an_endpoint_behind_ the_others_for_a_while fails as it must; without it the tests of mutants and of statements shared pass.

Why it works: the text is in the module once, and its replacement makes reports hold for ever, as before.

--- a/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
@@ -53,7 +53,7 @@
     Mutant(
         "leaving: a peer's report expires",
         f"{LIBRARY}/statements/leaving.py",
-        "now_s < leaving.told_s + PEER_REPORT_S",
+        "now_s < at_s + counts_s",
         "True",
         SHARING,
     ),
