A renewal that took effect in another era neither extends the tenure nor stores a decision

What callers saw: the platform could get one window of usage with two counts, and two nodes held the lease at a time, after the store came back from an older copy (shown in a forced order, in no soak). The condition of a write is a bare revision, which the older copy has again. LeaseKeeper._take checks the era of the answer, _renew did not: it extended the tenure and told UsageReporter.on_renewed that the decision is stored, so that it was sent and told to the candidates. Why it works: an answer of another era proves only that the row is this run's own now. As after a renewal whose answer was lost, its stamp is the condition of the next renewal and the tenure stays as it was. A holder within its tenure goes on with the next renewal, one interval later, and misses no window; one beyond it gives up the lease, and what it decided last is left out of the row (stored_next). The mutant "a renewal under a revision of another era ..." is this change undone.

--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper.py
@@ -206,8 +206,15 @@
         if isinstance(result, Failure):
             await self._after_refused_renewal(tenure, result.failure())
             return
+        written = result.unwrap()
         self.dependency.answered()
-        self._tenure = lease.renewed_tenure(tenure, result.unwrap().stamp, sent_s, self._lease_s)
+        if era_of(written.stamp) != era_of(tenure.stamp):
+            # As in _take(): another node may have held the lease before the restore. The row is
+            # this run's own now, so that the next renewal has a condition of this era.
+            logs.event("lease.not_written", call="renew", detail="another era")
+            self._tenure = replace(tenure, stamp=written.stamp)
+            return
+        self._tenure = lease.renewed_tenure(tenure, written.stamp, sent_s, self._lease_s)
         self._alone_until_s = sent_s + self._lease_s
         self._on_renewed()
 
--- a/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/lease_keeper_test.py
@@ -8,7 +8,7 @@
 from springbridge_standins.lease_histories import CALL_S, LEASE_S, NodeStoreClient, SimulatedStore
 from springbridge_standins.virtual_loop import run_virtual
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, GreaterThan, Is
 
 from springbridge_node.gateway.duties.lease_keeper import LeaseKeeper
 
@@ -92,3 +92,25 @@
             assert_that(credentials, Is(None))
 
     with_holder(body)
+
+
+# Guards against two holders: the store was restored while a renewal was under way, and its
+# condition holds for the row of the copy as well.
+def test_a_renewal_that_took_effect_in_another_era_extends_the_tenure_only_with_the_next_one(
+    with_holder,
+):
+    async def body(holder):
+        renewed = []
+        holder.keeper.connect(lambda takeover: None, lambda era: b"", lambda: renewed.append(1))
+        before = holder.keeper._tenure
+        holder.store.copy()
+        holder.store.go_back()
+        await asyncio.sleep(1.0)
+        await holder.keeper.step()
+        assert_that(holder.keeper._tenure.until_s, Equals(before.until_s))
+        assert_that(renewed, Equals([]))
+        await holder.keeper.step()
+        assert_that(holder.keeper._tenure.until_s, GreaterThan(before.until_s))
+        assert_that((renewed, holder.keeper.credentials.token), Equals(([1], before.token)))
+
+    with_holder(body)
--- a/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/duty_mutants.py
@@ -40,6 +40,13 @@
         "if False:",
         HISTORIES,
     ),
+    Mutant(
+        "a lease: a renewal under a revision of another era does not extend the tenure",
+        f"{NODE}/gateway/duties/lease_keeper.py",
+        "if era_of(written.stamp) != era_of(tenure.stamp):",
+        "if False:",
+        LATE_RENEWAL,
+    ),
     Mutant(
         "a lease: it is handed on only when no call is in progress",
         f"{NODE}/gateway/duties/lease_keeper.py",
