Class router: a signal after a finished stop does not change its exit status

What callers saw: nothing; whoever stops a node of `springbridge serve` saw a planned stop that ended with status -15 or -2 if a second SIGTERM or SIGINT came after node.stopped. Evidence: a process that gets the signal after its event loop has closed. SIGHUP is not handled by this program, and so is left as it is. Why it works: the last step of the stop blocks the two signals for the rest of the process. Tests of class_node, main and platform passed.

--- a/packages/springbridge-node/springbridge_node/class_router/class_node.py
+++ b/packages/springbridge-node/springbridge_node/class_router/class_node.py
@@ -70,6 +70,9 @@
 # connection first.
 MAX_DISCARDED_BODY_BYTES = 1 << 30
 
+# Signals that begin a planned stop.
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+
 
 class Node:
     """One node process."""
@@ -208,9 +211,12 @@
     # Lifecycle.
 
     async def run(self) -> None:
-        """Serve until a planned stop has finished."""
+        """Serve until a planned stop has finished.
+
+        Leaves the signals that stop it blocked, so that later ones do not change the exit status.
+        """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._stopping.set)
         class_log.start(self.settings.instance, self.incarnation)
         peer_server = Server([self.peer_service])
@@ -225,6 +231,9 @@
         peer_server.close()
         await peer_server.wait_closed()
         logs.event("node.stopped", instance=self.settings.instance)
+        # The event loop resets the handlers when it closes, and the default action of a signal that
+        # comes after it would turn a finished stop into a failed one.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
     def _start_callers(self) -> HTTPServer:
         """Listen for callers and operators."""
