--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -111,6 +111,7 @@
             route=admitted.route.name,
             service=admitted.service.name,
             customer=admitted.customer,
+            priority=admitted.priority,
             config_version=admitted.version,
             list_age_ms=round(min(list_age_s, MAX_LOGGED_AGE_S) * 1000),
             engines=[_endpoint_fields(chosen, exchange) for chosen in progress.chosen],
