--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -64,6 +64,7 @@
       refused_from: IPs of the nodes that the fault applies to; all if empty.
       history_lost_before: Oldest version from which the feed still has all changes.
       calls: Number of calls by path.
+      reads: Number of reads of a whole table, by table.
       version: Version of the latest write; every write increases it.
       era: Number of restores from an older copy; sent in each answer if not 0.
     """
@@ -75,6 +76,7 @@
         self.refused_from: set[str] = set()
         self.history_lost_before = 0
         self.calls: Counter[str] = Counter()
+        self.reads: Counter[str] = Counter()
         self.version = 0
         self.era = 0
         self._copies: list[_Copy] = []
@@ -136,6 +138,8 @@
     async def respond(self, request: RawRequest, connection: Connection) -> None:
         """Answer a call, or fail it according to the fault."""
         self.calls[request.path] += 1
+        if request.path == "/v1/rows-get":
+            self.reads[request.query["table"]] += 1
         peer = connection.writer.get_extra_info("peername")[0]
         refused = not self.refused_from or peer in self.refused_from
         fault = self.fault if refused else StoreFault.NONE
