--- a/packages/springbridge-standins/springbridge_standins/known_red_test.py
+++ b/packages/springbridge-standins/springbridge_standins/known_red_test.py
@@ -31,6 +31,13 @@
     assert_that(find(entries, "some_test.py::test_it_not"), Is(None))
 
 
+def test_one_case_of_a_test_is_ignored_and_not_the_others(write):
+    entries = read_known_red(write(LINE.replace("test_it", "test_it[3-/a]")))
+    assert_that(find(entries, "some_test.py::test_it[3-/a]"), Is(entries[0]))
+    assert_that(find(entries, "some_test.py::test_it[3]"), Is(None))
+    assert_that(find(entries, "some_test.py::test_it"), Is(None))
+
+
 @pytest.mark.parametrize(
     "lines",
     [
