--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -93,6 +93,10 @@
             raise EndpointBusyError(entry.endpoint_id)
         return await self._connect(entry)
 
+    def idle_count(self, incarnation: EndpointIncarnation) -> int:
+        """Return how many idle connections to an endpoint are kept."""
+        return len(self._idle.get(incarnation, ()))
+
     async def warm(self, entry: EndpointEntry) -> None:
         """Open a connection and keep it idle for the next request.
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
@@ -20,6 +20,7 @@
 from springbridge.routing.records import Demand, EndpointEntry
 from springbridge.routing.selection import start_notice
 
+from springbridge_node import logs
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 
@@ -142,4 +143,13 @@
         for row in rows:
             notice = codec.read_notice(row)
             self._on_notice(notice)
-            self._registry.apply_notice(notice)
+            self._log_unreached(notice, sender)
+            self._registry.apply_notice(notice, sender)
+
+    def _log_unreached(self, notice: LoadNotice, sender: str) -> None:
+        """Log that a peer found an endpoint unreachable, unless it already counts as that here."""
+        if notice.phase is not LoadPhase.UNREACHED:
+            return
+        state = self._registry.find(notice.endpoint_id)
+        if state is not None and state.reachable:
+            logs.event("engine.reported_unreachable", engine=notice.endpoint_id, reported_by=sender)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -81,14 +81,21 @@
             seconds=round(state.ejected_until_s - clock.now_s(), 2),
         )
 
-    def unreachable(self, exchange: Exchange, endpoint_id: str, reason: str) -> None:
-        """Log a failed connection to an endpoint, which gets no request until one succeeds."""
+    def unreachable(
+        self, exchange: Exchange, endpoint_id: str, reason: str, idle_connections: int
+    ) -> None:
+        """Log a failed connection to an endpoint, which gets no request until one succeeds.
+
+        Args:
+          idle_connections: Connections to it that are kept and were opened before.
+        """
         self._telemetry.attempts.labels("unreachable").inc()
         logs.event(
             "engine.unreachable",
             request_id=exchange.request_id,
             engine=endpoint_id,
             reason=reason,
+            idle_connections=idle_connections,
             after_ms=_age_ms(exchange),
         )
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -243,7 +243,8 @@
             )
         except ConnectFailedError as exc:
             self._parts.loads.unreached(state.entry)
-            self._parts.request_log.unreachable(exchange, endpoint_id, str(exc))
+            idle = self._parts.pool.idle_count(state.entry.incarnation)
+            self._parts.request_log.unreachable(exchange, endpoint_id, str(exc), idle)
         except EndpointBusyError:
             # Not logged: this is common under load, and the end of the request is logged.
             exchange.progress.busy += 1
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -54,6 +54,12 @@
             "springbridge_config_version", "Version in force", registry=self.registry
         )
         self.endpoints = Gauge("springbridge_engines", "Engines listed", registry=self.registry)
+        self.unreachable_endpoints = Gauge(
+            "springbridge_unreachable_engines",
+            "Engines that get no request since no connection came up, by who found that",
+            ["found_by"],
+            registry=self.registry,
+        )
         self.unreadable_endpoints = Gauge(
             "springbridge_unreadable_engines",
             "Entries of the engine list, as this node last read it, that name no engine",
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -38,6 +38,7 @@
     DRAINING = "draining"
     EVACUATED = "evacuated"
     UNREACHABLE = "unreachable"
+    REPORTED_UNREACHABLE = "said to be unreachable by a peer"
     RESTING = "resting"
     LEAVING = "leaving"
     EJECTED = "ejected"
@@ -102,7 +103,8 @@
     if state.evacuated:
         return ExclusionReason.EVACUATED
     if not state.reachable:
-        return ExclusionReason.UNREACHABLE
+        found_here = not state.unreachable_by
+        return ExclusionReason.UNREACHABLE if found_here else ExclusionReason.REPORTED_UNREACHABLE
     said = state.statements
     if said.rest is not None and not rests.may_send(said.rest, now_s):
         return ExclusionReason.RESTING
--- a/packages/springbridge/springbridge/routing/eligibility_test.py
+++ b/packages/springbridge/springbridge/routing/eligibility_test.py
@@ -109,3 +109,12 @@
         registry.record_failure(registry.find("b"))
     registry.mark_unreachable(registry.find("c"))
     assert_that(sorted(registry.avoided(SERVICE)), Equals(["b", "c"]))
+
+
+def test_a_peers_report_and_an_own_finding_are_told_apart(registry):
+    # Guards against logs in which nobody can see who found an endpoint unreachable.
+    registry.mark_unreachable(registry.find("a"), "10.0.0.2:80")
+    registry.mark_unreachable(registry.find("b"))
+    registry.mark_unreachable(registry.find("b"), "10.0.0.2:80")
+    counts = registry.exclusion_counts(SERVICE)
+    assert_that(counts, Equals({"unreachable": 1, "said to be unreachable by a peer": 1}))
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -324,8 +324,12 @@
             and not state.statements.wants_nothing(now_s)
         ]
 
-    def apply_notice(self, notice: LoadNotice) -> None:
-        """Apply a load notice of this instance or a peer; ignored for unknown endpoints."""
+    def apply_notice(self, notice: LoadNotice, reported_by: str = "") -> None:
+        """Apply a load notice; ignored for unknown endpoints.
+
+        Args:
+          reported_by: Address of the peer that sent it, "" for this instance.
+        """
         state = self._states.get(notice.endpoint_id)
         if state is None:
             return
@@ -337,7 +341,7 @@
             case LoadPhase.ENDED:
                 state.record_end(notice.attempt_id)
             case LoadPhase.UNREACHED if is_about(notice, state.entry):
-                self.mark_unreachable(state)
+                self.mark_unreachable(state, reported_by)
             case LoadPhase.GONE if is_about(notice, state.entry):
                 self.mark_gone(state)
 
@@ -364,8 +368,14 @@
         state.ejected_until_s = self._clock() + seconds
         return True
 
-    def mark_unreachable(self, state: EndpointState) -> None:
-        """Record that connecting to an endpoint failed."""
+    def mark_unreachable(self, state: EndpointState, reported_by: str = "") -> None:
+        """Record that connecting to an endpoint failed.
+
+        Args:
+          reported_by: Address of the peer where it failed, "" for this instance.
+        """
+        if state.reachable or not reported_by:
+            state.unreachable_by = reported_by
         state.reachable = False
 
     def mark_reachable(self, state: EndpointState) -> None:
@@ -373,6 +383,7 @@
         if not state.reachable:
             state.perhaps_cold_until_s = self._clock() + ENTRY_DELAY_S
         state.reachable = True
+        state.unreachable_by = ""
 
     def mark_gone(self, state: EndpointState) -> None:
         """Record that an endpoint has ended, as another one now answers at its address.
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -54,6 +54,8 @@
       failures: Consecutive failures.
       ejected_until_s: Until then it gets a request only if there is no other endpoint.
       reachable: Whether the last attempt to connect succeeded; if not, it gets no request.
+      unreachable_by: Address of the peer on whose report it counts as unreachable; "" if this
+        instance found that itself.
       usable_until_s: Until when it may get requests: LISTED, or a moment once it is no longer on
         the list or another endpoint has its address.
       perhaps_cold_until_s: Until then it may be cold although its entry does not say so yet.
@@ -71,6 +73,7 @@
     failures: int = 0
     ejected_until_s: float = 0.0
     reachable: bool = True
+    unreachable_by: str = ""
     usable_until_s: float = LISTED
     perhaps_cold_until_s: float = 0.0
     evacuated: bool = False
