--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -13,6 +13,7 @@
 from springbridge_node.gateway.outside import PlatformPorts
 
 from springbridge_standins.free_addresses import free_ports
+from springbridge_standins.gateway.cuts import running_as
 from springbridge_standins.gateway.engine import EngineStandIn, Script
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.http_standin import running
@@ -148,7 +149,7 @@
         for one in settings:
             gateway = Gateway(one, make_outside(store.address))
             fleet.nodes.append(gateway)
-            await gateway.start()
+            await _start(gateway)
             stack.push_async_callback(_stop, gateway)
         await until(lambda: all(node.is_ready() for node in fleet.nodes))
         await until(lambda: all(len(node.membership.live()) == nodes for node in fleet.nodes))
@@ -167,10 +168,16 @@
     for one in _settings(len(old)):
         gateway = Gateway(one, make_outside(fleet.store.address))
         fleet.nodes.append(gateway)
-        await gateway.start()
+        await _start(gateway)
     await until(lambda: all(node.is_ready() for node in fleet.nodes))
 
 
+async def _start(gateway: Gateway) -> None:
+    """Start a node, whose tasks run as its instance."""
+    with running_as(gateway.settings.ip):
+        await gateway.start()
+
+
 async def _stop(gateway: Gateway) -> None:
     """Refuse new requests at a node, and stop it."""
     gateway.refuse_new()
@@ -191,7 +198,7 @@
     )
     gateway = Gateway(settings, make_outside(fleet.store.address))
     fleet.nodes.append(gateway)
-    await gateway.start()
+    await _start(gateway)
     return gateway
 
 
