A peer's word that an endpoint is unreachable is a report, which is verified

Callers of instances that reached all endpoints were refused ("no engine", unreachable: 5): one instance that lost its own paths told UNREACHED of each endpoint, and every peer excluded it until the prober had connected. A report now puts the endpoint behind the others for 2 s, unless this instance had contact with it within half a second, and the prober verifies it; a round of the prober has at most 16 probes of each kind.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
@@ -1,6 +1,7 @@
 """Probes unreachable endpoints in the background, so that no request has to wait for it."""
 
 import asyncio
+import random
 
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.endpoint_state import EndpointState
@@ -12,6 +13,9 @@
 # Seconds between two rounds of probes, each one connection attempt for an endpoint. Short compared
 # with the seconds that an endpoint takes to come back.
 PROBE_INTERVAL_S = 0.25
+# Endpoints probed in a round for each reason. Bounds the connections that an instance opens at once
+# when many endpoints are back.
+MAX_PROBES = 16
 
 
 class EndpointProber:
@@ -23,10 +27,10 @@
         self._pool = pool
 
     async def step(self) -> None:
-        """Probe every unreachable endpoint once."""
-        await asyncio.gather(
-            *(self._probe(state) for state in self._registry.unreachable_endpoints())
-        )
+        """Probe unreachable endpoints, and those that peers report as such, MAX_PROBES of each."""
+        probes = [self._probe(state) for state in _some(self._registry.unreachable_endpoints())]
+        probes += [self._verify(state) for state in _some(self._registry.reported_unreachable())]
+        await asyncio.gather(*probes)
 
     async def _probe(self, state: EndpointState) -> None:
         """Probe one endpoint, and mark it as reached if the connection is established."""
@@ -37,3 +41,18 @@
             return
         self._registry.mark_reachable(state)
         logs.event("engine.reached", engine=state.entry.endpoint_id)
+
+    async def _verify(self, state: EndpointState) -> None:
+        """Verify a peer's report that an endpoint is unreachable."""
+        try:
+            await self._pool.warm(state.entry)
+        except ConnectFailedError:
+            # Not logged: the report was.
+            self._registry.mark_unreachable(state)
+            return
+        self._registry.mark_reachable(state)
+
+
+def _some(states: list[EndpointState]) -> list[EndpointState]:
+    """Return MAX_PROBES of some endpoints, chosen at random."""
+    return random.sample(states, min(MAX_PROBES, len(states)))
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -38,17 +38,22 @@
     DRAINING = "draining"
     EVACUATED = "evacuated"
     UNREACHABLE = "unreachable"
-    REPORTED_UNREACHABLE = "said to be unreachable by a peer"
     RESTING = "resting"
     LEAVING = "leaving"
     EJECTED = "ejected"
+    REPORTED_UNREACHABLE = "said to be unreachable by a peer"
     REPORTED_LEAVING = "said to leave by a peer"
     REPORTED_RESTING = "rests from a peer"
 
 
 # Reasons for which an endpoint is used only if the service has no endpoint without any reason.
 DEPRIORITIZING_REASONS = frozenset(
-    {ExclusionReason.EJECTED, ExclusionReason.REPORTED_LEAVING, ExclusionReason.REPORTED_RESTING}
+    {
+        ExclusionReason.EJECTED,
+        ExclusionReason.REPORTED_UNREACHABLE,
+        ExclusionReason.REPORTED_LEAVING,
+        ExclusionReason.REPORTED_RESTING,
+    }
 )
 
 
@@ -103,8 +108,7 @@
     if state.evacuated:
         return ExclusionReason.EVACUATED
     if not state.reachable:
-        found_here = not state.unreachable_by
-        return ExclusionReason.UNREACHABLE if found_here else ExclusionReason.REPORTED_UNREACHABLE
+        return ExclusionReason.UNREACHABLE
     said = state.statements
     if said.rest is not None and not rests.may_send(said.rest, now_s):
         return ExclusionReason.RESTING
@@ -112,6 +116,8 @@
         return ExclusionReason.LEAVING
     if state.ejected_until_s > now_s:
         return ExclusionReason.EJECTED
+    if state.reported_unreachable_until_s > now_s:
+        return ExclusionReason.REPORTED_UNREACHABLE
     if leaving.is_likely(said.leaving, now_s):
         return ExclusionReason.REPORTED_LEAVING
     if said.behind_until_s > now_s:
--- a/packages/springbridge/springbridge/routing/eligibility_test.py
+++ b/packages/springbridge/springbridge/routing/eligibility_test.py
@@ -9,6 +9,7 @@
 from springbridge.routing.ejection import FAILURES_TO_EJECT
 from springbridge.routing.eligibility import MASS_LAPSE_GRACE_S, OUTAGE_LIST_AGE_S
 from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.load_notices import LoadNotice, LoadPhase
 
 
 def test_draining_and_unlisted_endpoints_get_nothing(registry):
@@ -111,10 +112,17 @@
     assert_that(sorted(registry.avoided(SERVICE)), Equals(["b", "c"]))
 
 
+# Guards against an instance that excludes all endpoints because a peer has lost its own paths.
+def test_endpoints_that_a_peer_reports_as_unreachable_are_used_if_there_is_no_other(registry):
+    for name in "abcd":
+        registry.apply_notice(LoadNotice(LoadPhase.UNREACHED, "", name), "10.0.0.2:80")
+    assert_that(usable_ids(registry), Equals(["a", "b", "c", "d"]))
+
+
 def test_a_peers_report_and_an_own_finding_are_told_apart(registry):
     # Guards against logs in which nobody can see who found an endpoint unreachable.
-    registry.mark_unreachable(registry.find("a"), "10.0.0.2:80")
-    registry.mark_unreachable(registry.find("b"))
-    registry.mark_unreachable(registry.find("b"), "10.0.0.2:80")
+    registry.apply_notice(LoadNotice(LoadPhase.UNREACHED, "", "a"), "10.0.0.2:80")
+    registry.apply_notice(LoadNotice(LoadPhase.UNREACHED, "", "b"))
+    registry.apply_notice(LoadNotice(LoadPhase.UNREACHED, "", "b"), "10.0.0.2:80")
     counts = registry.exclusion_counts(SERVICE)
     assert_that(counts, Equals({"unreachable": 1, "said to be unreachable by a peer": 1}))
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -31,6 +31,12 @@
 from springbridge.statements.statement_table import StatementTable
 from springbridge.store_stamp import era_of
 
+# Seconds for which a peer's report that an endpoint is unreachable holds. The prober verifies it
+# meanwhile.
+REPORT_S = 2.0
+# Seconds since this instance's own contact with an endpoint within which such a report is ignored.
+CONTACT_S = 0.5
+
 
 class EndpointRegistry:
     """All endpoints that this instance may use, by id.
@@ -314,11 +320,22 @@
 
     def unreachable_endpoints(self) -> list[EndpointState]:
         """Return the endpoints that the prober has to retry because a connection failed."""
+        return self._to_probe(lambda state: not state.reachable)
+
+    def reported_unreachable(self) -> list[EndpointState]:
+        """Return the reachable endpoints that peers report as unreachable, which are verified."""
+        now_s = self._clock()
+        return self._to_probe(
+            lambda state: state.reachable and state.reported_unreachable_until_s > now_s
+        )
+
+    def _to_probe(self, is_meant: Callable[[EndpointState], bool]) -> list[EndpointState]:
+        """Return the meant ones of the endpoints that may get a connection at all."""
         now_s = self._clock()
         return [
             state
             for state in self._states.values()
-            if not state.reachable
+            if is_meant(state)
             and not state.evacuated
             and state.usable_until_s > now_s
             and not state.statements.wants_nothing(now_s)
@@ -341,7 +358,7 @@
             case LoadPhase.ENDED:
                 state.record_end(notice.attempt_id)
             case LoadPhase.UNREACHED if is_about(notice, state.entry):
-                self.mark_unreachable(state, reported_by)
+                self._apply_unreached(state, reported_by)
             case LoadPhase.GONE if is_about(notice, state.entry):
                 self.mark_gone(state)
 
@@ -358,6 +375,8 @@
     def record_success(self, state: EndpointState) -> None:
         """Record that an endpoint answered correctly, which resets its count of failures."""
         state.failures = 0
+        state.reported_unreachable_until_s = 0.0
+        state.contact_s = self._clock()
 
     def record_failure(self, state: EndpointState) -> bool:
         """Record that an endpoint failed a request; return whether it is ejected for that."""
@@ -368,22 +387,28 @@
         state.ejected_until_s = self._clock() + seconds
         return True
 
-    def mark_unreachable(self, state: EndpointState, reported_by: str = "") -> None:
-        """Record that connecting to an endpoint failed.
+    def _apply_unreached(self, state: EndpointState, reported_by: str) -> None:
+        """Apply a notice that no connection to an endpoint came up.
 
-        Args:
-          reported_by: Address of the peer where it failed, "" for this instance.
+        What a peer finds is no more than a report here: it may have lost its own path.
         """
-        if state.reachable or not reported_by:
-            state.unreachable_by = reported_by
+        if not reported_by:
+            self.mark_unreachable(state)
+        elif self._clock() - state.contact_s > CONTACT_S:
+            state.reported_unreachable_until_s = self._clock() + REPORT_S
+
+    def mark_unreachable(self, state: EndpointState) -> None:
+        """Record that connecting to an endpoint failed."""
         state.reachable = False
+        state.reported_unreachable_until_s = 0.0
 
     def mark_reachable(self, state: EndpointState) -> None:
         """Record that connecting to an endpoint succeeded."""
         if not state.reachable:
             state.perhaps_cold_until_s = self._clock() + ENTRY_DELAY_S
         state.reachable = True
-        state.unreachable_by = ""
+        state.reported_unreachable_until_s = 0.0
+        state.contact_s = self._clock()
 
     def mark_gone(self, state: EndpointState) -> None:
         """Record that an endpoint has ended, as another one now answers at its address.
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -54,8 +54,8 @@
       failures: Consecutive failures.
       ejected_until_s: Until then it gets a request only if there is no other endpoint.
       reachable: Whether the last attempt to connect succeeded; if not, it gets no request.
-      unreachable_by: Address of the peer on whose report it counts as unreachable; "" if this
-        instance found that itself.
+      reported_unreachable_until_s: Until then a peer's report that it is unreachable holds.
+      contact_s: When it delivered an answer, or a connection to it came up again, the last time.
       usable_until_s: Until when it may get requests: LISTED, or a moment once it is no longer on
         the list or another endpoint has its address.
       perhaps_cold_until_s: Until then it may be cold although its entry does not say so yet.
@@ -73,7 +73,8 @@
     failures: int = 0
     ejected_until_s: float = 0.0
     reachable: bool = True
-    unreachable_by: str = ""
+    reported_unreachable_until_s: float = 0.0
+    contact_s: float = float("-inf")
     usable_until_s: float = LISTED
     perhaps_cold_until_s: float = 0.0
     evacuated: bool = False
