An instance that has lost its paths reaches endpoints through its peers

Class: one end's finding taken for a fact of both ends. Such an instance knew no way to an endpoint but its own connections, took what it found for a state of the endpoint, and a refused connection for its end: 15 crash records in a second, so that a request that three cut streams had is in quarantine at all nodes.

A connection that fails or hangs is now tried through up to three peers as well, as a CONNECT tunnel that members alone get. If a peer connects, the path is lost: requests go through peers until a probe is back. Only if the peers cannot connect either is the endpoint unreachable, and has it crashed. All decisions on the request stay with its instance.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -5,18 +5,20 @@
 
 import pytest
 from springbridge.routing.endpoint_state import EndpointState
+from springbridge.routing.paths import PathTable
 from springbridge.routing.records import EndpointEntry
 from springbridge_standins.gateway.engine import EngineStandIn
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
 from springbridge_node.clock import now_s
+from springbridge_node.gateway.endpoints.connector import CONNECT_TIMEOUT_S
 from springbridge_node.gateway.endpoints.crash_confirmation import (
     REFUSAL_TIMEOUT_S,
     CrashConfirmation,
 )
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
-from springbridge_node.gateway.http.http_connection import ConnectFailedError
+from springbridge_node.gateway.http.http_connection import ConnectFailedError, connect
 
 
 def no_late_crash():
@@ -24,6 +26,11 @@
     raise AssertionError
 
 
+async def connect_alone(entry):
+    """Connect as an instance without peers does."""
+    return await connect(entry.address, CONNECT_TIMEOUT_S)
+
+
 @pytest.fixture
 def run():
     """Return a function that runs a test body with an endpoint, its state and a confirmation."""
@@ -33,7 +40,9 @@
             engine = EngineStandIn("i-1")
             await engine.start()
             entry = EndpointEntry("i-1", "model", engine.address, "a", 4, False)
-            confirmation = CrashConfirmation(ConnectionPool(lambda: 1))
+            confirmation = CrashConfirmation(
+                ConnectionPool(lambda: 1, connect_alone, PathTable(now_s))
+            )
             try:
                 await body(engine, EndpointState(entry), confirmation)
             finally:
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -5,17 +5,15 @@
 resets the others, so each instance keeps to its share of them.
 """
 
-from collections.abc import Callable, Set
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 
+from springbridge.routing.paths import PathTable
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, Service
 
 from springbridge_node import clock
-from springbridge_node.gateway.http.http_connection import HttpConnection, connect
+from springbridge_node.gateway.http.http_connection import HttpConnection
 
-# Seconds for establishing a connection. Short compared with a request's deadline, so that another
-# endpoint can still be tried.
-CONNECT_TIMEOUT_S = 0.4
 # Share of an endpoint's connections that all instances together use. A fifth is left free, because
 # instances may briefly disagree on how many they are.
 USED_SHARE = 0.8
@@ -48,6 +46,9 @@
 CLOSE_IDLE_S = 2 * REPEATABLE_IDLE.max_s
 
 
+Connect = Callable[[EndpointEntry], Awaitable[HttpConnection]]
+
+
 class EndpointBusyError(Exception):
     """This instance already has as many connections to an endpoint as it may have."""
 
@@ -59,15 +60,20 @@
     is not reused after the endpoint has restarted or its address has gone to another endpoint.
     """
 
-    def __init__(self, instances: Callable[[], int]) -> None:
+    def __init__(self, instances: Callable[[], int], connect: Connect, paths: PathTable) -> None:
         """Start without connections.
 
         Args:
           instances: Returns how many instances share an endpoint's connections.
+          connect: Opens a connection to an endpoint.
+          paths: Tells which connections may be reused.
         """
         self._instances = instances
+        self._open_connection = connect
+        self._paths = paths
         self._idle: dict[EndpointIncarnation, list[HttpConnection]] = {}
         self._open: dict[EndpointIncarnation, int] = {}
+        self._in_use: dict[HttpConnection, EndpointEntry] = {}
 
     async def acquire(
         self, entry: EndpointEntry, service: Service, repeatable: bool
@@ -86,12 +92,23 @@
         idle = self._idle.get(incarnation, [])
         while idle:
             conn = idle.pop()
-            if conn.can_reuse(limit.max_s, limit.keep_alive_share):
+            if self._suits_path(conn, incarnation) and conn.can_reuse(
+                limit.max_s, limit.keep_alive_share
+            ):
+                self._in_use[conn] = entry
                 return conn
             self.discard(incarnation, conn)
         if self._open.get(incarnation, 0) >= connection_cap(service, self._instances()):
             raise EndpointBusyError(entry.endpoint_id)
-        return await self._connect(entry)
+        conn = await self._connect(entry)
+        self._in_use[conn] = entry
+        return conn
+
+    def _suits_path(self, conn: HttpConnection, incarnation: EndpointIncarnation) -> bool:
+        """Return whether an idle connection leads where the path to its endpoint is intact."""
+        if conn.through:
+            return not self._paths.prefers_direct(incarnation)
+        return not (self._paths.is_lost(incarnation) or self._paths.is_doubtful(incarnation))
 
     def idle_count(self, incarnation: EndpointIncarnation) -> int:
         """Return how many idle connections to an endpoint are kept."""
@@ -106,11 +123,16 @@
         conn = await self._connect(entry)
         self._idle.setdefault(entry.incarnation, []).append(conn)
 
+    def add_idle(self, incarnation: EndpointIncarnation, conn: HttpConnection) -> None:
+        """Keep a connection that was opened elsewhere for the next request."""
+        self._open[incarnation] = self._open.get(incarnation, 0) + 1
+        self._idle.setdefault(incarnation, []).append(conn)
+
     async def _connect(self, entry: EndpointEntry) -> HttpConnection:
         """Open a connection and count it."""
         self._open[entry.incarnation] = self._open.get(entry.incarnation, 0) + 1
         try:
-            return await connect(entry.address, CONNECT_TIMEOUT_S)
+            return await self._open_connection(entry)
         except BaseException:
             self._count_closed(entry.incarnation)
             raise
@@ -120,13 +142,58 @@
         if not conn.may_be_kept:
             self.discard(incarnation, conn)
             return
+        self._in_use.pop(conn, None)
         self._idle.setdefault(incarnation, []).append(conn)
 
     def discard(self, incarnation: EndpointIncarnation, conn: HttpConnection) -> None:
         """Close a connection and free its place among the open ones."""
         conn.abort()
+        self._in_use.pop(conn, None)
         self._count_closed(incarnation)
 
+    def close_hanging(self, incarnation: EndpointIncarnation, since_s: float) -> None:
+        """Close direct connections in use over a path that is lost, if they are silent.
+
+        Only those whose requests may be sent again: others may still get their answers.
+
+        Args:
+          since_s: Time since when they received nothing, on the clock of `clock.now_s`.
+        """
+        for conn, entry in list(self._in_use.items()):
+            if entry.incarnation == incarnation and _is_silent(conn, since_s):
+                conn.abort()
+
+    def silent(self, since_s: float) -> list[EndpointEntry]:
+        """Return the endpoints with direct connections in use that are silent; see close_hanging.
+
+        Args:
+          since_s: Time since when they received nothing, on the clock of `clock.now_s`.
+        """
+        found = {
+            entry.incarnation: entry
+            for conn, entry in self._in_use.items()
+            if _is_silent(conn, since_s)
+        }
+        return list(found.values())
+
+    def close_through_peers(
+        self, is_usable: Callable[[str], bool], is_running: Callable[[str], bool]
+    ) -> None:
+        """Close connections through peers that leave or have ended.
+
+        Args:
+          is_usable: Returns whether new requests may go through a peer, given its incarnation; if
+            not, idle connections through it are closed.
+          is_running: Returns whether a peer runs; if not, connections in use through it are closed.
+        """
+        for conn in [each for each in self._in_use if each.through]:
+            if not is_running(conn.through):
+                conn.abort()
+        for incarnation, idle in list(self._idle.items()):
+            for conn in [each for each in idle if each.through and not is_usable(each.through)]:
+                idle.remove(conn)
+                self.discard(incarnation, conn)
+
     def keep_only(self, incarnations: Set[EndpointIncarnation]) -> None:
         """Close idle connections to any other incarnation, and those idle beyond CLOSE_IDLE_S."""
         now_s = clock.now_s()
@@ -150,6 +217,11 @@
             self._open.pop(incarnation, None)
 
 
+def _is_silent(conn: HttpConnection, since_s: float) -> bool:
+    """Return whether a direct connection, whose request may be sent again, received nothing."""
+    return conn.may_be_given_up and not conn.through and conn.received_s < since_s
+
+
 def connection_cap(service: Service, instances: int) -> int:
     """Return how many connections one instance may have to an endpoint.
 
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
@@ -1,12 +1,14 @@
-"""Probes unreachable endpoints in the background, so that no request has to wait for it."""
+"""Probes unreachable endpoints and lost paths in the background, so that no request waits."""
 
 import asyncio
 import random
 
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.endpoint_state import EndpointState
+from springbridge.routing.paths import PathTable
 
 from springbridge_node import logs
+from springbridge_node.gateway.endpoints.connector import EndpointConnector
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.http_connection import ConnectFailedError
 
@@ -14,26 +16,36 @@
 # with the seconds that an endpoint takes to come back.
 PROBE_INTERVAL_S = 0.25
 # Endpoints probed in a round for each reason. Bounds the connections that an instance opens at once
-# when many endpoints are back.
+# when many endpoints or paths are back.
 MAX_PROBES = 16
 
 
 class EndpointProber:
     """Connects to unreachable endpoints until one attempt succeeds, and keeps that connection."""
 
-    def __init__(self, registry: EndpointRegistry, pool: ConnectionPool) -> None:
-        """Keep the registry and the pool."""
+    def __init__(
+        self,
+        registry: EndpointRegistry,
+        pool: ConnectionPool,
+        connector: EndpointConnector,
+        paths: PathTable,
+    ) -> None:
+        """Keep the parts."""
         self._registry = registry
         self._pool = pool
+        self._connector = connector
+        self._paths = paths
 
     async def step(self) -> None:
-        """Probe unreachable endpoints, and those that peers report as such, MAX_PROBES of each."""
+        """Probe the unreachable endpoints and the lost paths that are due, MAX_PROBES of each."""
         probes = [self._probe(state) for state in _some(self._registry.unreachable_endpoints())]
         probes += [self._verify(state) for state in _some(self._registry.reported_unreachable())]
+        due = [self._registry.find(each.endpoint_id) for each in self._paths.due()[:MAX_PROBES]]
+        probes += [self._probe_path(state) for state in due if state is not None]
         await asyncio.gather(*probes)
 
     async def _probe(self, state: EndpointState) -> None:
-        """Probe one endpoint, and mark it as reached if the connection is established."""
+        """Probe an unreachable endpoint, and mark it as reached if a connection comes up."""
         try:
             await self._pool.warm(state.entry)
         except ConnectFailedError:
@@ -52,6 +64,15 @@
             return
         self._registry.mark_reachable(state)
 
+    async def _probe_path(self, state: EndpointState) -> None:
+        """Connect directly to an endpoint whose path is lost."""
+        try:
+            conn = await self._connector.connect_directly(state.entry)
+        except ConnectFailedError:
+            # Not logged: the loss was, and the path is probed again.
+            return
+        self._pool.add_idle(state.entry.incarnation, conn)
+
 
 def _some(states: list[EndpointState]) -> list[EndpointState]:
     """Return MAX_PROBES of some endpoints, chosen at random."""
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -33,8 +33,8 @@
     CHECK_INTERVAL_S as QUARANTINE_CHECK_INTERVAL_S,
 )
 from springbridge_node.gateway.duties.duty_parts import duty_parts
-from springbridge_node.gateway.endpoints.pool import ConnectionPool
-from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S, EndpointProber
+from springbridge_node.gateway.endpoints.path_parts import PathParts
+from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S
 from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.gateway.http.small_server import TEXT, Reply, serve_small
 from springbridge_node.gateway.metrics_page import METRICS_PATH, set_gauges
@@ -76,6 +76,7 @@
       registry: The endpoints and the state of each.
       configuration: Follows and holds the configuration in force.
       endpoints: Keeps the endpoint list in the registry up to date.
+      path_parts: Connect to endpoints, directly or through peers, and serve peers likewise.
       rates: Enforces the request rates that endpoints announce.
       evacuations: The failure domains that operators evacuate; their endpoints get no requests.
       budget: This node's share of the fleet's retry budget.
@@ -99,7 +100,10 @@
             services=lambda: self.configuration.services(),
         )
         self.selection_parts = SelectionParts(self.registry, self.membership, self.rates.table)
-        self.pool = ConnectionPool(self.live_node_count)
+        self.path_parts = PathParts(
+            self.membership, self.registry, settings.ip, self.live_node_count
+        )
+        self.pool = self.path_parts.pool
         self.budget = SharedRetryBudget(settings.budget, self.live_node_count, clock.now_s)
         self.readers = StoreReaders(
             self.membership,
@@ -178,6 +182,8 @@
             index=lambda: self.configuration.index,
             configuration_retry_after_s=self.configuration.retry_after_s,
             registry=self.registry,
+            paths=self.path_parts.paths,
+            stalls=self.path_parts.stalls,
             pool=self.pool,
             budget=self.budget,
             codec=self._ports.codec,
@@ -211,7 +217,7 @@
         handlers = peer_handlers(
             lambda: self.configuration, self.registry, self.quarantine_parts.sharing.suspects
         )
-        serve_small(addresses.peers, handlers)
+        serve_small(addresses.peers, handlers, self.path_parts.tunnel_server.serve)
         serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
         self.listener.listen(addresses.callers, CallerLimits())
 
@@ -233,7 +239,8 @@
         return (
             self.configuration.run(),
             every(0.0, self.endpoints.step),
-            every_tick(PROBE_INTERVAL_S, EndpointProber(self.registry, self.pool).step),
+            every_tick(PROBE_INTERVAL_S, self.path_parts.prober.step),
+            every_tick(HEARTBEAT_INTERVAL_S, self.path_parts.close_ended),
             every_tick(HEARTBEAT_INTERVAL_S, self.heartbeats.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.quarantine_parts.sharing.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.rates.beat),
@@ -264,6 +271,10 @@
         self._refusing = True
         self.listener.stop_accepting()
 
+    def in_progress(self) -> int:
+        """Return how many requests of callers, and tunnels of peers, are in progress."""
+        return len(self.listener.in_progress) + self.path_parts.tunnel_server.count
+
     async def release_duties(self) -> None:
         """Release the lease of the duties, so that another node takes over."""
         if self.duties is not None:
@@ -315,6 +326,7 @@
         """Drop the state and connections of endpoints and peers that are gone."""
         known = self.registry.known_incarnations()
         self.pool.keep_only(known)
+        self.path_parts.paths.forget_old(known)
         self.rates.forget_gone(known)
         self.registry.statements.forget_gone(known)
         self.registry.expire_loads()
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -7,7 +7,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import AsyncIterator
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -40,24 +43,35 @@
 # s of the probes, which the kernel does not send while bytes are unacknowledged.
 UNACKNOWLEDGED_MS = 2500
 
+# The C int that an ioctl fills.
+INT = struct.Struct("i")
+
 
 class ConnectFailedError(Exception):
     """The connection was not established, so nothing was sent.
 
     Attributes:
       refused: Whether the host refused it because no process listens there: the process has ended.
+      agreed: Whether a peer could not connect either.
     """
 
-    def __init__(self, detail: str, refused: bool = False):
+    def __init__(self, detail: str, refused: bool = False, agreed: bool = False):
         super().__init__(detail)
         self.refused = refused
+        self.agreed = agreed
+
+
+async def connect(address: str, timeout_s: float, source_ip: str = "") -> "HttpConnection":
+    """Open a connection; see open_stream."""
+    return HttpConnection(await open_stream(address, timeout_s, source_ip))
 
 
-async def connect(address: str, timeout_s: float) -> "HttpConnection":
-    """Open a connection.
+async def open_stream(address: str, timeout_s: float, source_ip: str = "") -> IOStream:
+    """Open a TCP connection.
 
     Args:
       address: IP number and port.
+      source_ip: Local IP number of the connection; "" leaves the choice to the kernel.
 
     Raises:
       ConnectFailedError: It was refused, or not established in time.
@@ -65,9 +79,11 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    _enable_dead_host_detection(sock)
+    enable_dead_host_detection(sock)
     stream = IOStream(sock)
     try:
+        if source_ip:
+            sock.bind((source_ip, 0))
         async with asyncio.timeout(timeout_s):
             await stream.connect((host, int(port)))
     except (OSError, StreamClosedError, TimeoutError) as exc:
@@ -78,10 +94,10 @@
     except asyncio.CancelledError:
         stream.close()
         raise
-    return HttpConnection(stream)
+    return stream
 
 
-def _enable_dead_host_detection(sock: socket.socket) -> None:
+def enable_dead_host_detection(sock: socket.socket) -> None:
     """Set the socket options that break the connection if the other host stops responding."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -98,6 +114,10 @@
       opened_s: When it was opened, on the monotonic clock.
       idle_since_s: When it was opened or its last answer ended, on the monotonic clock.
       keep_alive_s: Keep-alive time that the other side sent, in seconds, or None if it sent none.
+      through: Incarnation of the peer through which it leads, "" if it is direct.
+      received_s: When bytes arrived last, on the monotonic clock.
+      may_be_given_up: Whether the request on it may be sent again, so that the connection may be
+        closed if its path hangs.
     """
 
     def __init__(self, stream: IOStream) -> None:
@@ -109,12 +129,21 @@
         self.opened_s = clock.now_s()
         self.idle_since_s = self.opened_s
         self.keep_alive_s: float | None = None
+        self.through = ""
+        self.received_s = self.opened_s
+        self.may_be_given_up = False
 
     def abort(self) -> None:
         """Close at once, which makes the other side stop work on the request."""
         self._may_be_kept = False
         self._stream.close()
 
+    def lead_through(self, incarnation: str) -> None:
+        """Record that what follows goes through a peer to an endpoint, as on a new connection."""
+        self.through = incarnation
+        self.idle_since_s = clock.now_s()
+        self._may_be_kept = True
+
     def send(self, head: bytes, body: bytes) -> None:
         """Send a request without waiting; read_head() reports a failure."""
         self._may_be_kept = False
@@ -171,6 +200,15 @@
         """Return whether the last answer left the connection fit for another request."""
         return self._may_be_kept and not self._unread and not self._stream.closed()
 
+    def has_unacknowledged(self) -> bool:
+        """Return whether sent bytes have not reached the host at the other end, as far as known."""
+        if self._stream.closed():
+            return False
+        if self._stream.writing():
+            return True
+        queued = fcntl.ioctl(self._stream.socket, termios.TIOCOUTQ, bytes(INT.size))
+        return INT.unpack(queued)[0] > 0
+
     def _received_nothing(self) -> bool:
         """Return whether nothing arrived while the connection was idle: no byte, end or reset."""
         try:
@@ -202,6 +240,7 @@
         except StreamClosedError as exc:
             kind = type(exc.real_error).__name__ if exc.real_error else "end of stream"
             raise AnswerBrokenError(kind) from exc
+        self.received_s = clock.now_s()
 
     async def _read_until(self, delimiter: bytes, limit: int) -> bytes:
         """Return the bytes up to a delimiter, without it.
--- a/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
@@ -26,20 +26,30 @@
 
 
 Handler = Callable[[dict[str, str]], Reply]
+ConnectHandler = Callable[[HTTPServerRequest], None]
 
 
-def serve_small(address: str, handlers: Mapping[str, Handler]) -> None:
-    """Serve a small interface, unless its address is empty in the settings."""
+def serve_small(
+    address: str, handlers: Mapping[str, Handler], on_connect: ConnectHandler | None = None
+) -> None:
+    """Serve a small interface, unless its address is empty in the settings.
+
+    Args:
+      on_connect: Takes over the requests with method CONNECT; None if there are none.
+    """
     if address:
-        SmallServer(handlers).listen(address)
+        SmallServer(handlers, on_connect).listen(address)
 
 
 class SmallServer:
     """Answers requests by path; a handler gets the query's parameters."""
 
-    def __init__(self, handlers: Mapping[str, Handler]) -> None:
+    def __init__(
+        self, handlers: Mapping[str, Handler], on_connect: ConnectHandler | None = None
+    ) -> None:
         """Store the handler of each path; listen() starts to serve."""
         self._handlers = handlers
+        self._on_connect = on_connect
         self._server = HTTPServer(self._serve)
 
     def listen(self, address: str) -> None:
@@ -49,6 +59,9 @@
 
     def _serve(self, request: HTTPServerRequest) -> None:
         """Answer one request, with 404 if its path has no handler."""
+        if self._on_connect is not None and request.method == "CONNECT":
+            self._on_connect(request)
+            return
         url = urlsplit(request.uri)
         handler = self._handlers.get(url.path)
         reply = handler(dict(parse_qsl(url.query))) if handler else Reply(404)
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
@@ -97,7 +97,7 @@
     releasing = asyncio.ensure_future(gateway.release_duties())
     await asyncio.sleep(planned_stop.serve_on_s(grace_s))
     gateway.refuse_new()
-    while gateway.listener.in_progress and loop.time() < end_s:
+    while gateway.in_progress() and loop.time() < end_s:
         await asyncio.sleep(POLL_S)
     # If the store has not acknowledged the release by now, the successor waits until the lease has
     # expired.
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
@@ -27,6 +27,10 @@
         """Note the step."""
         self.steps.append("leave")
 
+    def in_progress(self):
+        """Return how many answers are in progress."""
+        return len(self.listener.in_progress)
+
     async def release_duties(self):
         """Note the step."""
         self.steps.append("hand on")
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -20,6 +20,8 @@
     telemetry.unreachable_endpoints.labels("peer").set(reported)
     unreachable = len(gateway.registry.unreachable_endpoints())
     telemetry.unreachable_endpoints.labels("self").set(unreachable)
+    telemetry.lost_paths.set(len(gateway.path_parts.paths.lost()))
+    telemetry.tunnels.set(gateway.path_parts.tunnel_server.count)
     telemetry.limited_endpoints.set(len(gateway.rates.table.limited()))
     telemetry.cold_endpoints.set(len(gateway.rates.table.cold()))
     telemetry.endpoint_rate.clear()
--- a/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/load_sharing.py
@@ -111,7 +111,7 @@
             self.publish(LoadNotice(LoadPhase.ENDED, attempt_id, endpoint_id))
 
     def unreached(self, entry: EndpointEntry) -> None:
-        """Publish that connecting to an endpoint failed, so that peers need not try it."""
+        """Publish that this instance and a peer failed to connect to an endpoint."""
         self.publish(endpoint_notice(LoadPhase.UNREACHED, entry))
 
     def gone(self, entry: EndpointEntry) -> None:
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -0,0 +1,206 @@
+"""Connects to endpoints on behalf of peers that have lost their own paths, and copies the bytes.
+
+The peer speaks HTTP with the endpoint through the connection, and all decisions on its requests
+stay with it. This instance decides only whether it can connect: it never asks a third one, so a
+request takes one hop at most. Either end that closes or breaks has the other one close or break in
+the same way, so that a peer can tell a whole answer from a truncated one, and an endpoint hears at
+once that a caller has left.
+"""
+
+import asyncio
+import socket
+import struct
+
+from springbridge.membership import Membership
+from springbridge.routing.eligibility import ExclusionReason, exclusion_reason
+from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.endpoint_state import EndpointState
+from springbridge.routing.paths import PathTable
+from tornado.httputil import HTTPServerRequest
+from tornado.iostream import IOStream, StreamClosedError
+
+from springbridge_node import logs
+from springbridge_node.gateway.http.http_connection import (
+    ConnectFailedError,
+    enable_dead_host_detection,
+    open_stream,
+)
+from springbridge_node.gateway.peers.tunnel_messages import (
+    TunnelRequest,
+    TunnelResult,
+    read_request,
+    reply_head,
+)
+
+# Tunnels of all peers together. Bounds descriptors, and memory at READ_BYTES for each direction.
+MAX_TUNNELS = 256
+# Seconds for establishing the connection to an endpoint. Below the time that a peer waits for it.
+CONNECT_TIMEOUT_S = 0.3
+# Maximum bytes taken from a connection before they are written to the other one.
+READ_BYTES = 1 << 16
+# Value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Reasons for which this instance sends an endpoint nothing, whoever asks. Ejections, and what peers
+# report, are left to the peer that asks.
+BINDING_REASONS = frozenset(
+    {
+        ExclusionReason.NOT_LISTED,
+        ExclusionReason.DRAINING,
+        ExclusionReason.EVACUATED,
+        ExclusionReason.RESTING,
+        ExclusionReason.LEAVING,
+    }
+)
+
+
+class TunnelServer:
+    """Serves the tunnels of peers.
+
+    Attributes:
+      count: Number of open tunnels.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        registry: EndpointRegistry,
+        paths: PathTable,
+    ) -> None:
+        """Start without tunnels.
+
+        Args:
+          membership: Has the members, who alone get tunnels.
+          paths: This instance's own paths.
+        """
+        self._membership = membership
+        self._registry = registry
+        self._paths = paths
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def count(self) -> int:
+        """Return the number of tunnels that are open or being opened."""
+        return len(self._tasks)
+
+    def serve(self, request: HTTPServerRequest) -> None:
+        """Serve a CONNECT in a task of its own."""
+        wanted = read_request(request.uri, request.headers)
+        result = self._refusal(wanted, request.remote_ip)
+        stream = request.connection.detach()
+        if result is not None:
+            self._log(wanted, request.remote_ip, result)
+            _reply_and_close(stream, result)
+            return
+        task = asyncio.ensure_future(self._serve_guarded(stream, wanted, request.remote_ip))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _refusal(self, wanted: TunnelRequest, remote_ip: str) -> TunnelResult | None:
+        """Return why a tunnel is refused without an attempt to connect, None if it is not."""
+        if not _is_member(self._membership, wanted.incarnation, remote_ip):
+            return TunnelResult.STRANGER
+        if not self._membership.is_live():
+            return TunnelResult.LEAVING
+        if len(self._tasks) >= MAX_TUNNELS:
+            return TunnelResult.FULL
+        state = self._registry.find(wanted.endpoint_id)
+        if state is None or state.entry.address != wanted.address:
+            return TunnelResult.EXCLUDED
+        return self._refusal_for(state)
+
+    def _refusal_for(self, state: EndpointState) -> TunnelResult | None:
+        """Return why this instance does not connect to an endpoint, None if it tries."""
+        if self._paths.is_lost(state.entry.incarnation):
+            return TunnelResult.NO_PATH
+        if exclusion_reason(state, self._registry.now_s()) in BINDING_REASONS:
+            return TunnelResult.EXCLUDED
+        return None
+
+    async def _serve_guarded(self, peer: IOStream, wanted: TunnelRequest, remote_ip: str) -> None:
+        """Serve one tunnel, and close the peer's connection whatever happens."""
+        try:
+            await self._serve(peer, wanted, remote_ip)
+        except StreamClosedError:
+            # The peer has closed its connection; there is nobody to answer.
+            pass
+        except Exception as exc:
+            logs.fault(exc, "tunnel")
+        finally:
+            peer.close()
+
+    async def _serve(self, peer: IOStream, wanted: TunnelRequest, remote_ip: str) -> None:
+        """Connect to the endpoint, and copy bytes until either end closes.
+
+        Raises:
+          StreamClosedError: The peer closed its connection before the tunnel was open.
+        """
+        try:
+            endpoint = await open_stream(wanted.address, CONNECT_TIMEOUT_S)
+        except ConnectFailedError as exc:
+            result = TunnelResult.REFUSED if exc.refused else TunnelResult.UNREACHED
+            self._log(wanted, remote_ip, result)
+            await peer.write(reply_head(result))
+            return
+        try:
+            enable_dead_host_detection(peer.socket)
+            await peer.write(reply_head(TunnelResult.OPEN))
+            await _copy_both_ways(peer, endpoint)
+        finally:
+            endpoint.close()
+
+    def _log(self, wanted: TunnelRequest, remote_ip: str, result: TunnelResult) -> None:
+        """Log a tunnel that is not opened."""
+        logs.event(
+            "tunnel.refused",
+            engine=wanted.endpoint_id,
+            address=wanted.address,
+            asked_by=remote_ip,
+            result=result.value,
+        )
+
+
+def _is_member(membership: Membership, incarnation: str, remote_ip: str) -> bool:
+    """Return whether a request comes from a member's incarnation, and from its own address."""
+    member = membership.find(incarnation)
+    return member is not None and member.peer_address.rpartition(":")[0] == remote_ip
+
+
+def _reply_and_close(stream: IOStream, result: TunnelResult) -> None:
+    """Send a refusal and close the connection once it is sent."""
+    if stream.closed():
+        return
+    sent = stream.write(reply_head(result))
+    sent.add_done_callback(lambda done: (done.exception(), stream.close()))
+
+
+async def _copy_both_ways(peer: IOStream, endpoint: IOStream) -> None:
+    """Copy bytes in both directions until either connection ends; the other one ends likewise."""
+    copying = [
+        asyncio.ensure_future(_copy(peer, endpoint)),
+        asyncio.ensure_future(_copy(endpoint, peer)),
+    ]
+    try:
+        await asyncio.wait(copying, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for each in copying:
+            each.cancel()
+        await asyncio.gather(*copying, return_exceptions=True)
+        if endpoint.closed() and endpoint.error is not None:
+            _reset(peer)
+
+
+async def _copy(source: IOStream, sink: IOStream) -> None:
+    """Copy bytes until either connection ends."""
+    try:
+        while True:
+            await sink.write(await source.read_bytes(READ_BYTES, partial=True))
+    except StreamClosedError:
+        # Which connection ended, and how, is read from the streams.
+        return
+
+
+def _reset(stream: IOStream) -> None:
+    """Close a connection with a reset, so that what was sent does not look complete."""
+    if not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        stream.close()
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -35,6 +35,7 @@
       kept_tokens: Tokens of this prompt that its cache probably held.
       source: Endpoint from whose cache it should fetch more of the prompt, "" for none.
       coordinator: Address of the coordinator that chose it, "" for this instance.
+      through: Incarnation of the peer through which the connection led, "" if it was direct.
       sent_s: When the request was sent there, on the clock of `clock.now_s`.
     """
 
@@ -46,9 +47,12 @@
     source: str
     coordinator: str
     sent_s: float
+    through: str = ""
 
     @classmethod
-    def from_choice(cls, choice: Choice, demand: Demand, sent_s: float) -> "ChosenEndpoint":
+    def from_choice(
+        cls, choice: Choice, demand: Demand, through: str, sent_s: float
+    ) -> "ChosenEndpoint":
         """Return the record of a choice; called before the request is counted at the endpoint."""
         state = choice.state
         return cls(
@@ -60,6 +64,7 @@
             source=choice.source.entry.endpoint_id if choice.source else "",
             coordinator=choice.coordinator,
             sent_s=sent_s,
+            through=through,
         )
 
 
@@ -70,7 +75,7 @@
     Attributes:
       tried: Endpoints that no further attempt goes to.
       chosen: The endpoints that it was sent to, in order.
-      sends, misdirected, unreached, busy, may_have_run, last_event: See `Attempts`.
+      sends, misdirected, paths_lost, unreached, busy, may_have_run, last_event: See `Attempts`.
       first_piece_s: When the caller got the first piece of the answer, on the monotonic clock;
         None before.
       last_piece_s: When the caller got the latest piece of it, on the same clock.
@@ -93,6 +98,7 @@
     chosen: list[ChosenEndpoint] = field(default_factory=list)
     sends: int = 0
     misdirected: int = 0
+    paths_lost: int = 0
     unreached: int = 0
     busy: int = 0
     may_have_run: bool = False
@@ -146,6 +152,7 @@
         return Attempts(
             sends=progress.sends,
             misdirected=progress.misdirected,
+            paths_lost=progress.paths_lost,
             unreached=progress.unreached,
             busy=progress.busy,
             may_have_run=progress.may_have_run,
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -143,6 +143,7 @@
         "kept_tokens": chosen.kept_tokens,
         "source": chosen.source,
         "scheduler": chosen.coordinator,
+        "through": chosen.through,
         "sent_ms": round((chosen.sent_s - exchange.admitted.arrival.arrived_s) * 1000),
     }
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -19,6 +19,7 @@
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.giving_up import FinalAnswer
+from springbridge.routing.paths import PathTable
 from springbridge.routing.records import Demand
 from springbridge.routing.retries import ENDPOINT_FAILURES, AttemptOutcome
 from springbridge.routing.shared_retry_budget import SharedRetryBudget
@@ -27,6 +28,7 @@
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.ingress import IncomingRequest
 from springbridge_node.gateway.endpoints.pool import ConnectionPool, EndpointBusyError
+from springbridge_node.gateway.endpoints.stall_check import StallCheck
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
 from springbridge_node.gateway.peers.load_sharing import LoadSharing
 from springbridge_node.gateway.requests.attempt import make_attempt
@@ -60,6 +62,8 @@
     index: Callable[[], RouteIndex | None]
     configuration_retry_after_s: Callable[[], float]
     registry: EndpointRegistry
+    paths: PathTable
+    stalls: StallCheck
     pool: ConnectionPool
     budget: SharedRetryBudget
     codec: RequestCodec
@@ -209,8 +213,19 @@
         if await self._parts.gate.record_end(exchange, choice.state, end):
             # No process listens there any more, so other requests need not try it.
             self._parts.loads.unreached(choice.state.entry)
+        if self._was_path_lost(choice.state, connection, end):
+            end = AttemptOutcome.PATH_LOST
+        self._record(exchange, choice.state, end)
         return end
 
+    def _was_path_lost(
+        self, state: EndpointState, connection: HttpConnection, end: AttemptOutcome
+    ) -> bool:
+        """Return whether an attempt broke because this instance lost its path to the endpoint."""
+        if end is not AttemptOutcome.BROKEN or connection.through:
+            return False
+        return self._parts.paths.is_lost(state.entry.incarnation)
+
     @contextlib.contextmanager
     def _budgeted_send(self, exchange: Exchange) -> Iterator[bool]:
         """Yield whether the request may be sent; refund the retry if the block sends nothing."""
@@ -242,7 +257,7 @@
                 state.entry, exchange.admitted.service, repeatable
             )
         except ConnectFailedError as exc:
-            self._parts.loads.unreached(state.entry)
+            self._record_unreachable(state, exc)
             idle = self._parts.pool.idle_count(state.entry.incarnation)
             self._parts.request_log.unreachable(exchange, endpoint_id, str(exc), idle)
         except EndpointBusyError:
@@ -252,6 +267,13 @@
         exchange.progress.tried.add(endpoint_id)
         return None
 
+    def _record_unreachable(self, state: EndpointState, exc: ConnectFailedError) -> None:
+        """Record that no connection came up, and tell peers of it if one of them agrees."""
+        if exc.agreed:
+            self._parts.loads.unreached(state.entry)
+        else:
+            self._parts.registry.mark_unreachable(state)
+
     async def _attempt(
         self, exchange: Exchange, choice: Choice, connection: HttpConnection
     ) -> AttemptOutcome:
@@ -260,7 +282,8 @@
         There must be no await before the send; see `attempt._send`.
         """
         incarnation = choice.state.entry.incarnation
-        chosen = ChosenEndpoint.from_choice(choice, exchange.demand, clock.now_s())
+        through = connection.through
+        chosen = ChosenEndpoint.from_choice(choice, exchange.demand, through, clock.now_s())
         exchange.progress.chosen.append(chosen)
         self._parts.registry.record_send(choice.state)
         try:
@@ -271,7 +294,9 @@
                     self._parts.rates.watch.record, choice.state.entry, exchange.request_id
                 )
                 codec = self._parts.codec
-                end = await make_attempt(exchange, choice, connection, codec, on_answer_head)
+                repeatable = retries.is_repeatable(exchange.route)
+                with self._parts.stalls.watching(choice.state.entry, connection, repeatable):
+                    end = await make_attempt(exchange, choice, connection, codec, on_answer_head)
         except BaseException:
             self._parts.pool.discard(incarnation, connection)
             raise
@@ -279,7 +304,6 @@
             self._parts.pool.discard(incarnation, connection)
         else:
             self._parts.pool.release(incarnation, connection)
-        self._record(exchange, choice.state, end)
         return end
 
     def _record(self, exchange: Exchange, state: EndpointState, end: AttemptOutcome) -> None:
@@ -289,6 +313,10 @@
             return
         if end is AttemptOutcome.OTHER_ENDPOINT:
             self._parts.loads.gone(state.entry)
+        elif end is AttemptOutcome.PATH_LOST:
+            # The endpoint itself is up, and may have the request again through a peer.
+            exchange.progress.paths_lost += 1
+            exchange.progress.tried.discard(state.entry.endpoint_id)
         elif end in ENDPOINT_FAILURES and self._parts.registry.record_failure(state):
             self._parts.request_log.endpoint_ejected(state, end)
         self._parts.request_log.attempt_failed(exchange, state.entry.endpoint_id, end)
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -56,10 +56,20 @@
         self.endpoints = Gauge("springbridge_engines", "Engines listed", registry=self.registry)
         self.unreachable_endpoints = Gauge(
             "springbridge_unreachable_engines",
-            "Engines that get no request since no connection came up, by who found that",
+            "Engines to which no connection came up, by who found that",
             ["found_by"],
             registry=self.registry,
         )
+        self.lost_paths = Gauge(
+            "springbridge_lost_paths",
+            "Engines that this node does not reach and peers do",
+            registry=self.registry,
+        )
+        self.tunnels = Gauge(
+            "springbridge_tunnels",
+            "Connections to engines that this node keeps up for peers",
+            registry=self.registry,
+        )
         self.unreadable_endpoints = Gauge(
             "springbridge_unreadable_engines",
             "Entries of the engine list, as this node last read it, that name no engine",
--- a/packages/springbridge-standins/springbridge_standins/pages.py
+++ b/packages/springbridge-standins/springbridge_standins/pages.py
@@ -22,7 +22,8 @@
     r"(?:springbridge\.)?"
     r"((?:node|request|engine|engines|domain|member|members|peers|dependency|configuration|settings"
     r"|scheduler"
-    r"|table|order|invariant|quarantine|lease|usage|scaling|store)\.[a-z_]+|fault|library)\Z"
+    r"|table|order|invariant|quarantine|lease|usage|scaling|store"
+    r"|path|tunnel)\.[a-z_]+|fault|library)\Z"
 )
 LOG_ROW = re.compile(r"^\| ((?:`[a-z_.]+`(?:, )?)+) \| ([^|]+) \|", re.MULTILINE)
 
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -36,6 +36,7 @@
     ENDPOINT_ERROR = "engine error"
     BROKEN = "broken"
     SILENT = "silent"
+    PATH_LOST = "path lost"
 
 
 # Outcomes that count as failures of the endpoint. An endpoint that turns every request away never
@@ -58,6 +59,7 @@
     Attributes:
       sends: How often the request was sent.
       misdirected: Sends that reached another endpoint than the intended one, which has ended.
+      paths_lost: Sends whose connection broke because this instance lost its path to the endpoint.
       unreached: Endpoints to which it could not be sent because there was no usable connection.
       busy: Those of them that are up, but with all connections to them in use.
       may_have_run: Whether an endpoint may have run it.
@@ -67,6 +69,7 @@
 
     sends: int = 0
     misdirected: int = 0
+    paths_lost: int = 0
     unreached: int = 0
     busy: int = 0
     may_have_run: bool = False
@@ -75,8 +78,11 @@
 
     @property
     def endpoints_used(self) -> int:
-        """Return how many endpoints count towards the route's limit; those that ended do not."""
-        return self.sends - self.misdirected
+        """Return how many endpoints count towards the route's limit.
+
+        Those that ended, and those that this instance was cut off from, do not.
+        """
+        return self.sends - self.misdirected - self.paths_lost
 
 
 def is_repeatable(route: Route) -> bool:
