--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
@@ -112,6 +112,8 @@
         failed, refused = direct.exception(), through.exception()
         if not isinstance(refused, TunnelFailedError):
             raise refused
+        if refused.nobody_has_tunnels:
+            raise failed
         raise ConnectFailedError(
             f"{failed}; through peers: {refused}",
             failed.refused and refused.shows_refusal,
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
@@ -29,11 +29,11 @@
 
 # Peers that are asked to connect to the same endpoint: one near, one near the endpoint, one more.
 MAX_PEERS = 3
-# Seconds after which the next peer is asked beside the one that has not answered yet: many round
-# trips.
-STAGGER_S = 0.1
-# Seconds for the whole attempt.
-TIMEOUT_S = 0.4
+# Seconds after which the next peer is asked beside the one that has not answered yet.
+STAGGER_S = 0.08
+# Seconds for the whole attempt: some round trips between regions. Together with the delay after
+# which peers are asked it is as long as a direct connection may take.
+TIMEOUT_S = 0.25
 # Seconds for which a peer is left out that has lost its own path to a service, or is full.
 LEFT_OUT_S = 1.0
 # Seconds for which a peer is left out whose build has no tunnels.
@@ -56,6 +56,11 @@
         """Return whether peers were refused, and none had another result that tells something."""
         return {each for each in self.results if each in EVIDENCE} == {TunnelResult.REFUSED}
 
+    @property
+    def nobody_has_tunnels(self) -> bool:
+        """Return whether the builds of all peers that were asked have no tunnels."""
+        return {*self.results} == {TunnelResult.UNSUPPORTED}
+
     @property
     def shows_unreachable(self) -> bool:
         """Return whether a peer tried and could not connect either."""
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -35,7 +35,7 @@
 # Tunnels of all peers together. Bounds descriptors, and memory at READ_BYTES for each direction.
 MAX_TUNNELS = 256
 # Seconds for establishing the connection to an endpoint. Below the time that a peer waits for it.
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.2
 # Maximum bytes taken from a connection before they are written to the other one.
 READ_BYTES = 1 << 16
 # Value of SO_LINGER with which a close resets the connection.
--- a/packages/springbridge-standins/springbridge_standins/gateway/cuts.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/cuts.py
@@ -8,15 +8,18 @@
 
 import asyncio
 import contextlib
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from contextvars import ContextVar
 from enum import Enum, auto
 from functools import partial
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from springbridge_node.gateway.http import http_connection
 from tornado.iostream import IOStream, StreamClosedError
 
+if TYPE_CHECKING:
+    from springbridge_standins.gateway.fleet import Fleet
+
 # IP number of the instance whose code runs.
 INSTANCE: ContextVar[str] = ContextVar("instance", default="")
 # Seconds after which a connection whose path hangs breaks, as TCP_USER_TIMEOUT sets for the sockets
@@ -186,3 +189,10 @@
         yield
     finally:
         INSTANCE.reset(token)
+
+
+def cut_all(cuts: PathCuts, fleet: "Fleet", numbers: Iterable[int], kind: CutKind) -> None:
+    """Cut the paths from some nodes of a fleet to all its engines."""
+    addresses = [engine.address for engine in fleet.engines.values()]
+    for number in numbers:
+        cuts.cut(fleet.nodes[number].settings.ip, addresses, kind)
