The soak cuts paths between nodes and engines: hanging, reset, or refused, alone, in series, a failure domain at once

Node processes run the real program with sockets that a file of the soak cuts (cuttable_node.py). The cuts are drawn by a generator of their own, so that the other faults of a seed stay as they were.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -10,6 +10,9 @@
 
 import orjson
 
+from springbridge_standins.gateway.cuts import CutKind
+from springbridge_standins.gateway.soak.cuttable_node import CUT_VARIABLE, write_cut
+
 # Longest time for a node process to log its start, on a busy machine, and pause between two looks.
 MAX_START_S, START_POLL_S = 60.0, 0.2
 # Number of logged events that tell what a node did last.
@@ -60,6 +63,7 @@
     """A node that runs as a process.
 
     Attributes:
+      zone: Its failure domain.
       busy: Whether a fault affects the node, so that no other fault may pick it.
       released_s: When the last fault ended, on the monotonic clock.
       kills: How often it was killed; requests under way then may get no answer.
@@ -82,6 +86,8 @@
         self.busy = False
         self.released_s = float("-inf")
         self.kills = 0
+        self.zone = ZONES[number % len(ZONES)]
+        self._cut_file = folder / f"{self.name}.cut"
         self._settings = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -90,7 +96,7 @@
             SETTINGS.format(
                 name=self.name,
                 ip=self.ip,
-                zone=ZONES[number % len(ZONES)],
+                zone=self.zone,
                 store=store,
                 duties=duties,
                 seeds=quoted,
@@ -114,12 +120,20 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "springbridge_platform",
-                env=os.environ | {"SPRINGBRIDGE_SETTINGS": str(self._settings)},
+                "springbridge_standins.gateway.soak.cuttable_node",
+                env=os.environ
+                | {
+                    "SPRINGBRIDGE_SETTINGS": str(self._settings),
+                    CUT_VARIABLE: str(self._cut_file),
+                },
                 stdout=log,
                 stderr=log,
             )
 
+    def cut_paths(self, kind: CutKind | None, addresses: list[str]) -> None:
+        """Cut this node's paths to some engines; no kind mends all."""
+        write_cut(self._cut_file, kind, addresses)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs; SIGKILL is counted in kills."""
         self.kills += number is signal.SIGKILL
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -37,6 +37,7 @@
 )
 from springbridge_standins.gateway.soak.lateness import measure_delays_forever
 from springbridge_standins.gateway.soak.nodes import NodeProcess, Ports
+from springbridge_standins.gateway.soak.paths import cut_paths_forever
 from springbridge_standins.gateway.soak.rates import (
     EngineRates,
     check_rates,
@@ -125,6 +126,7 @@
         name_rates_forever(soak, statements.rates, random.Random(f"{seed} rates")),
         make_statements_forever(soak, statements, random.Random(f"{seed} statements")),
         measure_delays_forever(soak),
+        cut_paths_forever(soak, random.Random(f"{seed} paths")),
     ]
     return [asyncio.ensure_future(each) for each in work]
 
