--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -51,6 +51,7 @@
     PeerDiscovery,
 )
 from springbridge_node.gateway.peers.peer_handlers import peer_handlers
+from springbridge_node.gateway.requests.place_gate import PlaceGate
 from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
 from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.request_log import RequestLog
@@ -78,6 +79,7 @@
       endpoints: Keeps the endpoint list in the registry up to date.
       path_parts: Connect to endpoints, directly or through peers, and serve peers likewise.
       rates: Enforces the request rates that endpoints announce.
+      places: Sends requests to brittle endpoints only with a place.
       evacuations: The failure domains that operators evacuate; their endpoints get no requests.
       budget: This node's share of the fleet's retry budget.
       router: Serves the requests.
@@ -99,6 +101,8 @@
             self.telemetry,
             services=lambda: self.configuration.services(),
         )
+        self.places = PlaceGate(self.membership, self.registry)
+        self.rates.watch.on_rejections = self.places.record
         self.selection_parts = SelectionParts(self.registry, self.membership, self.rates.table)
         self.path_parts = PathParts(
             self.membership, self.registry, settings.ip, self.live_node_count
@@ -194,6 +198,7 @@
             failure_domain=self.settings.failure_domain,
             usage=self.duties or NullUsageMeter(),
             rates=self.rates,
+            places=self.places,
             rest_refusals=RestRefusals(self.registry, self.telemetry),
         )
 
@@ -230,6 +235,7 @@
         self.selection_parts.connect(self.datagrams)
         self.quarantine_parts.connect(self.datagrams)
         self.rates.connect(self.datagrams)
+        self.places.connect(self.datagrams)
         self.evacuations.connect(self.datagrams)
         if self.duties is not None:
             self.duties.connect(self.datagrams)
@@ -244,6 +250,7 @@
             every_tick(HEARTBEAT_INTERVAL_S, self.heartbeats.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.quarantine_parts.sharing.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.rates.beat),
+            every_tick(HEARTBEAT_INTERVAL_S, self.places.sharing.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.evacuations.beat),
             every_tick(QUARANTINE_CHECK_INTERVAL_S, self.quarantine_parts.stored.step),
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
@@ -328,6 +335,7 @@
         self.pool.keep_only(known)
         self.path_parts.paths.forget_old(known)
         self.rates.forget_gone(known)
+        self.places.forget_gone(known)
         self.registry.statements.forget_gone(known)
         self.registry.expire_loads()
         heard = {member.incarnation for member in self.membership.reachable()}
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -23,6 +23,7 @@
     telemetry.lost_paths.set(len(gateway.path_parts.paths.lost()))
     telemetry.tunnels.set(gateway.path_parts.tunnel_server.count)
     telemetry.limited_endpoints.set(len(gateway.rates.table.limited()))
+    telemetry.brittle_endpoints.set(len(gateway.places.table.limited()))
     telemetry.cold_endpoints.set(len(gateway.rates.table.cold()))
     telemetry.endpoint_rate.clear()
     for incarnation in gateway.rates.table.limited():
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -42,6 +42,10 @@
     PERMIT_REPLY = 15
     PERMIT_BACK = 16
     EVACUATIONS = 17
+    BRITTLE = 18
+    PLACE_REQUEST = 19
+    PLACE_REPLY = 20
+    PLACE_END = 21
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/granter_set.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/granter_set.py
@@ -20,8 +20,18 @@
 class GranterSet:
     """The granters as this node sees them."""
 
-    def __init__(self, membership: Membership, clock: Callable[[], float]) -> None:
-        """Create a set that reads the live members of a membership."""
+    def __init__(
+        self,
+        membership: Membership,
+        clock: Callable[[], float],
+        can_grant: Callable[[int], bool] = grants_permits,
+    ) -> None:
+        """Create a set that reads the live members of a membership.
+
+        Args:
+          can_grant: Returns whether a member's build can be a granter, given its heartbeat.
+        """
+        self._can_grant = can_grant
         self._membership = membership
         self._clock = clock
         self._version = -1
@@ -40,12 +50,12 @@
 
     def of(self, entry: EndpointEntry) -> Member:
         """Return the granter of an endpoint, this node itself if no live member qualifies."""
-        return self._ranked(entry)[0]
+        return self.ranked(entry)[0]
 
     def responsive(self, entry: EndpointEntry) -> Member | None:
         """Return the first granter or substitute that is not marked silent, None if all are."""
         now_s = self._clock()
-        for member in self._ranked(entry):
+        for member in self.ranked(entry):
             if self._silent_until_s.get(member.incarnation, now_s) <= now_s:
                 return member
         return None
@@ -78,11 +88,11 @@
         """Return whether a granter is this node."""
         return member.incarnation == self._membership.me.incarnation
 
-    def _ranked(self, entry: EndpointEntry) -> list[Member]:
+    def ranked(self, entry: EndpointEntry) -> list[Member]:
         """Return an endpoint's granter and its substitutes; this node alone if none qualifies."""
         self.refresh()
         if entry.endpoint_id not in self._by_endpoint:
-            members = [each for each in self._membership.live() if grants_permits(each.heartbeat)]
+            members = [each for each in self._membership.live() if self._can_grant(each.heartbeat)]
             found = granters(members, entry.endpoint_id, entry.failure_domain)
             self._by_endpoint[entry.endpoint_id] = found or [self._membership.me]
         return self._by_endpoint[entry.endpoint_id]
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_builds.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_builds.py
@@ -11,8 +11,11 @@
 FIRST_HEARTBEAT_WITH_AGES = 1_000_000_000
 # First heartbeat of builds that answer member requests but no permit requests.
 FIRST_HEARTBEAT_WITH_LOOKUPS = 2_000_000_000
+# First heartbeat of builds that answer permit requests, but neither requests for places nor for
+# tunnels.
+FIRST_HEARTBEAT_WITH_PERMITS = 3_000_000_000
 # First heartbeat of this build.
-FIRST_HEARTBEAT = 3_000_000_000
+FIRST_HEARTBEAT = 4_000_000_000
 
 
 class Build(Enum):
@@ -32,4 +35,9 @@
 
 def grants_permits(heartbeat: int) -> bool:
     """Return whether a member with this heartbeat answers permit requests."""
+    return heartbeat >= FIRST_HEARTBEAT_WITH_PERMITS
+
+
+def grants_places(heartbeat: int) -> bool:
+    """Return whether a member with this heartbeat answers requests for places."""
     return heartbeat >= FIRST_HEARTBEAT
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -87,6 +87,8 @@
       held_since_s: When it began to wait for a trial, on the monotonic clock; 0 before.
       held_back: Endpoints that denied it a permit since it was sent last.
       permit_wait_s: Seconds that it has waited for permits of endpoints with a rate limit.
+      without_place: Brittle endpoints that had no place for it since it was sent last.
+      place_wait_s: Seconds that it has waited for places.
       last_resort: Whether the endpoint chosen last was known to be leaving when it was chosen.
       obstacles: Number of endpoints of its service that each obstacle ruled out when none could be
         selected; keyed by the names in eligibility.py.
@@ -113,6 +115,8 @@
     held_since_s: float = 0.0
     held_back: set[str] = field(default_factory=set)
     permit_wait_s: float = 0.0
+    without_place: set[str] = field(default_factory=set)
+    place_wait_s: float = 0.0
     last_resort: bool = False
     obstacles: dict[str, int] = field(default_factory=dict)
     fingerprint: str = ""
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -34,6 +34,7 @@
 from springbridge_node.gateway.requests.attempt import make_attempt
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
+from springbridge_node.gateway.requests.place_gate import REJECTIONS, PlaceGate
 from springbridge_node.gateway.requests.quarantine_gate import QuarantineGate
 from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.relay import relay_failure
@@ -74,6 +75,7 @@
     failure_domain: str
     usage: UsageMeter
     rates: RateParts
+    places: PlaceGate
     rest_refusals: RestRefusals
 
 
@@ -143,7 +145,7 @@
         """Try one endpoint after another; see _attempt_until_deadline for what is returned."""
         route, progress = exchange.route, exchange.progress
         while True:
-            left_out = progress.tried | progress.avoided
+            left_out = progress.tried | progress.avoided | progress.without_place
             held_back = self._parts.rates.gate.held_back(exchange)
             selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
             if selection.overload is not None:
@@ -179,7 +181,13 @@
         if not await self._parts.rates.gate.acquire_permit(exchange, entry):
             return None
         with self._parts.rates.gate.hold_permit(exchange, entry):
-            return await self._send_permitted(exchange, choice)
+            place = await self._parts.places.acquire(exchange, entry)
+            if place is None:
+                return None
+            with self._parts.places.hold(exchange, entry, place):
+                end = await self._send_permitted(exchange, choice)
+                place.rejected = end in REJECTIONS
+            return end
 
     def _no_endpoint_problem(self, exchange: Exchange) -> Problem:
         """Return why a request for which no endpoint was selected is given up."""
@@ -188,6 +196,8 @@
         spent = self._parts.rates.gate.exhausted_rates(exchange)
         if spent is not None:
             return giving_up.when_rates_exhausted(route, attempts, spent)
+        if exchange.progress.without_place:
+            return giving_up.when_no_place(route, attempts, len(exchange.progress.without_place))
         rest = self._parts.rest_refusals.refuse(exchange.demand.service)
         if rest is not None:
             return giving_up.when_all_resting(route, attempts, rest)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/statement_watch.py
@@ -22,7 +22,12 @@
 
 
 class StatementWatch:
-    """Records statements in the registry and the rate table, and shares them with peers."""
+    """Records statements in the registry and the rate table, and shares them with peers.
+
+    Attributes:
+      on_rejections: Called with an endpoint, the rejections that its answer says it can stand, and
+        the time when the request was sent.
+    """
 
     def __init__(
         self,
@@ -38,6 +43,7 @@
         self._sharing = sharing
         self._log = log
         self._clock = clock
+        self.on_rejections: Callable[[EndpointEntry, StatedRate, float], None] = _ignore
 
     def record(
         self,
@@ -60,6 +66,7 @@
         statements = metadata.statements
         self._log.not_understood(entry, statements)
         self._record_rate(entry, statements.rate, sent_s)
+        self.on_rejections(entry, statements.rejections, sent_s)
         if statements.leaves:
             self._record_leaving(entry, request_id, opened_s)
         if statements.rest_s is None:
@@ -82,3 +89,7 @@
         if self._registry.mark_leaving(entry.incarnation, opened_s):
             log_leaving(entry.incarnation, ANSWER, request_id)
             self._sharing.on_leaving(entry.incarnation)
+
+
+def _ignore(entry: EndpointEntry, stated: StatedRate, sent_s: float) -> None:
+    """Ignore a statement of rejections."""
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -143,6 +143,11 @@
             "Engines that name a rate which they take",
             registry=self.registry,
         )
+        self.brittle_endpoints = Gauge(
+            "springbridge_brittle_engines",
+            "Engines that name how many rejections a second they can stand",
+            registry=self.registry,
+        )
         self.endpoint_rate = Gauge(
             "springbridge_engine_rate",
             "Requests a second that an engine names as what it takes from all nodes together",
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -123,6 +123,18 @@
     return Problem(Code.OVERLOADED, detail, retry_after_s=spent.retry_after_s)
 
 
+def when_no_place(route: Route, attempts: Attempts, endpoints: int) -> Problem:
+    """Return the problem of a request if all remaining endpoints are brittle and may be full.
+
+    Args:
+      endpoints: Number of these endpoints.
+    """
+    detail = f"no place at {endpoints} brittle engines"
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, detail)
+    return Problem(Code.OVERLOADED, detail, retry_after_s=when_endpoint_full(route.target_s))
+
+
 def when_all_resting(route: Route, attempts: Attempts, rest: AllResting) -> Problem:
     """Return the problem of a request if all remaining endpoints rest."""
     detail = f"{rest.endpoints} engines rest"
--- a/packages/springbridge/springbridge/statements/answer_statements.py
+++ b/packages/springbridge/springbridge/statements/answer_statements.py
@@ -28,6 +28,7 @@
 
     Attributes:
       rate: The rate that the endpoint takes.
+      rejections: The rejections a second that the endpoint can stand; named only if it is brittle.
       leaves: Whether the endpoint is about to leave.
       rest_s: Seconds for which the endpoint wants no requests from this instance; None if it does
         not ask for a rest.
@@ -36,6 +37,7 @@
     """
 
     rate: StatedRate = StatedRate()
+    rejections: StatedRate = StatedRate()
     leaves: bool = False
     rest_s: float | None = None
     unreadable: tuple[UnreadableStatement, ...] = ()
