A path that hangs has the silent paths under other requests verified at once

Streams at an instance whose link was cut waited for their own endpoints to be found lost, one after another over 2 s, as others were verified only after two losses.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/stall_check.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/stall_check.py
@@ -62,12 +62,13 @@
     def _close_silent(self, incarnation: EndpointIncarnation, since_s: float) -> None:
         """Close connections that have received nothing since a path was lost, if it still is.
 
-        Other paths that are doubtful now are checked if nothing arrived over them either.
+        Other paths over which nothing arrived either are verified: the same link may carry them.
         """
-        if self._paths.is_lost(incarnation):
-            self._pool.close_hanging(incarnation, since_s)
+        if not self._paths.is_lost(incarnation):
+            return
+        self._pool.close_hanging(incarnation, since_s)
         for entry in self._pool.silent(since_s):
-            if self._paths.is_doubtful(entry.incarnation):
+            if not self._paths.is_lost(entry.incarnation):
                 self._verify(entry)
 
     def _check(self, entry: EndpointEntry, conn: HttpConnection) -> None:
