The rejections an answer names stand last among its statements

Positional uses of AnswerStatements took the new field for leaving, so that simulated endpoints never left: two tests of statement_sharing_test.py ran without end. The foreign datagrams cover the messages about places.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
@@ -18,6 +18,7 @@
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.gateway.peers.gossip import Gossip
 from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
+from springbridge_node.gateway.requests.place_gate import PlaceGate
 from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
 from springbridge_node.gateway.telemetry import Telemetry
@@ -76,6 +77,10 @@
     st.tuples(st.just(Kind.PERMIT_REQUEST), nearly(PERMIT_REQUEST_ROW)),
     st.tuples(st.just(Kind.PERMIT_REPLY), nearly(PERMIT_REPLY_ROW)),
     st.tuples(st.just(Kind.PERMIT_BACK), nearly(RATE_ROW[:2])),
+    st.tuples(st.just(Kind.BRITTLE), st.lists(nearly(RATE_ROW), min_size=1, max_size=3)),
+    st.tuples(st.just(Kind.PLACE_REQUEST), nearly([1, "me/1", 3.0, RATE_ROW[:2]])),
+    st.tuples(st.just(Kind.PLACE_REPLY), nearly([1, 0, 0.02])),
+    st.tuples(st.just(Kind.PLACE_END), nearly(["me/1", 1, RATE_ROW[:2]])),
     st.tuples(st.just(Kind.MEMBERS_REQUEST), st.lists(json_values, max_size=5)),
 )
 
@@ -97,6 +102,7 @@
         self.gossip = Gossip(self.membership, self.datagrams, lambda: None)
         rates = RateParts(self.membership, self.registry, Telemetry(), SimulatedClock())
         rates.connect(self.datagrams)
+        PlaceGate(self.membership, self.registry, SimulatedClock()).connect(self.datagrams)
         SelectionParts(self.registry, self.membership, rates.table).connect(self.datagrams)
 
 
--- a/packages/springbridge/springbridge/statements/answer_statements.py
+++ b/packages/springbridge/springbridge/statements/answer_statements.py
@@ -28,20 +28,20 @@
 
     Attributes:
       rate: The rate that the endpoint takes.
-      rejections: The rejections a second that the endpoint can stand; named only if it is brittle.
       leaves: Whether the endpoint is about to leave.
       rest_s: Seconds for which the endpoint wants no requests from this instance; None if it does
         not ask for a rest.
       unreadable: Headers that were ignored, except one with a rate.
       unknown: Names of headers that this version does not know.
+      rejections: The rejections a second that the endpoint can stand; named only if it is brittle.
     """
 
     rate: StatedRate = StatedRate()
-    rejections: StatedRate = StatedRate()
     leaves: bool = False
     rest_s: float | None = None
     unreadable: tuple[UnreadableStatement, ...] = ()
     unknown: tuple[str, ...] = ()
+    rejections: StatedRate = StatedRate()
 
 
 NOTHING_SAID = AnswerStatements()
