--- a/packages/springbridge-standins/springbridge_standins/rates/brittle_histories.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/brittle_histories.py
@@ -21,7 +21,7 @@
 from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
 from springbridge_node.gateway.requests.place_gate import PlaceGate
 
-from springbridge_standins.rates.network import SimulatedNetwork
+from springbridge_standins.rates.faulty_fleet import FaultyFleet
 from springbridge_standins.rates.views import SimulatedView
 from springbridge_standins.virtual_loop import run_virtual
 
@@ -39,8 +39,6 @@
 REJECTION_S = 0.002
 # Fewest and most instances, endpoints, rejections that an endpoint can stand, and room.
 SIZES, ENDPOINTS, REJECTIONS, ROOM = (2, 24), (2, 5), (1, 20), (3, 12)
-# Time in which an instance with a fault is excused after it.
-EXCUSED_S = 3.0
 
 
 @dataclass
@@ -215,59 +213,17 @@
         return rejected is False
 
 
-class BrittleFleet:
-    """Instances, endpoints and the network between the instances."""
+class BrittleFleet(FaultyFleet):
+    """Instances, brittle endpoints and the network between the instances."""
 
     def __init__(self, rng: random.Random, size: int, endpoints: list[BrittleEndpoint]) -> None:
         """Start all instances; each knows all others."""
-        self.rng = rng
-        self.network = SimulatedNetwork(rng)
         self.endpoints = endpoints
-        self.excused_until_s: dict[str, float] = {}
-        self._runs = itertools.count()
-        self.instances = [self._start(number) for number in range(size)]
-        for instance in self.instances:
-            for other in self.instances:
-                if other is not instance:
-                    instance.view._add(other.member)
+        super().__init__(rng, size)
 
     def _start(self, number: int) -> BrittleInstance:
-        return BrittleInstance(self, number, f"{next(self._runs):010x}")
-
-    def is_excused(self, address: str) -> bool:
-        """Return whether an instance has or recently had a fault."""
-        return asyncio.get_running_loop().time() < self.excused_until_s.get(address, 0.0)
-
-    def _excuse(self, address: str, seconds: float) -> None:
-        until_s = asyncio.get_running_loop().time() + seconds + EXCUSED_S
-        self.excused_until_s[address] = max(until_s, self.excused_until_s.get(address, 0.0))
-
-    def restart(self, number: int, down_s: float) -> None:
-        """Kill an instance, and start a new incarnation after down_s seconds."""
-        old = self.instances[number]
-        old.kill()
-        for each in self.instances:
-            each.view.notice_gone(old.member)
-        self._excuse(old.address, down_s)
-        asyncio.get_running_loop().call_later(down_s, self._start_replacement, number)
-
-    def _start_replacement(self, number: int) -> None:
-        new = self._start(number)
-        self.instances[number] = new
-        for each in self.instances:
-            if each is not new:
-                each.view.notice_return(new.member)
-                new.view.notice_return(each.member)
-
-    def freeze(self, number: int, seconds: float) -> None:
-        """Freeze an instance for some seconds; the others remove it in the meantime."""
-        instance = self.instances[number]
-        loop = asyncio.get_running_loop()
-        self.network.frozen_until_s[instance.address] = loop.time() + seconds
-        self._excuse(instance.address, seconds)
-        for each in self.instances:
-            each.view.notice_gone(instance.member)
-            loop.call_later(seconds, each.view.notice_return, instance.member)
+        """Start an instance that knows no peers."""
+        return BrittleInstance(self, number, self.new_incarnation())
 
 
 @dataclass
--- a/packages/springbridge-standins/springbridge_standins/rates/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/rates/fleet.py
@@ -19,7 +19,7 @@
 from springbridge_node.gateway.telemetry import Telemetry
 
 from springbridge_standins.rates.endpoints import SimulatedEndpoint
-from springbridge_standins.rates.network import SimulatedNetwork
+from springbridge_standins.rates.faulty_fleet import FaultyFleet
 from springbridge_standins.rates.statement_record import DRAIN_S, Request
 from springbridge_standins.rates.views import SimulatedView
 
@@ -27,8 +27,6 @@
 FAILURE_DOMAINS = ("a", "b", "c")
 # Slots of an endpoint; not used here.
 SLOTS = 64
-# Time after a restart, freeze or partition in which an instance is excused from the rules.
-EXCUSED_S = 3.0
 
 
 @dataclass
@@ -163,7 +161,7 @@
             endpoint.statement_record.passed_on(self.member.incarnation, loop.time())
 
 
-class SimulatedRateFleet:
+class SimulatedRateFleet(FaultyFleet):
     """Instances, endpoints and the network between the instances."""
 
     def __init__(self, rng: random.Random, size: int, endpoints: int, make_gate=None) -> None:
@@ -172,84 +170,14 @@
         Args:
           make_gate: Returns the gate of an instance; None for the real one.
         """
-        self.rng = rng
-        self.network = SimulatedNetwork(rng)
         self.telemetry = Telemetry()
         self.make_gate = make_gate or (lambda instance: instance.parts.gate)
         self.endpoints = [SimulatedEndpoint(_entry(number), rng) for number in range(endpoints)]
-        self.excused_until_s: dict[str, float] = {}
-        self._runs = itertools.count()
-        self.instances: list[SimulatedInstance] = []
-        for number in range(size):
-            self.instances.append(self._start(number))
-        for instance in self.instances:
-            for other in self.instances:
-                if other is not instance:
-                    instance.view._add(other.member)
+        super().__init__(rng, size)
 
     def _start(self, number: int) -> SimulatedInstance:
-        return SimulatedInstance(self, number, f"{next(self._runs):010x}")
-
-    def is_excused(self, address: str) -> bool:
-        """Return whether an instance has or recently had a fault."""
-        return asyncio.get_running_loop().time() < self.excused_until_s.get(address, 0.0)
-
-    def excuse(self, address: str, seconds: float) -> None:
-        """Excuse an instance for the seconds of a fault and EXCUSED_S more."""
-        until_s = asyncio.get_running_loop().time() + seconds + EXCUSED_S
-        self.excused_until_s[address] = max(until_s, self.excused_until_s.get(address, 0.0))
-
-    def restart(self, number: int, down_s: float) -> None:
-        """Kill an instance, and start a new incarnation after down_s seconds."""
-        old = self.instances[number]
-        old.kill()
-        for each in self.instances:
-            each.view.notice_gone(old.member)
-        self.excuse(old.address, down_s)
-        asyncio.get_running_loop().call_later(down_s, self._start_replacement, number)
-
-    def _start_replacement(self, number: int) -> None:
-        new = self._start(number)
-        self.instances[number] = new
-        for each in self.instances:
-            if each is not new and self.network.reaches(each.address, new.address):
-                each.view.notice_return(new.member)
-                new.view.notice_return(each.member)
-
-    def freeze(self, number: int, seconds: float) -> None:
-        """Freeze an instance for some seconds; the others remove it in the meantime."""
-        instance = self.instances[number]
-        loop = asyncio.get_running_loop()
-        self.network.frozen_until_s[instance.address] = loop.time() + seconds
-        self.excuse(instance.address, seconds)
-        for each in self.instances:
-            each.view.notice_gone(instance.member)
-            loop.call_later(seconds, each.view.notice_return, instance.member)
-
-    def cut(self, numbers: set[int], seconds: float) -> None:
-        """Partition some instances from the others for some seconds."""
-        loop = asyncio.get_running_loop()
-        for number in numbers:
-            self.network.sides[self.instances[number].address] = 1
-            self.excuse(self.instances[number].address, seconds)
-        for one, other in self._pairs(numbers):
-            one.view.notice_gone(other.member)
-            other.view.notice_gone(one.member)
-        loop.call_later(seconds, self._heal, numbers)
-
-    def _heal(self, numbers: set[int]) -> None:
-        for number in numbers:
-            self.network.sides[self.instances[number].address] = 0
-        for one, other in self._pairs(numbers):
-            one.view.notice_return(other.member)
-            other.view.notice_return(one.member)
-
-    def _pairs(self, numbers: set[int]):
-        """Yield each pair of an instance in numbers and one that is not."""
-        for number in numbers:
-            for other in range(len(self.instances)):
-                if other not in numbers:
-                    yield self.instances[number], self.instances[other]
+        """Start an instance that knows no peers."""
+        return SimulatedInstance(self, number, self.new_incarnation())
 
 
 def _entry(number: int) -> EndpointEntry:
