--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -19,6 +19,7 @@
 PERMITS = f"{NODE}/gateway/peers/trial_permits_test.py"
 SIMULATION = f"{STANDINS}/crash_simulation_test.py"
 NEWS = f"{STANDINS}/gateway/simulated_crash_sharing_test.py"
+TUNNELS = f"{PLATFORM}/tunnels_test.py"
 FOLLOWER = f"{NODE}/gateway/config/configuration_follower_test.py"
 
 GATEWAY_MUTANTS = (
@@ -290,4 +291,25 @@
         f"{PLATFORM}/freshness_test.py::"
         "test_a_planned_stop_cuts_nothing_off_and_is_not_ready_at_once",
     ),
+    Mutant(
+        "an answer that is reset behind a peer does not look whole",
+        f"{NODE}/gateway/peers/tunnel_server.py",
+        "        if endpoint.closed() and endpoint.error is not None:\n",
+        "        if False:\n",
+        f"{TUNNELS}::test_an_answer_without_a_length_that_is_reset_behind_a_peer_is_not_whole",
+    ),
+    Mutant(
+        "only members get tunnels",
+        f"{NODE}/gateway/peers/tunnel_server.py",
+        "        if not _is_member(self._membership, wanted.incarnation, remote_ip):\n",
+        "        if False:\n",
+        f"{TUNNELS}::test_only_members_get_tunnels_and_only_to_endpoints_of_the_list",
+    ),
+    Mutant(
+        "no more requests are sent to a brittle endpoint than it may reject",
+        f"{LIBRARY}/rates/places.py",
+        "        if outstanding >= allowed:\n",
+        "        if False:\n",
+        f"{LIBRARY}/rates/places_test.py",
+    ),
 )
