--- a/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
@@ -104,7 +104,7 @@
     Mutant(
         "permits: a node of an older build is not asked",
         f"{NODE}/gateway/peers/granter_set.py",
-        "if grants_permits(each.heartbeat)",
+        "if self._can_grant(each.heartbeat)",
         "if True",
         PARTS,
     ),
