A refused connection counts as a crash unless a peer or a lost path speaks against it

Crashes needed a peer's refusal, but a peer opens no tunnel to an endpoint that rests or leaves there, and tells nothing then.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
@@ -116,10 +116,16 @@
             raise failed
         raise ConnectFailedError(
             f"{failed}; through peers: {refused}",
-            failed.refused and refused.shows_refusal,
+            failed.refused and self._is_refused_by_all(refused),
             agreed=refused.shows_unreachable,
         )
 
+    def _is_refused_by_all(self, through: TunnelFailedError) -> bool:
+        """Return whether peers confirm a refusal, or none can tell and no path is lost here."""
+        if through.shows_unreachable:
+            return through.shows_refusal
+        return not self._paths.lost()
+
     def _record_lost(self, entry: EndpointEntry, direct: asyncio.Task[HttpConnection]) -> None:
         """Record and log that a peer reaches an endpoint and this instance does not."""
         if not self._paths.record_lost(entry.incarnation):
