The soak counts engines that ran a repeatable request, not its runs

The users' page limits the engines to which one try is sent (maxAttempts), and leaves out those that were cut off in the meantime. A run that ended as its path was cut may be followed by another one at the same engine, through a peer.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -35,11 +35,13 @@
 
     Attributes:
       runs: How often each request was begun, by request id.
+      engines: Which engines began each request, by request id.
       bodies: Digest of the body of each request.
       customers: Customer of each request.
     """
 
     runs: Counter = field(default_factory=Counter)
+    engines: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     bodies: dict[str, str] = field(default_factory=dict)
     customers: dict[str, str] = field(default_factory=dict)
 
@@ -147,6 +149,7 @@
     def _record_start(self, request: RawRequest) -> None:
         """Record that a request begins to run."""
         self._record.runs[request.request_id] += 1
+        self._record.engines[request.request_id].add(self._endpoint_id)
         self._record.bodies[request.request_id] = digest(request.body)
         self._record.customers[request.request_id] = request.headers.get("tenant", "")
 
