--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
@@ -1,7 +1,7 @@
 """Checks of the soak on the answers that callers got and the requests that engines received."""
 
 from springbridge_standins.gateway.soak.engine import full_stream, plain_answer
-from springbridge_standins.gateway.soak.state import Soak
+from springbridge_standins.gateway.soak.state import SentRequest, Soak
 from springbridge_standins.http_wire import RawAnswer
 
 # Customer of the key that all callers of the soak use.
@@ -10,6 +10,8 @@
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
 # Engines to which a request may be sent on the other paths, maxAttempts of the routes.
 MAX_ENGINES = 2
+# Longest time that a request is in progress, timeoutMs of the routes.
+LONGEST_REQUEST_S = 3.0
 # Those whose requests may be executed only once.
 NOT_REPEATABLE = frozenset({"/once/x", "/single/x"})
 # Statuses that report a request as not run.
@@ -85,8 +87,23 @@
             soak.violated("the key's customer", request_id)
         if request_id in soak.reported_not_run:
             soak.violated("not run means not run", request_id)
-        if sent.path in NOT_REPEATABLE and runs > 1:
+        if runs > _max_runs(soak, sent):
             soak.violated("attempts", f"{request_id} {sent.path} ran {runs} times")
-        # A run that ended as its path was cut may be followed by another one at the same engine.
         if len(soak.record.engines[request_id]) > MAX_ENGINES:
             soak.violated("attempts", f"{request_id} {sent.path} ran at more than {MAX_ENGINES}")
+
+
+def _max_runs(soak: Soak, sent: SentRequest) -> int:
+    """Return how often a request may run.
+
+    A run that ended as a path of its node was cut may be followed by one at the same engine.
+    """
+    if sent.path in NOT_REPEATABLE:
+        return 1
+    was_cut = any(
+        address == sent.caller_address
+        and began_s <= sent.sent_s + LONGEST_REQUEST_S
+        and sent.sent_s <= ended_s
+        for address, began_s, ended_s in soak.path_cuts
+    )
+    return 2 * MAX_ENGINES if was_cut else MAX_ENGINES
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/paths.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/paths.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import time
 
 from springbridge_standins.gateway.cuts import CutKind
 from springbridge_standins.gateway.soak.nodes import NodeProcess
@@ -13,6 +14,8 @@
 # Longest pause between two cuts, and longest cut, in seconds; cuts overlap with other faults.
 MAX_PAUSE_S = 2.0
 MAX_CUT_S = 4.0
+# Seconds by which a node may notice the end of a cut late.
+SLACK_S = 0.5
 # Share of the cuts that come as several short ones, one after the other, and the length of these.
 REPEATED_SHARE = 0.3
 SHORT_CUT_S = 0.4
@@ -41,8 +44,12 @@
     """Cut the paths from some nodes to some addresses for a while, each node in its own way."""
     kinds = {node.name: rng.choice(list(CutKind)) for node in nodes}
     soak.stamp("paths cut", kinds={name: kind.name for name, kind in kinds.items()})
+    began_s = time.monotonic()
     for node in nodes:
         node.cut_paths(kinds[node.name], addresses)
+    # Before the wait: a soak may end within a cut.
+    until_s = began_s + for_s + SLACK_S
+    soak.path_cuts += [(node.caller_address, began_s, until_s) for node in nodes]
     await asyncio.sleep(for_s)
     for node in nodes:
         node.cut_paths(None, [])
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -45,6 +45,8 @@
       leaving_relayed_s: When a node first relayed an answer in which an engine says that it
         leaves, on the same clock; by the node's caller address and the engine's incarnation.
       poison_arrived_s: When the poison request arrived at engines, on the same clock.
+      path_cuts: Caller address of each node whose paths were cut, begin and end of the cut on the
+        monotonic clock.
       stamps: What the soak did and saw, in order, to be read beside the logs of the nodes.
     """
 
@@ -65,6 +67,7 @@
     crashed_s: list[float] = field(default_factory=list)
     poison_arrived_s: list[float] = field(default_factory=list)
     leaving_relayed_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    path_cuts: list[tuple[str, float, float]] = field(default_factory=list)
     stamps: list[dict[str, Any]] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
