Sight: how an endpoint's answer ended, and by which evidence

The record of the incident shows streams that were served in full by all lines and short at their callers. No line said how an answer was framed or ended. AnswerEnd names it: counted to its length, last chunk, closed in order, closed within an event, closed early, reset, closed by this instance, invalid. request.ended and request.attempt_failed have it as answer_end, and the counter springbridge_answers_total counts it. What is relayed stays as it was.

--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
@@ -0,0 +1,40 @@
+"""How an endpoint's answer ended: the one statement that relay, retries, logs and metrics read.
+
+An answer is whole, or it was broken off. Where its length or its chunks mark the end, that follows
+from the bytes. Where only the connection marks it, other evidence has to tell.
+"""
+
+from enum import Enum
+
+
+class AnswerEnd(Enum):
+    """How an answer ended, and by which evidence; the values are logged and counted.
+
+    LENGTH: It has the length that it states. LAST_CHUNK: Its last chunk arrived. CLOSED: It states
+    no length, and the connection was closed in order. INSIDE_EVENT: The same, within an event.
+    EARLY: The connection was closed in order before the stated end, or before a head. RESET: The
+    connection was reset, or the other host stopped responding. ABORTED: This instance closed the
+    connection. INVALID: What arrived is not a valid answer.
+    """
+
+    LENGTH = "length"
+    LAST_CHUNK = "last chunk"
+    CLOSED = "closed"
+    INSIDE_EVENT = "inside event"
+    EARLY = "early close"
+    RESET = "reset"
+    ABORTED = "aborted"
+    INVALID = "invalid"
+
+
+class AnswerBrokenError(Exception):
+    """An answer was broken off, or what arrived is not a valid answer.
+
+    Attributes:
+      end: How it ended.
+    """
+
+    def __init__(self, end: AnswerEnd, detail: str = "") -> None:
+        """Keep how the answer ended, and what is known besides."""
+        super().__init__(detail or end.value)
+        self.end = end
--- a/packages/springbridge-node/springbridge_node/gateway/http/calls.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/calls.py
@@ -9,12 +9,12 @@
 
 from tornado.httputil import HTTPHeaders
 
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
     HttpConnection,
     connect,
 )
-from springbridge_node.gateway.http.http_head import AnswerBrokenError
 
 # Seconds for establishing a connection. Below the time limits of the calls that use it (0.8 s to a
 # peer, 1.2 s to the store), so that some time is left for the answer.
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -16,8 +16,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from springbridge_node import clock
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
 from springbridge_node.gateway.http.http_head import (
-    AnswerBrokenError,
     Head,
     chunk_length,
     keep_alive_s,
@@ -116,6 +116,7 @@
       keep_alive_s: Keep-alive time that the other side sent, in seconds, or None if it sent none.
       through: Incarnation of the peer through which it leads, "" if it is direct.
       received_s: When bytes arrived last, on the monotonic clock.
+      answer_end: How the last answer ended; None while one is read.
       may_be_given_up: Whether the request on it may be sent again, so that the connection may be
         closed if its path hangs.
     """
@@ -126,6 +127,8 @@
         self._unread = bytearray()
         self._sent: asyncio.Future | None = None
         self._may_be_kept = True
+        self._aborted = False
+        self.answer_end: AnswerEnd | None = None
         self.opened_s = clock.now_s()
         self.idle_since_s = self.opened_s
         self.keep_alive_s: float | None = None
@@ -136,6 +139,7 @@
     def abort(self) -> None:
         """Close at once, which makes the other side stop work on the request."""
         self._may_be_kept = False
+        self._aborted = True
         self._stream.close()
 
     def lead_through(self, incarnation: str) -> None:
@@ -158,6 +162,7 @@
         Raises:
           AnswerBrokenError: The connection ended, or what arrived is not an HTTP answer.
         """
+        self.answer_end = None
         while True:
             raw = await self._read_until(b"\r\n\r\n", MAX_HEAD_BYTES)
             head = parse_head(raw)
@@ -173,12 +178,15 @@
         if head.chunked:
             async for piece in self._read_chunks():
                 yield piece
+            self.answer_end = AnswerEnd.LAST_CHUNK
         elif head.length is not None:
             async for piece in self._read_length(head.length):
                 yield piece
+            self.answer_end = AnswerEnd.LENGTH
         else:
             async for piece in self._read_to_end():
                 yield piece
+            self.answer_end = AnswerEnd.CLOSED
         self._end_answer(head)
 
     def can_reuse(self, max_idle_s: float, keep_alive_share: float) -> bool:
@@ -238,10 +246,17 @@
         try:
             self._unread += await self._stream.read_bytes(READ_BYTES, partial=True)
         except StreamClosedError as exc:
-            kind = type(exc.real_error).__name__ if exc.real_error else "end of stream"
-            raise AnswerBrokenError(kind) from exc
+            raise self._broken_by(exc) from exc
         self.received_s = clock.now_s()
 
+    def _broken_by(self, exc: StreamClosedError) -> AnswerBrokenError:
+        """Return the error of an answer whose connection has ended."""
+        if self._aborted:
+            return AnswerBrokenError(AnswerEnd.ABORTED)
+        if exc.real_error is None:
+            return AnswerBrokenError(AnswerEnd.EARLY)
+        return AnswerBrokenError(AnswerEnd.RESET, type(exc.real_error).__name__)
+
     async def _read_until(self, delimiter: bytes, limit: int) -> bytes:
         """Return the bytes up to a delimiter, without it.
 
@@ -255,7 +270,7 @@
                 del self._unread[: end + len(delimiter)]
                 return raw
             if len(self._unread) > limit:
-                raise AnswerBrokenError(f"delimiter not found in {limit} bytes")
+                raise AnswerBrokenError(AnswerEnd.INVALID, f"no delimiter in {limit} bytes")
             await self._receive()
 
     async def _read_length(self, length: int) -> AsyncIterator[bytes]:
@@ -279,7 +294,7 @@
             async for piece in self._read_length(length):
                 yield piece
             if await self._read_until(b"\r\n", MAX_CHUNK_LINE_BYTES):
-                raise AnswerBrokenError("chunk longer than its stated length")
+                raise AnswerBrokenError(AnswerEnd.INVALID, "chunk longer than stated")
 
     async def _read_trailers(self) -> None:
         """Skip the trailers after the last chunk."""
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -9,14 +9,12 @@
     parse_response_start_line,
 )
 
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
+
 # Statuses whose answers never have a body, whatever their headers say.
 BODILESS_STATUSES = frozenset({204, 304})
 
 
-class AnswerBrokenError(Exception):
-    """The connection ended or was reset, or what arrived is not a valid answer."""
-
-
 @dataclass(frozen=True, slots=True)
 class Head:
     """Status line and headers of an answer.
@@ -52,7 +50,7 @@
         headers = HTTPHeaders.parse(fields)
         length = _content_length(line.code, headers)
     except (HTTPInputError, ValueError) as exc:
-        raise AnswerBrokenError("not an HTTP answer") from exc
+        raise AnswerBrokenError(AnswerEnd.INVALID, "not an HTTP answer") from exc
     chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
     return Head(line.code, line.reason, headers, None if chunked else length, chunked)
 
@@ -85,9 +83,9 @@
     try:
         length = int(line.partition(b";")[0], 16)
     except ValueError as exc:
-        raise AnswerBrokenError("invalid chunk length") from exc
+        raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length") from exc
     if length < 0:
-        raise AnswerBrokenError("invalid chunk length")
+        raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length")
     return length
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
@@ -14,12 +14,12 @@
 from springbridge.routing.records import EndpointEntry
 
 from springbridge_node import clock
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
     HttpConnection,
     connect,
 )
-from springbridge_node.gateway.http.http_head import AnswerBrokenError
 from springbridge_node.gateway.peers.tunnel_messages import (
     EVIDENCE,
     TunnelResult,
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -10,8 +10,9 @@
 from springbridge.routing.retries import AttemptOutcome
 
 from springbridge_node import clock
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError
 from springbridge_node.gateway.http.http_connection import HttpConnection
-from springbridge_node.gateway.http.http_head import AnswerBrokenError, Head
+from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.requests.endpoint_answer import (
     AnswerTimeoutError,
     read_head_within,
@@ -51,7 +52,8 @@
             exchange.progress.may_have_run = ran_before
             return await _read_refusal(exchange, connection, head, metadata)
         return await _relay_or_hold_back(exchange, connection, head, metadata, codec)
-    except AnswerBrokenError:
+    except AnswerBrokenError as exc:
+        exchange.progress.answer_end = exc.end
         return AttemptOutcome.BROKEN
     except AnswerTimeoutError:
         return AttemptOutcome.SILENT
@@ -77,6 +79,7 @@
         exchange.request, exchange.admitted, entry, source, left_s, progress.last_event
     )
     progress.sends += 1
+    progress.answer_end = None
     progress.may_have_run = True
     progress.tried.add(entry.endpoint_id)
     connection.send(head, exchange.request.body)
@@ -88,6 +91,7 @@
 ) -> AttemptOutcome:
     """Read the answer of an endpoint that guarantees that it has not run the request."""
     await read_whole_body(connection, head)
+    exchange.progress.answer_end = connection.answer_end
     if metadata.other_endpoint:
         exchange.progress.misdirected += 1
         return AttemptOutcome.OTHER_ENDPOINT
@@ -110,6 +114,7 @@
         exchange.progress.load.prompt_read()
     if giving_up.holds_failure(exchange.route, head.status):
         exchange.progress.failure = HeldFailure(head, await read_whole_body(connection, head))
+        exchange.progress.answer_end = connection.answer_end
         return (
             AttemptOutcome.ENDPOINT_ERROR
             if metadata.statements.rest_s is None
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -6,8 +6,9 @@
 
 import asyncio
 
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
 from springbridge_node.gateway.http.http_connection import HttpConnection
-from springbridge_node.gateway.http.http_head import AnswerBrokenError, Head
+from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 
 # Answers that are read from a connection in search of the right one before it counts as broken.
@@ -52,7 +53,7 @@
             break
         async for _ in connection.read_body(head):
             pass
-    raise AnswerBrokenError("only answers of other requests")
+    raise AnswerBrokenError(AnswerEnd.INVALID, "only answers of other requests")
 
 
 async def read_whole_body(connection: HttpConnection, head: Head) -> bytes:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -12,6 +12,7 @@
 
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.ingress import IncomingRequest
+from springbridge_node.gateway.http.answer_end import AnswerEnd
 from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.peers.load_sharing import SharedAttempt
 
@@ -80,6 +81,7 @@
         None before.
       last_piece_s: When the caller got the latest piece of it, on the same clock.
       longest_pause_s: Longest time between two pieces so far, in seconds.
+      answer_end: How the answer to the latest send ended; None if it has not, or none began.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
       avoided: Endpoints that it must not go to now because other suspects are on trial there.
@@ -108,6 +110,7 @@
     first_piece_s: float | None = None
     last_piece_s: float = 0.0
     longest_pause_s: float = 0.0
+    answer_end: AnswerEnd | None = None
     failure: HeldFailure | None = None
     load: SharedAttempt | None = None
     avoided: set[str] = field(default_factory=set)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -10,6 +10,7 @@
 from springbridge.routing.event_stream import EventSplitter
 
 from springbridge_node import clock
+from springbridge_node.gateway.http.answer_end import AnswerEnd
 from springbridge_node.gateway.http.http_connection import HttpConnection
 from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.requests.exchange import Exchange, HeldFailure, Progress
@@ -59,6 +60,7 @@
         buffered += piece
         if len(buffered) > MAX_BUFFERED_BYTES:
             await _start(exchange, head, codec, bytes(buffered), head.length)
+    exchange.progress.answer_end = connection.answer_end
     if not answer.started:
         await _start(exchange, head, codec, bytes(buffered), len(buffered))
 
@@ -81,6 +83,9 @@
             await _relay_piece(exchange, head, codec, b"".join(event.raw for event in new_events))
             ids = [event.event_id for event in new_events if event.event_id is not None]
             progress.last_event = ids[-1] if ids else progress.last_event
+    progress.answer_end = connection.answer_end
+    if splitter.rest and progress.answer_end is AnswerEnd.CLOSED:
+        progress.answer_end = AnswerEnd.INSIDE_EVENT
     if splitter.rest or not exchange.answer.started:
         await _relay_piece(exchange, head, codec, splitter.rest)
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -57,6 +57,12 @@
             reason=problem.detail,
         )
 
+    def answer_ended(self, exchange: Exchange) -> None:
+        """Count how the answer to an attempt ended, unless none began or it was given up."""
+        end = exchange.progress.answer_end
+        if end is not None:
+            self._telemetry.answers.labels(end.value).inc()
+
     def attempt_failed(self, exchange: Exchange, endpoint_id: str, end: AttemptOutcome) -> None:
         """Log and count an attempt that did not deliver an answer."""
         self._telemetry.attempts.labels(end.value).inc()
@@ -65,6 +71,7 @@
             request_id=exchange.request_id,
             engine=endpoint_id,
             end=end.value,
+            answer_end=_answer_end(exchange),
             sends=exchange.progress.sends,
             fingerprint=fingerprint_of(exchange),
             last_event=exchange.progress.last_event,
@@ -126,6 +133,7 @@
             fingerprint=progress.fingerprint,
             result=outcome.result,
             reason=outcome.reason,
+            answer_end=_answer_end(exchange),
             obstacles=progress.obstacles,
             first_ms=first_ms,
             pause_ms=round(progress.longest_pause_s * 1000),
@@ -148,6 +156,12 @@
     }
 
 
+def _answer_end(exchange: Exchange) -> str:
+    """Return how the answer to the latest attempt ended, "" if it has not."""
+    end = exchange.progress.answer_end
+    return "" if end is None else end.value
+
+
 def _age_ms(exchange: Exchange) -> int:
     """Return how long ago a request arrived, in milliseconds."""
     return round((clock.now_s() - exchange.admitted.arrival.arrived_s) * 1000)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -318,6 +318,7 @@
 
     def _record(self, exchange: Exchange, state: EndpointState, end: AttemptOutcome) -> None:
         """Record the outcome of an attempt for its endpoint, and log it unless it delivered."""
+        self._parts.request_log.answer_ended(exchange)
         if end is AttemptOutcome.DELIVERED:
             self._parts.registry.record_success(state)
             return
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -34,6 +34,12 @@
             ["end"],
             registry=self.registry,
         )
+        self.answers = Counter(
+            "springbridge_answers",
+            "Answers of engines, by how they ended",
+            ["end"],
+            registry=self.registry,
+        )
         self.crashes = Counter(
             "springbridge_engine_crashes",
             "Requests that were running when an engine ended",
