--- a/packages/springbridge-standins/springbridge_standins/gateway/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/engine.py
@@ -12,6 +12,7 @@
     chunk,
     event,
     stream_head,
+    unframed_head,
 )
 
 Script = Callable[[RawRequest, Connection], Awaitable[None]]
@@ -107,6 +108,27 @@
     return script
 
 
+def unframed(body: bytes) -> Script:
+    """Return a script that answers without a length or chunks, and closes in order."""
+
+    async def script(request: RawRequest, connection: Connection) -> None:
+        await connection.send(unframed_head(request.request_id) + body)
+        connection.close()
+
+    return script
+
+
+def unframed_stream(last: int, rest: bytes = b"") -> Script:
+    """Return a script that streams like unframed(): from the event that is due to one, and rest."""
+
+    async def script(request: RawRequest, connection: Connection) -> None:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        events = b"".join(event(number) for number in range(first, last + 1))
+        await unframed(events + rest)(request, connection)
+
+    return script
+
+
 def stream_forever() -> Script:
     """Return a script that streams an event every 20 ms without end."""
 
--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -161,6 +161,12 @@
     return message("HTTP/1.1 200 OK", b"", **fields, **framing, **headers)
 
 
+def unframed_head(request_id: str, signature: str = "sig", **headers: str) -> bytes:
+    """Return status line and headers of an answer whose end only its connection marks."""
+    fields = {"Request_Id": request_id, "Response_Signature": signature, "Connection": "close"}
+    return message("HTTP/1.1 200 OK", b"", **fields, **headers)
+
+
 def chunk(data: bytes) -> bytes:
     """Return data as one chunk; empty data gives the last chunk, which ends the body."""
     return f"{len(data):x}\r\n".encode() + data + CRLF
--- a/packages/springbridge-standins/springbridge_standins/known_red_test.py
+++ b/packages/springbridge-standins/springbridge_standins/known_red_test.py
@@ -38,6 +38,14 @@
     assert_that(find(entries, "some_test.py::test_it"), Is(None))
 
 
+def test_some_cases_of_a_test_are_ignored_and_not_the_others(write):
+    entries = read_known_red(write(LINE.replace("test_it", "test_it[0], [3-/a]")))
+    for listed in ("some_test.py::test_it[0]", "some_test.py::test_it[3-/a]"):
+        assert_that(find(entries, listed), Is(entries[0]))
+    for other in ("some_test.py::test_it[1]", "some_test.py::test_it[3]", "some_test.py::test_it"):
+        assert_that(find(entries, other), Is(None))
+
+
 @pytest.mark.parametrize(
     "lines",
     [
