A stream without length or chunks that ends inside an event was broken off

Cause: the relay took the orderly end of a connection for the end of the answer and passed on what was left in the splitter, though the kernel closes the connections of a process that ends in order. Class: an end that nothing states counts as completion. end_of decides now: bytes of an event that has not ended mean that the answer was broken off. The attempt counts as broken, as one with chunks does: a resumable stream goes on at the last whole event elsewhere, any other is cut off. Where chunks or a length mark the end, they decide. Bodies of another type than events have no events.

The splitter decides what counts as inside: torn lines and unfinished events do; comments, retry lines, line ends and a byte order mark do not. CR CR ends an event now, which before never came out until the end of its stream, and the id of a first event behind a byte order mark is read.

Whole answers without a length are delivered once, as before.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -15,6 +15,7 @@
 from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.requests.endpoint_answer import (
     AnswerTimeoutError,
+    end_of,
     read_head_within,
     read_whole_body,
 )
@@ -91,7 +92,7 @@
 ) -> AttemptOutcome:
     """Read the answer of an endpoint that guarantees that it has not run the request."""
     await read_whole_body(connection, head)
-    exchange.progress.answer_end = connection.answer_end
+    exchange.progress.answer_end = end_of(connection)
     if metadata.other_endpoint:
         exchange.progress.misdirected += 1
         return AttemptOutcome.OTHER_ENDPOINT
@@ -114,7 +115,7 @@
         exchange.progress.load.prompt_read()
     if giving_up.holds_failure(exchange.route, head.status):
         exchange.progress.failure = HeldFailure(head, await read_whole_body(connection, head))
-        exchange.progress.answer_end = connection.answer_end
+        exchange.progress.answer_end = end_of(connection)
         return (
             AttemptOutcome.ENDPOINT_ERROR
             if metadata.statements.rest_s is None
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -1,4 +1,4 @@
-"""Reads an endpoint's answer: its head, within a time limit, and its whole body.
+"""Reads an endpoint's answer: its head, within a time limit, its whole body, and how it ended.
 
 The head is matched to the request by id, so that a stale answer of another request on the same
 connection is skipped.
@@ -56,6 +56,22 @@
     raise AnswerBrokenError(AnswerEnd.INVALID, "only answers of other requests")
 
 
+def end_of(connection: HttpConnection, is_inside_event: bool = False) -> AnswerEnd:
+    """Return how the answer ended that was read last from a connection.
+
+    Args:
+      is_inside_event: Whether its last bytes are part of an event that has not ended. That decides
+        where only the connection marks the end, as any program's end closes it in order.
+
+    Raises:
+      AnswerBrokenError: It was broken off.
+    """
+    end = connection.answer_end
+    if end is AnswerEnd.CLOSED and is_inside_event:
+        raise AnswerBrokenError(AnswerEnd.INSIDE_EVENT)
+    return end
+
+
 async def read_whole_body(connection: HttpConnection, head: Head) -> bytes:
     """Return the whole body of an answer.
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -10,15 +10,16 @@
 from springbridge.routing.event_stream import EventSplitter
 
 from springbridge_node import clock
-from springbridge_node.gateway.http.answer_end import AnswerEnd
 from springbridge_node.gateway.http.http_connection import HttpConnection
 from springbridge_node.gateway.http.http_head import Head
+from springbridge_node.gateway.requests.endpoint_answer import end_of
 from springbridge_node.gateway.requests.exchange import Exchange, HeldFailure, Progress
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 
 # Bytes of a plain answer that are buffered until it is complete, so that another endpoint can still
 # answer if the connection breaks. Bounds the memory of each request in progress.
 MAX_BUFFERED_BYTES = 256 << 10
+EVENT_STREAM = "text/event-stream"
 
 
 async def relay(
@@ -60,7 +61,7 @@
         buffered += piece
         if len(buffered) > MAX_BUFFERED_BYTES:
             await _start(exchange, head, codec, bytes(buffered), head.length)
-    exchange.progress.answer_end = connection.answer_end
+    exchange.progress.answer_end = end_of(connection)
     if not answer.started:
         await _start(exchange, head, codec, bytes(buffered), len(buffered))
 
@@ -70,7 +71,11 @@
 ) -> None:
     """Relay a stream event by event, skipping events that the caller already has.
 
-    An incomplete event is dropped if the stream breaks.
+    An incomplete event is dropped if the stream breaks. One that has only its last empty line
+    missing is passed on where chunks or a length say that the stream is whole.
+
+    Raises:
+      AnswerBrokenError: The stream ended early.
     """
     progress = exchange.progress
     splitter = EventSplitter()
@@ -83,13 +88,18 @@
             await _relay_piece(exchange, head, codec, b"".join(event.raw for event in new_events))
             ids = [event.event_id for event in new_events if event.event_id is not None]
             progress.last_event = ids[-1] if ids else progress.last_event
-    progress.answer_end = connection.answer_end
-    if splitter.rest and progress.answer_end is AnswerEnd.CLOSED:
-        progress.answer_end = AnswerEnd.INSIDE_EVENT
+    is_inside_event = _is_event_stream(head) and splitter.is_inside_event()
+    progress.answer_end = end_of(connection, is_inside_event)
     if splitter.rest or not exchange.answer.started:
         await _relay_piece(exchange, head, codec, splitter.rest)
 
 
+def _is_event_stream(head: Head) -> bool:
+    """Return whether a body consists of events, as it does if its head does not say otherwise."""
+    content_type = head.headers.get("Content-Type", EVENT_STREAM)
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+
+
 def _is_new_to_caller(progress: Progress, event_id: str | None) -> bool:
     """Return whether the caller does not have an event yet.
 
--- a/packages/springbridge/springbridge/routing/event_stream_test.py
+++ b/packages/springbridge/springbridge/routing/event_stream_test.py
@@ -1,5 +1,6 @@
 """Tests of event_stream.py: complete events, however the stream is split into chunks."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
@@ -46,3 +47,82 @@
 def test_line_ends_of_both_kinds_end_an_event():
     events = EventSplitter().feed(b"data: x\r\n\ndata: y\n\r\ndata: z")
     assert_that([event.raw for event in events], Equals([b"data: x\r\n\n", b"data: y\n\r\n"]))
+
+
+# Guards against events with CR line ends that wait for the end of their stream.
+def test_an_event_with_cr_line_ends_is_complete_at_once():
+    splitter = EventSplitter()
+    (event,) = splitter.feed(b"id: 1\rdata: x\r\r")
+    assert_that((event.event_id, splitter.rest), Equals(("1", b"")))
+
+
+# Guards against half a CRLF that is taken for an empty line: the other half would be torn off.
+def test_an_event_is_not_split_within_its_last_line_end():
+    splitter = EventSplitter()
+    assert_that(splitter.feed(b"id: 1\r\ndata: x\r\n\r"), Equals([]))
+    (event,) = splitter.feed(b"\nid: 2")
+    assert_that((event.raw[-4:], splitter.rest), Equals((b"\r\n\r\n", b"id: 2")))
+
+
+@given(st.lists(st.integers(0, 40), max_size=8))
+def test_events_with_cr_come_whole_whatever_the_pieces(cuts):
+    stream = STREAM.replace(b"\n", b"\r")
+    splitter = EventSplitter()
+    bounds = [0, *sorted(cuts), len(stream)]
+    events = [
+        event
+        for start, end in zip(bounds, bounds[1:], strict=False)
+        for event in splitter.feed(stream[start:end])
+    ]
+    assert_that([event.event_id for event in events], Equals(["1", "2"]))
+    assert_that(b"".join(event.raw for event in events) + splitter.rest, Equals(stream))
+
+
+# Guards against the id of a first event that is not seen behind a byte order mark: its stream could
+# not be resumed.
+def test_the_first_event_may_have_a_byte_order_mark():
+    splitter = EventSplitter()
+    first, second = splitter.feed(b"\xef\xbb\xbfid: 1\n\nid: 2\n\n")
+    assert_that((first.event_id, second.event_id), Equals(("1", "2")))
+    assert_that(first.raw, Equals(b"\xef\xbb\xbfid: 1\n\n"))
+
+
+# Guards against half an event that passes for the end of a stream, and against harmless last bytes
+# that pass for half an event.
+@pytest.mark.parametrize(
+    ("rest", "is_inside"),
+    [
+        (b"", False),
+        (b"\n", False),
+        (b"\r\n", False),
+        (b"\r", False),
+        (b": bye\n", False),
+        (b"retry: 9\n", False),
+        (b"retry: 9\r\n: bye\r\n", False),
+        (b": by", True),
+        (b"retry: ", True),
+        (b"i", True),
+        (b"id: 3", True),
+        (b"id: 3\n", True),
+        (b"id: 3\ndata: x", True),
+        (b"id: 3\ndata: x\n", True),
+        (b"id: 3\r\ndata: x\r\n", True),
+        (b"data: x\r\n\r", True),
+        (b"weight-versions: 2\n", True),
+        (b"\xef\xbb\xbf", True),
+    ],
+)
+def test_the_last_bytes_of_a_stream_show_whether_it_ended_inside_an_event(rest, is_inside):
+    splitter = EventSplitter()
+    splitter.feed(b"id: 2\ndata: x\n\n" + rest)
+    assert_that(splitter.is_inside_event(), Equals(is_inside))
+
+
+@pytest.mark.parametrize(
+    ("start", "is_inside"),
+    [(b"", False), (b"\xef\xbb\xbf", False), (b"\xef\xbb", True), (b"\xef\xbb\xbfid", True)],
+)
+def test_a_byte_order_mark_alone_is_no_event(start, is_inside):
+    splitter = EventSplitter()
+    splitter.feed(start)
+    assert_that(splitter.is_inside_event(), Equals(is_inside))
