An answer without a length that this instance breaks off itself is not whole

An instance closes the connection under an answer whose path hangs (stall_check.py) or whose peer has ended (close_through_peers). Callers of an answer without length or chunks then got the half that had come as a whole one: a stream closed by this instance has no error, and the reader took that for an orderly end of the other side. Only the other side's orderly end, AnswerEnd.EARLY where a length was due, ends such a body now; an abort is ABORTED and breaks it. The case closed_by_this_instance failed before.

--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -302,7 +302,11 @@
             pass
 
     async def _read_to_end(self) -> AsyncIterator[bytes]:
-        """Yield bytes until the other side closes the connection; a reset breaks the answer."""
+        """Yield bytes until the other side closes the connection in order.
+
+        Raises:
+          AnswerBrokenError: The connection was reset, or this side closed it.
+        """
         while True:
             if self._unread:
                 piece = bytes(self._unread)
@@ -310,11 +314,11 @@
                 yield piece
             try:
                 await self._receive()
-            except AnswerBrokenError:
-                if self._stream.error is not None:
-                    raise
-                # An orderly close is the end of a body without a length.
-                return
+            except AnswerBrokenError as exc:
+                if exc.end is AnswerEnd.EARLY:
+                    # Not early for a body without a length, which ends so.
+                    return
+                raise
 
 
 def _retrieve_exception(sent: asyncio.Future) -> None:
