A tunnel is reset unless its endpoint ended in order

A caller whose answer came through a peer got half of it as a whole one if the peer's process ended midway (killed, or past its grace): the kernel ends the connections of a process in order, and the asking instance took that for the endpoint's end. The socket to the asking instance is reset on close from the moment the tunnel is open, and ends in order only once the endpoint's orderly end was seen and all its bytes are written. So the kernel resets it for a killed process as well (closing_test.py: a real process under SIGKILL ends in order, and reset with this). The reply says so; an orderly end of a peer that does not say so completes no answer that only its connection ends.

The case ended_by_the_hop failed before; the test of peers of the older build fails for both kinds of answers without that rule.

--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
@@ -12,15 +12,17 @@
 
     LENGTH: It has the length that it states. LAST_CHUNK: Its last chunk arrived. CLOSED: It states
     no length, and the connection was closed in order. INSIDE_EVENT: The same, within an event.
-    EARLY: The connection was closed in order before the stated end, or before a head. RESET: The
-    connection was reset, or the other host stopped responding. ABORTED: This instance closed the
-    connection. INVALID: What arrived is not a valid answer.
+    UNMARKED: The same, by a peer whose build also ends so when its own process does. EARLY: The
+    connection was closed in order before the stated end, or before a head. RESET: The connection
+    was reset, or the other host stopped responding. ABORTED: This instance closed the connection.
+    INVALID: What arrived is not a valid answer.
     """
 
     LENGTH = "length"
     LAST_CHUNK = "last chunk"
     CLOSED = "closed"
     INSIDE_EVENT = "inside event"
+    UNMARKED = "unmarked hop"
     EARLY = "early close"
     RESET = "reset"
     ABORTED = "aborted"
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -115,6 +115,7 @@
       idle_since_s: When it was opened or its last answer ended, on the monotonic clock.
       keep_alive_s: Keep-alive time that the other side sent, in seconds, or None if it sent none.
       through: Incarnation of the peer through which it leads, "" if it is direct.
+      end_is_marked: Whether an orderly end of it is the endpoint's own, as on a direct connection.
       received_s: When bytes arrived last, on the monotonic clock.
       answer_end: How the last answer ended; None while one is read.
       may_be_given_up: Whether the request on it may be sent again, so that the connection may be
@@ -133,6 +134,7 @@
         self.idle_since_s = self.opened_s
         self.keep_alive_s: float | None = None
         self.through = ""
+        self.end_is_marked = True
         self.received_s = self.opened_s
         self.may_be_given_up = False
 
@@ -142,9 +144,10 @@
         self._aborted = True
         self._stream.close()
 
-    def lead_through(self, incarnation: str) -> None:
+    def lead_through(self, incarnation: str, end_is_marked: bool) -> None:
         """Record that what follows goes through a peer to an endpoint, as on a new connection."""
         self.through = incarnation
+        self.end_is_marked = end_is_marked
         self.idle_since_s = clock.now_s()
         self._may_be_kept = True
 
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
@@ -23,6 +23,7 @@
 from springbridge_node.gateway.peers.tunnel_messages import (
     EVIDENCE,
     TunnelResult,
+    marks_end,
     read_result,
     request_head,
 )
@@ -150,25 +151,29 @@
         except ConnectFailedError:
             result = TunnelResult.SILENT
         else:
-            result = await self._ask(conn, entry)
+            result, end_is_marked = await self._ask(conn, entry)
             if result is TunnelResult.OPEN:
-                conn.lead_through(peer.incarnation)
+                conn.lead_through(peer.incarnation, end_is_marked)
                 return conn
             conn.abort()
         self._leave_out(peer, entry, result)
         return result
 
-    async def _ask(self, conn: HttpConnection, entry: EndpointEntry) -> TunnelResult:
-        """Ask for a tunnel on a new connection to a peer; it is closed if this is cancelled."""
+    async def _ask(self, conn: HttpConnection, entry: EndpointEntry) -> tuple[TunnelResult, bool]:
+        """Ask for a tunnel on a new connection to a peer; it is closed if this is cancelled.
+
+        Returns:
+          The result, and whether the peer marks the end of a tunnel; see `marks_end`.
+        """
         conn.send(request_head(entry, self._membership.me.incarnation), b"")
         try:
             head = await conn.read_head()
         except AnswerBrokenError:
-            return TunnelResult.SILENT
+            return TunnelResult.SILENT, False
         except asyncio.CancelledError:
             conn.abort()
             raise
-        return read_result(head.headers)
+        return read_result(head.headers), marks_end(head.headers)
 
     def _leave_out(self, peer: Member, entry: EndpointEntry, result: TunnelResult) -> None:
         """Leave a peer out for a while unless its result concerns the endpoint."""
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_messages.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_messages.py
@@ -16,6 +16,10 @@
 ENDPOINT_HEADER = "Endpoint-Id"
 INCARNATION_HEADER = "Incarnation"
 RESULT_HEADER = "Tunnel-Result"
+# Says how a tunnel ends; MARKED: in order only where the endpoint ended its connection so. Builds
+# without this header end a tunnel in order whenever their process ends.
+END_HEADER = "Tunnel-End"
+MARKED = "marked"
 
 
 class TunnelResult(Enum):
@@ -95,11 +99,18 @@
     """Return the head of a reply; it has no body."""
     status = STATUSES[result]
     lines = [f"HTTP/1.1 {status.value} {status.phrase}", f"{RESULT_HEADER}: {result.value}"]
-    if result is not TunnelResult.OPEN:
+    if result is TunnelResult.OPEN:
+        lines += [f"{END_HEADER}: {MARKED}"]
+    else:
         lines += ["Content-Length: 0", "Connection: close"]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+def marks_end(headers: HTTPHeaders) -> bool:
+    """Return whether a peer ends its tunnel in order only where the endpoint did, by its reply."""
+    return headers.get(END_HEADER, "") == MARKED
+
+
 def read_result(headers: HTTPHeaders) -> TunnelResult:
     """Return the result in a reply; a peer that names none, or an unknown one, has no tunnels."""
     try:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -2,14 +2,12 @@
 
 The peer speaks HTTP with the endpoint through the connection, and all decisions on its requests
 stay with it. This instance decides only whether it can connect: it never asks a third one, so a
-request takes one hop at most. Either end that closes or breaks has the other one close or break in
-the same way, so that a peer can tell a whole answer from a truncated one, and an endpoint hears at
-once that a caller has left.
+request takes one hop at most. An endpoint that ends its connection in order has the tunnel end so;
+any other end resets it, also that of this process, so that a peer can tell a whole answer from a
+truncated one. An endpoint hears at once that a caller has left.
 """
 
 import asyncio
-import socket
-import struct
 
 from springbridge.membership import Membership
 from springbridge.routing.eligibility import ExclusionReason, exclusion_reason
@@ -20,6 +18,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from springbridge_node import logs
+from springbridge_node.gateway.http.closing import end_in_order, reset_on_close
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
     enable_dead_host_detection,
@@ -38,8 +37,6 @@
 CONNECT_TIMEOUT_S = 0.2
 # Maximum bytes taken from a connection before they are written to the other one.
 READ_BYTES = 1 << 16
-# Value of SO_LINGER with which a close resets the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Reasons for which this instance sends an endpoint nothing, whoever asks. Ejections, and what peers
 # report, are left to the peer that asks.
 BINDING_REASONS = frozenset(
@@ -143,8 +140,10 @@
             return
         try:
             enable_dead_host_detection(peer.socket)
+            reset_on_close(peer.socket)
             await peer.write(reply_head(TunnelResult.OPEN))
-            await _copy_both_ways(peer, endpoint)
+            if await _copy_both_ways(peer, endpoint):
+                end_in_order(peer.socket)
         finally:
             endpoint.close()
 
@@ -173,34 +172,35 @@
     sent.add_done_callback(lambda done: (done.exception(), stream.close()))
 
 
-async def _copy_both_ways(peer: IOStream, endpoint: IOStream) -> None:
-    """Copy bytes in both directions until either connection ends; the other one ends likewise."""
-    copying = [
-        asyncio.ensure_future(_copy(peer, endpoint)),
-        asyncio.ensure_future(_copy(endpoint, peer)),
-    ]
+async def _copy_both_ways(peer: IOStream, endpoint: IOStream) -> bool:
+    """Copy bytes in both directions until either connection ends.
+
+    Returns:
+      Whether the endpoint ended its connection in order, and the peer's has all that it sent.
+    """
+    requests = asyncio.ensure_future(_copy(peer, endpoint))
+    answers = asyncio.ensure_future(_copy(endpoint, peer))
     try:
-        await asyncio.wait(copying, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait({requests, answers}, return_when=asyncio.FIRST_COMPLETED)
     finally:
-        for each in copying:
+        for each in (requests, answers):
             each.cancel()
-        await asyncio.gather(*copying, return_exceptions=True)
-        if endpoint.closed() and endpoint.error is not None:
-            _reset(peer)
-
+        await asyncio.gather(requests, answers, return_exceptions=True)
+    return not answers.cancelled() and answers.result() and not peer.closed()
 
-async def _copy(source: IOStream, sink: IOStream) -> None:
-    """Copy bytes until either connection ends."""
-    try:
-        while True:
-            await sink.write(await source.read_bytes(READ_BYTES, partial=True))
-    except StreamClosedError:
-        # Which connection ended, and how, is read from the streams.
-        return
 
+async def _copy(source: IOStream, sink: IOStream) -> bool:
+    """Copy bytes until either connection ends.
 
-def _reset(stream: IOStream) -> None:
-    """Close a connection with a reset, so that what was sent does not look complete."""
-    if not stream.closed():
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        stream.close()
+    Returns:
+      Whether the source ended in order, after all that it sent was written to the sink.
+    """
+    while True:
+        try:
+            data = await source.read_bytes(READ_BYTES, partial=True)
+        except StreamClosedError as exc:
+            return exc.real_error is None
+        try:
+            await sink.write(data)
+        except StreamClosedError:
+            return False
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -67,8 +67,12 @@
       AnswerBrokenError: It was broken off.
     """
     end = connection.answer_end
-    if end is AnswerEnd.CLOSED and is_inside_event:
+    if end is not AnswerEnd.CLOSED:
+        return end
+    if is_inside_event:
         raise AnswerBrokenError(AnswerEnd.INSIDE_EVENT)
+    if not connection.end_is_marked:
+        raise AnswerBrokenError(AnswerEnd.UNMARKED)
     return end
 
 
