An answer that is cut off for a caller of HTTP/1.0 resets its connection

A caller of HTTP/1.0 takes no chunks, so the end of its connection marks the end of a stream or of a large plain answer. Cut off, such an answer ended in order, and the caller had to take half for the whole; so it did if the instance was killed. The connection is set to be reset from the start of such an answer on, and ends in order only with finish(), after all pieces were written to the socket. Framed answers are closed as before. Found with it: a caller of HTTP/1.0 that asks to keep its connection waited for the end of a stream until its own limit, as the connection stayed open and was promised to stay so; it is closed with the answer now, and kept where the answer has a length.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -1,17 +1,25 @@
 """Writes the answer to one request to the caller, piece by piece.
 
 Owns the caller's connection from the request to the end of its answer. Every answer ends in one of
-three ways: finish(), refuse() or abort().
+three ways: finish(), refuse() or abort(). An answer without a length to a caller of HTTP/1.0 ends
+with its connection, which is reset unless the answer is complete.
 """
 
 import contextlib
+from http import HTTPMethod
 
 import orjson
 from springbridge.problems import Problem
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine, responses
 from tornado.iostream import StreamClosedError
 
+from springbridge_node.gateway.http.closing import end_in_order, reset_on_close
+from springbridge_node.gateway.http.http_head import BODILESS_STATUSES
+
+# The version whose callers take chunks.
+CHUNKING_VERSION = "HTTP/1.1"
+
 
 class CallerGoneError(Exception):
     """The caller has closed its connection."""
@@ -25,13 +33,20 @@
       ended: Whether it was finished or aborted.
     """
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, asked: RequestStartLine, asked_headers: HTTPHeaders
+    ) -> None:
         """Start without an answer.
 
         Args:
           connection: The connection on which the request arrived.
+          asked: Start line of the request.
+          asked_headers: Headers of the request, as the connection has them.
         """
         self._connection = connection
+        self._asked = asked
+        self._asked_headers = asked_headers
+        self._ends_with_connection = False
         self.started = False
         self.ended = False
 
@@ -42,6 +57,8 @@
           CallerGoneError: The caller has closed its connection.
         """
         self.started = True
+        if self._lacks_end(status, headers):
+            self._end_with_connection(headers)
         line = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
         await _await_write(self._connection.write_headers(line, headers, piece or None))
 
@@ -57,7 +74,11 @@
     def finish(self) -> None:
         """End a complete answer."""
         self.ended = True
+        if self._ends_with_connection and not self._connection.stream.closed():
+            end_in_order(self._connection.stream.socket)
         self._connection.finish()
+        if self._ends_with_connection:
+            self._connection.close()
 
     async def wait_sent(self) -> None:
         """Wait until the end of the answer is in the socket, or the connection is closed.
@@ -87,6 +108,21 @@
         await self.start(problem.info.http_status, "", headers, body)
         self.finish()
 
+    def _lacks_end(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether neither a length nor chunks will mark the end of the answer's body."""
+        if self._asked.version == CHUNKING_VERSION or "Content-Length" in headers:
+            return False
+        return status not in BODILESS_STATUSES and self._asked.method != HTTPMethod.HEAD
+
+    def _end_with_connection(self, headers: HTTPHeaders) -> None:
+        """Let the connection end with the answer, in order only if the answer is complete."""
+        self._ends_with_connection = True
+        headers["Connection"] = "close"
+        # tornado would promise a caller who asked for it that the connection is kept.
+        self._asked_headers["Connection"] = "close"
+        if not self._connection.stream.closed():
+            reset_on_close(self._connection.stream.socket)
+
 
 async def _await_write(write) -> None:
     """Wait for a write; raise CallerGoneError if the connection is closed."""
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -98,9 +98,15 @@
         """Return the reader of the next request on a connection; called by tornado."""
         return _RequestReader(self, request_conn)
 
-    def start_task(self, request: IncomingRequest, connection: HTTP1Connection) -> None:
-        """Serve a request that was read completely, in its own task."""
-        answer = CallerAnswer(connection)
+    def start_task(
+        self, request: IncomingRequest, line: RequestStartLine, connection: HTTP1Connection
+    ) -> None:
+        """Serve a request that was read completely, in its own task.
+
+        Args:
+          line: Its start line.
+        """
+        answer = CallerAnswer(connection, line, request.headers)
         task = asyncio.ensure_future(self._serve_guarded(request, answer))
         self.in_progress.add(task)
         task.add_done_callback(self.in_progress.discard)
@@ -157,7 +163,7 @@
             b"".join(self._pieces),
             self._arrived_s,
         )
-        self._listener.start_task(request, self._connection)
+        self._listener.start_task(request, self._line, self._connection)
 
     def on_connection_close(self) -> None:
         """Drop a request whose caller closed the connection before it was complete."""
