Answers to HEAD requests have no body, whatever their heads state

A caller of HEAD got a closed connection without an answer: the instance waited for the body whose length the answer states, took the answer for broken off when none came, and its own refusal failed as the library allows no body there. Whether a body follows is part of how an answer ends, and was decided by its status alone. The connection knows what was asked now; a head that stands alone (to HEAD, 204, 304) passes on the length that it states, and chunks stated there are not waited for. test_an_answer_to_head_has_no_body_and_keeps_the_length_that_it_states failed before (connection closed after 0 bytes).

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -46,6 +46,7 @@
         self._connection = connection
         self._asked = asked
         self._asked_headers = asked_headers
+        self._answers_head = asked.method == HTTPMethod.HEAD
         self._ends_with_connection = False
         self.started = False
         self.ended = False
@@ -60,7 +61,8 @@
         if self._lacks_end(status, headers):
             self._end_with_connection(headers)
         line = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
-        await _await_write(self._connection.write_headers(line, headers, piece or None))
+        sent = None if self._answers_head else piece or None
+        await _await_write(self._connection.write_headers(line, headers, sent))
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body and wait until it is written to the socket.
@@ -68,7 +70,7 @@
         Raises:
           CallerGoneError: The caller has closed its connection.
         """
-        if piece:
+        if piece and not self._answers_head:
             await _await_write(self._connection.write(piece))
 
     def finish(self) -> None:
@@ -112,7 +114,7 @@
         """Return whether neither a length nor chunks will mark the end of the answer's body."""
         if self._asked.version == CHUNKING_VERSION or "Content-Length" in headers:
             return False
-        return status not in BODILESS_STATUSES and self._asked.method != HTTPMethod.HEAD
+        return status not in BODILESS_STATUSES and not self._answers_head
 
     def _end_with_connection(self, headers: HTTPHeaders) -> None:
         """Let the connection end with the answer, in order only if the answer is complete."""
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -43,6 +43,8 @@
 # s of the probes, which the kernel does not send while bytes are unacknowledged.
 UNACKNOWLEDGED_MS = 2500
 
+# Beginning of a HEAD request, whose answer has no body.
+HEAD_REQUEST = b"HEAD "
 # The C int that an ioctl fills.
 INT = struct.Struct("i")
 
@@ -129,6 +131,7 @@
         self._sent: asyncio.Future | None = None
         self._may_be_kept = True
         self._aborted = False
+        self._asked_head = False
         self.answer_end: AnswerEnd | None = None
         self.opened_s = clock.now_s()
         self.idle_since_s = self.opened_s
@@ -153,6 +156,7 @@
 
     def send(self, head: bytes, body: bytes) -> None:
         """Send a request without waiting; read_head() reports a failure."""
+        self._asked_head = head.startswith(HEAD_REQUEST)
         self._may_be_kept = False
         if self._stream.closed():
             return
@@ -168,7 +172,7 @@
         self.answer_end = None
         while True:
             raw = await self._read_until(b"\r\n\r\n", MAX_HEAD_BYTES)
-            head = parse_head(raw)
+            head = parse_head(raw, self._asked_head)
             if head.status >= 200:
                 return head
 
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -21,6 +21,8 @@
 
     Attributes:
       length: Bytes of the body, or None if it is chunked or ends with the connection.
+      is_bodiless: Whether it has no body whatever its headers state, which then tell of the body
+        that another request would have got.
     """
 
     status: int
@@ -28,6 +30,7 @@
     headers: HTTPHeaders
     length: int | None
     chunked: bool
+    is_bodiless: bool = False
 
     @property
     def unframed(self) -> bool:
@@ -35,11 +38,12 @@
         return self.length is None and not self.chunked
 
 
-def parse_head(raw: bytes) -> Head:
+def parse_head(raw: bytes, answers_head: bool = False) -> Head:
     """Parse the head of an answer.
 
     Args:
       raw: Status line and headers, without the empty line after them.
+      answers_head: Whether it answers a HEAD request.
 
     Raises:
       AnswerBrokenError: It cannot be parsed.
@@ -48,21 +52,21 @@
     try:
         line: ResponseStartLine = parse_response_start_line(start)
         headers = HTTPHeaders.parse(fields)
-        length = _content_length(line.code, headers)
+        length = _content_length(headers)
     except (HTTPInputError, ValueError) as exc:
         raise AnswerBrokenError(AnswerEnd.INVALID, "not an HTTP answer") from exc
+    if answers_head or line.code in BODILESS_STATUSES:
+        return Head(line.code, line.reason, headers, 0, chunked=False, is_bodiless=True)
     chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
     return Head(line.code, line.reason, headers, None if chunked else length, chunked)
 
 
-def _content_length(status: int, headers: HTTPHeaders) -> int | None:
+def _content_length(headers: HTTPHeaders) -> int | None:
     """Return the length of a body in bytes, or None if the head does not state it.
 
     Raises:
       ValueError: The header is not a valid length.
     """
-    if status in BODILESS_STATUSES:
-        return 0
     if "Content-Length" not in headers:
         return None
     length = int(headers["Content-Length"])
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -130,8 +130,9 @@
       length: Bytes of the body, or None if its end is marked by chunking or by closing.
     """
     headers = codec.caller_headers(head)
-    if length is not None:
-        headers["Content-Length"] = str(length)
+    stated = head.headers.get("Content-Length") if head.is_bodiless else length
+    if stated is not None:
+        headers["Content-Length"] = str(stated)
     exchange.progress.note_piece_relayed(clock.now_s())
     if exchange.progress.load is not None:
         exchange.progress.load.prompt_read()
--- a/packages/springbridge-standins/springbridge_standins/gateway/caller.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/caller.py
@@ -64,6 +64,12 @@
         self.may_be_kept = got.is_complete and got.headers.get("connection", "").lower() != "close"
         return got
 
+    async def ask_head(self, path: str) -> RawAnswer:
+        """Send a HEAD request and return its answer, which has no body."""
+        self._writer.write(request_bytes(path, method="HEAD"))
+        async with asyncio.timeout(LONGEST_ANSWER_S):
+            return await read_answer(self._reader, has_body=False)
+
     def close(self) -> None:
         """Close the connection; no further request may be sent."""
         self.may_be_kept = False
--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -100,16 +100,21 @@
     return RawRequest(method, target, headers, body)
 
 
-async def read_answer(reader: asyncio.StreamReader) -> RawAnswer:
+async def read_answer(reader: asyncio.StreamReader, has_body: bool = True) -> RawAnswer:
     """Read one answer; its body may be cut short if the connection closes.
 
+    Args:
+      has_body: False for the answer to a HEAD request.
+
     Raises:
       asyncio.IncompleteReadError: The connection closed before the end of the headers.
     """
     raw = await reader.readuntil(CRLF + CRLF)
     start, headers = parse_head(raw[:-4])
     status = int(start.split(" ")[1])
-    if headers.get("transfer-encoding") == "chunked":
+    if not has_body:
+        body, is_complete = b"", True
+    elif headers.get("transfer-encoding") == "chunked":
         body, is_complete = await _read_chunks(reader)
     else:
         length = int(headers.get("content-length", 0))
