The end of an answer that nothing marks is verified by the endpoint's other connections

Where an endpoint's process ended between two events of a stream without length or chunks, before the first, or in a plain body, callers got half of it as whole, plain ones with a Content-Length that this instance had counted itself: the kernel closes the connections of a process that ends in order. But it closes all of them. The end mark of such an answer waits now: another connection to the endpoint that the kernel has as open 2 ms later shows that it runs; without one a new connection tells, which the pool keeps for the next request. Refused, by peers as well, means that the process has ended and the answer with it: the attempt counts as broken. An endpoint that leaves may end after its last answer, and where nothing is known the answer counts as whole. Held failures and plain bodies are read by the same rule. CrashConfirmation makes the connection attempts as before, and tells an accepted one from one that shows nothing.

Failed before: the cases process_ended_between_events, process_ended_in_a_plain_body and process_killed (a real process under SIGKILL), the four cases of test_an_answer_whose_endpoint_ended_with_it_is_not_whole, the resumable stream, the held failure. Whole answers are delivered once, as before.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointIncarnation
@@ -28,16 +29,28 @@
 RESULT_TTL_S = 1.0
 
 
+class ProcessState(Enum):
+    """What a connection attempt tells of the process of an endpoint.
+
+    RUNS: It accepted the connection. ENDED: The connection was refused. UNKNOWN: Neither, or the
+    endpoint is leaving or not listed, so that its end is no crash.
+    """
+
+    RUNS = auto()
+    ENDED = auto()
+    UNKNOWN = auto()
+
+
 @dataclass(slots=True)
 class _Attempt:
-    """A connection attempt, whose result is whether the endpoint refused it.
+    """A connection attempt, whose result is what it tells of the endpoint's process.
 
     Attributes:
       has_begun: Whether the connection may have been accepted already.
       ended_s: When it ended, on the clock of `clock.now_s`; infinite before.
     """
 
-    task: asyncio.Task[bool] | None = None
+    task: asyncio.Task[ProcessState] | None = None
     has_begun: bool = False
     ended_s: float = float("inf")
 
@@ -63,19 +76,37 @@
             instance that is short of processor time.
           sent_s: When the request that broke was sent, on the clock of `clock.now_s`.
         """
-        if state.is_leaving or not state.is_listed:
+        task = self._attempt(state, sent_s)
+        if task is None:
             return False
+        found = await _result_within(REFUSAL_TIMEOUT_S, task)
+        if not task.done():
+            task.add_done_callback(lambda ended: on_late_crash() if _found_crash(ended) else None)
+        return found is ProcessState.ENDED
+
+    async def process_state(
+        self, state: EndpointState, sent_s: float, timeout_s: float
+    ) -> ProcessState:
+        """Return what a connection attempt tells of the process of an endpoint.
+
+        Args:
+          sent_s: See has_crashed().
+          timeout_s: How long to wait for it, in seconds.
+        """
+        task = self._attempt(state, sent_s)
+        return ProcessState.UNKNOWN if task is None else await _result_within(timeout_s, task)
+
+    def _attempt(self, state: EndpointState, sent_s: float) -> asyncio.Task[ProcessState] | None:
+        """Return an attempt for a request that has just broken; None if its end is no crash."""
+        if state.is_leaving or not state.is_listed:
+            return None
         if leaving.wants_nothing(state.statements.leaving, now_s()):
-            return False
-        task = self._attempt_for_break_now(state, sent_s)
-        # asyncio.wait does not cancel the task when one of the requests that wait for it is.
-        done, _ = await asyncio.wait({task}, timeout=REFUSAL_TIMEOUT_S)
-        if done:
-            return task.result()
-        task.add_done_callback(lambda finished: on_late_crash() if _found_crash(finished) else None)
-        return False
-
-    def _attempt_for_break_now(self, state: EndpointState, sent_s: float) -> asyncio.Task[bool]:
+            return None
+        return self._attempt_for_break_now(state, sent_s)
+
+    def _attempt_for_break_now(
+        self, state: EndpointState, sent_s: float
+    ) -> asyncio.Task[ProcessState]:
         """Return an attempt whose result holds for a request that has just broken.
 
         That is one that has not begun yet, one that has confirmed a crash since the request was
@@ -88,34 +119,34 @@
         if latest is not None and (not latest.has_begun or _found_crash(latest.task)):
             return latest.task
         attempt = self._latest[incarnation] = _Attempt()
-        attempt.task = asyncio.ensure_future(self._refuses_after(latest, attempt, state))
+        attempt.task = asyncio.ensure_future(self._connect_after(latest, attempt, state))
         attempt.task.add_done_callback(lambda _: self._forget_later(incarnation, attempt))
         return attempt.task
 
-    async def _refuses_after(
+    async def _connect_after(
         self, previous: _Attempt | None, attempt: _Attempt, state: EndpointState
-    ) -> bool:
-        """Return whether an endpoint refuses a connection, in the previous attempt or a new one."""
+    ) -> ProcessState:
+        """Return the result of the previous attempt if it confirms a crash, else of a new one."""
         try:
             if previous is not None:
                 await asyncio.wait({previous.task})
                 if _found_crash(previous.task):
-                    return True
+                    return ProcessState.ENDED
             attempt.has_begun = True
-            return await self._refuses(state)
+            return await self._connect(state)
         finally:
             attempt.ended_s = now_s()
 
-    async def _refuses(self, state: EndpointState) -> bool:
-        """Return whether an endpoint refuses a connection; if not, the pool keeps it for use."""
+    async def _connect(self, state: EndpointState) -> ProcessState:
+        """Connect to an endpoint; the pool keeps the connection for use."""
         try:
             await self._pool.warm(state.entry)
         except ConnectFailedError as exc:
-            return exc.refused
+            return ProcessState.ENDED if exc.refused else ProcessState.UNKNOWN
         except OSError:
             # No file descriptor is left, so nothing is known. The failed attempt is logged anyway.
-            return False
-        return False
+            return ProcessState.UNKNOWN
+        return ProcessState.RUNS
 
     def _forget_later(self, incarnation: EndpointIncarnation, attempt: _Attempt) -> None:
         """Drop a result after RESULT_TTL_S, unless a later attempt has replaced it."""
@@ -127,6 +158,13 @@
         asyncio.get_running_loop().call_later(RESULT_TTL_S, forget)
 
 
-def _found_crash(task: asyncio.Task[bool]) -> bool:
+async def _result_within(timeout_s: float, task: asyncio.Task[ProcessState]) -> ProcessState:
+    """Return the result of an attempt, UNKNOWN if it takes longer than timeout_s seconds."""
+    # asyncio.wait does not cancel the task when one of the requests that wait for it is.
+    done, _ = await asyncio.wait({task}, timeout=timeout_s)
+    return task.result() if done else ProcessState.UNKNOWN
+
+
+def _found_crash(task: asyncio.Task[ProcessState]) -> bool:
     """Return whether a connection attempt has confirmed a crash; a cancelled one has not."""
-    return task.done() and not task.cancelled() and task.result()
+    return task.done() and not task.cancelled() and task.result() is ProcessState.ENDED
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/path_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/path_parts.py
@@ -11,6 +11,8 @@
 
 from springbridge_node.clock import now_s
 from springbridge_node.gateway.endpoints.connector import EndpointConnector
+from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
+from springbridge_node.gateway.endpoints.end_verification import EndVerification
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.endpoints.prober import EndpointProber
 from springbridge_node.gateway.endpoints.stall_check import StallCheck
@@ -25,6 +27,8 @@
       paths: The lost paths of this instance.
       pool: All connections of this instance to endpoints.
       stalls: Notices requests whose path hangs.
+      confirmation: Confirms crashes of endpoints.
+      ends: Verifies ends of answers that only their connections mark.
       prober: Probes unreachable endpoints and lost paths; its step is to be called periodically.
       tunnel_server: Connects to endpoints on behalf of peers.
     """
@@ -49,6 +53,8 @@
         )
         self.pool = ConnectionPool(instances, connector.connect, self.paths)
         self.stalls = StallCheck(self.pool, self.paths)
+        self.confirmation = CrashConfirmation(self.pool)
+        self.ends = EndVerification(self.pool, self.confirmation)
         self.prober = EndpointProber(registry, self.pool, connector, self.paths)
         self.tunnel_server = TunnelServer(membership, registry, self.paths)
 
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -5,6 +5,7 @@
 resets the others, so each instance keeps to its share of them.
 """
 
+import itertools
 from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 
@@ -110,6 +111,12 @@
             return not self._paths.prefers_direct(incarnation)
         return not (self._paths.is_lost(incarnation) or self._paths.is_doubtful(incarnation))
 
+    def has_open(self, incarnation: EndpointIncarnation) -> bool:
+        """Return whether a direct connection to an endpoint is open at both ends, used or idle."""
+        used = (conn for conn, entry in self._in_use.items() if entry.incarnation == incarnation)
+        every = itertools.chain(self._idle.get(incarnation, ()), used)
+        return any(conn.is_open() for conn in every if not conn.through)
+
     def idle_count(self, incarnation: EndpointIncarnation) -> int:
         """Return how many idle connections to an endpoint are kept."""
         return len(self._idle.get(incarnation, ()))
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -115,7 +115,12 @@
             roles_after_s=ROLES_AFTER_S if settings.other_seeds else 0.0,
         )
         self.quarantine_parts = QuarantineParts(
-            self.membership, self.registry, self.pool, ports.store, self.readers, self.telemetry
+            self.membership,
+            self.registry,
+            self.path_parts.confirmation,
+            ports.store,
+            self.readers,
+            self.telemetry,
         )
         self.peer_client = PeerClient(self.membership, lambda: list(self.settings.other_seeds))
         self.evacuations = EvacuationSharing(
@@ -188,6 +193,7 @@
             registry=self.registry,
             paths=self.path_parts.paths,
             stalls=self.path_parts.stalls,
+            ends=self.path_parts.ends,
             pool=self.pool,
             budget=self.budget,
             codec=self._ports.codec,
--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
@@ -11,8 +11,11 @@
     """How an answer ended, and by which evidence; the values are logged and counted.
 
     LENGTH: It has the length that it states. LAST_CHUNK: Its last chunk arrived. CLOSED: It states
-    no length, and the connection was closed in order. INSIDE_EVENT: The same, within an event.
-    UNMARKED: The same, by a peer whose build also ends so when its own process does. EARLY: The
+    no length, and the connection was closed in order. OTHERS_OPEN, ACCEPTS: The same, and the
+    endpoint keeps other connections open, or accepts one, so the end was its own. REFUSES: The
+    same, and the endpoint refuses connections: its process has ended, and the answer with it.
+    INSIDE_EVENT: The connection was closed in order within an event.
+    UNMARKED: It was closed by a peer whose build also ends so when its own process does. EARLY: The
     connection was closed in order before the stated end, or before a head. RESET: The connection
     was reset, or the other host stopped responding. ABORTED: This instance closed the connection.
     INVALID: What arrived is not a valid answer.
@@ -21,6 +24,9 @@
     LENGTH = "length"
     LAST_CHUNK = "last chunk"
     CLOSED = "closed"
+    OTHERS_OPEN = "closed, others open"
+    ACCEPTS = "closed, accepts"
+    REFUSES = "closed, refuses"
     INSIDE_EVENT = "inside event"
     UNMARKED = "unmarked hop"
     EARLY = "early close"
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -45,6 +45,8 @@
 
 # Beginning of a HEAD request, whose answer has no body.
 HEAD_REQUEST = b"HEAD "
+# State of an open connection, the first byte of TCP_INFO.
+TCP_ESTABLISHED = 1
 # The C int that an ioctl fills.
 INT = struct.Struct("i")
 
@@ -215,6 +217,13 @@
         """Return whether the last answer left the connection fit for another request."""
         return self._may_be_kept and not self._unread and not self._stream.closed()
 
+    def is_open(self) -> bool:
+        """Return whether neither side has ended the connection, whatever is still unread."""
+        if self._stream.closed():
+            return False
+        info = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] == TCP_ESTABLISHED
+
     def has_unacknowledged(self) -> bool:
         """Return whether sent bytes have not reached the host at the other end, as far as known."""
         if self._stream.closed():
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -3,19 +3,18 @@
 A failure that another endpoint may do better is held back instead of relayed.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from springbridge.routing import giving_up, retries
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.retries import AttemptOutcome
 
 from springbridge_node import clock
-from springbridge_node.gateway.http.answer_end import AnswerBrokenError
+from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
 from springbridge_node.gateway.http.http_connection import HttpConnection
-from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.requests.endpoint_answer import (
     AnswerTimeoutError,
-    end_of,
+    EndpointAnswer,
     read_head_within,
     read_whole_body,
 )
@@ -30,12 +29,14 @@
     connection: HttpConnection,
     codec: RequestCodec,
     on_answer_head: Callable[[AnswerMetadata, float, float], None],
+    verify_end: Callable[[], Awaitable[AnswerEnd]],
 ) -> AttemptOutcome:
     """Send a request to the chosen endpoint, relay its answer, and return how that ended.
 
     Args:
       on_answer_head: Called with the metadata in the head of the answer, and the times when the
         request was sent and when its connection was opened, on the clock of `clock.now_s`.
+      verify_end: See `EndpointAnswer`.
 
     Raises:
       TimeoutError: Too little time is left before the deadline; nothing was sent.
@@ -49,10 +50,11 @@
         head = await read_head_within(silence_s, connection, codec, exchange.request_id)
         metadata = codec.answer_metadata(head)
         on_answer_head(metadata, sent_s, connection.opened_s)
+        answer = EndpointAnswer(connection, head, verify_end)
         if metadata.not_run:
             exchange.progress.may_have_run = ran_before
-            return await _read_refusal(exchange, connection, head, metadata)
-        return await _relay_or_hold_back(exchange, connection, head, metadata, codec)
+            return await _read_refusal(exchange, answer, metadata)
+        return await _relay_or_hold_back(exchange, answer, metadata, codec)
     except AnswerBrokenError as exc:
         exchange.progress.answer_end = exc.end
         return AttemptOutcome.BROKEN
@@ -88,11 +90,10 @@
 
 
 async def _read_refusal(
-    exchange: Exchange, connection: HttpConnection, head: Head, metadata: AnswerMetadata
+    exchange: Exchange, answer: EndpointAnswer, metadata: AnswerMetadata
 ) -> AttemptOutcome:
     """Read the answer of an endpoint that guarantees that it has not run the request."""
-    await read_whole_body(connection, head)
-    exchange.progress.answer_end = end_of(connection)
+    _, exchange.progress.answer_end = await read_whole_body(answer)
     if metadata.other_endpoint:
         exchange.progress.misdirected += 1
         return AttemptOutcome.OTHER_ENDPOINT
@@ -104,22 +105,18 @@
 
 
 async def _relay_or_hold_back(
-    exchange: Exchange,
-    connection: HttpConnection,
-    head: Head,
-    metadata: AnswerMetadata,
-    codec: RequestCodec,
+    exchange: Exchange, answer: EndpointAnswer, metadata: AnswerMetadata, codec: RequestCodec
 ) -> AttemptOutcome:
     """Relay an answer, or hold back a failure so that another endpoint can be tried."""
     if not exchange.route.streaming and exchange.progress.load is not None:
         exchange.progress.load.prompt_read()
-    if giving_up.holds_failure(exchange.route, head.status):
-        exchange.progress.failure = HeldFailure(head, await read_whole_body(connection, head))
-        exchange.progress.answer_end = end_of(connection)
+    if giving_up.holds_failure(exchange.route, answer.head.status):
+        body, exchange.progress.answer_end = await read_whole_body(answer)
+        exchange.progress.failure = HeldFailure(answer.head, body)
         return (
             AttemptOutcome.ENDPOINT_ERROR
             if metadata.statements.rest_s is None
             else AttemptOutcome.ASKED_REST
         )
-    await relay(exchange, connection, head, codec)
+    await relay(exchange, answer, codec)
     return AttemptOutcome.DELIVERED
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
 from springbridge_node.gateway.http.http_connection import HttpConnection
@@ -16,6 +18,24 @@
 MAX_ANSWERS_READ = 3
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointAnswer:
+    """An endpoint's answer, whose head was read.
+
+    Attributes:
+      verify_end: Returns how it ended if its connection was closed in order and nothing else marks
+        its end.
+    """
+
+    connection: HttpConnection
+    head: Head
+    verify_end: Callable[[], Awaitable[AnswerEnd]]
+
+    def pieces(self) -> AsyncIterator[bytes]:
+        """Yield its body in pieces as they arrive; see `HttpConnection.read_body`."""
+        return self.connection.read_body(self.head)
+
+
 class AnswerTimeoutError(Exception):
     """An endpoint did not begin its answer in time."""
 
@@ -56,8 +76,18 @@
     raise AnswerBrokenError(AnswerEnd.INVALID, "only answers of other requests")
 
 
-def end_of(connection: HttpConnection, is_inside_event: bool = False) -> AnswerEnd:
-    """Return how the answer ended that was read last from a connection.
+async def read_whole_body(answer: EndpointAnswer) -> tuple[bytes, AnswerEnd]:
+    """Return the whole body of an answer, and how it ended.
+
+    Raises:
+      AnswerBrokenError: It was broken off.
+    """
+    body = b"".join([piece async for piece in answer.pieces()])
+    return body, await check_end(answer)
+
+
+async def check_end(answer: EndpointAnswer, is_inside_event: bool = False) -> AnswerEnd:
+    """Return how an answer ended whose pieces were all read.
 
     Args:
       is_inside_event: Whether its last bytes are part of an event that has not ended. That decides
@@ -66,20 +96,14 @@
     Raises:
       AnswerBrokenError: It was broken off.
     """
-    end = connection.answer_end
+    end = answer.connection.answer_end
     if end is not AnswerEnd.CLOSED:
         return end
     if is_inside_event:
         raise AnswerBrokenError(AnswerEnd.INSIDE_EVENT)
-    if not connection.end_is_marked:
+    if not answer.connection.end_is_marked:
         raise AnswerBrokenError(AnswerEnd.UNMARKED)
+    end = await answer.verify_end()
+    if end is AnswerEnd.REFUSES:
+        raise AnswerBrokenError(end)
     return end
-
-
-async def read_whole_body(connection: HttpConnection, head: Head) -> bytes:
-    """Return the whole body of an answer.
-
-    Raises:
-      AnswerBrokenError: It ended early.
-    """
-    return b"".join([piece async for piece in connection.read_body(head)])
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -15,7 +15,6 @@
 from springbridge_node.gateway.config.store_readers import StoreReaders
 from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
 from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
-from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
@@ -38,7 +37,7 @@
         self,
         membership: Membership,
         registry: EndpointRegistry,
-        pool: ConnectionPool,
+        confirmation: CrashConfirmation,
         store: PlatformStore,
         readers: StoreReaders,
         telemetry: Telemetry,
@@ -62,7 +61,7 @@
                 self._quarantine,
                 self.sharing,
                 self._permits,
-                CrashConfirmation(pool),
+                confirmation,
                 self.stored,
                 QuarantineLog(telemetry),
             )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -10,9 +10,8 @@
 from springbridge.routing.event_stream import EventSplitter
 
 from springbridge_node import clock
-from springbridge_node.gateway.http.http_connection import HttpConnection
 from springbridge_node.gateway.http.http_head import Head
-from springbridge_node.gateway.requests.endpoint_answer import end_of
+from springbridge_node.gateway.requests.endpoint_answer import EndpointAnswer, check_end
 from springbridge_node.gateway.requests.exchange import Exchange, HeldFailure, Progress
 from springbridge_node.gateway.requests.request_codec import RequestCodec
 
@@ -22,19 +21,17 @@
 EVENT_STREAM = "text/event-stream"
 
 
-async def relay(
-    exchange: Exchange, connection: HttpConnection, head: Head, codec: RequestCodec
-) -> None:
+async def relay(exchange: Exchange, answer: EndpointAnswer, codec: RequestCodec) -> None:
     """Relay an answer: event by event if it is a stream, else as a plain body.
 
     Raises:
       AnswerBrokenError: The endpoint's answer ended early.
       CallerGoneError: The caller has closed its connection.
     """
-    if exchange.route.streaming and head.status < HTTPStatus.MULTIPLE_CHOICES:
-        await _relay_events(exchange, connection, head, codec)
+    if exchange.route.streaming and answer.head.status < HTTPStatus.MULTIPLE_CHOICES:
+        await _relay_events(exchange, answer, codec)
     else:
-        await _relay_plain(exchange, connection, head, codec)
+        await _relay_plain(exchange, answer, codec)
     exchange.answer.finish()
 
 
@@ -48,27 +45,27 @@
     exchange.answer.finish()
 
 
-async def _relay_plain(
-    exchange: Exchange, connection: HttpConnection, head: Head, codec: RequestCodec
-) -> None:
-    """Relay a plain answer: in one write if it fits the buffer, else in pieces."""
-    answer = exchange.answer
+async def _relay_plain(exchange: Exchange, answer: EndpointAnswer, codec: RequestCodec) -> None:
+    """Relay a plain answer: in one write if it fits the buffer, else in pieces.
+
+    Raises:
+      AnswerBrokenError: The answer ended early.
+    """
+    head, caller = answer.head, exchange.answer
     buffered = bytearray()
-    async for piece in connection.read_body(head):
-        if answer.started:
-            await answer.write(piece)
+    async for piece in answer.pieces():
+        if caller.started:
+            await caller.write(piece)
             continue
         buffered += piece
         if len(buffered) > MAX_BUFFERED_BYTES:
             await _start(exchange, head, codec, bytes(buffered), head.length)
-    exchange.progress.answer_end = end_of(connection)
-    if not answer.started:
+    exchange.progress.answer_end = await check_end(answer)
+    if not caller.started:
         await _start(exchange, head, codec, bytes(buffered), len(buffered))
 
 
-async def _relay_events(
-    exchange: Exchange, connection: HttpConnection, head: Head, codec: RequestCodec
-) -> None:
+async def _relay_events(exchange: Exchange, answer: EndpointAnswer, codec: RequestCodec) -> None:
     """Relay a stream event by event, skipping events that the caller already has.
 
     An incomplete event is dropped if the stream breaks. One that has only its last empty line
@@ -77,9 +74,9 @@
     Raises:
       AnswerBrokenError: The stream ended early.
     """
-    progress = exchange.progress
+    head, progress = answer.head, exchange.progress
     splitter = EventSplitter()
-    async for piece in connection.read_body(head):
+    async for piece in answer.pieces():
         events = splitter.feed(piece)
         if events and progress.load is not None:
             progress.load.prompt_read()
@@ -89,7 +86,7 @@
             ids = [event.event_id for event in new_events if event.event_id is not None]
             progress.last_event = ids[-1] if ids else progress.last_event
     is_inside_event = _is_event_stream(head) and splitter.is_inside_event()
-    progress.answer_end = end_of(connection, is_inside_event)
+    progress.answer_end = await check_end(answer, is_inside_event)
     if splitter.rest or not exchange.answer.started:
         await _relay_piece(exchange, head, codec, splitter.rest)
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -27,6 +27,7 @@
 from springbridge_node import clock
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.ingress import IncomingRequest
+from springbridge_node.gateway.endpoints.end_verification import EndVerification
 from springbridge_node.gateway.endpoints.pool import ConnectionPool, EndpointBusyError
 from springbridge_node.gateway.endpoints.stall_check import StallCheck
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
@@ -65,6 +66,7 @@
     registry: EndpointRegistry
     paths: PathTable
     stalls: StallCheck
+    ends: EndVerification
     pool: ConnectionPool
     budget: SharedRetryBudget
     codec: RequestCodec
@@ -303,10 +305,15 @@
                 on_answer_head = partial(
                     self._parts.rates.watch.record, choice.state.entry, exchange.request_id
                 )
+                verify_end = partial(
+                    self._parts.ends.verify, choice.state, connection, chosen.sent_s
+                )
                 codec = self._parts.codec
                 repeatable = retries.is_repeatable(exchange.route)
                 with self._parts.stalls.watching(choice.state.entry, connection, repeatable):
-                    end = await make_attempt(exchange, choice, connection, codec, on_answer_head)
+                    end = await make_attempt(
+                        exchange, choice, connection, codec, on_answer_head, verify_end
+                    )
         except BaseException:
             self._parts.pool.discard(incarnation, connection)
             raise
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -251,8 +251,8 @@
     Mutant(
         "a broken connection to an endpoint that keeps running is no crash",
         f"{NODE}/gateway/endpoints/crash_confirmation.py",
-        "            return task.result()",
-        "            return True",
+        "        return found is ProcessState.ENDED",
+        "        return True",
         f"{QUARANTINE}::test_endpoints_that_fail_and_go_on_are_no_crashes",
     ),
     Mutant(
