springbridge serve: half a plain answer without a length is an error

Callers got half a plain service's answer as a success (b'half') where it states no length: tornado's client takes a reset for the end of such a body, and so does an orderly end of a process that ends. The client of all endpoints ends a request whose connection was reset with an error, and after an answer without length or chunks a connection that is refused shows that the process has ended. Streams of model engines need neither: a chunk says that it is the last, and read_into, home_relay and resume all miss it (by reading).

--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
@@ -2,7 +2,8 @@
 
 An endpoint refuses a job before it starts with status 429 or 503 and the header
 ``Engine-Admitted: no``. Only that answer, or a connection that was never made, proves that the job
-did not start.
+did not start. An answer that states no length ends with its connection: a reset breaks it off, and
+so does the end of the endpoint's process, whose connections are closed in order.
 """
 
 import asyncio
@@ -12,8 +13,9 @@
 from springbridge.classes.entities import Endpoint
 from springbridge.classes.ports import EndpointError, NotAdmittedError
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httputil import HTTPHeaders
 from tornado.netutil import Resolver
-from tornado.simple_httpclient import HTTPTimeoutError
+from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient, _HTTPConnection
 
 # Timeout for connecting. Its expiry proves that the job did not start, so another endpoint may get
 # the job.
@@ -37,9 +39,28 @@
         return [(socket.AF_INET, (host, port))]
 
 
+class _EndpointConnection(_HTTPConnection):
+    """A request on which a reset is an error; the library takes one for the end of the body."""
+
+    def finish(self) -> None:
+        """End the request, with an error if its connection was reset."""
+        error = self.stream.error
+        if error is not None:
+            self._handle_exception(type(error), error, error.__traceback__)
+            return
+        super().finish()
+
+
+class EndpointHttpClient(SimpleAsyncHTTPClient):
+    """The library's HTTP client with connections to endpoints."""
+
+    def _connection_class(self) -> type:
+        return _EndpointConnection
+
+
 def make_client() -> AsyncHTTPClient:
     """Return the HTTP client that all adapters of a node share."""
-    return AsyncHTTPClient(
+    return EndpointHttpClient(
         force_instance=True,
         max_clients=MAX_CLIENTS,
         max_body_size=MAX_ANSWER_BYTES,
@@ -52,6 +73,26 @@
     return f"http://{endpoint.address}{path}"
 
 
+def lacks_end(headers: HTTPHeaders) -> bool:
+    """Return whether neither a length nor chunks mark the end of an answer's body."""
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
+async def refuses_connections(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint refuses connections: its process has ended."""
+    host, _, port = endpoint.address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        # It is silent, or no file descriptor is left: nothing is known of its process.
+        return False
+    writer.close()
+    return False
+
+
 def fetch_error(fetch: "asyncio.Future") -> Exception | None:
     """Return the error that a finished fetch stands for, None for success."""
     if fetch.cancelled():
--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/service_client.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/service_client.py
@@ -11,6 +11,8 @@
 from springbridge_node.class_router.endpoints.endpoint_http import (
     CONNECT_TIMEOUT_S,
     fetch_error,
+    lacks_end,
+    refuses_connections,
     url_of,
 )
 from springbridge_node.class_router.requests.progress import SERVICE_STALL_S
@@ -41,6 +43,8 @@
         if failure is not None:
             raise failure
         response = fetch.result()
+        if lacks_end(response.headers) and await refuses_connections(endpoint):
+            raise EndpointError("the process ended with its answer")
         answered = response.headers.get(ID_HEADER, "")
         yield Chunk(answered, 0, 1, response.body.decode(errors="surrogateescape"), True)
 
