An answer whose endpoint vanishes with it is not whole; mutants of the ends of answers

A host that goes down ends its processes first, and their connections in order. Endpoints that leave, or are not listed, stay as they were. The test of it failed before (closed). Seven mutants take out one rule each of how an answer ends; the one of the tunnel has the present text.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -32,13 +32,14 @@
 class ProcessState(Enum):
     """What a connection attempt tells of the process of an endpoint.
 
-    RUNS: It accepted the connection. ENDED: The connection was refused. UNKNOWN: Neither, or the
-    endpoint is leaving or not listed, so that its end is no crash.
+    RUNS: It accepted the connection. ENDED: The connection was refused. SILENT: Neither, in time.
+    EXEMPT: None was made, as the endpoint is leaving or not listed, so that its end is no crash.
     """
 
     RUNS = auto()
     ENDED = auto()
-    UNKNOWN = auto()
+    SILENT = auto()
+    EXEMPT = auto()
 
 
 @dataclass(slots=True)
@@ -94,7 +95,7 @@
           timeout_s: How long to wait for it, in seconds.
         """
         task = self._attempt(state, sent_s)
-        return ProcessState.UNKNOWN if task is None else await _result_within(timeout_s, task)
+        return ProcessState.EXEMPT if task is None else await _result_within(timeout_s, task)
 
     def _attempt(self, state: EndpointState, sent_s: float) -> asyncio.Task[ProcessState] | None:
         """Return an attempt for a request that has just broken; None if its end is no crash."""
@@ -142,10 +143,10 @@
         try:
             await self._pool.warm(state.entry)
         except ConnectFailedError as exc:
-            return ProcessState.ENDED if exc.refused else ProcessState.UNKNOWN
+            return ProcessState.ENDED if exc.refused else ProcessState.SILENT
         except OSError:
             # No file descriptor is left, so nothing is known. The failed attempt is logged anyway.
-            return ProcessState.UNKNOWN
+            return ProcessState.SILENT
         return ProcessState.RUNS
 
     def _forget_later(self, incarnation: EndpointIncarnation, attempt: _Attempt) -> None:
@@ -159,10 +160,10 @@
 
 
 async def _result_within(timeout_s: float, task: asyncio.Task[ProcessState]) -> ProcessState:
-    """Return the result of an attempt, UNKNOWN if it takes longer than timeout_s seconds."""
+    """Return the result of an attempt, SILENT if it takes longer than timeout_s seconds."""
     # asyncio.wait does not cancel the task when one of the requests that wait for it is.
     done, _ = await asyncio.wait({task}, timeout=timeout_s)
-    return task.result() if done else ProcessState.UNKNOWN
+    return task.result() if done else ProcessState.SILENT
 
 
 def _found_crash(task: asyncio.Task[ProcessState]) -> bool:
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification.py
@@ -23,7 +23,8 @@
 ENDS = {
     ProcessState.RUNS: AnswerEnd.ACCEPTS,
     ProcessState.ENDED: AnswerEnd.REFUSES,
-    ProcessState.UNKNOWN: AnswerEnd.CLOSED,
+    ProcessState.SILENT: AnswerEnd.SILENT,
+    ProcessState.EXEMPT: AnswerEnd.CLOSED,
 }
 
 
@@ -40,8 +41,8 @@
     ) -> AnswerEnd:
         """Return how an answer ended on a connection that has just been closed in order.
 
-        CLOSED means that nothing is known, as of an endpoint that leaves: its planned end may
-        follow its last answer at once.
+        CLOSED means that its end would tell nothing, as of an endpoint that leaves: its planned end
+        may follow its last answer at once.
 
         Args:
           sent_s: When the request was sent, on the clock of `clock.now_s`.
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
@@ -129,14 +129,14 @@
     run(body)
 
 
-# Guards against a whole answer that is failed since its endpoint does not accept connections now.
-def test_a_connection_that_does_not_come_up_tells_nothing(run, monkeypatch):
+# Guards against half an answer as whole whose host goes down with its endpoint.
+def test_nobody_vouches_for_an_endpoint_that_cannot_be_reached_any_more(run, monkeypatch):
     async def body(rig):
         async def times_out(entry):
             raise ConnectFailedError("TimeoutError")
 
         conn = await rig.ask()
         monkeypatch.setattr(rig.pool, "warm", times_out)
-        assert_that(await rig.verify(conn), Equals(AnswerEnd.CLOSED))
+        assert_that(await rig.verify(conn), Equals(AnswerEnd.SILENT))
 
     run(body)
--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
@@ -14,6 +14,7 @@
     no length, and the connection was closed in order. OTHERS_OPEN, ACCEPTS: The same, and the
     endpoint keeps other connections open, or accepts one, so the end was its own. REFUSES: The
     same, and the endpoint refuses connections: its process has ended, and the answer with it.
+    SILENT: The same, and it cannot be reached any more, so that nobody vouches for the end.
     INSIDE_EVENT: The connection was closed in order within an event.
     UNMARKED: It was closed by a peer whose build also ends so when its own process does. EARLY: The
     connection was closed in order before the stated end, or before a head. RESET: The connection
@@ -27,6 +28,7 @@
     OTHERS_OPEN = "closed, others open"
     ACCEPTS = "closed, accepts"
     REFUSES = "closed, refuses"
+    SILENT = "closed, silent"
     INSIDE_EVENT = "inside event"
     UNMARKED = "unmarked hop"
     EARLY = "early close"
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -104,6 +104,6 @@
     if not answer.connection.end_is_marked:
         raise AnswerBrokenError(AnswerEnd.UNMARKED)
     end = await answer.verify_end()
-    if end is AnswerEnd.REFUSES:
+    if end in (AnswerEnd.REFUSES, AnswerEnd.SILENT):
         raise AnswerBrokenError(end)
     return end
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -20,6 +20,8 @@
 SIMULATION = f"{STANDINS}/crash_simulation_test.py"
 NEWS = f"{STANDINS}/gateway/simulated_crash_sharing_test.py"
 TUNNELS = f"{PLATFORM}/tunnels_test.py"
+TRUNCATED = f"{PLATFORM}/truncated_answers_test.py"
+HALF = "test_half_an_answer_never_reaches_its_caller_as_whole"
 FOLLOWER = f"{NODE}/gateway/config/configuration_follower_test.py"
 
 GATEWAY_MUTANTS = (
@@ -294,10 +296,59 @@
     Mutant(
         "an answer that is reset behind a peer does not look whole",
         f"{NODE}/gateway/peers/tunnel_server.py",
-        "        if endpoint.closed() and endpoint.error is not None:\n",
-        "        if False:\n",
+        "            return exc.real_error is None",
+        "            return True",
         f"{TUNNELS}::test_an_answer_without_a_length_that_is_reset_behind_a_peer_is_not_whole",
     ),
+    Mutant(
+        "a tunnel is reset unless its endpoint ended in order",
+        f"{NODE}/gateway/peers/tunnel_server.py",
+        "            reset_on_close(peer.socket)\n",
+        "",
+        f"{TRUNCATED}::{HALF}",
+    ),
+    Mutant(
+        "the end of a tunnel of an older build completes no answer",
+        f"{NODE}/gateway/requests/endpoint_answer.py",
+        "    if not answer.connection.end_is_marked:",
+        "    if False:",
+        f"{TUNNELS}::test_the_end_of_a_tunnel_of_the_older_build_completes_no_answer",
+    ),
+    Mutant(
+        "a stream that ends inside an event was broken off",
+        f"{NODE}/gateway/requests/endpoint_answer.py",
+        "    if is_inside_event:",
+        "    if False:",
+        f"{TRUNCATED}::{HALF}",
+    ),
+    Mutant(
+        "an answer that this instance breaks off is not whole",
+        f"{NODE}/gateway/http/http_connection.py",
+        "        if self._aborted:\n",
+        "        if False:\n",
+        f"{TRUNCATED}::{HALF}",
+    ),
+    Mutant(
+        "an answer whose endpoint ended with it is not whole",
+        f"{NODE}/gateway/requests/endpoint_answer.py",
+        "    if end in (AnswerEnd.REFUSES, AnswerEnd.SILENT):",
+        "    if False:",
+        f"{TRUNCATED}::{HALF}",
+    ),
+    Mutant(
+        "another connection counts only if it is open at both ends",
+        f"{NODE}/gateway/http/http_connection.py",
+        "        return info[0] == TCP_ESTABLISHED",
+        "        return True",
+        f"{NODE}/gateway/endpoints/end_verification_test.py",
+    ),
+    Mutant(
+        "an answer that is cut off resets the connection that would mark its end",
+        f"{NODE}/gateway/callers/answer.py",
+        "            reset_on_close(self._connection.stream.socket)",
+        "            pass",
+        f"{TRUNCATED}::{HALF}",
+    ),
     Mutant(
         "only members get tunnels",
         f"{NODE}/gateway/peers/tunnel_server.py",
