The soak has answers without a length, ends of processes, and callers of HTTP/1.0; its links reset

A quarter of the engines' answers state no length: whole, reset at a drawn byte, closed in order inside an event, or ended with their engine's process, at a drawn byte, in pieces of 1 byte up. A share of the callers asks as HTTP/1.0 does. Nodes are killed and paths cut beside it as before, so that peers end midway. The check is the present one: a complete answer has all its bytes. Engines that leave or drain do not end so, as their end tells nothing.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
@@ -1,6 +1,8 @@
 """Tests of end_verification.py: how an answer ended whose connection was closed in order."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 from springbridge.routing.endpoint_state import EndpointState
@@ -117,6 +119,23 @@
     run(body)
 
 
+# Guards against a connection that counts as open since nobody has read its end yet.
+def test_a_connection_whose_end_is_not_read_yet_is_not_open(run):
+    async def body(rig):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            conn = await connect(f"127.0.0.1:{listener.getsockname()[1]}", 0.4)
+            other_end, _ = listener.accept()
+            other_end.sendall(b"unread")
+            assert_that(conn.is_open(), Equals(True))
+            other_end.close()
+            # The event loop does not run meanwhile, so that the connection does not read its end.
+            time.sleep(0.05)
+            assert_that((conn._stream.closed(), conn.is_open()), Equals((False, False)))
+            conn.abort()
+
+    run(body)
+
+
 # Guards against the whole last answer of an endpoint that leaves, which is failed since its process
 # has ended after it as planned.
 def test_an_endpoint_that_leaves_may_end_after_its_answer(run):
--- a/packages/springbridge-standins/springbridge_standins/gateway/caller.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/caller.py
@@ -50,18 +50,23 @@
         host, _, port = address.rpartition(":")
         return cls(address, *await asyncio.open_connection(host, int(port)))
 
-    async def ask(self, path: str, **options) -> RawAnswer:
+    async def ask(self, path: str, version: str = "HTTP/1.1", **options) -> RawAnswer:
         """Send a request and return its answer.
 
+        Args:
+          version: HTTP/1.0 for a caller that takes no chunks.
+
         Raises:
           asyncio.IncompleteReadError, ConnectionError: The connection closed without an answer.
           TimeoutError: No answer came within LONGEST_ANSWER_S.
         """
         self.may_be_kept = False
-        self._writer.write(request_bytes(path, **options))
+        request = request_bytes(path, **options)
+        self._writer.write(request.replace(b"HTTP/1.1", version.encode(), 1))
         async with asyncio.timeout(LONGEST_ANSWER_S):
             got = await read_answer(self._reader)
-        self.may_be_kept = got.is_complete and got.headers.get("connection", "").lower() != "close"
+        closes = version == "HTTP/1.0" or got.headers.get("connection", "").lower() == "close"
+        self.may_be_kept = got.is_complete and not closes
         return got
 
     async def ask_head(self, path: str) -> RawAnswer:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 
 import orjson
@@ -23,6 +24,8 @@
 ANSWER_TOKENS = 80
 # Bound on the length of a body.
 MAX_BODY_BYTES = 400
+# Share of requests that ask as HTTP/1.0 does, whose answers may end with their connection.
+OLDER_CALLER_SHARE = 0.15
 # Share of requests for which a caller opens a new connection though the old one is usable.
 RECONNECT_SHARE = 0.1
 # Longest pause of a caller between two requests.
@@ -33,8 +36,12 @@
 DIRECTORY_TIMEOUT_S = 0.5
 
 
-async def call_forever(soak: Soak, number: int) -> None:
-    """Send requests one after another, as one caller, until cancelled."""
+async def call_forever(soak: Soak, number: int, older: random.Random) -> None:
+    """Send requests one after another, as one caller, until cancelled.
+
+    Args:
+      older: Draws which of them are of HTTP/1.0.
+    """
     connection: CallerConnection | None = None
     count = 0
     try:
@@ -43,7 +50,7 @@
             if connection is None or soak.rng.random() < RECONNECT_SHARE:
                 connection = await _reconnect(soak, connection)
             if connection is not None:
-                await _call(soak, connection, f"c{number}-{count}", count)
+                await _call(soak, connection, f"c{number}-{count}", count, older)
             if connection is not None and not connection.may_be_kept:
                 connection.close()
                 connection = None
@@ -54,16 +61,24 @@
             connection.close()
 
 
-async def _call(soak: Soak, connection: CallerConnection, request_id: str, count: int) -> None:
-    """Send one request and check its answer."""
+async def _call(
+    soak: Soak, connection: CallerConnection, request_id: str, count: int, older: random.Random
+) -> None:
+    """Send one request and check its answer.
+
+    Args:
+      older: Draws whether it is one of HTTP/1.0.
+    """
     path = soak.rng.choice(PATHS)
     body = bytes(soak.rng.randrange(256) for _ in range(soak.rng.randrange(1, MAX_BODY_BYTES)))
     soak.sent[request_id] = SentRequest(path, digest(body), connection.address, time.monotonic())
     node = soak.node_at(connection.address)
+    version = "HTTP/1.0" if older.random() < OLDER_CALLER_SHARE else "HTTP/1.1"
     kills_before = node.kills
     try:
         response = await connection.ask(
             path,
+            version,
             method="POST",
             body=body,
             Request_Id=request_id,
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from springbridge_standins.gateway.crashing import POISON_MARK
 from springbridge_standins.http_wire import (
@@ -17,6 +17,9 @@
     stream_head,
 )
 
+if TYPE_CHECKING:
+    from springbridge_standins.gateway.soak.unframed import UnframedAnswers
+
 # Share of requests that meet a fault, a sixth of it for each kind: most requests succeed, and each
 # kind still occurs often.
 FAULT_SHARE = 0.12
@@ -99,13 +102,16 @@
         rng: random.Random,
         crash: Callable[[str], Awaitable[None]],
         statements: StatementSource,
+        unframed: "UnframedAnswers",
     ) -> None:
         """Set up the engine with an id and the record that all engines share.
 
         Args:
           crash: Crashes the engine with a name; awaited for a poison request.
           statements: Source of the engines' statements about themselves.
+          unframed: Sends the answers that state no length.
         """
+        self._unframed = unframed
         self._crash = crash
         self._statements = statements
         self._endpoint_id = endpoint_id
@@ -157,6 +163,11 @@
         """Send an answer with Content-Length; surplus appends a second, unexpected answer."""
         await asyncio.sleep(self._rng.random() * MAX_PLAIN_S)
         body = plain_answer(request.request_id, request.body)
+        ending = None if surplus else self._unframed.draw(is_stream=False)
+        if ending is not None:
+            headers = self._headers()
+            await self._unframed.send(connection, request.request_id, [body], ending, headers)
+            return
         data = answer(request.request_id, body, **self._headers())
         if surplus:
             data += answer("of-nobody", b"surplus")
@@ -168,6 +179,11 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         last = event_count(request_id)
         stop = self._rng.randint(first, last) if breaks else None
+        ending = None if breaks or first > last else self._unframed.draw(is_stream=True)
+        if ending is not None:
+            events = [stream_event(request_id, number) for number in range(first, last + 1)]
+            await self._unframed.send(connection, request_id, events, ending, self._headers())
+            return
         await connection.send(stream_head(request_id, **self._headers()))
         for number in range(first, last + 1):
             event = stream_event(request_id, number)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import orjson
@@ -49,6 +50,7 @@
     check_statements,
     make_statements_forever,
 )
+from springbridge_standins.gateway.soak.unframed import UnframedAnswers, end_process
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.http_standin import running
 from springbridge_standins.proxy import LoopbackProxy
@@ -77,7 +79,7 @@
         await stack.enter_async_context(running(soak.store))
         await stack.enter_async_context(running(soak.duties))
         statements = EngineStatements(soak, EngineRates(soak))
-        await _start_engines(soak, statements, stack)
+        await _start_engines(soak, statements, stack, seed)
         await soak.store.put("op", "config", configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
@@ -119,7 +121,10 @@
 ) -> list[asyncio.Task]:
     """Start the callers and the fault injection."""
     work = [
-        *(call_forever(soak, number) for number in range(callers)),
+        *(
+            call_forever(soak, number, random.Random(f"{seed} {number} older"))
+            for number in range(callers)
+        ),
         inject_faults_forever(soak),
         copy_forever(soak),
         send_poison_forever(soak, random.Random(f"{seed} ender")),
@@ -132,7 +137,7 @@
 
 
 async def _start_engines(
-    soak: Soak, statements: EngineStatements, stack: contextlib.AsyncExitStack
+    soak: Soak, statements: EngineStatements, stack: contextlib.AsyncExitStack, seed: int
 ) -> None:
     """Start engines, each behind a proxy."""
     names = ["i-desk-1", "i-desk-2", "i-desk-3", "i-model-1", "i-model-2", "i-model-3"]
@@ -143,6 +148,10 @@
             soak.rng,
             lambda one: crash_engine(soak, one, statements.on_end),
             statements,
+            UnframedAnswers(
+                random.Random(f"{seed} {name} unframed"),
+                partial(end_process, soak, statements, name),
+            ),
         )
         engine = EngineStandIn(name, script)
         await stack.enter_async_context(running(engine))
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -16,6 +16,9 @@
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.proxy import LoopbackProxy
 
+# Seconds for which a node may use an older list of the engines, while the store is out.
+MAX_LIST_AGE_S = 6.0
+
 
 @dataclass(frozen=True)
 class SentRequest:
@@ -47,6 +50,7 @@
       poison_arrived_s: When the poison request arrived at engines, on the same clock.
       path_cuts: Caller address of each node whose paths were cut, begin and end of the cut on the
         monotonic clock.
+      drains_until_s: Until when nodes may take an engine for draining, on the monotonic clock.
       stamps: What the soak did and saw, in order, to be read beside the logs of the nodes.
     """
 
@@ -68,6 +72,7 @@
     poison_arrived_s: list[float] = field(default_factory=list)
     leaving_relayed_s: dict[tuple[str, str], float] = field(default_factory=dict)
     path_cuts: list[tuple[str, float, float]] = field(default_factory=list)
+    drains_until_s: dict[str, float] = field(default_factory=dict)
     stamps: list[dict[str, Any]] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -81,6 +86,10 @@
         service = "desk" if "desk" in name else "model"
         start = {"born": self.starts[name]} if self.starts[name] else {}
         self.stamp("listed", engine=name, state=state, **start)
+        if state == "draining":
+            self.drains_until_s[name] = float("inf")
+        elif name in self.drains_until_s:
+            self.drains_until_s[name] = time.monotonic() + MAX_LIST_AGE_S
         await list_engine(self.store, name, service, proxy.address, state, slots=8, **start)
 
     def proxy_of(self, name: str) -> LoopbackProxy:
--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -10,6 +10,8 @@
 import orjson
 
 CRLF = b"\r\n"
+# Any size works.
+READ_BYTES = 65536
 # SO_LINGER value (on, 0 s) with which closing a socket sends a TCP reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -116,6 +118,8 @@
         body, is_complete = b"", True
     elif headers.get("transfer-encoding") == "chunked":
         body, is_complete = await _read_chunks(reader)
+    elif "content-length" not in headers and headers.get("connection") == "close":
+        body, is_complete = await _read_to_end(reader)
     else:
         length = int(headers.get("content-length", 0))
         try:
@@ -125,6 +129,17 @@
     return RawAnswer(status, headers, body, is_complete)
 
 
+async def _read_to_end(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    """Return a body that ends with its connection, and whether that ended in order."""
+    body = b""
+    try:
+        while piece := await reader.read(READ_BYTES):
+            body += piece
+    except ConnectionError:
+        return body, False
+    return body, True
+
+
 async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     """Return a chunked body, and whether its last chunk was received."""
     body = b""
--- a/packages/springbridge-standins/springbridge_standins/proxy.py
+++ b/packages/springbridge-standins/springbridge_standins/proxy.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from enum import Enum
 
+from springbridge_standins.http_wire import LINGER_RESET
+
 # Any size works.
 READ_BYTES = 65536
 # Delay of each read: long compared to loopback (microseconds), short compared to a 3 s deadline.
@@ -54,7 +57,15 @@
         """Stop listening and reset all connections."""
         if self._server is not None:
             self._server.close()
-        self._close_all()
+        self._reset_all()
+
+    def end_in_order(self) -> None:
+        """Stop listening and close all connections in order, as the kernel ends a process."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.close()
+        self._writers.clear()
 
     @property
     def is_listening(self) -> bool:
@@ -70,7 +81,7 @@
     def fault(self, fault: ConnectionFault) -> None:
         self._fault = fault
         if fault is ConnectionFault.RESET:
-            self._close_all()
+            self._reset_all()
 
     def disconnect(self) -> None:
         """Reset all connections, and every new one from now on."""
@@ -80,31 +91,34 @@
         """End the fault; new connections are forwarded again."""
         self.fault = ConnectionFault.NONE
 
-    def _close_all(self) -> None:
+    def _reset_all(self) -> None:
         for writer in self._writers:
-            writer.transport.abort()
+            _reset(writer)
         self._writers.clear()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward one connection to the target."""
         if self._fault is ConnectionFault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         host, _, port = self._target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers |= {writer, target_writer}
+        end = _reset
+        # A reset at one side resets the other; a cancelled task is the end of the proxy.
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await asyncio.gather(
                 self._pump(reader, target_writer, is_response=False),
                 self._pump(target_reader, writer, is_response=True),
             )
+            end = asyncio.StreamWriter.close
         for each in (writer, target_writer):
             self._writers.discard(each)
-            each.close()
+            end(each)
 
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_response: bool
@@ -122,6 +136,14 @@
         writer.close()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, unless it is closed already."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
 @contextlib.asynccontextmanager
 async def running_proxy(address: str, target: str) -> AsyncIterator[LoopbackProxy]:
     """Run a proxy on an address until the block ends."""
