--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -102,11 +102,14 @@
     return RawRequest(method, target, headers, body)
 
 
-async def read_answer(reader: asyncio.StreamReader, has_body: bool = True) -> RawAnswer:
+async def read_answer(
+    reader: asyncio.StreamReader, has_body: bool = True, takes_chunks: bool = True
+) -> RawAnswer:
     """Read one answer; its body may be cut short if the connection closes.
 
     Args:
       has_body: False for the answer to a HEAD request.
+      takes_chunks: False for a caller to whom an answer without a length ends with its connection.
 
     Raises:
       asyncio.IncompleteReadError: The connection closed before the end of the headers.
@@ -118,7 +121,7 @@
         body, is_complete = b"", True
     elif headers.get("transfer-encoding") == "chunked":
         body, is_complete = await _read_chunks(reader)
-    elif "content-length" not in headers and headers.get("connection") == "close":
+    elif "content-length" not in headers and not takes_chunks:
         body, is_complete = await _read_to_end(reader)
     else:
         length = int(headers.get("content-length", 0))
