Ends of answers, drawn by the thousand; a connection that receives bytes vouches for nothing

The wait for a new connection is longer than that connection's own limits now, so that a slow instance does not decide.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification.py
@@ -9,6 +9,7 @@
 
 from springbridge.routing.endpoint_state import EndpointState
 
+from springbridge_node import clock
 from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation, ProcessState
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.answer_end import AnswerEnd
@@ -16,9 +17,9 @@
 
 # Seconds within which the ends of all connections of a process arrive, once one of them has.
 ENDS_ARRIVE_WITHIN_S = 0.002
-# Seconds to wait for the result of a new connection. Only the end of the answer waits; a refusal
-# that peers have to confirm takes some round trips.
-CONNECT_WITHIN_S = 0.25
+# Seconds to wait for the result of a new connection, while only the end of the answer waits. Longer
+# than a connection may take to come up, directly or through a peer, so that its own result decides.
+CONNECT_WITHIN_S = 0.7
 
 ENDS = {
     ProcessState.RUNS: AnswerEnd.ACCEPTS,
@@ -48,8 +49,9 @@
           sent_s: When the request was sent, on the clock of `clock.now_s`.
         """
         if not connection.through:
+            ended_s = clock.now_s()
             await asyncio.sleep(ENDS_ARRIVE_WITHIN_S)
-            if self._pool.has_open(state.entry.incarnation):
+            if self._pool.has_open(state.entry.incarnation, ended_s):
                 return AnswerEnd.OTHERS_OPEN
         found = await self._confirmation.process_state(state, sent_s, CONNECT_WITHIN_S)
         return ENDS[found]
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
@@ -125,17 +125,35 @@
         with socket.create_server(("127.0.0.1", 0)) as listener:
             conn = await connect(f"127.0.0.1:{listener.getsockname()[1]}", 0.4)
             other_end, _ = listener.accept()
-            other_end.sendall(b"unread")
-            assert_that(conn.is_open(), Equals(True))
+            assert_that(conn.is_open(now_s()), Equals(True))
             other_end.close()
             # The event loop does not run meanwhile, so that the connection does not read its end.
             time.sleep(0.05)
-            assert_that((conn._stream.closed(), conn.is_open()), Equals((False, False)))
+            assert_that((conn._stream.closed(), conn.is_open(now_s())), Equals((False, False)))
             conn.abort()
 
     run(body)
 
 
+# Guards against a connection that counts as open since its end is behind bytes that have not been
+# read, or have not arrived.
+def test_a_connection_that_receives_bytes_shows_nothing(run):
+    async def body(rig):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            conn = await connect(f"127.0.0.1:{listener.getsockname()[1]}", 0.4)
+            other_end, _ = listener.accept()
+            before_s = now_s()
+            assert_that(conn.is_open(before_s), Equals(True))
+            other_end.sendall(b"HTTP/1.1 200 X\r\n\r\n")
+            assert_that(conn.is_open(before_s), Equals(False))
+            await conn.read_head()
+            assert_that((conn.is_open(before_s), conn.is_open(now_s())), Equals((False, True)))
+            conn.abort()
+            other_end.close()
+
+    run(body)
+
+
 # Guards against the whole last answer of an endpoint that leaves, which is failed since its process
 # has ended after it as planned.
 def test_an_endpoint_that_leaves_may_end_after_its_answer(run):
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/pool.py
@@ -111,11 +111,15 @@
             return not self._paths.prefers_direct(incarnation)
         return not (self._paths.is_lost(incarnation) or self._paths.is_doubtful(incarnation))
 
-    def has_open(self, incarnation: EndpointIncarnation) -> bool:
-        """Return whether a direct connection to an endpoint is open at both ends, used or idle."""
+    def has_open(self, incarnation: EndpointIncarnation, silent_since_s: float) -> bool:
+        """Return whether a direct connection to an endpoint, used or idle, is open at both ends.
+
+        Args:
+          silent_since_s: See `HttpConnection.is_open`.
+        """
         used = (conn for conn, entry in self._in_use.items() if entry.incarnation == incarnation)
         every = itertools.chain(self._idle.get(incarnation, ()), used)
-        return any(conn.is_open() for conn in every if not conn.through)
+        return any(conn.is_open(silent_since_s) for conn in every if not conn.through)
 
     def idle_count(self, incarnation: EndpointIncarnation) -> int:
         """Return how many idle connections to an endpoint are kept."""
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -217,12 +217,20 @@
         """Return whether the last answer left the connection fit for another request."""
         return self._may_be_kept and not self._unread and not self._stream.closed()
 
-    def is_open(self) -> bool:
-        """Return whether neither side has ended the connection, whatever is still unread."""
-        if self._stream.closed():
+    def is_open(self, silent_since_s: float) -> bool:
+        """Return whether the other side has not ended the connection.
+
+        An end arrives behind the bytes that were sent before it, so a connection that still
+        receives bytes, or has unread ones, does not count as open.
+
+        Args:
+          silent_since_s: Time since when nothing may have arrived, on the monotonic clock.
+        """
+        if self._stream.closed() or self.received_s > silent_since_s:
             return False
-        info = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return info[0] == TCP_ESTABLISHED
+        sock = self._stream.socket
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] == TCP_ESTABLISHED and not _queued_bytes(sock, termios.FIONREAD)
 
     def has_unacknowledged(self) -> bool:
         """Return whether sent bytes have not reached the host at the other end, as far as known."""
@@ -230,8 +238,7 @@
             return False
         if self._stream.writing():
             return True
-        queued = fcntl.ioctl(self._stream.socket, termios.TIOCOUTQ, bytes(INT.size))
-        return INT.unpack(queued)[0] > 0
+        return _queued_bytes(self._stream.socket, termios.TIOCOUTQ) > 0
 
     def _received_nothing(self) -> bool:
         """Return whether nothing arrived while the connection was idle: no byte, end or reset."""
@@ -337,6 +344,11 @@
                 raise
 
 
+def _queued_bytes(sock: socket.socket, queue: int) -> int:
+    """Return how many bytes are in a queue of a socket, TIOCOUTQ or FIONREAD."""
+    return INT.unpack(fcntl.ioctl(sock, queue, bytes(INT.size)))[0]
+
+
 def _retrieve_exception(sent: asyncio.Future) -> None:
     """Retrieve the exception of a write, so that asyncio does not report it as unretrieved.
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/fleet.py
@@ -127,6 +127,7 @@
     nodes: int = 1,
     duties: DutySettings = DutySettings(),
     zones: Mapping[str, str] = MappingProxyType({}),
+    budget: RetryBudgetLimits = RETRY_BUDGET,
 ) -> AsyncIterator[Fleet]:
     """Run a store, engines and nodes until the block ends.
 
@@ -134,6 +135,7 @@
       scripts: For each engine its service and its script.
       duties: Settings of the duties, which one node performs for all.
       zones: Failure domains of engines that are not in perth-a.
+      budget: Retry budget of the nodes.
     """
     async with contextlib.AsyncExitStack() as stack:
         store = StoreStandIn()
@@ -145,7 +147,7 @@
             zone = {"zone": zones[name]} if name in zones else {}
             await fleet.list_engine(name, scripts[name][0], **zone)
         await store.put("op", "config", configuration(1))
-        settings = [replace(one, duties=duties) for one in _settings(nodes)]
+        settings = [replace(one, duties=duties, budget=budget) for one in _settings(nodes)]
         for one in settings:
             gateway = Gateway(one, make_outside(store.address))
             fleet.nodes.append(gateway)
