--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -13,6 +13,7 @@
 import shutil
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -67,15 +68,18 @@
     nodes: int = 4,
     callers: int = 8,
     enough: Callable[[], bool] = lambda: True,
+    counts: Counter | None = None,
 ) -> Soak:
     """Run a soak and return its state with the violations; the nodes log into the folder.
 
     Args:
       enough: Returns whether the soak has exercised what it is for; if not, it is extended, up to
         MAX_LENGTH_FACTOR times its length.
+      counts: Gets the counts of the soak while it runs.
     """
     async with contextlib.AsyncExitStack() as stack:
         soak = Soak(random.Random(seed), StoreStandIn())
+        soak.counts = soak.counts if counts is None else counts
         await stack.enter_async_context(running(soak.store))
         await stack.enter_async_context(running(soak.duties))
         statements = EngineStatements(soak, EngineRates(soak))
@@ -150,6 +154,7 @@
             statements,
             UnframedAnswers(
                 random.Random(f"{seed} {name} unframed"),
+                soak.counts,
                 partial(end_process, soak, statements, name),
             ),
         )
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -1,6 +1,7 @@
 """Short soaks with fixed seeds find no violation; longer ones are run by hand, `make soak`."""
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
 
 from testtools.assertions import assert_that
@@ -8,6 +9,7 @@
 
 from springbridge_standins.gateway.soak import nodes
 from springbridge_standins.gateway.soak.soak import run_soak
+from springbridge_standins.gateway.soak.unframed import Ending
 
 
 def test_a_short_soak_breaks_no_promise(tmp_path):
@@ -27,6 +29,20 @@
     assert_that(scheduled(), GreaterThan(20))
 
 
+# Guards against half an answer that reaches its caller as whole, whoever ends: the endpoint in an
+# event, its process, the peer on the way, the node; and against a soak that has none of these.
+def test_a_short_soak_has_answers_without_a_length_that_end_in_all_ways(tmp_path):
+    def endings():
+        return [soak_counts[f"answers without a length, {ending.name}"] for ending in Ending]
+
+    soak_counts = Counter()
+    soak = asyncio.run(
+        run_soak(75, 12.0, tmp_path, nodes=5, counts=soak_counts, enough=lambda: all(endings()))
+    )
+    assert_that(soak.violations, Equals([]))
+    assert_that(min(endings()), GreaterThan(0))
+
+
 # Guards against reporting a usage window twice: the store was restored from a copy without the
 # decision, and a lease holder that did not know of it decided again.
 def test_a_window_is_reported_once_though_the_store_loses_the_decision(tmp_path):
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/unframed.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/unframed.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum, auto
 
@@ -42,13 +43,17 @@
 class UnframedAnswers:
     """Draws which answers of an engine state no length, and sends them."""
 
-    def __init__(self, rng: random.Random, end_process: Callable[[], Awaitable[bool]]) -> None:
+    def __init__(
+        self, rng: random.Random, counts: Counter, end_process: Callable[[], Awaitable[bool]]
+    ) -> None:
         """Keep the parts.
 
         Args:
+          counts: Gets the number of answers by their ending.
           end_process: Ends the engine's process, and returns whether it did.
         """
         self._rng = rng
+        self._counts = counts
         self._end_process = end_process
 
     def draw(self, is_stream: bool) -> Ending | None:
@@ -74,6 +79,7 @@
         Args:
           parts: The events of a stream, or the body.
         """
+        self._counts[f"answers without a length, {ending.name}"] += 1
         body = b"".join(parts)
         stop = self._stop(parts, ending)
         await connection.send(unframed_head(request_id, **headers))
--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -76,10 +76,16 @@
         self.writer.close()
 
     def reset(self) -> None:
-        """Close the connection with a TCP reset."""
-        sock = self.writer.get_extra_info("socket")
+        """Close the connection with a TCP reset, unless it is closed already."""
+        reset(self.writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a TCP reset, unless it is closed already."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        self.writer.transport.abort()
+    writer.transport.abort()
 
 
 def parse_head(raw: bytes) -> tuple[str, dict[str, str]]:
--- a/packages/springbridge-standins/springbridge_standins/proxy.py
+++ b/packages/springbridge-standins/springbridge_standins/proxy.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator
 from enum import Enum
 
-from springbridge_standins.http_wire import LINGER_RESET
+from springbridge_standins.http_wire import reset
 
 # Any size works.
 READ_BYTES = 65536
@@ -93,22 +92,22 @@
 
     def _reset_all(self) -> None:
         for writer in self._writers:
-            _reset(writer)
+            reset(writer)
         self._writers.clear()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward one connection to the target."""
         if self._fault is ConnectionFault.RESET:
-            _reset(writer)
+            reset(writer)
             return
         host, _, port = self._target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         self._writers |= {writer, target_writer}
-        end = _reset
+        end = reset
         # A reset at one side resets the other; a cancelled task is the end of the proxy.
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await asyncio.gather(
@@ -136,14 +135,6 @@
         writer.close()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset, unless it is closed already."""
-    sock = writer.get_extra_info("socket")
-    if sock.fileno() >= 0:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-    writer.transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def running_proxy(address: str, target: str) -> AsyncIterator[LoopbackProxy]:
     """Run a proxy on an address until the block ends."""
