The drawn answers have no pause behind their last piece

A whole answer with a length is used up with its last byte, and the instance sends the next request on its connection; the engine of the rig still paused and took that for a caller that leaves, so that 16 of 6,800 requests that may run once failed without a run. A fault of the rig.

--- a/packages/springbridge-standins/springbridge_standins/gateway/drawn_ends.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/drawn_ends.py
@@ -248,8 +248,9 @@
         is_chunked = not case.is_unframed and case.path in STREAM_PATHS
         await connection.send(_head(request.request_id, case, is_chunked))
         for piece in _pieces(rng, case.body[: case.stop]):
-            await connection.send(chunk(piece) if is_chunked else piece)
+            # Not after a piece: the answer may be whole with it, and its connection used again.
             await asyncio.sleep(rng.random() * MAX_PAUSE_S)
+            await connection.send(chunk(piece) if is_chunked else piece)
         if case.ending is Ending.WHOLE:
             await connection.send(chunk(b"") if is_chunked else b"")
             if case.is_unframed:
