A statement of leaving that may be another run's excuses no end of an answer

Traced: i-desk-3 said that it leaves and ended; its next run, 0.39 s old, ended with an answer without a length under way; at node-2 the statement counted for the new run as well, for a while (probable), and a leaving endpoint's end is taken as planned, so that no connection was tried (answer_end closed). Only what is certain exempts an end now: the entry drains or is gone, or this run's own statement was heard. Crash records stay as they were.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -77,6 +77,8 @@
             instance that is short of processor time.
           sent_s: When the request that broke was sent, on the clock of `clock.now_s`.
         """
+        if leaving.wants_nothing(state.statements.leaving, now_s()):
+            return False
         task = self._attempt(state, sent_s)
         if task is None:
             return False
@@ -90,6 +92,9 @@
     ) -> ProcessState:
         """Return what a connection attempt tells of the process of an endpoint.
 
+        A statement of leaving that may be another run's does not exempt it: a crash of this run is
+        likelier than its planned end.
+
         Args:
           sent_s: See has_crashed().
           timeout_s: How long to wait for it, in seconds.
@@ -101,8 +106,6 @@
         """Return an attempt for a request that has just broken; None if its end is no crash."""
         if state.is_leaving or not state.is_listed:
             return None
-        if leaving.wants_nothing(state.statements.leaving, now_s()):
-            return None
         return self._attempt_for_break_now(state, sent_s)
 
     def _attempt_for_break_now(
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
@@ -160,12 +160,24 @@
     async def body(rig):
         rig.engine.script = ends_with_its_answer(rig)
         conn = await rig.ask()
-        rig.state.statements.leaving.probable_s = now_s()
+        rig.state.statements.leaving.heard_s = now_s()
         assert_that(await rig.verify(conn), Equals(AnswerEnd.CLOSED))
 
     run(body)
 
 
+# Guards against half an answer as whole after a crash of an endpoint that has just started again: the
+# run before it said that it leaves, which counts for this one for a while.
+def test_a_statement_of_leaving_that_may_be_another_runs_excuses_no_end(run):
+    async def body(rig):
+        rig.engine.script = ends_with_its_answer(rig)
+        conn = await rig.ask()
+        rig.state.statements.leaving.probable_s = now_s()
+        assert_that(await rig.verify(conn), Equals(AnswerEnd.REFUSES))
+
+    run(body)
+
+
 # Guards against half an answer as whole whose host goes down with its endpoint.
 def test_nobody_vouches_for_an_endpoint_that_cannot_be_reached_any_more(run, monkeypatch):
     async def body(rig):
