--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/end_verification_test.py
@@ -166,8 +166,8 @@
     run(body)
 
 
-# Guards against half an answer as whole after a crash of an endpoint that has just started again: the
-# run before it said that it leaves, which counts for this one for a while.
+# Guards against half an answer as whole after a crash of an endpoint that has just started again:
+# the run before it said that it leaves, which counts for this one for a while.
 def test_a_statement_of_leaving_that_may_be_another_runs_excuses_no_end(run):
     async def body(rig):
         rig.engine.script = ends_with_its_answer(rig)
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -35,6 +35,23 @@
     sent_s: float
 
 
+@dataclass(frozen=True)
+class PathCut:
+    """A cut of the paths between a node and some engines.
+
+    Attributes:
+      caller_address: Caller address of the node.
+      began_s, ended_s: When it began, and when the node had surely noticed its end, on the
+        monotonic clock.
+      engines: Names of the engines.
+    """
+
+    caller_address: str
+    began_s: float
+    ended_s: float
+    engines: frozenset[str]
+
+
 @dataclass
 class Soak:
     """State of one soak.
@@ -48,8 +65,7 @@
       leaving_relayed_s: When a node first relayed an answer in which an engine says that it
         leaves, on the same clock; by the node's caller address and the engine's incarnation.
       poison_arrived_s: When the poison request arrived at engines, on the same clock.
-      path_cuts: Caller address of each node whose paths were cut, begin and end of the cut on the
-        monotonic clock.
+      path_cuts: The cuts of paths between nodes and engines.
       drains_until_s: Until when nodes may take an engine for draining, on the monotonic clock.
       stamps: What the soak did and saw, in order, to be read beside the logs of the nodes.
     """
@@ -71,7 +87,7 @@
     crashed_s: list[float] = field(default_factory=list)
     poison_arrived_s: list[float] = field(default_factory=list)
     leaving_relayed_s: dict[tuple[str, str], float] = field(default_factory=dict)
-    path_cuts: list[tuple[str, float, float]] = field(default_factory=list)
+    path_cuts: list[PathCut] = field(default_factory=list)
     drains_until_s: dict[str, float] = field(default_factory=dict)
     stamps: list[dict[str, Any]] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
