Sight: the versions of engines, and what a caller that takes up a stream sends

What was missing: no line told that a caller came back with a last event, which attempt it named, or which version an engine had, so that a retry within one answer, a come-back at another instance and a list that names a wrong version left the same lines.

Change: the entry's version is kept, passed on beside the rows of a list (older builds ignore it) and logged with each engine of request.ended and with request.attempt_failed; request.ended has resume_after and resumes. No decision reads any of them.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -222,16 +222,19 @@
     starts = {entry.endpoint_id: entry.born_ms for entry in entries if entry.born_ms is not None}
     spot = [entry.endpoint_id for entry in entries if entry.spot]
     cold = [entry.endpoint_id for entry in entries if entry.cold]
-    further = {"born": starts, "spot": spot, "cold": cold}
+    versions = {entry.endpoint_id: entry.version for entry in entries if entry.version is not None}
+    further = {"born": starts, "spot": spot, "cold": cold, "versions": versions}
     return _compress(body | {name: field for name, field in further.items() if field})
 
 
 def read_snapshot(body: dict) -> AgedSnapshot:
     """Decode an endpoint list and its age from a decompressed body."""
-    starts = body.get("born", {})
+    starts, versions = body.get("born", {}), body.get("versions", {})
     spot, cold = set(body.get("spot", ())), set(body.get("cold", ()))
     entries = tuple(
-        EndpointEntry(*row, starts.get(row[0]), row[0] in spot, row[0] in cold)
+        EndpointEntry(
+            *row, starts.get(row[0]), row[0] in spot, row[0] in cold, versions.get(row[0])
+        )
         for row in body["entries"]
     )
     return AgedSnapshot(EndpointSnapshot(body["revision"], entries), body["age_s"])
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec_test.py
@@ -119,6 +119,14 @@
     assert_that(codec.read_snapshot(codec.decompress(body)), Equals(aged))
 
 
+def test_the_versions_of_endpoints_travel_beside_rows_that_older_builds_read():
+    entry = EndpointEntry("e1", "model", "10.9.0.1:80", "perth-a", 64, True, version="v1.1 ü")
+    aged = AgedSnapshot(EndpointSnapshot(9, (entry,)), 0.5)
+    body = codec.decompress(codec.snapshot_body(aged))
+    assert_that([len(row) for row in body["entries"]], Equals([6]))
+    assert_that(codec.read_snapshot(body), Equals(aged))
+
+
 def test_the_starts_of_endpoints_travel_beside_rows_that_older_builds_read():
     entry = EndpointEntry("e1", "model", "10.9.0.1:80", "perth-a", 64, True, 1_760_000_000_123)
     aged = AgedSnapshot(EndpointSnapshot(9, (entry,)), 0.5)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -37,6 +37,7 @@
       source: Endpoint from whose cache it should fetch more of the prompt, "" for none.
       coordinator: Address of the coordinator that chose it, "" for this instance.
       through: Incarnation of the peer through which the connection led, "" if it was direct.
+      version: Version of its software as this instance knew it then, None if unknown.
       sent_s: When the request was sent there, on the clock of `clock.now_s`.
     """
 
@@ -49,6 +50,7 @@
     coordinator: str
     sent_s: float
     through: str = ""
+    version: str | None = None
 
     @classmethod
     def from_choice(
@@ -66,6 +68,7 @@
             coordinator=choice.coordinator,
             sent_s=sent_s,
             through=through,
+            version=state.entry.version,
         )
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -19,6 +19,8 @@
 # Upper bound in seconds for the logged age of the endpoint list, which is infinite before the first
 # list and could not be written as a number in JSON. Above any age that occurs.
 MAX_LOGGED_AGE_S = 1e6
+# Longest logged part of a header that callers choose freely, in characters; ids are shorter.
+MAX_LOGGED_CHARACTERS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,7 @@
             "request.attempt_failed",
             request_id=exchange.request_id,
             engine=endpoint_id,
+            version=exchange.progress.chosen[-1].version,
             end=end.value,
             answer_end=_answer_end(exchange),
             sends=exchange.progress.sends,
@@ -126,6 +129,8 @@
             service=admitted.service.name,
             customer=admitted.customer,
             priority=admitted.priority,
+            resume_after=_bounded(admitted.arrival.resume_after),
+            resumes=_bounded(admitted.arrival.resumes),
             config_version=admitted.version,
             list_age_ms=round(min(list_age_s, MAX_LOGGED_AGE_S) * 1000),
             engines=[_endpoint_fields(chosen, exchange) for chosen in progress.chosen],
@@ -145,6 +150,7 @@
     """Return the log fields of an endpoint that a request was sent to."""
     return {
         "engine": chosen.endpoint,
+        "version": chosen.version,
         "born_ms": chosen.born_ms,
         "in_flight": chosen.in_flight,
         "prefill_tokens": chosen.prefill_tokens,
@@ -156,6 +162,11 @@
     }
 
 
+def _bounded(value: str | None) -> str | None:
+    """Return a caller's header value, cut to the longest that is logged."""
+    return value if value is None else value[:MAX_LOGGED_CHARACTERS]
+
+
 def _answer_end(exchange: Exchange) -> str:
     """Return how the answer to the latest attempt ended, "" if it has not."""
     end = exchange.progress.answer_end
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -18,7 +18,7 @@
     ENTRY_DELAY_S,
     fingerprint_of,
     has_restarted,
-    with_known_start,
+    with_known_facts,
 )
 from springbridge.routing.load_notices import LoadNotice, LoadPhase, is_about
 from springbridge.routing.older_lists import StoreRollbackCorrector
@@ -150,8 +150,8 @@
                 said.address, said.named_until_s = entry.address, None
                 self.statements.carry_over(entry.incarnation)
                 changed = True
-            elif state.entry != with_known_start(entry, state.entry):
-                state.entry = with_known_start(entry, state.entry)
+            elif state.entry != with_known_facts(entry, state.entry):
+                state.entry = with_known_facts(entry, state.entry)
                 self.statements.keep_under(state.entry.incarnation, state.statements)
                 changed = True
             state.statements.address = state.entry.address
--- a/packages/springbridge/springbridge/routing/listed_entries.py
+++ b/packages/springbridge/springbridge/routing/listed_entries.py
@@ -1,8 +1,8 @@
 """Comparison of endpoint lists and of their entries.
 
 Instances compare the lists that they use by a fingerprint in their heartbeats. Entries of an
-endpoint are compared by its start time. Instances of an older build pass lists on without start
-times, so a known start time is kept.
+endpoint are compared by its start time. Instances of older builds pass lists on without start times
+or versions, so known ones are kept.
 """
 
 from collections.abc import Collection
@@ -30,12 +30,14 @@
     return None not in starts and starts[0] != starts[1]
 
 
-def with_known_start(listed: EndpointEntry, known: EndpointEntry) -> EndpointEntry:
-    """Return a listed entry, with the known start time if it has none.
+def with_known_facts(listed: EndpointEntry, known: EndpointEntry) -> EndpointEntry:
+    """Return a listed entry of the known process, with its start time and version if it lacks them.
 
-    Instances of an older build pass lists on without start times.
+    Instances of older builds pass lists on without them.
     """
-    return listed if listed.born_ms is not None else replace(listed, born_ms=known.born_ms)
+    if listed.born_ms is None:
+        listed = replace(listed, born_ms=known.born_ms)
+    return listed if listed.version is not None else replace(listed, version=known.version)
 
 
 def with_cold_only_for(snapshot: EndpointSnapshot, services: Collection[str]) -> EndpointSnapshot:
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -159,6 +159,7 @@
       spot: Whether it is a spot endpoint: cheaper, and may be taken away at short notice.
       cold: Whether the endpoint reports that it is cold; only for services with a rate for cold
         endpoints.
+      version: Version of its software, None if unknown; versions have no order.
     """
 
     endpoint_id: str
@@ -170,6 +171,7 @@
     born_ms: int | None = None
     spot: bool = False
     cold: bool = False
+    version: str | None = None
 
     @property
     def incarnation(self) -> EndpointIncarnation:
@@ -225,6 +227,8 @@
       prompt_tokens: Length of the prompt; 0 if not given.
       answer_tokens: Requested maximum length of the answer, 0 if not given; no decision uses it.
       resume_after: Id of the last event that the caller has, or None; no decision uses it.
+      resumes: Id of the caller's request that brought the first event of the stream which this one
+        resumes, or None; no decision uses it.
     """
 
     request_id: str
@@ -237,6 +241,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     resume_after: str | None = None
+    resumes: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
