A broken stream goes on within its answer only at the version that began it

Change: the version of the engine that wrote the first event which the caller got is part of the request's progress. Later attempts choose among the engines of that version alone, ejected ones included, and the version is compared once more right before the send, as the entry may have changed since. An unknown version is nobody's: such a stream does not go on. Where none is left the answer is cut off at once, so that the caller comes again, where another node may reach one.

A coordinator is not asked for a version, as older builds know none.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_selector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_selector.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Collection
+from functools import partial
 
 from springbridge.routing.endpoint_choice import by_shared_prompt, by_token_cost
 from springbridge.routing.endpoint_registry import EndpointRegistry
@@ -35,20 +36,27 @@
         self._client = client
 
     async def select(
-        self, demand: Demand, tried: Collection[str], held_back: Collection[str] = ()
+        self,
+        demand: Demand,
+        tried: Collection[str],
+        held_back: Collection[str] = (),
+        version: str | None = None,
     ) -> Selection:
         """Return the endpoint for the next attempt, or why there is none.
 
         Args:
           tried: Ids of the endpoints that no further attempt goes to.
           held_back: Ids of the endpoints whose rate limit is exhausted for this instance.
+          version: Version at which a stream has to go on; None for a request that any may serve.
         """
+        choose = partial(select, self._registry, demand, tried, held_back=held_back)
         if self._coordinators.includes_self(demand.service):
-            return select(self._registry, demand, tried, by_token_cost, held_back=held_back)
-        # A request without a prompt is selected by requests in flight, which needs no coordinator.
-        if demand.prompt_parts:
+            return choose(by_token_cost, version=version)
+        # A request without a prompt is selected by requests in flight, which needs no coordinator;
+        # coordinators of older builds know no versions, so none is asked for one.
+        if demand.prompt_parts and version is None:
             attempt_id = self._loads.new_attempt_id()
             selection = await self._client.select(demand, tried, attempt_id, held_back)
             if selection is not None:
                 return selection
-        return select(self._registry, demand, tried, by_shared_prompt, held_back=held_back)
+        return choose(by_shared_prompt, version=version)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -80,6 +80,8 @@
       tried: Endpoints that no further attempt goes to.
       chosen: The endpoints that it was sent to, in order.
       sends, misdirected, paths_lost, unreached, busy, may_have_run, last_event: See `Attempts`.
+      version: Version at which the stream has to go on: that of the endpoint which wrote its first
+        event. None before that event, or if that endpoint's version is unknown.
       first_piece_s: When the caller got the first piece of the answer, on the monotonic clock;
         None before.
       last_piece_s: When the caller got the latest piece of it, on the same clock.
@@ -110,6 +112,7 @@
     busy: int = 0
     may_have_run: bool = False
     last_event: str | None = None
+    version: str | None = None
     first_piece_s: float | None = None
     last_piece_s: float = 0.0
     longest_pause_s: float = 0.0
@@ -168,4 +171,5 @@
             may_have_run=progress.may_have_run,
             answer_started=self.answer.started,
             last_event=progress.last_event,
+            version=progress.version,
         )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -82,6 +82,7 @@
             progress.load.prompt_read()
         new_events = [event for event in events if _is_new_to_caller(progress, event.event_id)]
         if new_events:
+            _note_first_event(progress)
             await _relay_piece(exchange, head, codec, b"".join(event.raw for event in new_events))
             ids = [event.event_id for event in new_events if event.event_id is not None]
             progress.last_event = ids[-1] if ids else progress.last_event
@@ -91,6 +92,12 @@
         await _relay_piece(exchange, head, codec, splitter.rest)
 
 
+def _note_first_event(progress: Progress) -> None:
+    """Record which version begins the stream, if the caller is about to get its first event."""
+    if progress.first_piece_s is None and progress.version is None:
+        progress.version = progress.chosen[-1].version
+
+
 def _is_event_stream(head: Head) -> bool:
     """Return whether a body consists of events, as it does if its head does not say otherwise."""
     content_type = head.headers.get("Content-Type", EVENT_STREAM)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -15,6 +15,7 @@
 from springbridge.problems import Problem
 from springbridge.routing import giving_up, retries
 from springbridge.routing.admission import RouteIndex, admit
+from springbridge.routing.eligibility import is_of_version
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.endpoint_state import EndpointState
@@ -149,7 +150,9 @@
         while True:
             left_out = progress.tried | progress.avoided | progress.without_place
             held_back = self._parts.rates.gate.held_back(exchange)
-            selection = await self._parts.selector.select(exchange.demand, left_out, held_back)
+            selection = await self._parts.selector.select(
+                exchange.demand, left_out, held_back, progress.version
+            )
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
             progress.last_resort = _may_be_leaving(selection.choice)
@@ -215,10 +218,7 @@
             connection = await self._connect(exchange, choice.state)
             if connection is None:
                 return None
-            if not self._parts.registry.may_get_request(
-                choice.state, exchange.progress.last_resort
-            ):
-                # The endpoint may have announced since the selection that it leaves or rests.
+            if not self._may_still_get(exchange, choice.state):
                 self._parts.pool.release(choice.state.entry.incarnation, connection)
                 return None
             end = await self._attempt(exchange, choice, connection)
@@ -230,6 +230,16 @@
         self._record(exchange, choice.state, end)
         return end
 
+    def _may_still_get(self, exchange: Exchange, state: EndpointState) -> bool:
+        """Return whether a selected endpoint may get the request now.
+
+        Since the selection it may have announced that it leaves or rests, or have been replaced.
+        """
+        progress = exchange.progress
+        if not is_of_version(state.entry, progress.version):
+            return False
+        return self._parts.registry.may_get_request(state, progress.last_resort)
+
     def _was_path_lost(
         self, state: EndpointState, connection: HttpConnection, end: AttemptOutcome
     ) -> bool:
--- a/packages/springbridge/springbridge/routing/eligibility.py
+++ b/packages/springbridge/springbridge/routing/eligibility.py
@@ -63,6 +63,7 @@
     tried: Collection[str],
     now_s: float,
     drain_s: float = 0.0,
+    version: str | None = None,
 ) -> list[EndpointState]:
     """Return the endpoints of a service that may get a request, in the order of the states.
 
@@ -70,11 +71,14 @@
       tried: Ids of the endpoints that were already tried for this request.
       now_s: The current time in seconds of the monotonic clock.
       drain_s: Seconds for which an endpoint may get requests after announcing that it leaves.
+      version: Version at which a stream has to go on; None for a request that any may serve.
     """
     eligible, deprioritized, last_resort = [], [], []
     for state in states:
         if state.entry.service != service or state.entry.endpoint_id in tried:
             continue
+        if not is_of_version(state.entry, version):
+            continue
         reason = exclusion_reason(state, now_s)
         if reason is None:
             eligible.append(state)
@@ -85,6 +89,14 @@
     return eligible or deprioritized or last_resort
 
 
+def is_of_version(entry: EndpointEntry, version: str | None) -> bool:
+    """Return whether an endpoint has the version that is needed; None if any will do.
+
+    Versions have no order, and an endpoint of an unknown version is not of any.
+    """
+    return version is None or entry.version == version
+
+
 def may_get_request(
     state: EndpointState, now_s: float, drain_s: float, last_resort: bool = False
 ) -> bool:
--- a/packages/springbridge/springbridge/routing/eligibility_test.py
+++ b/packages/springbridge/springbridge/routing/eligibility_test.py
@@ -1,5 +1,7 @@
 """Tests of eligibility.py: which endpoints may get a request, and when they are excluded."""
 
+from dataclasses import replace
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
@@ -10,6 +12,7 @@
 from springbridge.routing.eligibility import MASS_LAPSE_GRACE_S, OUTAGE_LIST_AGE_S
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
+from springbridge.routing.records import EndpointSnapshot
 
 
 def test_draining_and_unlisted_endpoints_get_nothing(registry):
@@ -126,3 +129,24 @@
     registry.apply_notice(LoadNotice(LoadPhase.UNREACHED, "", "b"), "10.0.0.2:80")
     counts = registry.exclusion_counts(SERVICE)
     assert_that(counts, Equals({"unreachable": 1, "said to be unreachable by a peer": 1}))
+
+
+# Guards against a stream that goes on at another version as none of its own is at its best.
+@pytest.mark.parametrize(
+    ("version", "expected"),
+    [(None, ["a"]), ("v1", ["a"]), ("v1.1", ["b"]), ("v1.2", []), ("V1", []), ("", ["d"])],
+)
+def test_an_endpoint_of_the_needed_version_is_used_even_if_it_is_ejected(
+    registry, version, expected
+):
+    versions = {"a": "v1", "b": "v1.1", "c": None, "d": ""}
+    entries = tuple(
+        replace(entry, version=versions[entry.endpoint_id])
+        for entry in make_snapshot(2, "a", "b", "c", "d").entries
+    )
+    registry.install(EndpointSnapshot(2, entries), {}, 0.0)
+    for name in ("b", "c", "d"):
+        for _ in range(FAILURES_TO_EJECT):
+            registry.record_failure(registry.find(name))
+    found = registry.candidates(SERVICE, (), version)
+    assert_that([state.entry.endpoint_id for state in found], Equals(expected))
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -227,14 +227,17 @@
         ]
         return sum(speeds) / len(speeds) if speeds else USUAL_TOKENS_PER_S
 
-    def candidates(self, service: str, tried: Collection[str]) -> list[EndpointState]:
+    def candidates(
+        self, service: str, tried: Collection[str], version: str | None = None
+    ) -> list[EndpointState]:
         """Return the endpoints of a service that may get a request.
 
         Args:
           tried: Ids of the endpoints that were already tried for this request.
+          version: Version at which a stream has to go on; None for a request that any may serve.
         """
         return eligibility.candidates(
-            self._states.values(), service, tried, self._clock(), self._drain_s
+            self._states.values(), service, tried, self._clock(), self._drain_s, version
         )
 
     def may_get_request(self, state: EndpointState, last_resort: bool = False) -> bool:
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -105,10 +105,11 @@
 
 def without_endpoint(route: Route, attempts: Attempts) -> Problem:
     """Return the problem of a request for which there is no endpoint, or no further one."""
+    further = "no further engine" if attempts.version is None else "no further of its version"
     if attempts.may_have_run:
-        return Problem(Code.ENGINE_FAILED, "no further engine")
+        return Problem(Code.ENGINE_FAILED, further)
     if attempts.sends:
-        return _refused_not_run(route, "no further engine")
+        return _refused_not_run(route, further)
     if attempts.busy:
         # A connection becomes free as soon as an answer ends, long before an endpoint restarts.
         return _refused_not_run(route, "connections in use")
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -4,7 +4,8 @@
 whether the remaining time is worth it, and during one how long to wait for a silent endpoint.
 Inputs: the request's route, its attempts so far, and the time left to its deadline in seconds.
 A request that may not run twice is retried only if the endpoint has guaranteed that it has not run
-it, and a caller never gets parts of two answers. Any other request is retried while that helps the
+it, and a caller never gets parts of two answers. A stream goes on only at endpoints of the version
+that began it, so not at all if that is unknown. Any other request is retried while that helps the
 caller; `shared_retry_budget` keeps retries from flooding the endpoints.
 
 Defines `AttemptOutcome` and `Attempts`, the facts on which this module and `giving_up` decide.
@@ -65,6 +66,7 @@
       may_have_run: Whether an endpoint may have run it.
       answer_started: Whether the caller has received the beginning of an answer.
       last_event: Id of the last event that the caller has received, or None.
+      version: Version of the endpoints that began the stream, None if unknown or not begun.
     """
 
     sends: int = 0
@@ -75,6 +77,7 @@
     may_have_run: bool = False
     answer_started: bool = False
     last_event: str | None = None
+    version: str | None = None
 
     @property
     def endpoints_used(self) -> int:
@@ -99,7 +102,7 @@
 
 def _can_be_continued(route: Route, attempts: Attempts) -> bool:
     """Return whether another endpoint can resume an answer that the caller has received in part."""
-    return route.resumable and attempts.last_event is not None
+    return route.resumable and attempts.last_event is not None and attempts.version is not None
 
 
 def has_endpoint_left(route: Route, attempts: Attempts) -> bool:
--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -39,6 +39,7 @@
     choose: Chooser,
     avoided: Collection[str] = (),
     held_back: Collection[str] = (),
+    version: str | None = None,
 ) -> Selection:
     """Return the endpoint for the next attempt, or a refusal.
 
@@ -49,12 +50,13 @@
         another. They still count in the check for overload.
       held_back: Ids of the endpoints whose rate is exhausted. They do not count in the check for
         overload either, as their free capacity cannot be used.
+      version: Version at which a stream has to go on; None for a request that any may serve.
     """
     if demand.prompt_parts and not tried:
         refusal = overload(registry.candidates(demand.service, held_back), demand)
         if refusal is not None:
             return Selection(None, refusal)
-    states = registry.candidates(demand.service, {*tried, *avoided, *held_back})
+    states = registry.candidates(demand.service, {*tried, *avoided, *held_back}, version)
     if not states:
         return Selection(None)
     leaving = registry.leaving(demand.service)
