A stream that a caller takes up elsewhere goes on at the version that began it

Cause: no instance kept which version began a stream, and Resumes was not read, so that a come-back was treated like a new request, which any version may serve.

Change: a node sends the origin of a resumable stream (version and engine of its first event) to two others in different failure domains right before that event, waiting for nobody; keys hold the customer. A node at which a caller comes back asks its own table, these keepers, then all others. Where nobody knows, the stream goes on only if the service has had a single version for twice the route's timeout, by a list as new as the request; else it is refused, not run, with codes 211 or 212. An id that began streams at two versions resumes neither; an engine's id that is listed with another version is no origin. Members of older builds, known by their heartbeat, are neither told nor asked.

Evidence: request.ended has version and version_source, springbridge_streams_taken_up_total counts them.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -43,6 +43,7 @@
 from springbridge_node.gateway.peers.datagrams import PeerDatagrams
 from springbridge_node.gateway.peers.evacuation_sharing import EvacuationSharing
 from springbridge_node.gateway.peers.heartbeats import HEARTBEAT_INTERVAL_S, Heartbeats
+from springbridge_node.gateway.peers.origin_sharing import OriginSharing
 from springbridge_node.gateway.peers.own_member import PACE, member_of
 from springbridge_node.gateway.peers.peer_client import PeerClient
 from springbridge_node.gateway.peers.peer_discovery import (
@@ -58,6 +59,7 @@
 from springbridge_node.gateway.requests.rest_refusals import RestRefusals
 from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
+from springbridge_node.gateway.requests.stream_versions import StreamVersions
 from springbridge_node.gateway.requests.usage_meter import NullUsageMeter
 from springbridge_node.gateway.telemetry import Telemetry
 from springbridge_node.periodic import every, every_tick
@@ -80,6 +82,7 @@
       path_parts: Connect to endpoints, directly or through peers, and serve peers likewise.
       rates: Enforces the request rates that endpoints announce.
       places: Sends requests to brittle endpoints only with a place.
+      origins: Keeps and finds what began each stream.
       evacuations: The failure domains that operators evacuate; their endpoints get no requests.
       budget: This node's share of the fleet's retry budget.
       router: Serves the requests.
@@ -114,6 +117,7 @@
             settings.asks_seeds_first,
             roles_after_s=ROLES_AFTER_S if settings.other_seeds else 0.0,
         )
+        self.origins = OriginSharing(self.membership, self.registry.seen.report, clock.now_s)
         self.quarantine_parts = QuarantineParts(
             self.membership,
             self.registry,
@@ -206,6 +210,7 @@
             rates=self.rates,
             places=self.places,
             rest_refusals=RestRefusals(self.registry, self.telemetry),
+            streams=StreamVersions(self.registry, self.origins),
         )
 
     async def start(self) -> None:
@@ -242,6 +247,7 @@
         self.quarantine_parts.connect(self.datagrams)
         self.rates.connect(self.datagrams)
         self.places.connect(self.datagrams)
+        self.origins.connect(self.datagrams)
         self.evacuations.connect(self.datagrams)
         if self.duties is not None:
             self.duties.connect(self.datagrams)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -46,6 +46,9 @@
     PLACE_REQUEST = 19
     PLACE_REPLY = 20
     PLACE_END = 21
+    STREAM_BEGAN = 22
+    ORIGIN_REQUEST = 23
+    ORIGIN_REPLY = 24
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
@@ -17,6 +17,7 @@
 from springbridge_node.gateway.peers import codec
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.gateway.peers.gossip import Gossip
+from springbridge_node.gateway.peers.origin_sharing import OriginSharing
 from springbridge_node.gateway.peers.peer_builds import FIRST_HEARTBEAT
 from springbridge_node.gateway.requests.place_gate import PlaceGate
 from springbridge_node.gateway.requests.rate_parts import RateParts
@@ -52,6 +53,7 @@
 REQUEST_ROW = [1, "other/1", [], [], "q", "model", "a", 2, 2.5, 900, [["p", 900]], True]
 REPLY_ROW = [1, "e1", "", 0, [1.0, 2.0, 3]]
 NO_AGES = ""
+BEGAN_ROW = ["key", "v1", "e1"]
 RATE_ROW = ["e1", None, 2.5, 0.2, 0.1]
 PERMIT_REQUEST_ROW = [1, 2, RATE_ROW]
 PERMIT_REPLY_ROW = [1, 0, 0.5, RATE_ROW]
@@ -81,6 +83,9 @@
     st.tuples(st.just(Kind.PLACE_REQUEST), nearly([1, "me/1", 3.0, RATE_ROW[:2]])),
     st.tuples(st.just(Kind.PLACE_REPLY), nearly([1, 0, 0.02])),
     st.tuples(st.just(Kind.PLACE_END), nearly(["me/1", 1, RATE_ROW[:2]])),
+    st.tuples(st.just(Kind.STREAM_BEGAN), nearly(BEGAN_ROW)),
+    st.tuples(st.just(Kind.ORIGIN_REQUEST), nearly([1, "key", "model", 6.0])),
+    st.tuples(st.just(Kind.ORIGIN_REPLY), nearly([1, ["v1", "e1"], ["v1", None], 6.0])),
     st.tuples(st.just(Kind.MEMBERS_REQUEST), st.lists(json_values, max_size=5)),
 )
 
@@ -104,6 +109,8 @@
         rates.connect(self.datagrams)
         PlaceGate(self.membership, self.registry, SimulatedClock()).connect(self.datagrams)
         SelectionParts(self.registry, self.membership, rates.table).connect(self.datagrams)
+        seen = self.registry.seen.report
+        OriginSharing(self.membership, seen, SimulatedClock()).connect(self.datagrams)
 
 
 @pytest.fixture(scope="module", autouse=True)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_builds.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_builds.py
@@ -14,8 +14,10 @@
 # First heartbeat of builds that answer permit requests, but neither requests for places nor for
 # tunnels.
 FIRST_HEARTBEAT_WITH_PERMITS = 3_000_000_000
+# First heartbeat of builds that answer these, but keep no origins of streams.
+FIRST_HEARTBEAT_WITH_PLACES = 4_000_000_000
 # First heartbeat of this build.
-FIRST_HEARTBEAT = 4_000_000_000
+FIRST_HEARTBEAT = 5_000_000_000
 
 
 class Build(Enum):
@@ -40,4 +42,9 @@
 
 def grants_places(heartbeat: int) -> bool:
     """Return whether a member with this heartbeat answers requests for places."""
+    return heartbeat >= FIRST_HEARTBEAT_WITH_PLACES
+
+
+def keeps_origins(heartbeat: int) -> bool:
+    """Return whether a member with this heartbeat keeps the origins of streams for others."""
     return heartbeat >= FIRST_HEARTBEAT
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from springbridge.routing import giving_up, retries
 from springbridge.routing.endpoint_choice import Choice
@@ -23,21 +24,31 @@
 from springbridge_node.gateway.requests.request_codec import AnswerMetadata, RequestCodec
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptHooks:
+    """What an attempt calls while its answer arrives.
+
+    Attributes:
+      on_answer_head: Called with the metadata in the head of the answer, and the times when the
+        request was sent and when its connection was opened, on the clock of `clock.now_s`.
+      on_first_event: Called before the caller gets the first event of a stream.
+      verify_end: See `EndpointAnswer`.
+    """
+
+    on_answer_head: Callable[[AnswerMetadata, float, float], None]
+    on_first_event: Callable[[], None]
+    verify_end: Callable[[], Awaitable[AnswerEnd]]
+
+
 async def make_attempt(
     exchange: Exchange,
     choice: Choice,
     connection: HttpConnection,
     codec: RequestCodec,
-    on_answer_head: Callable[[AnswerMetadata, float, float], None],
-    verify_end: Callable[[], Awaitable[AnswerEnd]],
+    hooks: AttemptHooks,
 ) -> AttemptOutcome:
     """Send a request to the chosen endpoint, relay its answer, and return how that ended.
 
-    Args:
-      on_answer_head: Called with the metadata in the head of the answer, and the times when the
-        request was sent and when its connection was opened, on the clock of `clock.now_s`.
-      verify_end: See `EndpointAnswer`.
-
     Raises:
       TimeoutError: Too little time is left before the deadline; nothing was sent.
       CallerGoneError: The caller has closed its connection.
@@ -49,12 +60,12 @@
     try:
         head = await read_head_within(silence_s, connection, codec, exchange.request_id)
         metadata = codec.answer_metadata(head)
-        on_answer_head(metadata, sent_s, connection.opened_s)
-        answer = EndpointAnswer(connection, head, verify_end)
+        hooks.on_answer_head(metadata, sent_s, connection.opened_s)
+        answer = EndpointAnswer(connection, head, hooks.verify_end)
         if metadata.not_run:
             exchange.progress.may_have_run = ran_before
             return await _read_refusal(exchange, answer, metadata)
-        return await _relay_or_hold_back(exchange, answer, metadata, codec)
+        return await _relay_or_hold_back(exchange, answer, metadata, codec, hooks.on_first_event)
     except AnswerBrokenError as exc:
         exchange.progress.answer_end = exc.end
         return AttemptOutcome.BROKEN
@@ -105,7 +116,11 @@
 
 
 async def _relay_or_hold_back(
-    exchange: Exchange, answer: EndpointAnswer, metadata: AnswerMetadata, codec: RequestCodec
+    exchange: Exchange,
+    answer: EndpointAnswer,
+    metadata: AnswerMetadata,
+    codec: RequestCodec,
+    on_first_event: Callable[[], None],
 ) -> AttemptOutcome:
     """Relay an answer, or hold back a failure so that another endpoint can be tried."""
     if not exchange.route.streaming and exchange.progress.load is not None:
@@ -118,5 +133,5 @@
             if metadata.statements.rest_s is None
             else AttemptOutcome.ASKED_REST
         )
-    await relay(exchange, answer, codec)
+    await relay(exchange, answer, codec, on_first_event)
     return AttemptOutcome.DELIVERED
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -8,6 +8,7 @@
 
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.records import Admitted, Demand, Route
+from springbridge.routing.resumption import VersionSource
 from springbridge.routing.retries import Attempts
 
 from springbridge_node.gateway.callers.answer import CallerAnswer
@@ -82,6 +83,7 @@
       sends, misdirected, paths_lost, unreached, busy, may_have_run, last_event: See `Attempts`.
       version: Version at which the stream has to go on: that of the endpoint which wrote its first
         event. None before that event, or if that endpoint's version is unknown.
+      version_source: From where the version is known.
       first_piece_s: When the caller got the first piece of the answer, on the monotonic clock;
         None before.
       last_piece_s: When the caller got the latest piece of it, on the same clock.
@@ -113,6 +115,7 @@
     may_have_run: bool = False
     last_event: str | None = None
     version: str | None = None
+    version_source: VersionSource = VersionSource.NONE
     first_piece_s: float | None = None
     last_piece_s: float = 0.0
     longest_pause_s: float = 0.0
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -5,6 +5,7 @@
 a stream until its first complete event.
 """
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 from springbridge.routing.event_stream import EventSplitter
@@ -21,15 +22,23 @@
 EVENT_STREAM = "text/event-stream"
 
 
-async def relay(exchange: Exchange, answer: EndpointAnswer, codec: RequestCodec) -> None:
+async def relay(
+    exchange: Exchange,
+    answer: EndpointAnswer,
+    codec: RequestCodec,
+    on_first_event: Callable[[], None],
+) -> None:
     """Relay an answer: event by event if it is a stream, else as a plain body.
 
+    Args:
+      on_first_event: Called before the caller gets the first event of the answer.
+
     Raises:
       AnswerBrokenError: The endpoint's answer ended early.
       CallerGoneError: The caller has closed its connection.
     """
     if exchange.route.streaming and answer.head.status < HTTPStatus.MULTIPLE_CHOICES:
-        await _relay_events(exchange, answer, codec)
+        await _relay_events(exchange, answer, codec, on_first_event)
     else:
         await _relay_plain(exchange, answer, codec)
     exchange.answer.finish()
@@ -65,7 +74,12 @@
         await _start(exchange, head, codec, bytes(buffered), len(buffered))
 
 
-async def _relay_events(exchange: Exchange, answer: EndpointAnswer, codec: RequestCodec) -> None:
+async def _relay_events(
+    exchange: Exchange,
+    answer: EndpointAnswer,
+    codec: RequestCodec,
+    on_first_event: Callable[[], None],
+) -> None:
     """Relay a stream event by event, skipping events that the caller already has.
 
     An incomplete event is dropped if the stream breaks. One that has only its last empty line
@@ -82,7 +96,8 @@
             progress.load.prompt_read()
         new_events = [event for event in events if _is_new_to_caller(progress, event.event_id)]
         if new_events:
-            _note_first_event(progress)
+            if not exchange.answer.started:
+                on_first_event()
             await _relay_piece(exchange, head, codec, b"".join(event.raw for event in new_events))
             ids = [event.event_id for event in new_events if event.event_id is not None]
             progress.last_event = ids[-1] if ids else progress.last_event
@@ -92,12 +107,6 @@
         await _relay_piece(exchange, head, codec, splitter.rest)
 
 
-def _note_first_event(progress: Progress) -> None:
-    """Record which version begins the stream, if the caller is about to get its first event."""
-    if progress.first_piece_s is None and progress.version is None:
-        progress.version = progress.chosen[-1].version
-
-
 def _is_event_stream(head: Head) -> bool:
     """Return whether a body consists of events, as it does if its head does not say otherwise."""
     content_type = head.headers.get("Content-Type", EVENT_STREAM)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -9,6 +9,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import Arrival
+from springbridge.routing.resumption import takes_up_stream
 from springbridge.routing.retries import AttemptOutcome
 
 from springbridge_node import clock, logs
@@ -122,6 +123,9 @@
             first_ms = round(first_s * 1000)
             self._telemetry.first_piece.labels(admitted.route.name).observe(first_s)
         self._telemetry.requests.labels(admitted.route.name, outcome.result).inc()
+        if takes_up_stream(admitted.route, admitted.arrival):
+            source = progress.version_source.value
+            self._telemetry.taken_up.labels(source, outcome.result).inc()
         logs.event(
             "request.ended",
             request_id=exchange.request_id,
@@ -131,6 +135,8 @@
             priority=admitted.priority,
             resume_after=_bounded(admitted.arrival.resume_after),
             resumes=_bounded(admitted.arrival.resumes),
+            version=progress.version,
+            version_source=progress.version_source.value,
             config_version=admitted.version,
             list_age_ms=round(min(list_age_s, MAX_LOGGED_AGE_S) * 1000),
             engines=[_endpoint_fields(chosen, exchange) for chosen in progress.chosen],
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -33,7 +33,7 @@
 from springbridge_node.gateway.endpoints.stall_check import StallCheck
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
 from springbridge_node.gateway.peers.load_sharing import LoadSharing
-from springbridge_node.gateway.requests.attempt import make_attempt
+from springbridge_node.gateway.requests.attempt import AttemptHooks, make_attempt
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
 from springbridge_node.gateway.requests.place_gate import REJECTIONS, PlaceGate
@@ -48,6 +48,7 @@
     RequestOutcome,
 )
 from springbridge_node.gateway.requests.rest_refusals import RestRefusals
+from springbridge_node.gateway.requests.stream_versions import StreamVersions
 from springbridge_node.gateway.requests.usage_meter import UsageMeter
 
 
@@ -80,6 +81,7 @@
     rates: RateParts
     places: PlaceGate
     rest_refusals: RestRefusals
+    streams: StreamVersions
 
 
 class RequestRouter:
@@ -147,6 +149,9 @@
     async def _make_attempts(self, exchange: Exchange) -> Problem | None:
         """Try one endpoint after another; see _attempt_until_deadline for what is returned."""
         route, progress = exchange.route, exchange.progress
+        problem = await self._parts.streams.take_up(exchange)
+        if problem is not None:
+            return problem
         while True:
             left_out = progress.tried | progress.avoided | progress.without_place
             held_back = self._parts.rates.gate.held_back(exchange)
@@ -203,6 +208,10 @@
             return giving_up.when_rates_exhausted(route, attempts, spent)
         if exchange.progress.without_place:
             return giving_up.when_no_place(route, attempts, len(exchange.progress.without_place))
+        version = exchange.progress.version
+        if version is not None:
+            is_listed = self._parts.registry.serves_version(exchange.demand.service, version)
+            return giving_up.without_version(attempts, is_listed)
         rest = self._parts.rest_refusals.refuse(exchange.demand.service)
         if rest is not None:
             return giving_up.when_all_resting(route, attempts, rest)
@@ -312,18 +321,19 @@
             count_run = partial(self._parts.usage.count_run, exchange.admitted)
             with self._parts.loads.attempt(choice, exchange.demand, count_run) as load:
                 exchange.progress.load = load
-                on_answer_head = partial(
-                    self._parts.rates.watch.record, choice.state.entry, exchange.request_id
-                )
-                verify_end = partial(
-                    self._parts.ends.verify, choice.state, connection, chosen.sent_s
+                hooks = AttemptHooks(
+                    on_answer_head=partial(
+                        self._parts.rates.watch.record, choice.state.entry, exchange.request_id
+                    ),
+                    on_first_event=partial(self._parts.streams.first_event, exchange),
+                    verify_end=partial(
+                        self._parts.ends.verify, choice.state, connection, chosen.sent_s
+                    ),
                 )
                 codec = self._parts.codec
                 repeatable = retries.is_repeatable(exchange.route)
                 with self._parts.stalls.watching(choice.state.entry, connection, repeatable):
-                    end = await make_attempt(
-                        exchange, choice, connection, codec, on_answer_head, verify_end
-                    )
+                    end = await make_attempt(exchange, choice, connection, codec, hooks)
         except BaseException:
             self._parts.pool.discard(incarnation, connection)
             raise
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -40,6 +40,12 @@
             ["end"],
             registry=self.registry,
         )
+        self.taken_up = Counter(
+            "springbridge_streams_taken_up",
+            "Requests that took up a stream again, by where its version was known from",
+            ["known_from", "result"],
+            registry=self.registry,
+        )
         self.crashes = Counter(
             "springbridge_engine_crashes",
             "Requests that were running when an engine ended",
--- a/packages/springbridge/springbridge/codes.py
+++ b/packages/springbridge/springbridge/codes.py
@@ -46,6 +46,8 @@
     WAIT_EXPIRED = 208
     REFUSED_BEFORE = 209
     QUARANTINED = 210
+    STREAM_ORIGIN_UNKNOWN = 211
+    NO_ENGINE_OF_VERSION = 212
     ENGINE_FAILED = 301
     ANSWER_INCOMPLETE = 302
     ANSWER_NOT_KEPT = 303
@@ -123,6 +125,16 @@
         Fate.NOT_RUN,
         "Engines ended under requests like this one; change it, or wait Retry-After.",
     ),
+    Code.STREAM_ORIGIN_UNKNOWN: Info(
+        503,
+        Fate.NOT_RUN,
+        "Nobody knows which version began this stream; wait Retry-After, or begin it anew.",
+    ),
+    Code.NO_ENGINE_OF_VERSION: Info(
+        503,
+        Fate.NOT_RUN,
+        "No engine of the version that began it takes this stream; wait Retry-After or begin anew.",
+    ),
     Code.ENGINE_FAILED: Info(
         502, Fate.FAILED, "The request started and failed; check its effect before asking again."
     ),
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -24,6 +24,7 @@
 from springbridge.routing.older_lists import StoreRollbackCorrector
 from springbridge.routing.reading_speed import USUAL_TOKENS_PER_S
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation, EndpointSnapshot
+from springbridge.routing.seen_versions import SeenVersions
 from springbridge.statements import rests
 from springbridge.statements.attribution import LONG_AGO_S
 from springbridge.statements.leaving import is_likely, wants_nothing
@@ -43,6 +44,7 @@
 
     Attributes:
       statements: What the endpoints have stated about themselves in answers.
+      seen: The versions that the endpoints of each service have had.
     """
 
     def __init__(self, clock: Callable[[], float], drain_s: float = float("inf")) -> None:
@@ -55,6 +57,7 @@
         self._clock = clock
         self._drain_s = drain_s
         self.statements = StatementTable(clock)
+        self.seen = SeenVersions(clock)
         self._lapse_grace_s = eligibility.lapse_grace_s(drain_s)
         self._states: dict[str, EndpointState] = {}
         self._revision = -1
@@ -84,6 +87,10 @@
         """Return the age of the list in use in seconds, infinite before the first."""
         return float("inf") if self._read_s is None else self._clock() - self._read_s
 
+    def is_as_new_as(self, moment_s: float) -> bool:
+        """Return whether the list in use was the newest at some moment, on the registry's clock."""
+        return self._read_s is not None and self._read_s >= moment_s
+
     def confirm(self, age_s: float) -> None:
         """Record that the list in use was confirmed as the newest age_s seconds ago."""
         if self._read_s is not None:
@@ -121,7 +128,9 @@
         went_back = era_of(snapshot.revision) > era_of(max(0, self._revision))
         if went_back:
             self._rollback_corrector.record_rollback()
-        after_outage = went_back or self.age_s() > eligibility.OUTAGE_LIST_AGE_S + age_s
+        gap_s = self.age_s() - age_s
+        after_outage = went_back or gap_s > eligibility.OUTAGE_LIST_AGE_S
+        self.seen.note(snapshot.entries, gap_s, went_back)
         self._revision = snapshot.revision
         self._fingerprint = fingerprint_of(snapshot)
         self._read_s = self._clock() - age_s
@@ -198,6 +207,18 @@
         """Return the state of an endpoint by its id, None if it is unknown."""
         return self._states.get(endpoint_id)
 
+    def version_of(self, endpoint_id: str) -> str | None:
+        """Return the version of a listed endpoint, None if it is not listed or has no known one."""
+        state = self._states.get(endpoint_id)
+        return state.entry.version if state is not None and state.is_listed else None
+
+    def serves_version(self, service: str, version: str) -> bool:
+        """Return whether the list has an endpoint of a service that has a version and stays."""
+        return any(
+            state.entry.service == service and state.entry.version == version
+            for state in self.staying()
+        )
+
     def entries(self) -> tuple[EndpointEntry, ...]:
         """Return the entries of the endpoints that are listed now."""
         return tuple(state.entry for state in self._states.values() if state.is_listed)
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -22,6 +22,7 @@
     when_endpoint_full,
     while_endpoints_restart,
     while_on_trial,
+    while_origin_unknown,
 )
 
 
@@ -105,17 +106,34 @@
 
 def without_endpoint(route: Route, attempts: Attempts) -> Problem:
     """Return the problem of a request for which there is no endpoint, or no further one."""
-    further = "no further engine" if attempts.version is None else "no further of its version"
     if attempts.may_have_run:
-        return Problem(Code.ENGINE_FAILED, further)
+        return Problem(Code.ENGINE_FAILED, "no further engine")
     if attempts.sends:
-        return _refused_not_run(route, further)
+        return _refused_not_run(route, "no further engine")
     if attempts.busy:
         # A connection becomes free as soon as an answer ends, long before an endpoint restarts.
         return _refused_not_run(route, "connections in use")
     return Problem(Code.NO_ENGINE, "no engine", retry_after_s=while_endpoints_restart())
 
 
+def without_version(attempts: Attempts, is_listed: bool) -> Problem:
+    """Return the problem of a stream for which no endpoint, or no further one, has its version.
+
+    Args:
+      is_listed: Whether the list has an endpoint of that version which is not leaving.
+    """
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, "no further engine of its version")
+    wait_s = while_origin_unknown() if is_listed else while_endpoints_restart()
+    detail = "an engine of its version is listed" if is_listed else "no engine of its version"
+    return Problem(Code.NO_ENGINE_OF_VERSION, detail, retry_after_s=wait_s)
+
+
+def when_origin_unknown(reason: str) -> Problem:
+    """Return the problem of a stream whose version cannot be known, so that it cannot go on."""
+    return Problem(Code.STREAM_ORIGIN_UNKNOWN, reason, retry_after_s=while_origin_unknown())
+
+
 def when_rates_exhausted(route: Route, attempts: Attempts, spent: RatesExhausted) -> Problem:
     """Return the problem of a request if all remaining endpoints have exhausted their rates."""
     detail = f"rates spent: {spent.endpoints} engines take {spent.per_s:g} a second"
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -226,9 +226,9 @@
       caller_timeout_s: How long the caller waits, counted from arrived_s; None if not given.
       prompt_tokens: Length of the prompt; 0 if not given.
       answer_tokens: Requested maximum length of the answer, 0 if not given; no decision uses it.
-      resume_after: Id of the last event that the caller has, or None; no decision uses it.
+      resume_after: Id of the last event that the caller has, or None.
       resumes: Id of the caller's request that brought the first event of the stream which this one
-        resumes, or None; no decision uses it.
+        resumes, or None.
     """
 
     request_id: str
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -14,6 +14,8 @@
 | endpoints are overloaded for its priority       | `after_overload`          | 2 + excess wait  |
 | the rates of its endpoints are exhausted        | `rates.held_back`         | until its turn   |
 | its endpoints rest                              | `statements.returns`      | until rests end  |
+| nobody knows which version began its stream     | `while_origin_unknown`    | 0.5              |
+| endpoints of its stream's version serve nothing | `while_origin_unknown`    | 0.5              |
 | a similar request is on trial                   | `while_on_trial`          | 1                |
 | similar requests crashed endpoints              | `quarantine`              | until its trial  |
 | the instance is at the end of its planned stop  | `while_leaving`           | 0.05             |
@@ -44,6 +46,10 @@
 # because nothing has to recover first.
 LEAVING_S = 0.05
 
+# Time in which a node reads the list again or another one is heard again. Another instance may know
+# at once.
+ORIGIN_UNKNOWN_S = 0.5
+
 # Time that most requests take; keeps callers from retrying before the trial has ended.
 ON_TRIAL_S = 1.0
 
@@ -85,6 +91,11 @@
     return BURST_S + max(0.0, backlog_s - longest_wait_s)
 
 
+def while_origin_unknown() -> float:
+    """Return Retry-After in seconds if a stream cannot go on here and may at another instance."""
+    return ORIGIN_UNKNOWN_S
+
+
 def while_on_trial() -> float:
     """Return Retry-After in seconds while a similar request is on trial."""
     return ON_TRIAL_S
