A stream that goes on at its version is not refused for overload

What callers saw: during a rollout a stream that is taken up was refused like a new request as soon as the engines of its version were full, although nobody else can give the rest.

Cause: the check for overload knew no streams that had begun; with fewer engines of a version it sees fewer that have room.

Change: a selection for a version skips the check. Engines themselves still turn requests away.

--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -6,7 +6,9 @@
 that chooses.
 Result: a Selection with a choice, a refusal for overload, or neither if no endpoint is eligible.
 Overload is checked only before the first attempt: later the request may have run, and a refusal
-would guarantee to the caller that it has not.
+would guarantee to the caller that it has not. A stream that has to go on at some version is not
+refused for overload: its caller has a part already, and only endpoints of that version can give the
+rest, while a new request may begin anywhere.
 """
 
 from collections.abc import Collection
@@ -52,7 +54,7 @@
         overload either, as their free capacity cannot be used.
       version: Version at which a stream has to go on; None for a request that any may serve.
     """
-    if demand.prompt_parts and not tried:
+    if demand.prompt_parts and not tried and version is None:
         refusal = overload(registry.candidates(demand.service, held_back), demand)
         if refusal is not None:
             return Selection(None, refusal)
