Endpoints fetch cached prompt parts only from others of their version

What could happen: during a rollout an engine took the memory of a prompt from one of another version (Kv-Fetch).

The source was the engine with the most cached tokens, whatever its version.

Change: the source is the best one among the engines of the chosen one's version, and the cost of each engine counts with what it could fetch. A node checks the source that a coordinator of an older build names. With a single version the choice is the same as before.

Measured: the new test fails on the code before in its second case.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/selection_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/selection_client.py
@@ -10,6 +10,7 @@
 
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.endpoint_registry import EndpointRegistry
+from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import Demand
 from springbridge.routing.selection import Selection
 
@@ -66,8 +67,19 @@
         state = next((each for each in usable if each.entry.endpoint_id == reply.endpoint_id), None)
         if state is None:
             return None
+        source = self._source(reply, state)
+        fetched_tokens = reply.fetched_tokens if source else 0
+        return Selection(Choice(state, source, fetched_tokens, attempt_id, address))
+
+    def _source(self, reply: SelectionReply, state: EndpointState) -> EndpointState | None:
+        """Return the endpoint to fetch from, None if it is unknown or of another version.
+
+        Coordinators of older builds know no versions.
+        """
         source = self._registry.find(reply.source_id) if reply.source_id else None
-        return Selection(Choice(state, source, reply.fetched_tokens, attempt_id, address))
+        if source is None or source.entry.version != state.entry.version:
+            return None
+        return source
 
     async def _reply(
         self,
--- a/packages/springbridge/springbridge/routing/endpoint_choice.py
+++ b/packages/springbridge/springbridge/routing/endpoint_choice.py
@@ -9,7 +9,8 @@
 a prompt.
 Rendezvous hashing sends a shared prompt part to the same endpoint from every instance without any
 message. Where the load of all instances is known, the cost of reading prompts can be included,
-which serves more requests within their deadlines.
+which serves more requests within their deadlines. Endpoints of different versions do not fetch from
+each other: what one version has cached need not fit another.
 """
 
 from collections.abc import Callable, Sequence
@@ -116,12 +117,34 @@
     known = cached | {
         state.entry.endpoint_id: state.cache.cached_tokens_of(prompt) for state in leaving
     }
-    source = max((*states, *leaving), key=lambda state: known[state.entry.endpoint_id])
-    max_cached = known[source.entry.endpoint_id] if demand.fetches else 0
-    best = _preferred(_cheapest(states, demand, reserved, cached, max_cached), parts)
-    if not is_worth_fetching(cached[best.entry.endpoint_id], max_cached):
+    sources = _sources((*states, *leaving), known) if demand.fetches else {}
+    best = _preferred(_cheapest(states, demand, reserved, cached, sources), parts)
+    source = sources.get(best.entry.version)
+    if source is None or not is_worth_fetching(cached[best.entry.endpoint_id], source.tokens):
         return Choice(best)
-    return Choice(best, source, source.cache.cached_tokens(parts))
+    return Choice(best, source.state, source.state.cache.cached_tokens(parts))
+
+
+@dataclass(frozen=True, slots=True)
+class _Source:
+    """The endpoint of a version that has the most tokens of a prompt cached."""
+
+    state: EndpointState
+    tokens: int
+
+
+def _sources(states: Sequence[EndpointState], known: dict[str, int]) -> dict[str | None, _Source]:
+    """Return from which endpoint those of each version would fetch.
+
+    Args:
+      known: Prompt tokens that each endpoint has cached.
+    """
+    sources: dict[str | None, _Source] = {}
+    for state in states:
+        version, tokens = state.entry.version, known[state.entry.endpoint_id]
+        if version not in sources or tokens > sources[version].tokens:
+            sources[version] = _Source(state, tokens)
+    return sources
 
 
 def _cheapest(
@@ -129,17 +152,19 @@
     demand: Demand,
     reserved: frozenset[str],
     cached: dict[str, int],
-    max_cached: int,
+    sources: dict[str | None, _Source],
 ) -> list[EndpointState]:
     """Return the endpoints whose cost falls into the lowest step.
 
     Args:
       cached: Prompt tokens that each endpoint has probably cached.
-      max_cached: The largest number of them at any endpoint; 0 if nothing can be fetched.
+      sources: From where the endpoints of each version would fetch; empty if they cannot.
     """
     steps = []
     for state in states:
         name = state.entry.endpoint_id
+        source = sources.get(state.entry.version)
+        max_cached = source.tokens if source else 0
         cost = token_cost(state, demand, name in reserved, cached[name], max_cached)
         steps.append(cost // COST_STEP_TOKENS)
     least = min(steps)
--- a/packages/springbridge/springbridge/routing/endpoint_choice_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_choice_test.py
@@ -1,5 +1,7 @@
 """Tests of endpoint_choice.py: which endpoint gets a prompt, and what it fetches."""
 
+from dataclasses import replace
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
@@ -154,3 +156,17 @@
     staying = [state for state in states_of(endpoints) if state is not preferred]
     choice = by_token_cost(staying, make_demand(LONG, failure_domain=HERE), NOW_S, [preferred])
     assert_that(choice.source, Is(None))
+
+
+# Guards against memory that one version made and another one goes on from.
+@pytest.mark.parametrize(("version", "fetches"), [(None, True), ("v1.1", False)])
+def test_a_prompt_is_fetched_only_from_an_endpoint_of_the_same_version(endpoints, version, fetches):
+    preferred = chosen(endpoints, LONG).state
+    start(endpoints, preferred.entry.endpoint_id, "read", LONG)
+    for number in range(4):
+        parts = ((f"x{number}", 20_000), ("own", 5_000))
+        start(endpoints, preferred.entry.endpoint_id, f"busy-{number}", parts)
+    preferred.entry = replace(preferred.entry, version=version)
+    choice = chosen(endpoints, LONG)
+    assert_that(choice.state, Not(Is(preferred)))
+    assert_that(choice.source, Is(preferred if fetches else None))
