Instances notice an endpoint that comes back under its id with another version

What could happen: a stream goes on at an engine whose version this node has wrong. A change of the version alone changed no fingerprint, so that nodes which follow their peers never fetched it, and an entry without a start time counted as the same process. A node that had its list from a peer of an older build knew no versions, so that none of its streams could go on.

Change: the version is part of a list's fingerprint, an id with another version is a new process, a known version is kept where a list has none, and a node whose fetched list lacks versions reads the store once.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -2,7 +2,8 @@
 
 Owns when the list is read or fetched; the endpoint registry owns the list itself.
 routing/store_freshness.py decides which nodes read. The other nodes learn from their peers' digests
-whether their list is still the newest, and fetch a changed list from a peer.
+whether their list is still the newest, and fetch a changed list from a peer, which lacks versions
+if the peer runs an older build: then they read the store once.
 """
 
 import asyncio
@@ -163,7 +164,9 @@
                 self._registry.confirm(youngest.age_s)
                 return False
             case SnapshotComparison.DIFFERS:
-                return not await self._fetch_from(peer)
+                was_fetched = await self._fetch_from(peer)
+                # Peers of older builds pass lists on without the versions of endpoints.
+                return not was_fetched or self._registry.lacks_versions()
             case SnapshotComparison.NO_HELP:
                 return self._is_its_turn()
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
@@ -25,7 +25,8 @@
 from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.gateway.peers.heartbeats import HEARTBEAT_INTERVAL_S
 
-LISTING = EndpointSnapshot(7, (EndpointEntry("e1", "model", "127.0.0.1:1", "a", 4, False),))
+ENTRY = EndpointEntry("e1", "model", "127.0.0.1:1", "a", 4, False, version="v1")
+LISTING = EndpointSnapshot(7, (ENTRY,))
 TURN_S = 0.5
 ROUND_S = 4.0
 
@@ -228,3 +229,16 @@
 def test_an_unconfirmed_node_reads_before_the_usual_drain_time_of_an_endpoint_is_over():
     defaults = {field.name: field.default for field in fields(GatewaySettings)}
     assert_that(defaults["drain_s"], GreaterThan(CONFIRMED_S + CHECK_INTERVAL_S))
+
+
+# Guards against streams that cannot go on, as their engines came from a peer of an older build.
+def test_a_list_without_versions_from_a_peer_is_read_from_the_store_once():
+    world = World(reads_for_all=False)
+    without = EndpointSnapshot(7, (replace(ENTRY, version=None),))
+    world.peer_list = AgedSnapshot(without, 0.0)
+    world.heard(0.1, fingerprint=5)
+    assert_that(world.steps(), Equals(1))
+    assert_that(world.registry.version_of("e1"), Equals("v1"))
+    world.heard(0.1, fingerprint=6)
+    assert_that(world.steps(), Equals(0))
+    assert_that(world.registry.version_of("e1"), Equals("v1"))
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -130,13 +130,13 @@
             self._rollback_corrector.record_rollback()
         gap_s = self.age_s() - age_s
         after_outage = went_back or gap_s > eligibility.OUTAGE_LIST_AGE_S
-        self.seen.note(snapshot.entries, gap_s, went_back)
         self._revision = snapshot.revision
         self._fingerprint = fingerprint_of(snapshot)
         self._read_s = self._clock() - age_s
         listed = self._rollback_corrector.corrected(snapshot.entries, self._known)
         changed = self._update(listed, capacities)
         changed = self._drop_unlisted(listed, after_outage) or changed
+        self.seen.note(self.entries(), gap_s, went_back)
         self._record_current(age_s + took_s)
         self._leaving = leaving_by_service(self._states.values())
         return changed
@@ -212,6 +212,12 @@
         state = self._states.get(endpoint_id)
         return state.entry.version if state is not None and state.is_listed else None
 
+    def lacks_versions(self) -> bool:
+        """Return whether the version of a listed endpoint is unknown, as older builds pass none."""
+        return any(
+            state.entry.version is None for state in self._states.values() if state.is_listed
+        )
+
     def serves_version(self, service: str, version: str) -> bool:
         """Return whether the list has an endpoint of a service that has a version and stays."""
         return any(
--- a/packages/springbridge/springbridge/routing/endpoint_restart_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_restart_test.py
@@ -103,3 +103,24 @@
     old = registry.known_incarnations()
     install(registry, 2, SECOND)
     assert_that(registry.known_incarnations() & old, Equals(set()))
+
+
+# Guards against a stream that goes on at a process that took over the id with another version.
+@pytest.mark.parametrize("born_ms", [None, 1000])
+def test_an_id_with_another_version_is_a_new_process(clock, born_ms):
+    registry = EndpointRegistry(clock)
+    first = replace(FIRST, born_ms=born_ms, version="v1")
+    install(registry, 1, first)
+    before, fingerprint = registry.find("e0"), registry.fingerprint
+    assert_that(install(registry, 2, replace(first, version="v1.1")), Is(True))
+    assert_that(registry.find("e0"), Not(Is(before)))
+    assert_that(registry.version_of("e0"), Equals("v1.1"))
+    assert_that(registry.fingerprint, Not(Equals(fingerprint)))
+
+
+def test_a_list_without_versions_keeps_the_known_one(clock):
+    registry = EndpointRegistry(clock)
+    install(registry, 1, replace(FIRST, version="v1"))
+    assert_that(install(registry, 2, FIRST), Is(False))
+    assert_that(registry.version_of("e0"), Equals("v1"))
+    assert_that(registry.lacks_versions(), Is(False))
--- a/packages/springbridge/springbridge/routing/listed_entries.py
+++ b/packages/springbridge/springbridge/routing/listed_entries.py
@@ -23,11 +23,17 @@
 def has_restarted(known: EndpointEntry, listed: EndpointEntry) -> bool:
     """Return whether a listed endpoint is another process than the known one with the same id.
 
-    The new process has none of the old one's requests, cached prompts and connections. If the start
-    time is missing in either entry, the processes count as the same.
+    The new process has none of the old one's requests, cached prompts and connections. Processes
+    count as the same unless both entries have a start time or a version, and these differ.
     """
-    starts = (known.born_ms, listed.born_ms)
-    return None not in starts and starts[0] != starts[1]
+    return _both_differ(known.born_ms, listed.born_ms) or _both_differ(
+        known.version, listed.version
+    )
+
+
+def _both_differ(one: int | str | None, other: int | str | None) -> bool:
+    """Return whether two values are known and differ."""
+    return None not in (one, other) and one != other
 
 
 def with_known_facts(listed: EndpointEntry, known: EndpointEntry) -> EndpointEntry:
@@ -62,8 +68,9 @@
 def _fingerprint_row(entry: EndpointEntry) -> str:
     """Return the text of an entry to be hashed.
 
-    Without a start time it equals the text of older builds, which do not read start times.
+    Without start time and version it equals the text of older builds, which do not read them.
     """
     row = f"{entry.endpoint_id} {entry.service} {entry.address} {entry.draining}"
     started = row if entry.born_ms is None else f"{row} {entry.born_ms}"
-    return f"{started} cold" if entry.cold else started
+    of_version = started if entry.version is None else f"{started} {entry.version!r}"
+    return f"{of_version} cold" if entry.cold else of_version
