New requests leave the endpoints of a version that is being replaced to streams that need them

What could happen: during a rollout new streams begin at the last engines of the old version, fill them, and have nowhere to go on when these leave.

Change: while an engine of a version is leaving and fewer of it stay than of another version, a new request chooses among the engines of other versions, as long as one of those, not cold, has room.

--- a/packages/springbridge/springbridge/routing/selection.py
+++ b/packages/springbridge/springbridge/routing/selection.py
@@ -1,7 +1,7 @@
 """Selection: the endpoint for one attempt of a request, or why there is none.
 
-Combines overload.py, eligibility.py and endpoint_choice.py in this order, both for an instance that
-chooses itself and for a coordinator that chooses for others.
+Combines overload.py, eligibility.py, ending_versions.py and endpoint_choice.py in this order, both
+for an instance that chooses itself and for a coordinator that chooses for others.
 Inputs: the registry, the request's demand, the ids of the endpoints already tried, and the function
 that chooses.
 Result: a Selection with a choice, a refusal for overload, or neither if no endpoint is eligible.
@@ -14,6 +14,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from springbridge.routing.ending_versions import without_ending_versions
 from springbridge.routing.endpoint_choice import Choice, Chooser
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
@@ -62,6 +63,8 @@
     if not states:
         return Selection(None)
     leaving = registry.leaving(demand.service)
+    if version is None:
+        states = without_ending_versions(states, leaving, demand, registry.now_s())
     return Selection(choose(states, demand, registry.now_s(), leaving))
 
 
