--- a/packages/springbridge-node/springbridge_node/gateway/peers/origin_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/origin_sharing.py
@@ -2,8 +2,9 @@
 
 A node that relays the first event of a stream sends its origin to two others, in different failure
 domains, before the event; nothing waits for them. A node at which a caller comes back asks these
-and, if none of them knows, all other nodes: the one that relayed the event may still run. A message
-is one datagram, and what is lost is asked for once more.
+and, if none of them knows, all other nodes: the one that relayed the event may still run. A node
+that has just started and met nobody yet turns to the addresses on the platform's list. A message is
+one datagram, and what is lost is asked for once more.
 """
 
 import asyncio
@@ -88,7 +89,10 @@
         """Record the origin of a stream here and at the nodes that keep it."""
         self.table.record(key, origin)
         if self._datagrams is not None:
-            addresses = [member.peer_address for member in self._keepers_of(key, KEEPERS)]
+            addresses = self._keepers_of(key, KEEPERS)
+            if len(addresses) < KEEPERS:
+                # Not where a caller's next node looks first, but where it finds it by asking all.
+                addresses += self._membership.unmet_addresses()[: KEEPERS - len(addresses)]
             self._datagrams.send(Kind.STREAM_BEGAN, origin_rows.began_row(key, origin), addresses)
 
     async def find(self, key: str, service: str, span_s: float) -> FoundOrigin:
@@ -111,12 +115,12 @@
         reports = (self._seen(service, span_s), *(reply.seen for reply in replies))
         return FoundOrigin(origin, source if origin else VersionSource.NONE, reports)
 
-    def _keepers_of(self, key: str, count: int) -> list[Member]:
-        """Return the other nodes that keep the origins of a key, as this node sees the fleet."""
+    def _keepers_of(self, key: str, count: int) -> list[str]:
+        """Return the addresses of the other nodes that keep a key's origins, as far as known."""
         self._update_ring()
         names = self._ring.nodes_for(key, count + 1)
         others = [name for name in names if name != self._membership.me.incarnation]
-        return [self._keepers[name] for name in others[:count]]
+        return [self._keepers[name].peer_address for name in others[:count]]
 
     def _update_ring(self) -> None:
         """Place the live nodes on a new ring if they have changed."""
@@ -128,14 +132,15 @@
         self._keepers = {member.incarnation: member for member in live}
         self._ring = HashRing({each.incarnation: each.failure_domain for each in live})
 
-    def _all_but(self, asked: Sequence[Member]) -> list[Member]:
-        """Return the other reachable nodes, none while too many were asked lately."""
-        left_out = {member.incarnation for member in asked}
+    def _all_but(self, asked: Sequence[str]) -> list[str]:
+        """Return the addresses of all other nodes, none while too many were asked lately."""
         members = [
-            member
+            member.peer_address
             for member in self._membership.reachable()
-            if keeps_origins(member.heartbeat) and member.incarnation not in left_out
+            if keeps_origins(member.heartbeat)
         ]
+        members += self._membership.unmet_addresses()
+        members = [address for address in members if address not in asked]
         now_s = self._clock()
         refilled = self._may_ask + (now_s - self._counted_s) * ASKED_PER_S
         self._may_ask, self._counted_s = min(MAX_ASKED_AT_ONCE, refilled), now_s
@@ -144,11 +149,11 @@
         self._may_ask -= len(members)
         return members
 
-    async def _ask(self, request: OriginRequest, members: Sequence[Member]) -> list[OriginReply]:
-        """Return the replies of some nodes, up to the first one with an origin."""
+    async def _ask(self, request: OriginRequest, addresses: Sequence[str]) -> list[OriginReply]:
+        """Return the replies of the nodes at some addresses, up to the first with an origin."""
         if self._datagrams is None:
             return []
-        tasks = [asyncio.ensure_future(self._ask_one(request, member)) for member in members]
+        tasks = [asyncio.ensure_future(self._ask_one(request, each)) for each in addresses]
         replies: list[OriginReply] = []
         try:
             for fut in asyncio.as_completed(tasks):
@@ -162,12 +167,12 @@
                 task.cancel()
         return replies
 
-    async def _ask_one(self, request: OriginRequest, member: Member) -> OriginReply | None:
+    async def _ask_one(self, request: OriginRequest, address: str) -> OriginReply | None:
         """Return the reply of a node, None if none comes in time."""
 
         def send(number: int) -> None:
             row = origin_rows.request_row(replace(request, number=number))
-            self._datagrams.send(Kind.ORIGIN_REQUEST, row, [member.peer_address])
+            self._datagrams.send(Kind.ORIGIN_REQUEST, row, [address])
 
         for _ in range(SENDS):
             reply = await self._pending.request(send, REPLY_TIMEOUT_S)
--- a/packages/springbridge/springbridge/membership.py
+++ b/packages/springbridge/springbridge/membership.py
@@ -300,6 +300,14 @@
         candidates = sorted((self._listed | known) - reachable - {self.me.peer_address})
         return {self._rng.choice(candidates)} if candidates else set()
 
+    def unmet_addresses(self) -> list[str]:
+        """Return the peer addresses on the platform's list at which no member is reachable.
+
+        To a node that has just started these are all others.
+        """
+        met = {member.peer_address for member in self.reachable()} | {self.me.peer_address}
+        return sorted(self._listed - met)
+
     def forget_old(self) -> None:
         """Drop members whose last heartbeat is older than FORGET_S."""
         self._others.forget_before(self._clock() - FORGET_S)
--- a/packages/springbridge/springbridge/membership_test.py
+++ b/packages/springbridge/springbridge/membership_test.py
@@ -309,3 +309,12 @@
     view = Membership(member("m"), clock, random.Random(1), GossipTiming(fanout=3))
     view.merge([member(f"far-{number}", "perth-b", heartbeat=1) for number in range(9)])
     assert_that(view.gossip_targets(), HasLength(3))
+
+
+# Guards against a node that has just started and asks nobody, as it has met nobody yet.
+def test_listed_addresses_at_which_nobody_was_met_are_told_apart(make_view):
+    view = make_view("a")
+    view.set_listed(["a:1", "b:1", "c:1"])
+    assert_that(view.unmet_addresses(), Equals(["b:1", "c:1"]))
+    view.merge([member("b")])
+    assert_that(view.unmet_addresses(), Equals(["c:1"]))
