A stream that breaks inside its first event begins anew within its answer

What callers saw: a resumable stream was given up after one try although its caller had nothing of it but the head and a comment or a retry line, and later tries were sound.

Cause: a stream whose answer had begun went on only after a last event, and a block of lines without an event has none. The version, too, was taken from the first block.

Change: as long as only such blocks were passed on, another endpoint may begin the stream, at any version; the version is that of the first event. A plain body, or an event without an id, still ends the tries.

Measured: the two cases of the new test fail on the code before (cut off after the blank block) and pass.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -79,8 +79,10 @@
 
     Attributes:
       tried: Endpoints that no further attempt goes to.
+      event_sent: Whether the caller has received an event of a stream.
       chosen: The endpoints that it was sent to, in order.
-      sends, misdirected, paths_lost, unreached, busy, may_have_run, last_event: See `Attempts`.
+      sends, misdirected, paths_lost, unreached, busy, may_have_run, only_blank, last_event: See
+        `Attempts`.
       version: Version at which the stream has to go on: that of the endpoint which wrote its first
         event. None before that event, or if that endpoint's version is unknown.
       version_source: From where the version is known.
@@ -113,6 +115,8 @@
     unreached: int = 0
     busy: int = 0
     may_have_run: bool = False
+    event_sent: bool = False
+    only_blank: bool = False
     last_event: str | None = None
     version: str | None = None
     version_source: VersionSource = VersionSource.NONE
@@ -173,6 +177,7 @@
             busy=progress.busy,
             may_have_run=progress.may_have_run,
             answer_started=self.answer.started,
+            only_blank=progress.only_blank,
             last_event=progress.last_event,
             version=progress.version,
         )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -5,10 +5,10 @@
 a stream until its first complete event.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
-from springbridge.routing.event_stream import EventSplitter
+from springbridge.routing.event_stream import Event, EventSplitter
 
 from springbridge_node import clock
 from springbridge_node.gateway.http.http_head import Head
@@ -96,8 +96,7 @@
             progress.load.prompt_read()
         new_events = [event for event in events if _is_new_to_caller(progress, event.event_id)]
         if new_events:
-            if not exchange.answer.started:
-                on_first_event()
+            _note_events(exchange, new_events, on_first_event)
             await _relay_piece(exchange, head, codec, b"".join(event.raw for event in new_events))
             ids = [event.event_id for event in new_events if event.event_id is not None]
             progress.last_event = ids[-1] if ids else progress.last_event
@@ -107,6 +106,19 @@
         await _relay_piece(exchange, head, codec, splitter.rest)
 
 
+def _note_events(
+    exchange: Exchange, events: Sequence[Event], on_first_event: Callable[[], None]
+) -> None:
+    """Record whether the caller has got an event, as it is about to get these blocks of lines."""
+    progress = exchange.progress
+    if progress.event_sent:
+        return
+    progress.only_blank = all(event.is_blank for event in events)
+    if not progress.only_blank:
+        progress.event_sent = True
+        on_first_event()
+
+
 def _is_event_stream(head: Head) -> bool:
     """Return whether a body consists of events, as it does if its head does not say otherwise."""
     content_type = head.headers.get("Content-Type", EVENT_STREAM)
--- a/packages/springbridge/springbridge/routing/event_stream.py
+++ b/packages/springbridge/springbridge/routing/event_stream.py
@@ -20,10 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One complete event as the endpoint sent it, with its id or None."""
+    """One complete event, or other block of lines, as the endpoint sent it.
+
+    Attributes:
+      event_id: Its id, None if it has none.
+      is_blank: Whether it is no event: it has only lines that take effect without one.
+    """
 
     raw: bytes
     event_id: str | None
+    is_blank: bool = False
 
 
 class EventSplitter:
@@ -84,4 +90,7 @@
     for line in lines:
         if line.startswith(ID_FIELD):
             event_id = line[len(ID_FIELD) :].strip().decode("latin-1")
-    return Event(raw, event_id)
+    is_blank = event_id is None and not any(
+        line and not line.startswith(LINES_WITHOUT_EVENT) for line in lines
+    )
+    return Event(raw, event_id, is_blank)
--- a/packages/springbridge/springbridge/routing/event_stream_test.py
+++ b/packages/springbridge/springbridge/routing/event_stream_test.py
@@ -126,3 +126,20 @@
     splitter = EventSplitter()
     splitter.feed(start)
     assert_that(splitter.is_inside_event(), Equals(is_inside))
+
+
+@pytest.mark.parametrize(
+    ("raw", "is_blank"),
+    [
+        (b": hello\n\n", True),
+        (b"retry: 9\n\n", True),
+        (b": a\r\nretry: 9\r\n\r\n", True),
+        (b"\n\n", True),
+        (b"id: 1\n\n", False),
+        (b"data: x\n\n", False),
+        (b": a\ndata: x\n\n", False),
+    ],
+)
+def test_lines_that_take_effect_without_an_event_are_told_apart(raw, is_blank):
+    (found,) = EventSplitter().feed(raw)
+    assert_that(found.is_blank, Equals(is_blank))
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -65,6 +65,8 @@
       busy: Those of them that are up, but with all connections to them in use.
       may_have_run: Whether an endpoint may have run it.
       answer_started: Whether the caller has received the beginning of an answer.
+      only_blank: Whether all that the caller has received is the head of a stream and lines that
+        take effect without an event.
       last_event: Id of the last event that the caller has received, or None.
       version: Version of the endpoints that began the stream, None if unknown or not begun.
     """
@@ -76,6 +78,7 @@
     busy: int = 0
     may_have_run: bool = False
     answer_started: bool = False
+    only_blank: bool = False
     last_event: str | None = None
     version: str | None = None
 
@@ -101,7 +104,12 @@
 
 
 def _can_be_continued(route: Route, attempts: Attempts) -> bool:
-    """Return whether another endpoint can resume an answer that the caller has received in part."""
+    """Return whether another endpoint can go on with an answer that has been sent in part.
+
+    As long as no event was sent, the stream begins anew; its head says nothing of its events.
+    """
+    if attempts.only_blank:
+        return route.resumable
     return route.resumable and attempts.last_event is not None and attempts.version is not None
 
 
--- a/packages/springbridge/springbridge/routing/retries_test.py
+++ b/packages/springbridge/springbridge/routing/retries_test.py
@@ -26,6 +26,8 @@
         (RESUMABLE, Attempts(1, answer_started=True, last_event="3", version="v1"), True),
         (RESUMABLE, Attempts(1, answer_started=True, last_event="3", version=""), True),
         (RESUMABLE, Attempts(1, answer_started=True, last_event="3"), False),
+        (RESUMABLE, Attempts(1, may_have_run=True, answer_started=True, only_blank=True), True),
+        (REPEATABLE, Attempts(1, may_have_run=True, answer_started=True, only_blank=True), False),
         (REPEATABLE, Attempts(1, answer_started=True, last_event="3", version="v1"), False),
     ],
 )
