The soak has engines of several versions, rollouts that overlap with kills, and callers that come back

Checked: events of one version, each event once, and the share of streams that go on, by the users' bound.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -7,9 +7,9 @@
 from collections.abc import AsyncIterator
 
 from springbridge_standins.gateway.duties import DutyFault
-from springbridge_standins.gateway.fleet import configuration
 from springbridge_standins.gateway.soak.nodes import NodeProcess
 from springbridge_standins.gateway.soak.state import Soak
+from springbridge_standins.gateway.soak.versions import soak_configuration
 from springbridge_standins.gateway.store import StoreFault
 from springbridge_standins.proxy import ConnectionFault, LoopbackProxy
 
@@ -153,7 +153,7 @@
 async def _change_configuration(soak: Soak) -> None:
     """Write a new version of the configuration with the same content."""
     soak.version += soak.rng.randint(1, 3)
-    await soak.store.put("op", "config", configuration(soak.version))
+    await soak.store.put("op", "config", soak_configuration(soak.version))
 
 
 async def _change_in_series(soak: Soak) -> None:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -23,7 +23,6 @@
 
 from springbridge_standins.free_addresses import free_ports, loopback_network
 from springbridge_standins.gateway.engine import EngineStandIn
-from springbridge_standins.gateway.fleet import configuration
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_duties, check_record, check_served
 from springbridge_standins.gateway.soak.crashes import (
@@ -52,6 +51,15 @@
     make_statements_forever,
 )
 from springbridge_standins.gateway.soak.unframed import UnframedAnswers, end_process
+from springbridge_standins.gateway.soak.versions import CALLERS as VERSION_CALLERS
+from springbridge_standins.gateway.soak.versions import (
+    Rollouts,
+    check_versions,
+    roll_out_forever,
+    running_rollouts,
+    soak_configuration,
+    stream_forever,
+)
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.http_standin import running
 from springbridge_standins.proxy import LoopbackProxy
@@ -84,10 +92,12 @@
         await stack.enter_async_context(running(soak.duties))
         statements = EngineStatements(soak, EngineRates(soak))
         await _start_engines(soak, statements, stack, seed)
-        await soak.store.put("op", "config", configuration(soak.version))
+        rng = random.Random(f"{seed} versions")
+        rollouts = await stack.enter_async_context(running_rollouts(soak, rng))
+        await soak.store.put("op", "config", soak_configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
-        tasks = _start_tasks(soak, statements, seed, callers)
+        tasks = _start_tasks(soak, statements, rollouts, seed, callers)
         for _ in range(MAX_LENGTH_FACTOR):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -106,6 +116,7 @@
         check_duties(soak)
         check_rates(soak, statements.rates)
         check_statements(soak, statements)
+        check_versions(rollouts)
         _write_stamps(soak, folder / "stamps.jsonl")
         return soak
 
@@ -121,7 +132,7 @@
 
 
 def _start_tasks(
-    soak: Soak, statements: EngineStatements, seed: int, callers: int
+    soak: Soak, statements: EngineStatements, rollouts: Rollouts, seed: int, callers: int
 ) -> list[asyncio.Task]:
     """Start the callers and the fault injection."""
     work = [
@@ -136,6 +147,8 @@
         make_statements_forever(soak, statements, random.Random(f"{seed} statements")),
         measure_delays_forever(soak),
         cut_paths_forever(soak, random.Random(f"{seed} paths")),
+        roll_out_forever(rollouts),
+        *(stream_forever(rollouts, number) for number in range(VERSION_CALLERS)),
     ]
     return [asyncio.ensure_future(each) for each in work]
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -43,6 +43,18 @@
     assert_that(min(endings()), GreaterThan(0))
 
 
+# Guards against streams with events of two versions, and against streams that cannot go on although
+# two engines of their version serve, during rollouts that overlap with kills of nodes.
+def test_a_short_soak_with_rollouts_keeps_each_stream_at_its_version(tmp_path):
+    def taken_up():
+        return soak_counts["/read/x 200"] > 100 and soak_counts["harm replace_engine"] > 5
+
+    soak_counts = Counter()
+    soak = asyncio.run(run_soak(78, 12.0, tmp_path, nodes=5, counts=soak_counts, enough=taken_up))
+    assert_that(soak.violations, Equals([]))
+    assert_that(soak_counts["versions: taken up"], GreaterThan(12))
+
+
 # Guards against reporting a usage window twice: the store was restored from a copy without the
 # decision, and a lease holder that did not know of it decided again.
 def test_a_window_is_reported_once_though_the_store_loses_the_decision(tmp_path):
