--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -19,6 +19,7 @@
 from springbridge_standins.mutants.mutant import LIBRARY, NODE, Mutant
 from springbridge_standins.mutants.rate_mutants import RATE_MUTANTS
 from springbridge_standins.mutants.statement_mutants import STATEMENT_MUTANTS
+from springbridge_standins.mutants.version_mutants import VERSION_MUTANTS
 
 ROOT = Path(__file__).parents[4]
 TIMEOUT_S = 300.0
@@ -222,6 +223,7 @@
     *DUTY_MUTANTS,
     *RATE_MUTANTS,
     *STATEMENT_MUTANTS,
+    *VERSION_MUTANTS,
 )
 
 
--- a/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
@@ -88,8 +88,8 @@
     Mutant(
         "rest: a request that waited is checked again before it is sent",
         f"{NODE}/gateway/requests/router.py",
-        "if not self._parts.registry.may_get_request(",
-        "if False and not self._parts.registry.may_get_request(",
+        "        return self._parts.registry.may_get_request(state, progress.last_resort)\n",
+        "        return True\n",
         f"{PLATFORM}/change_while_waiting_test.py",
     ),
     Mutant(
