--- a/packages/springbridge-standins/springbridge_standins/gateway/drawn_ends.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/drawn_ends.py
@@ -23,7 +23,6 @@
 import typer
 from springbridge.routing.shared_retry_budget import RetryBudgetLimits
 from springbridge_node.gateway.endpoints.end_verification import EndVerification
-from springbridge_node.gateway.outside import PlatformPorts
 from springbridge_node.gateway.requests.request_log import RequestLog
 
 from springbridge_standins.free_addresses import free_ports
@@ -36,6 +35,7 @@
     running_fleet,
     until,
 )
+from springbridge_standins.gateway.platform_outside import platform_outside
 from springbridge_standins.http_wire import (
     Connection,
     RawRequest,
@@ -477,23 +477,8 @@
     through_peers: bool = False,
 ) -> None:
     """Play drawn answers and print what became of them; exit with 1 if any was taken wrongly."""
-    # Imported here, since only this run needs the platform.
-    from springbridge_platform.documents import read_configuration
-    from springbridge_platform.handlers import directory_handlers, ready_handlers
-    from springbridge_platform.store import HttpPlatformStore
-    from springbridge_platform.wire_format import PlatformRequestCodec
-
-    def outside(address: str) -> PlatformPorts:
-        return PlatformPorts(
-            store=HttpPlatformStore(address),
-            read_configuration=read_configuration,
-            codec=PlatformRequestCodec(),
-            ready_handlers=ready_handlers,
-            directory_handlers=directory_handlers,
-        )
-
     draws = Draws(seed, count, broken, by_process)
-    outcomes = asyncio.run(play(outside, draws, through_peers))
+    outcomes = asyncio.run(play(platform_outside, draws, through_peers))
     for line in outcomes.lines():
         typer.echo(line)
     raise SystemExit(bool(outcomes.wrong))
