A list without versions that peers of an older build confirm is read from the store as well

What could happen in our own rollout: a node that starts takes its list from a seed of the older build, which has no versions, and its peers confirm it; streams that break there could not go on until the list changed.

Change: a node whose list lacks versions reads the store also while peers confirm it. Where all versions are known nothing changes.

Measured: the new test fails on the code before.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -3,7 +3,7 @@
 Owns when the list is read or fetched; the endpoint registry owns the list itself.
 routing/store_freshness.py decides which nodes read. The other nodes learn from their peers' digests
 whether their list is still the newest, and fetch a changed list from a peer, which lacks versions
-if the peer runs an older build: then they read the store once.
+if the peer runs an older build: then they read the store as well.
 """
 
 import asyncio
@@ -155,17 +155,19 @@
         return is_confirmed(self._registry.age_s()) or self._readers.waits_for_seeds()
 
     async def _must_read_for_readers(self) -> bool:
-        """Return whether this node must read the store: no peer confirms or returns the list."""
+        """Return whether this node must read the store: no peer confirms or returns the list.
+
+        Peers of older builds pass lists on without the versions of endpoints.
+        """
         own = SnapshotStatus(self._registry.fingerprint, self._registry.age_s())
         peer = self._peer_with_youngest()
         youngest = self._with_own_fingerprint(own, peer.snapshot) if peer else None
         match compare_with_peer(own, youngest):
             case SnapshotComparison.CONFIRMS:
                 self._registry.confirm(youngest.age_s)
-                return False
+                return self._registry.lacks_versions()
             case SnapshotComparison.DIFFERS:
                 was_fetched = await self._fetch_from(peer)
-                # Peers of older builds pass lists on without the versions of endpoints.
                 return not was_fetched or self._registry.lacks_versions()
             case SnapshotComparison.NO_HELP:
                 return self._is_its_turn()
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower_test.py
@@ -242,3 +242,15 @@
     world.heard(0.1, fingerprint=6)
     assert_that(world.steps(), Equals(0))
     assert_that(world.registry.version_of("e1"), Equals("v1"))
+
+
+# Guards against a node that keeps the list without versions which a seed of an older build gave it.
+def test_a_list_without_versions_that_peers_confirm_is_read_from_the_store():
+    world = World(reads_for_all=False)
+    without = EndpointSnapshot(7, (replace(ENTRY, version=None),))
+    world.registry.install(without, {}, 0.5)
+    world.heard(0.1)
+    assert_that(world.steps(), Equals(1))
+    assert_that(world.registry.version_of("e1"), Equals("v1"))
+    world.heard(0.1)
+    assert_that(world.steps(), Equals(0))
