A list that may be out of date excuses no end of an answer

What callers could see: half a plain answer without a length framed as whole.

Cause: the end of an endpoint that is not listed tells nothing, as it may have left in order; but a list of a store that was just restored from an older copy, or an old list of a peer, lacks endpoints that run.

Change: such an end counts as nothing only where the endpoint is leaving, or is known to have left: a current list of a settled store lacks it, or another endpoint answers at its address. What counts as a crash stays as it was.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -33,7 +33,7 @@
     """What a connection attempt tells of the process of an endpoint.
 
     RUNS: It accepted the connection. ENDED: The connection was refused. SILENT: Neither, in time.
-    EXEMPT: None was made, as the endpoint is leaving or not listed, so that its end is no crash.
+    EXEMPT: None was made, as the endpoint is leaving or has left, so that its end is no crash.
     """
 
     RUNS = auto()
@@ -93,14 +93,15 @@
         """Return what a connection attempt tells of the process of an endpoint.
 
         A statement of leaving that may be another run's does not exempt it: a crash of this run is
-        likelier than its planned end.
+        likelier than its planned end. Nor does a list that lacks it but may be out of date.
 
         Args:
           sent_s: See has_crashed().
           timeout_s: How long to wait for it, in seconds.
         """
-        task = self._attempt(state, sent_s)
-        return ProcessState.EXEMPT if task is None else await _result_within(timeout_s, task)
+        if state.is_leaving or state.has_departed:
+            return ProcessState.EXEMPT
+        return await _result_within(timeout_s, self._attempt_for_break_now(state, sent_s))
 
     def _attempt(self, state: EndpointState, sent_s: float) -> asyncio.Task[ProcessState] | None:
         """Return an attempt for a request that has just broken; None if its end is no crash."""
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation_test.py
@@ -16,6 +16,7 @@
 from springbridge_node.gateway.endpoints.crash_confirmation import (
     REFUSAL_TIMEOUT_S,
     CrashConfirmation,
+    ProcessState,
 )
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, connect
@@ -184,3 +185,18 @@
         assert_that(await confirmation.has_crashed(state, no_late_crash), Is(False))
 
     run(body)
+
+
+# Guards against half an answer as whole, as a list that is out of date lacks its endpoint.
+@pytest.mark.parametrize(
+    ("has_departed", "found"), [(False, ProcessState.ENDED), (True, ProcessState.EXEMPT)]
+)
+def test_the_end_of_an_endpoint_tells_nothing_only_if_it_is_known_to_have_left(
+    run, has_departed, found
+):
+    async def body(engine, state, confirmation):
+        state.usable_until_s, state.has_departed = 0.0, has_departed
+        engine.stop()
+        assert_that(await confirmation.process_state(state, 0.0, 1.0), Equals(found))
+
+    run(body)
--- a/packages/springbridge/springbridge/routing/endpoint_registry.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry.py
@@ -135,6 +135,8 @@
         self._read_s = self._clock() - age_s
         listed = self._rollback_corrector.corrected(snapshot.entries, self._known)
         changed = self._update(listed, capacities)
+        if self._rollback_corrector.is_settled() and age_s <= eligibility.OUTAGE_LIST_AGE_S:
+            self._record_departures(listed)
         changed = self._drop_unlisted(listed, after_outage) or changed
         self.seen.note(self.entries(), gap_s, went_back)
         self._record_current(age_s + took_s)
@@ -165,7 +167,7 @@
                 changed = True
             state.statements.address = state.entry.address
             state.statements.named_until_s = None
-            state.usable_until_s = LISTED
+            state.usable_until_s, state.has_departed = LISTED, False
             state.evacuated = state.entry.failure_domain in self._evacuated
             state.cache.capacity = capacities.get(entry.service, 0)
         return changed
@@ -193,6 +195,12 @@
                 del self._states[endpoint_id]
         return changed
 
+    def _record_departures(self, listed: dict[str, EndpointEntry]) -> None:
+        """Record that the endpoints which are not listed have left, by a list that shows so."""
+        for endpoint_id, state in self._states.items():
+            if endpoint_id not in listed:
+                state.has_departed = True
+
     def set_evacuated_domains(self, failure_domains: frozenset[str]) -> None:
         """Exclude the endpoints of the evacuated failure domains, and include all others again."""
         self._evacuated = failure_domains
@@ -445,4 +453,4 @@
 
         It gets no request until a list is installed that still contains it.
         """
-        state.usable_until_s = self._clock()
+        state.usable_until_s, state.has_departed = self._clock(), True
--- a/packages/springbridge/springbridge/routing/endpoint_registry_test.py
+++ b/packages/springbridge/springbridge/routing/endpoint_registry_test.py
@@ -1,12 +1,15 @@
 """Tests of endpoint_registry.py: installing endpoint lists."""
 
+import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from springbridge.routing.conftest import make_snapshot, usable_ids
+from springbridge.routing.eligibility import OUTAGE_LIST_AGE_S
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
 from springbridge.routing.records import EndpointEntry, EndpointSnapshot
+from springbridge.store_stamp import stamp
 
 
 def known_ids(registry):
@@ -50,3 +53,28 @@
     assert_that(registry.leaving("model"), Equals([]))
     registry.install(EndpointSnapshot(2, (staying,)), {}, 0.0)
     assert_that(registry.leaving("model"), Equals([]))
+
+
+# Guards against half an answer as whole, as a list that is out of date lacks its endpoint.
+@pytest.mark.parametrize(
+    ("age_s", "went_back", "departed"),
+    [(0.2, False, True), (OUTAGE_LIST_AGE_S + 0.1, False, False), (0.2, True, False)],
+)
+def test_only_a_current_list_of_a_settled_store_shows_that_an_endpoint_has_left(
+    registry, age_s, went_back, departed
+):
+    state = registry.find("a")
+    registry.apply_notice(LoadNotice(LoadPhase.STARTED, "me/1", "a"))
+    revision = stamp(1, 1) if went_back else 2
+    registry.install(make_snapshot(revision, "b", "c", "d"), {}, age_s)
+    assert_that((state.is_listed, state.has_departed), Equals((False, departed)))
+
+
+def test_an_endpoint_whose_address_another_has_has_left_and_one_that_is_listed_again_has_not(
+    registry,
+):
+    state = registry.find("a")
+    registry.mark_gone(state)
+    assert_that(state.has_departed, Equals(True))
+    registry.install(make_snapshot(2, "a"), {}, 0.0)
+    assert_that(state.has_departed, Equals(False))
--- a/packages/springbridge/springbridge/routing/endpoint_state.py
+++ b/packages/springbridge/springbridge/routing/endpoint_state.py
@@ -58,6 +58,8 @@
       contact_s: When it delivered an answer, or a connection to it came up again, the last time.
       usable_until_s: Until when it may get requests: LISTED, or a moment once it is no longer on
         the list or another endpoint has its address.
+      has_departed: Whether it is known to have left: a current list of a store that was not just
+        restored lacks it, or another endpoint has its address.
       perhaps_cold_until_s: Until then it may be cold although its entry does not say so yet.
       evacuated: Whether its failure domain is evacuated; if so, it gets no request.
       cache: Estimate of which prompt parts it has cached.
@@ -76,6 +78,7 @@
     reported_unreachable_until_s: float = 0.0
     contact_s: float = float("-inf")
     usable_until_s: float = LISTED
+    has_departed: bool = False
     perhaps_cold_until_s: float = 0.0
     evacuated: bool = False
     cache: PrefixCache = field(default_factory=PrefixCache)
