--- a/packages/springbridge-standins/springbridge_standins/gateway/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/engine.py
@@ -94,6 +94,19 @@
     return script
 
 
+def paced_stream(last: int, pause_s: float) -> Script:
+    """Return a script that streams the events 1 to last with a pause before each of them."""
+
+    async def script(request: RawRequest, connection: Connection) -> None:
+        await connection.send(stream_head(request.request_id))
+        for number in range(1, last + 1):
+            await asyncio.sleep(pause_s)
+            await connection.send(chunk(event(number)))
+        await connection.send(chunk(b""))
+
+    return script
+
+
 def stream_then_reset(last: int) -> Script:
     """Return a script that streams events to last and part of the next, then resets."""
 
