--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -94,6 +94,7 @@
     )
     progress.sends += 1
     progress.answer_end = None
+    progress.answer_began_s = None
     progress.may_have_run = True
     progress.tried.add(entry.endpoint_id)
     connection.send(head, exchange.request.body)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -90,6 +90,8 @@
         None before.
       last_piece_s: When the caller got the latest piece of it, on the same clock.
       longest_pause_s: Longest time between two pieces so far, in seconds.
+      answer_began_s: When the endpoint of the latest send began to write events, on the same clock;
+        None if it has not, as always with a plain answer.
       answer_end: How the answer to the latest send ended; None if it has not, or none began.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
@@ -123,6 +125,7 @@
     first_piece_s: float | None = None
     last_piece_s: float = 0.0
     longest_pause_s: float = 0.0
+    answer_began_s: float | None = None
     answer_end: AnswerEnd | None = None
     failure: HeldFailure | None = None
     load: SharedAttempt | None = None
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_log.py
@@ -3,9 +3,10 @@
 from springbridge.quarantine import Verdict
 from springbridge.routing.records import EndpointEntry
 
-from springbridge_node import logs
+from springbridge_node import clock, logs
 from springbridge_node.gateway.requests.exchange import Exchange
 from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
+from springbridge_node.gateway.requests.request_log import shared_parts
 from springbridge_node.gateway.telemetry import Telemetry
 
 
@@ -30,6 +31,8 @@
             crashes=found.crashes,
             standing=found.standing.value,
             on_trial=on_trial,
+            parts=shared_parts(exchange),
+            wrote_ms=_wrote_ms(exchange),
         )
 
     def acquitted(self, exchange: Exchange, before: Verdict) -> None:
@@ -41,3 +44,9 @@
             crashes=before.crashes,
             standing=before.standing.value,
         )
+
+
+def _wrote_ms(exchange: Exchange) -> int | None:
+    """Return for how many milliseconds the endpoint has written events; None if it has not."""
+    began_s = exchange.progress.answer_began_s
+    return None if began_s is None else round((clock.now_s() - began_s) * 1000)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -92,8 +92,8 @@
     splitter = EventSplitter()
     async for piece in answer.pieces():
         events = splitter.feed(piece)
-        if events and progress.load is not None:
-            progress.load.prompt_read()
+        if events:
+            _note_answer_began(progress)
         new_events = [event for event in events if _is_new_to_caller(progress, event.event_id)]
         if new_events:
             _note_events(exchange, new_events, on_first_event)
@@ -106,6 +106,14 @@
         await _relay_piece(exchange, head, codec, splitter.rest)
 
 
+def _note_answer_began(progress: Progress) -> None:
+    """Record that the endpoint writes events, so that it has read the prompt."""
+    if progress.answer_began_s is None:
+        progress.answer_began_s = clock.now_s()
+    if progress.load is not None:
+        progress.load.prompt_read()
+
+
 def _note_events(
     exchange: Exchange, events: Sequence[Event], on_first_event: Callable[[], None]
 ) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from springbridge.problems import Problem
+from springbridge.prompt_parts import shared_part_ids
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import Arrival
 from springbridge.routing.resumption import takes_up_stream
@@ -22,6 +23,8 @@
 MAX_LOGGED_AGE_S = 1e6
 # Longest logged part of a header that callers choose freely, in characters; ids are shorter.
 MAX_LOGGED_CHARACTERS = 64
+# Maximum number of logged parts of a prompt. Prompts have fewer as a rule.
+MAX_LOGGED_PARTS = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +145,7 @@
             engines=[_endpoint_fields(chosen, exchange) for chosen in progress.chosen],
             sends=progress.sends,
             fingerprint=progress.fingerprint,
+            parts=shared_parts(exchange),
             result=outcome.result,
             reason=outcome.reason,
             answer_end=_answer_end(exchange),
@@ -168,6 +172,12 @@
     }
 
 
+def shared_parts(exchange: Exchange) -> list[str]:
+    """Return the ids of the parts of the prompt that other requests may share, as logged."""
+    ids = shared_part_ids(exchange.demand.prompt_parts)
+    return [name[:MAX_LOGGED_CHARACTERS] for name in ids[:MAX_LOGGED_PARTS]]
+
+
 def _bounded(value: str | None) -> str | None:
     """Return a caller's header value, cut to the longest that is logged."""
     return value if value is None else value[:MAX_LOGGED_CHARACTERS]
--- /dev/null
+++ b/packages/springbridge/springbridge/prompt_parts.py
@@ -0,0 +1,20 @@
+"""The parts of a prompt that it may share with other requests, named the same at all nodes.
+
+Each part but the last may be shared: the last is the request's own. Callers name the parts, so
+their number and the length of their names are bounded here.
+"""
+
+from collections.abc import Sequence
+
+from springbridge.routing.records import PromptPart
+
+# Maximum number of parts of a prompt that are looked at. Prompts have fewer than ten as a rule.
+MAX_SHARED_PARTS = 32
+
+
+def shared_part_ids(parts: Sequence[PromptPart]) -> tuple[str, ...]:
+    """Return the ids of the parts but the last, each once, MAX_SHARED_PARTS at most."""
+    if len(parts) < 2:
+        return ()
+    distinct = dict.fromkeys(part.part_id for part in parts[:-1][:MAX_SHARED_PARTS])
+    return tuple(distinct)
