Parts of prompts that crash endpoints are kept from them, and other prompts with their other parts are not

Root cause: crash records and the quarantine know whole requests alone, by a hash of the body. What repeated was a part of the prompt, which only the choice by caches looked at. Class: the unit of blame is taken to be the unit of work; what several units share is never a suspect.

Two crashes without an answer in between make a suspect, unless an answer of the 30 s before speaks for it; a request with suspects goes as a trial, one at a time for each of them in the fleet; a failed trial refuses what holds all its suspects, and nothing less.

Why it works: the set of a failed trial holds the cause, and each request that is refused holds the whole set; sound ones with a piece of it are answered and clear the piece.

--- a/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine.py
@@ -1,4 +1,6 @@
-"""Persists quarantined requests in the platform's store, so that they survive a loss of all nodes.
+"""Persists what is in quarantine in the platform's store, so that it survives a loss of all nodes.
+
+Requests and parts of prompts alike, by the name of their crash record; below it says requests.
 
 Without it a restarted fleet would lose three further endpoints to each such request before it
 quarantines it again. The load on the store is low: there is one row for each quarantined request,
@@ -13,7 +15,7 @@
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
-from springbridge.crash_records import CrashRecords, CrashReport, ReportedCrash
+from springbridge.crash_records import CrashRecord, CrashReport, ReportedCrash
 from springbridge.problems import Problem
 from springbridge.routing.store_freshness import SNAPSHOT_READERS
 
@@ -36,17 +38,18 @@
         self,
         store: PlatformStore,
         readers: StoreReaders,
-        records: CrashRecords,
+        find: Callable[[str], CrashRecord | None],
         adopt: Callable[[CrashReport], None],
     ) -> None:
         """Start with no pending writes; the rows are still to be read.
 
         Args:
+          find: Returns the crash record of a request, by its fingerprint, or of a part, by its key.
           adopt: Merges a record from the store and announces it to peers.
         """
         self._store = store
         self._readers = readers
-        self._records = records
+        self._find = find
         self._adopt = adopt
         self._was_read = False
         self._to_write: dict[str, None] = {}
@@ -100,7 +103,7 @@
 
     async def _write(self, fingerprint: str) -> bool:
         """Write the row of a request; return whether it needs no further attempt."""
-        record = self._records.find(fingerprint)
+        record = self._find(fingerprint)
         if record is None:
             return True
         stored = StoredCrashes(fingerprint, tuple(record.counted), tuple(record.failed_trials))
--- a/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine_steps_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/stored_quarantine_steps_test.py
@@ -51,7 +51,7 @@
     """Return a StoredQuarantine that has written the row of one quarantined request."""
     records = CrashRecords(lambda: 0.0)
     records.record_crash("f", 1)
-    kept = StoredQuarantine(rows, EveryReader(), records, lambda told: None)
+    kept = StoredQuarantine(rows, EveryReader(), records.find, lambda told: None)
     kept.entered("f")
     asyncio.run(kept.step())
     return kept
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -221,7 +221,7 @@
         # Before the tasks, which fetch the configuration: the node serves requests once it has one,
         # but peers send it crash records only some heartbeats after they know it.
         for record in await self.peer_client.crash_records():
-            self.quarantine_parts.sharing.merge(record)
+            self.quarantine_parts.merge(record)
         self._tasks = [asyncio.ensure_future(work) for work in self._periodic_work()]
 
     def _open_listeners(self) -> None:
@@ -231,7 +231,7 @@
         serve_small(addresses.ready, self._ports.ready_handlers(self.is_ready))
         serve_small(addresses.directory, self._ports.directory_handlers(book))
         handlers = peer_handlers(
-            lambda: self.configuration, self.registry, self.quarantine_parts.sharing.suspects
+            lambda: self.configuration, self.registry, self.quarantine_parts.suspects
         )
         serve_small(addresses.peers, handlers, self.path_parts.tunnel_server.serve)
         serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
@@ -260,7 +260,7 @@
             every_tick(PROBE_INTERVAL_S, self.path_parts.prober.step),
             every_tick(HEARTBEAT_INTERVAL_S, self.path_parts.close_ended),
             every_tick(HEARTBEAT_INTERVAL_S, self.heartbeats.beat),
-            every_tick(HEARTBEAT_INTERVAL_S, self.quarantine_parts.sharing.beat),
+            every_tick(HEARTBEAT_INTERVAL_S, self.quarantine_parts.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.rates.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.places.sharing.beat),
             every_tick(HEARTBEAT_INTERVAL_S, self.evacuations.beat),
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -15,6 +15,7 @@
     telemetry = gateway.telemetry
     telemetry.nodes.set(gateway.live_node_count())
     telemetry.quarantined.set(gateway.quarantine_parts.quarantined_count())
+    telemetry.quarantined_parts.set(gateway.quarantine_parts.quarantined_part_sets())
     telemetry.endpoints.set(len(gateway.registry.entries()))
     reported = len(gateway.registry.reported_unreachable())
     telemetry.unreachable_endpoints.labels("peer").set(reported)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/codec.py
@@ -15,6 +15,7 @@
 import orjson
 from springbridge.crash_records import CrashReport
 from springbridge.membership import Member, Phase, SnapshotStatus
+from springbridge.prompt_parts import is_part_key
 from springbridge.routing.load_notices import LoadNotice, LoadPhase
 from springbridge.routing.overload import Overload
 from springbridge.routing.records import Demand, EndpointEntry, EndpointSnapshot, PromptPart
@@ -241,13 +242,18 @@
 
 
 def crash_records_body(records: Iterable[CrashReport]) -> bytes:
-    """Encode crash records."""
-    return _compress({"crashes": [crash_rows.record_row(each) for each in records]})
+    """Encode crash records, those of parts of prompts apart from those of requests."""
+    requests, parts = [], []
+    for record in records:
+        rows = parts if is_part_key(record.fingerprint) else requests
+        rows.append(crash_rows.record_row(record))
+    return _compress({"crashes": requests} | ({"parts": parts} if parts else {}))
 
 
 def read_crash_records(body: dict) -> list[CrashReport]:
     """Decode crash records."""
-    return [crash_rows.read_record(row) for row in body["crashes"]]
+    rows = [*body["crashes"], *body.get("parts", ())]
+    return [crash_rows.read_record(row) for row in rows]
 
 
 def _endpoint_row(entry: EndpointEntry) -> list:
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows.py
@@ -20,6 +20,8 @@
       holder: Id of the suspect request's attempt, unique in the fleet.
       left_s: Seconds left to the suspect request's deadline.
       record: The requesting node's crash record of the suspect request.
+      parts: Its crash records of the parts of the prompt, if the trial is one of parts; then the
+        record above is empty.
     """
 
     number: int
@@ -28,15 +30,30 @@
     endpoint_id: str
     left_s: float
     record: CrashReport
+    parts: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class TrialReply:
-    """The coordinator's reply to a trial request, with its crash record of the suspect request."""
+    """The coordinator's reply to a trial request, with its crash records of what is on trial."""
 
     number: int
     permission: Permission
     record: CrashReport
+    parts: tuple[CrashReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class TrialEnd:
+    """The end of a trial, with the sender's crash records of what was on trial.
+
+    Attributes:
+      holder: Id of the attempt that held the trial.
+    """
+
+    holder: str
+    record: CrashReport
+    parts: tuple[CrashReport, ...] = ()
 
 
 def record_row(record: CrashReport) -> list:
@@ -84,12 +101,13 @@
         request.endpoint_id,
         left_s,
         record,
+        *_part_rows(request.parts),
     ]
 
 
 def read_request(row: list) -> TrialRequest:
     """Decode a trial request."""
-    count, holder, service, endpoint_id, left_s, record, *_ = row
+    count, holder, service, endpoint_id, left_s, record, *rest = row
     return TrialRequest(
         whole(count),
         text(holder),
@@ -97,18 +115,29 @@
         text(endpoint_id),
         number(left_s),
         read_record(record),
+        _read_parts(rest),
     )
 
 
-def end_row(holder: str, record: CrashReport) -> list:
-    """Encode the end of a trial, with the sender's crash record."""
-    return [holder, record_row(record)]
+def _part_rows(parts: tuple[CrashReport, ...]) -> list:
+    """Return the last field of a row, which rows about whole requests do not have."""
+    return [[record_row(record) for record in parts]] if parts else []
+
+
+def _read_parts(rest: list) -> tuple[CrashReport, ...]:
+    """Decode the records of parts in the fields that follow the known ones."""
+    return tuple(map(read_record, rest[0])) if rest else ()
+
+
+def end_row(end: TrialEnd) -> list:
+    """Encode the end of a trial."""
+    return [end.holder, record_row(end.record), *_part_rows(end.parts)]
 
 
-def read_end(row: list) -> tuple[str, CrashReport]:
-    """Decode the end of a trial: the attempt that held it, and the sender's crash record."""
-    holder, record, *_ = row
-    return text(holder), read_record(record)
+def read_end(row: list) -> TrialEnd:
+    """Decode the end of a trial."""
+    holder, record, *rest = row
+    return TrialEnd(text(holder), read_record(record), _read_parts(rest))
 
 
 def reply_row(reply: TrialReply) -> list:
@@ -116,11 +145,11 @@
     permission = reply.permission
     wait_s = round(permission.wait_s, AGE_DECIMALS)
     answer = [int(permission.answer), list(permission.avoided), wait_s]
-    return [reply.number, *answer, record_row(reply.record)]
+    return [reply.number, *answer, record_row(reply.record), *_part_rows(reply.parts)]
 
 
 def read_reply(row: list) -> TrialReply:
     """Decode a trial reply."""
-    count, answer, avoided, wait_s, record, *_ = row
+    count, answer, avoided, wait_s, record, *rest = row
     permission = Permission(Answer(whole(answer)), tuple(texts(avoided)), number(wait_s))
-    return TrialReply(whole(count), permission, read_record(record))
+    return TrialReply(whole(count), permission, read_record(record), _read_parts(rest))
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_rows_test.py
@@ -29,9 +29,10 @@
 
 
 def test_the_row_of_an_end_and_back():
-    row = crash_rows.end_row("n/q", RECORD)
+    end = crash_rows.TrialEnd("n/q", RECORD)
+    row = crash_rows.end_row(end)
     assert_that(row, Equals(["n/q", ROW]))
-    assert_that(crash_rows.read_end(row), Equals(("n/q", RECORD)))
+    assert_that(crash_rows.read_end(row), Equals(end))
 
 
 def test_an_answer_s_row_and_back():
--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
@@ -7,12 +7,16 @@
 datagrams. A node that starts fetches these records before its first configuration, and gets
 what is new since then from the nodes that rank first for it. A peer that still counts crashes from
 before a successful completion it does not know of is sent the record.
+
+The records of requests and those of parts of prompts are shared by one `CrashSharing` each. An
+answer that a node got for a part before its crashes speaks for it (recent_successes.py), so a node
+that is told of the crashes adds it to the record.
 """
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
 
-from springbridge.crash_records import CrashRecord, CrashRecords, CrashReport
+from springbridge.crash_records import NEVER_S, CrashRecord, CrashRecords, CrashReport
 from springbridge.membership import Membership
 from springbridge.quarantine import SUSPECT_CRASHES
 
@@ -48,13 +52,20 @@
         membership: Membership,
         coordinators: TrialCoordinators,
         later: Later = _call_later,
+        kind: Kind = Kind.CRASHES,
+        succeeded_s: Callable[[str], float] = lambda name: NEVER_S,
     ) -> None:
         """Start without peers; nothing is sent until connect() is called.
 
         Args:
           later: Schedules a function after a delay in seconds.
+          kind: Type of the datagrams that carry these records.
+          succeeded_s: Returns when this node last had a success of a record's name, on the clock of
+            the records; NEVER_S if not lately.
         """
         self._later = later
+        self._kind = kind
+        self._succeeded_s = succeeded_s
         self._records = records
         self._membership = membership
         self._coordinators = coordinators
@@ -67,7 +78,7 @@
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Start sending records to peers and receiving theirs."""
         self._datagrams = datagrams
-        datagrams.handle(Kind.CRASHES, self._receive)
+        datagrams.handle(self._kind, self._receive)
 
     def share(self, fingerprint: str, service: str, was_known: bool = False) -> None:
         """Send a record that this node has changed to the peers that need it.
@@ -75,15 +86,32 @@
         Args:
           was_known: Whether all peers had the record before, so that all need the change.
         """
-        is_first = not self._reports and not self._pushes
         if was_known or _is_suspect(self._records.find(fingerprint)):
-            self._pushes.add(fingerprint)
+            self._add_to_batch(self._pushes, fingerprint)
             self._mark_recent(fingerprint)
         else:
-            self._reports.setdefault(service, set()).add(fingerprint)
+            self._add_report(fingerprint, service)
+
+    def _add_report(self, fingerprint: str, service: str) -> None:
+        """Send a record to the trial coordinators of a service with the next batch."""
+        self._add_to_batch(self._reports.setdefault(service, set()), fingerprint)
+
+    def _add_to_batch(self, names: set[str], name: str) -> None:
+        """Add a name to those that are sent next; the first one schedules the batch."""
+        is_first = not self._pushes and not any(self._reports.values())
+        names.add(name)
         if is_first and self._datagrams is not None:
             self._later(BATCH_DELAY_S, self._flush)
 
+    def share_success(self, name: str, service: str) -> None:
+        """Send a record that a success has changed to coordinators, and with the next heartbeats.
+
+        Unlike share() at no further cost to all peers at once: many nodes may have a success of the
+        same record in the same second.
+        """
+        self._mark_recent(name)
+        self._add_report(name, service)
+
     async def beat(self) -> None:
         """Resend records that were new recently, and send suspects to new peers."""
         now_s = self._records.now_s()
@@ -131,9 +159,7 @@
         records = [self._records.report(name) for name in names]
         rows = [crash_rows.record_row(record) for record in records if record is not None]
         for start in range(0, len(rows), RECORDS_PER_DATAGRAM):
-            self._datagrams.send(
-                Kind.CRASHES, rows[start : start + RECORDS_PER_DATAGRAM], receivers
-            )
+            self._datagrams.send(self._kind, rows[start : start + RECORDS_PER_DATAGRAM], receivers)
 
     def _receive(self, rows: list, sender: str) -> None:
         """Merge a peer's records, and send back those in which it has missed an acquittal."""
@@ -154,6 +180,7 @@
         if after is None:
             return False
         if is_new and _is_suspect(after):
+            self._add_own_success(after)
             self._mark_recent(record.fingerprint)
             if not was_suspect and len(record.crashes) < SUSPECT_CRASHES:
                 # Two nodes saw one crash each, and this node is the first to know of both.
@@ -162,6 +189,13 @@
             self._mark_recent(record.fingerprint)
         return _missed_acquittal(record, after, self._records.now_s())
 
+    def _add_own_success(self, record: CrashRecord) -> None:
+        """Add this node's last success to a record that peers sent, if that is the latest one."""
+        succeeded_s = self._succeeded_s(record.fingerprint)
+        if succeeded_s > record.acquitted_s:
+            ago_s = self._records.now_s() - succeeded_s
+            self._records.merge(CrashReport(record.fingerprint, acquitted_ago_s=ago_s))
+
     def _mark_recent(self, fingerprint: str) -> None:
         """Resend a record with the next heartbeats, for RESEND_S."""
         self._resend_until_s[fingerprint] = self._records.now_s() + RESEND_S
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -49,6 +49,7 @@
     STREAM_BEGAN = 22
     ORIGIN_REQUEST = 23
     ORIGIN_REPLY = 24
+    PART_CRASHES = 25
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits.py
@@ -12,9 +12,10 @@
 from springbridge.trials import WAIT, Permission, Trials
 
 from springbridge_node.gateway.peers import crash_rows
-from springbridge_node.gateway.peers.crash_rows import TrialReply, TrialRequest
+from springbridge_node.gateway.peers.crash_rows import TrialEnd, TrialReply, TrialRequest
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.gateway.peers.part_permits import PartPermits
 from springbridge_node.gateway.peers.pending_replies import PendingReplies
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
 
@@ -28,10 +29,12 @@
         sharing: CrashSharing,
         coordinators: TrialCoordinators,
         endpoint_count: Callable[[str], int],
+        parts: PartPermits,
     ) -> None:
         """Start without trials running.
 
         Args:
+          parts: Decides on the trials of parts of prompts, which come in the same datagrams.
           endpoint_count: Returns how many endpoints of a service may get requests.
         """
         self._records: CrashRecords = quarantine.records
@@ -39,12 +42,14 @@
         self._coordinators = coordinators
         self._endpoint_count = endpoint_count
         self._trials = Trials(quarantine)
-        self._pending: PendingReplies[TrialReply] = PendingReplies()
+        self._parts = parts
+        self._pending: PendingReplies[TrialReply] = parts.pending
         self._datagrams: PeerDatagrams | None = None
 
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Start sending and answering trial requests."""
         self._datagrams = datagrams
+        self._parts.connect(datagrams)
         datagrams.handle(Kind.TRIAL_REQUEST, self._handle_request)
         datagrams.handle(Kind.TRIAL_REPLY, self._receive_reply)
         datagrams.handle(Kind.TRIAL_ENDED, self._receive_end)
@@ -80,7 +85,7 @@
         if not coordinators or self._coordinators.is_me(coordinators[0]):
             self._trials.finish(fingerprint, holder)
         elif self._datagrams is not None:
-            row = crash_rows.end_row(holder, self._record(fingerprint))
+            row = crash_rows.end_row(TrialEnd(holder, self._record(fingerprint)))
             self._datagrams.send(Kind.TRIAL_ENDED, row, [coordinators[0].peer_address])
 
     def _record(self, fingerprint: str) -> CrashReport:
@@ -95,6 +100,10 @@
     def _handle_request(self, row: list, sender: str) -> None:
         """Answer a peer's trial request."""
         request = crash_rows.read_request(row)
+        if request.parts:
+            reply = self._parts.reply(request)
+            self._datagrams.send(Kind.TRIAL_REPLY, crash_rows.reply_row(reply), [sender])
+            return
         self._sharing.merge(request.record)
         fingerprint = request.record.fingerprint
         permission = self._decide(
@@ -110,6 +119,9 @@
 
     def _receive_end(self, row: list, sender: str) -> None:
         """Record that a peer's trial has ended."""
-        holder, record = crash_rows.read_end(row)
-        self._sharing.merge(record)
-        self._trials.finish(record.fingerprint, holder)
+        end = crash_rows.read_end(row)
+        if end.parts:
+            self._parts.finish(end)
+            return
+        self._sharing.merge(end.record)
+        self._trials.finish(end.record.fingerprint, end.holder)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/trial_permits_test.py
@@ -8,12 +8,14 @@
 import pytest
 from springbridge.crash_records import CrashRecords
 from springbridge.membership import Member, Membership
+from springbridge.part_quarantine import PartQuarantine
 from springbridge.quarantine import Quarantine, Standing
 from springbridge.trials import Answer, trial_coordinators
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
+from springbridge_node.gateway.peers.part_permits import PartPermits
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
 from springbridge_node.gateway.peers.trial_permits import TrialPermits
 
@@ -67,7 +69,9 @@
     quarantine = Quarantine(records)
     coordinators = TrialCoordinators(membership)
     sharing = CrashSharing(records, membership, coordinators, lambda _, work: work())
-    permits = TrialPermits(quarantine, sharing, coordinators, lambda _: ENDPOINTS)
+    part_quarantine = PartQuarantine(CrashRecords(clock), quarantine.records)
+    parts = PartPermits(part_quarantine, sharing, coordinators, lambda _: ENDPOINTS)
+    permits = TrialPermits(quarantine, sharing, coordinators, lambda _: ENDPOINTS, parts)
     end = wire.end(members[name].peer_address)
     sharing.connect(end)
     permits.connect(end)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -60,6 +60,7 @@
     try:
         head = await read_head_within(silence_s, connection, codec, exchange.request_id)
         metadata = codec.answer_metadata(head)
+        exchange.progress.answer_status = head.status
         hooks.on_answer_head(metadata, sent_s, connection.opened_s)
         answer = EndpointAnswer(connection, head, hooks.verify_end)
         if metadata.not_run:
@@ -95,6 +96,7 @@
     progress.sends += 1
     progress.answer_end = None
     progress.answer_began_s = None
+    progress.answer_status = 0
     progress.may_have_run = True
     progress.tried.add(entry.endpoint_id)
     connection.send(head, exchange.request.body)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -92,11 +92,15 @@
       longest_pause_s: Longest time between two pieces so far, in seconds.
       answer_began_s: When the endpoint of the latest send began to write events, on the same clock;
         None if it has not, as always with a plain answer.
+      answer_status: Status of the answer to the latest send, 0 before its head.
       answer_end: How the answer to the latest send ended; None if it has not, or none began.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
       avoided: Endpoints that it must not go to now because other suspects are on trial there.
       on_trial: Whether the current attempt is a trial; see quarantine_gate.py.
+      parts_on_trial: Keys of the parts of its prompt that the current attempt is a trial of; see
+        part_gate.py.
+      part_keys: Keys of the parts of its prompt that it may share; None until they are needed.
       held_since_s: When it began to wait for a trial, on the monotonic clock; 0 before.
       held_back: Endpoints that denied it a permit since it was sent last.
       permit_wait_s: Seconds that it has waited for permits of endpoints with a rate limit.
@@ -126,11 +130,14 @@
     last_piece_s: float = 0.0
     longest_pause_s: float = 0.0
     answer_began_s: float | None = None
+    answer_status: int = 0
     answer_end: AnswerEnd | None = None
     failure: HeldFailure | None = None
     load: SharedAttempt | None = None
     avoided: set[str] = field(default_factory=set)
     on_trial: bool = False
+    parts_on_trial: frozenset[str] = frozenset()
+    part_keys: tuple[str, ...] | None = None
     held_since_s: float = 0.0
     held_back: set[str] = field(default_factory=set)
     permit_wait_s: float = 0.0
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate.py
@@ -1,4 +1,4 @@
-"""Keeps requests that crash endpoints away from them, and records the outcome of each attempt.
+"""Keeps whole requests that crash endpoints away from them.
 
 A request that was running when endpoints crashed is a suspect: it is sent only as a trial, which a
 coordinator has to grant, and is refused while it is in quarantine. The rules are in
@@ -12,49 +12,26 @@
 from dataclasses import dataclass
 
 from springbridge.crash_records import CrashRecords, crash_id
-from springbridge.problems import Problem
 from springbridge.quarantine import Quarantine, Standing
 from springbridge.routing import giving_up
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.endpoint_state import EndpointState
-from springbridge.routing.retries import AttemptOutcome
 from springbridge.trials import Answer
 
 from springbridge_node import clock
 from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
-from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
 from springbridge_node.gateway.peers.trial_permits import TrialPermits
 from springbridge_node.gateway.requests.exchange import Exchange
+from springbridge_node.gateway.requests.gate_decisions import (
+    ALLOWED,
+    RESELECT,
+    GateDecision,
+    wait_for_trial,
+)
 from springbridge_node.gateway.requests.quarantine_log import QuarantineLog
 from springbridge_node.gateway.requests.request_fingerprint import fingerprint_of
 
-# Seconds between two checks of a request that waits for a trial. A small share of the time that a
-# request takes.
-TRIAL_POLL_INTERVAL_S = 0.1
-# Ends that show that the endpoint survived the request.
-SURVIVED_ENDS = frozenset({AttemptOutcome.DELIVERED, AttemptOutcome.ENDPOINT_ERROR})
-
-
-@dataclass(frozen=True, slots=True)
-class GateDecision:
-    """The gate's decision on whether an attempt may be made now.
-
-    Attributes:
-      may_send: Whether it may; if not and there is no problem, an endpoint has to be selected
-        again.
-      trial: Id of the trial that the attempt is, whose end has to be reported; "" for none.
-      problem: Why the request is given up, or None.
-    """
-
-    may_send: bool = False
-    trial: str = ""
-    problem: Problem | None = None
-
-
-ALLOWED = GateDecision(may_send=True)
-RESELECT = GateDecision()
-
 
 @dataclass(frozen=True)
 class GateParts:
@@ -68,13 +45,12 @@
     quarantine: Quarantine
     sharing: CrashSharing
     permits: TrialPermits
-    confirmation: CrashConfirmation
     stored: StoredQuarantine
     log: QuarantineLog
 
 
 class QuarantineGate:
-    """Decides before each attempt whether it may be made, and records its outcome."""
+    """Decides before each attempt whether its request may be sent, and records what came of it."""
 
     def __init__(self, parts: GateParts) -> None:
         """Keep the parts."""
@@ -95,7 +71,7 @@
                 return RESELECT
             return ALLOWED
         if choice is None:
-            return await self._wait_for_trial(exchange) if avoided else ALLOWED
+            return await wait_for_trial(exchange) if avoided else ALLOWED
         until_s = self._refused_until_s.get(fingerprint_of(exchange), 0.0)
         if until_s > self._records.now_s():
             return self._reject(exchange, until_s - self._records.now_s())
@@ -131,24 +107,12 @@
                 exchange.progress.avoided |= set(permission.avoided) | {endpoint_id}
                 return RESELECT
             case Answer.WAIT:
-                return await self._wait_for_trial(exchange)
+                return await wait_for_trial(exchange)
             case Answer.QUARANTINED:
                 until_s = self._records.now_s() + permission.wait_s
                 self._refused_until_s[fingerprint] = until_s
                 return self._reject(exchange, permission.wait_s)
 
-    async def _wait_for_trial(self, exchange: Exchange) -> GateDecision:
-        """Wait a moment for another trial to end, or give up a request that has waited too long."""
-        progress = exchange.progress
-        now_s = clock.now_s()
-        progress.held_since_s = progress.held_since_s or now_s
-        if now_s - progress.held_since_s > giving_up.max_trial_wait_s(exchange.route):
-            problem = giving_up.while_trial_pending(exchange.attempts())
-            return GateDecision(problem=problem)
-        progress.avoided.clear()
-        await asyncio.sleep(TRIAL_POLL_INTERVAL_S)
-        return RESELECT
-
     def _reject(self, exchange: Exchange, wait_s: float) -> GateDecision:
         """Return that the request is given up because it is in quarantine."""
         crashes = self._parts.quarantine.verdict(fingerprint_of(exchange)).crashes
@@ -163,33 +127,19 @@
             yield
         finally:
             exchange.progress.on_trial = False
-            if decision.trial:
-                self._parts.permits.end(
-                    fingerprint_of(exchange), decision.trial, exchange.demand.service
-                )
-
-    async def record_end(
-        self, exchange: Exchange, state: EndpointState, end: AttemptOutcome
-    ) -> bool:
-        """Record the outcome of an attempt for its request; return whether its endpoint crashed."""
-        if end in SURVIVED_ENDS and len(self._records):
-            self._acquit(exchange)
-        if end is not AttemptOutcome.BROKEN:
-            return False
-        on_trial = exchange.progress.on_trial
-
-        def record_crash() -> None:
-            self._record_crash(exchange, state, on_trial)
-
-        has_crashed = await self._parts.confirmation.has_crashed(
-            state, on_late_crash=record_crash, sent_s=exchange.progress.chosen[-1].sent_s
-        )
-        if has_crashed:
-            record_crash()
-        return has_crashed
-
-    def _acquit(self, exchange: Exchange) -> None:
+            self.give_back(exchange, decision)
+
+    def give_back(self, exchange: Exchange, decision: GateDecision) -> None:
+        """End a granted trial that does not take place."""
+        if decision.trial:
+            self._parts.permits.end(
+                fingerprint_of(exchange), decision.trial, exchange.demand.service
+            )
+
+    def record_success(self, exchange: Exchange) -> None:
         """Clear a request, whose endpoint survived it, of the crashes recorded so far."""
+        if not len(self._records):
+            return
         fingerprint = fingerprint_of(exchange)
         before = self._parts.quarantine.verdict(fingerprint)
         if not self._records.acquit(fingerprint):
@@ -202,7 +152,7 @@
         if before.standing is Standing.QUARANTINED:
             self._parts.stored.left(fingerprint)
 
-    def _record_crash(self, exchange: Exchange, state: EndpointState, on_trial: bool) -> None:
+    def record_crash(self, exchange: Exchange, state: EndpointState, on_trial: bool) -> None:
         """Record that the endpoint crashed while it ran the request."""
         fingerprint = fingerprint_of(exchange)
         entry = state.entry
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
@@ -5,7 +5,9 @@
 
 import pytest
 from springbridge.crash_records import CrashRecords
+from springbridge.part_quarantine import PartQuarantine
 from springbridge.quarantine import Quarantine
+from springbridge.recent_successes import RecentSuccesses
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import EndpointEntry, Route, WeightedService
 from springbridge.routing.retries import AttemptOutcome
@@ -14,7 +16,9 @@
 from testtools.matchers import Equals, Is, Not
 
 from springbridge_node import clock as node_clock
+from springbridge_node.gateway.requests.crash_gate import CrashGate
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Progress
+from springbridge_node.gateway.requests.part_gate import PartGate, PartGateParts
 from springbridge_node.gateway.requests.quarantine_gate import GateParts, QuarantineGate
 
 NAME = "f00d"
@@ -74,8 +78,20 @@
 @pytest.fixture
 def gate(records, peers):
     """Return the gate."""
-    quarantine = Quarantine(records)
-    return QuarantineGate(GateParts("n1", quarantine, peers, peers, peers, peers, peers))
+    requests = QuarantineGate(GateParts("n1", Quarantine(records), peers, peers, peers, peers))
+    part_records = CrashRecords(node_clock.now_s)
+    parts = PartGate(
+        PartGateParts(
+            "n1",
+            PartQuarantine(part_records, records),
+            RecentSuccesses(node_clock.now_s),
+            peers,
+            peers,
+            peers,
+            peers,
+        )
+    )
+    return CrashGate(requests, parts, peers)
 
 
 @pytest.fixture
@@ -90,7 +106,7 @@
         route=route,
         request_id="q",
         progress=progress,
-        demand=SimpleNamespace(service="model"),
+        demand=SimpleNamespace(service="model", prompt_parts=()),
         admitted=SimpleNamespace(deadline_s=node_clock.now_s() + 5.0),
         attempts=lambda: SimpleNamespace(may_have_run=progress.may_have_run),
     )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -1,13 +1,16 @@
-"""Wires the parts that keep requests that crash endpoints away from them.
+"""Wires what keeps requests and parts of prompts that crash endpoints away from them.
 
-See quarantine_gate.py.
+See crash_gate.py.
 """
 
 from collections.abc import Callable
 
-from springbridge.crash_records import CrashRecords, CrashReport
+from springbridge.crash_records import CrashRecord, CrashRecords, CrashReport
 from springbridge.membership import Membership
+from springbridge.part_quarantine import MAX_PART_RECORDS, PartQuarantine
+from springbridge.prompt_parts import is_part_key
 from springbridge.quarantine import Quarantine, Standing
+from springbridge.recent_successes import RecentSuccesses
 from springbridge.routing.endpoint_registry import EndpointRegistry
 
 from springbridge_node.clock import now_s
@@ -16,19 +19,23 @@
 from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
 from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
 from springbridge_node.gateway.peers.crash_sharing import CrashSharing
-from springbridge_node.gateway.peers.datagrams import PeerDatagrams
+from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
+from springbridge_node.gateway.peers.part_permits import PartPermits
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
 from springbridge_node.gateway.peers.trial_permits import TrialPermits
+from springbridge_node.gateway.requests.crash_gate import CrashGate
+from springbridge_node.gateway.requests.part_gate import PartGate, PartGateParts
+from springbridge_node.gateway.requests.part_log import PartLog
 from springbridge_node.gateway.requests.quarantine_gate import GateParts, QuarantineGate
 from springbridge_node.gateway.requests.quarantine_log import QuarantineLog
 from springbridge_node.gateway.telemetry import Telemetry
 
 
 class QuarantineParts:
-    """The parts of the quarantine.
+    """The components of the quarantine.
 
     Attributes:
-      sharing: Shares crash records with peers; its beat is to be called at each heartbeat.
+      sharing: Shares the crash records of requests with peers.
       stored: Keeps the quarantine in the store; its step is to be called periodically.
       gate: Decides before each attempt whether it may be made.
     """
@@ -43,41 +50,88 @@
         telemetry: Telemetry,
         clock: Callable[[], float] = now_s,
     ) -> None:
-        """Create and connect the parts."""
+        """Create and connect the components."""
         self._records = CrashRecords(clock)
+        self._part_records = CrashRecords(clock, MAX_PART_RECORDS)
         self._quarantine = Quarantine(self._records)
+        successes = RecentSuccesses(clock)
+        self._part_quarantine = PartQuarantine(self._part_records, self._records, successes.last_s)
         coordinators = TrialCoordinators(membership)
         self.sharing = CrashSharing(self._records, membership, coordinators)
+        self._part_sharing = CrashSharing(
+            self._part_records,
+            membership,
+            coordinators,
+            kind=Kind.PART_CRASHES,
+            succeeded_s=successes.last_s,
+        )
+
+        def endpoint_count(service: str) -> int:
+            return len(registry.candidates(service, ()))
+
+        part_permits = PartPermits(
+            self._part_quarantine, self._part_sharing, coordinators, endpoint_count
+        )
         self._permits = TrialPermits(
+            self._quarantine, self.sharing, coordinators, endpoint_count, part_permits
+        )
+        self.stored = StoredQuarantine(store, readers, self._find, self._adopt)
+        requests = GateParts(
+            membership.me.incarnation,
             self._quarantine,
             self.sharing,
-            coordinators,
-            lambda service: len(registry.candidates(service, ())),
+            self._permits,
+            self.stored,
+            QuarantineLog(telemetry),
         )
-        self.stored = StoredQuarantine(store, readers, self._records, self._adopt)
-        self.gate = QuarantineGate(
-            GateParts(
-                membership.me.incarnation,
-                self._quarantine,
-                self.sharing,
-                self._permits,
-                confirmation,
-                self.stored,
-                QuarantineLog(telemetry),
-            )
+        parts = PartGateParts(
+            membership.me.incarnation,
+            self._part_quarantine,
+            successes,
+            self._part_sharing,
+            part_permits,
+            self.stored,
+            PartLog(telemetry),
         )
+        self.gate = CrashGate(QuarantineGate(requests), PartGate(parts), confirmation)
 
     def connect(self, datagrams: PeerDatagrams) -> None:
         """Begin to exchange crash records and trials with peers."""
         self.sharing.connect(datagrams)
+        self._part_sharing.connect(datagrams)
         self._permits.connect(datagrams)
 
+    async def beat(self) -> None:
+        """Send peers what is new; to be called at each heartbeat."""
+        await self.sharing.beat()
+        await self._part_sharing.beat()
+
+    def suspects(self) -> list[CrashReport]:
+        """Return the records of all suspects, which a node that starts needs."""
+        return [*self.sharing.suspects(), *self._part_sharing.suspects()]
+
+    def merge(self, record: CrashReport) -> None:
+        """Merge a record that a peer has sent to this node as it starts."""
+        self._sharing_of(record.fingerprint).merge(record)
+
     def quarantined_count(self) -> int:
         """Return how many requests are in quarantine."""
         verdicts = (self._quarantine.verdict(each.fingerprint) for each in self._records.all())
         return sum(found.standing is Standing.QUARANTINED for found in verdicts)
 
+    def quarantined_part_sets(self) -> int:
+        """Return how many sets of parts are in quarantine."""
+        return len({each.suspects for each in self._part_quarantine.quarantined()})
+
+    def _sharing_of(self, key: str) -> CrashSharing:
+        return self._part_sharing if is_part_key(key) else self.sharing
+
+    def _find(self, key: str) -> CrashRecord | None:
+        """Return the record of a request or of a part, or None if there is none."""
+        return (self._part_records if is_part_key(key) else self._records).find(key)
+
     def _adopt(self, record: CrashReport) -> None:
         """Merge a record read from the store and share it with peers."""
-        self._records.merge(record)
-        self.sharing.share(record.fingerprint, "", was_known=True)
+        records = self._part_records if is_part_key(record.fingerprint) else self._records
+        records.merge(record)
+        self._sharing_of(record.fingerprint).share(record.fingerprint, "", was_known=True)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -34,10 +34,10 @@
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
 from springbridge_node.gateway.peers.load_sharing import LoadSharing
 from springbridge_node.gateway.requests.attempt import AttemptHooks, make_attempt
+from springbridge_node.gateway.requests.crash_gate import CrashGate
 from springbridge_node.gateway.requests.endpoint_selector import EndpointSelector
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange, Progress
 from springbridge_node.gateway.requests.place_gate import REJECTIONS, PlaceGate
-from springbridge_node.gateway.requests.quarantine_gate import QuarantineGate
 from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.relay import relay_failure
 from springbridge_node.gateway.requests.request_codec import RequestCodec
@@ -75,7 +75,7 @@
     selector: EndpointSelector
     request_log: RequestLog
     loads: LoadSharing
-    gate: QuarantineGate
+    gate: CrashGate
     failure_domain: str
     usage: UsageMeter
     rates: RateParts
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -52,6 +52,11 @@
             ["standing"],
             registry=self.registry,
         )
+        self.part_refusals = Counter(
+            "springbridge_part_refusals",
+            "Requests refused because parts of their prompts end engines",
+            registry=self.registry,
+        )
         self.first_piece = Histogram(
             "springbridge_first_piece_seconds",
             "Arrival to first piece of the answer",
@@ -96,6 +101,11 @@
             "Requests that are kept from engines because they end them",
             registry=self.registry,
         )
+        self.quarantined_parts = Gauge(
+            "springbridge_quarantined_parts",
+            "Sets of parts of prompts that are kept from engines because they end them",
+            registry=self.registry,
+        )
         self.suspensions = Gauge(
             "springbridge_suspensions",
             "Times that the machine was suspended since the start",
--- a/packages/springbridge/springbridge/crash_records.py
+++ b/packages/springbridge/springbridge/crash_records.py
@@ -1,12 +1,14 @@
-"""Crash history of requests: which requests were running on an endpoint when it crashed.
+"""Crash history: what was running on an endpoint when it crashed.
 
-Records are kept by the fingerprint of the request (fingerprints.py). Each has the crashes in which
-the request was involved and the time of its last successful run, which acquits it of all earlier
-crashes. Records of all nodes are merged: each crash counts once however many nodes saw it, and
-its earliest reported time is kept. `quarantine` decides what follows from them.
+Records are kept by the fingerprint of a request (fingerprints.py), or in a set of their own by the
+key of a part of prompts (prompt_parts.py); the texts here speak of requests. Each has the crashes
+in which the request was involved and the time of its last successful run, which acquits it of all
+earlier crashes. Records of all nodes are merged: each crash counts once however many nodes saw it,
+and its earliest reported time is kept. `quarantine` and `part_quarantine` decide what follows.
 
-Bounded: at most MAX_RECORDS, and the latest MAX_CRASHES of each. Evicted first are the records
-that are closest to being acquitted: those with the fewest crashes, then the oldest.
+Bounded: at most MAX_RECORDS unless told otherwise, and the latest MAX_CRASHES of each. Evicted
+first are the records that are closest to being acquitted: those with the fewest crashes, then the
+oldest.
 
 Relies on a monotonic clock in seconds. Nothing here waits or does input or output.
 """
@@ -19,9 +21,9 @@
 # Maximum number of records. Some hundred bytes each, so that they stay under half a megabyte. An
 # endpoint that crashes adds one for each request that it ran, which is some dozens.
 MAX_RECORDS = 512
-# Number of records that are evicted together once there is one too many. Ranking the records takes
-# 1.5 ms of a core, which makes 23 us for each new record while the bound is reached.
-EVICTION_BATCH = 64
+# One in how many records is evicted once there is one too many. Ranking 512 records takes 1.5 ms of
+# a core, which makes 23 us for each new record while the bound is reached.
+EVICTED_SHARE = 8
 # Maximum number of crashes kept per request. Above the count at which trials are so rare that
 # further crashes change nothing.
 MAX_CRASHES = 12
@@ -126,10 +128,12 @@
       version: Incremented whenever a record changes.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], max_records: int = MAX_RECORDS) -> None:
         """Create an empty set of records; the clock returns monotonic seconds."""
         self.version = 0
         self._clock = clock
+        self._max_records = max_records
+        self._tried: set[str] = set()
         self._records: dict[str, CrashRecord] = {}
         self._by_crash: dict[int, set[str]] = {}
 
@@ -141,6 +145,10 @@
         """Return all records."""
         return tuple(self._records.values())
 
+    def tried(self) -> list[CrashRecord]:
+        """Return the records that have failed trials."""
+        return [self._records[name] for name in self._tried]
+
     def now_s(self) -> float:
         """Return the current time by the clock of the records."""
         return self._clock()
@@ -221,24 +229,27 @@
         self._records[record.fingerprint] = record
         for crash in record.counted:
             self._by_crash.setdefault(crash, set()).add(record.fingerprint)
+        if record.failed_trials:
+            self._tried.add(record.fingerprint)
 
     def _drop(self, fingerprint: str) -> None:
         """Drop a record if there is one."""
         self.version += 1
         record = self._records.pop(fingerprint, None)
+        self._tried.discard(fingerprint)
         for crash in record.counted if record else ():
             self._by_crash[crash].discard(fingerprint)
             if not self._by_crash[crash]:
                 del self._by_crash[crash]
 
     def _drop_beyond_bound(self) -> None:
-        """Evict the lowest-ranked EVICTION_BATCH records if there are more than MAX_RECORDS."""
-        if len(self._records) <= MAX_RECORDS:
+        """Evict the lowest-ranked records if there are too many."""
+        if len(self._records) <= self._max_records:
             return
         ranked = sorted(
             self._records.values(), key=lambda each: (len(each.counted), each.last_crash_s)
         )
-        for least in ranked[:EVICTION_BATCH]:
+        for least in ranked[: self._max_records // EVICTED_SHARE]:
             self._drop(least.fingerprint)
 
 
--- a/packages/springbridge/springbridge/quarantine.py
+++ b/packages/springbridge/springbridge/quarantine.py
@@ -145,7 +145,7 @@
         """
         if self._causes_version != self.records.version:
             self._causes_version = self.records.version
-            tried = [each for each in self.records.all() if each.failed_trials]
+            tried = self.records.tried()
             found = {each.fingerprint: self._conclusive_trials(each) for each in tried}
             self._cached_causes = {name: count for name, count in found.items() if count}
         return self._cached_causes
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -178,6 +178,19 @@
     return Problem(Code.QUARANTINED, detail, retry_after_s=wait_s)
 
 
+def with_quarantined_parts(attempts: Attempts, crashes: int, wait_s: float) -> Problem:
+    """Return the problem of a request whose prompt has parts that crash endpoints.
+
+    Args:
+      crashes: Number of endpoints that crashed under prompts with these parts.
+      wait_s: Seconds until the next trial of such a prompt.
+    """
+    detail = f"{crashes} engines ended under parts of its prompt"
+    if attempts.may_have_run:
+        return Problem(Code.ENGINE_FAILED, detail)
+    return Problem(Code.QUARANTINED, detail, retry_after_s=wait_s)
+
+
 def while_trial_pending(attempts: Attempts) -> Problem:
     """Return the problem of a request that waited too long for another request's trial to end."""
     detail = "another request like it is on trial"
