--- a/packages/springbridge/springbridge/part_quarantine.py
+++ b/packages/springbridge/springbridge/part_quarantine.py
@@ -14,7 +14,8 @@
 - A failed trial shows that one of its suspects crashes endpoints, not which. So a request is
   refused only if it holds all suspects of a failed trial. One that holds some of them is a trial
   that tells: its answer clears these, which leaves fewer, and its crash convicts fewer.
-- A trial is inconclusive if a whole request that was in the same crashes explains them as well.
+- A trial is inconclusive if a whole request explains the crashes as well: it was in all those of
+  the part that was in the most.
 
 The pause before the next trial depends on the failed ones: short after one, which may be chance.
 """
@@ -23,7 +24,7 @@
 from dataclasses import dataclass
 
 from springbridge.crash_records import NEVER_S, CrashRecord, CrashRecords
-from springbridge.quarantine import SUSPECT_CRASHES, Standing
+from springbridge.quarantine import CAUSE_CRASHES, SUSPECT_CRASHES, Standing
 from springbridge.recent_successes import CREDIT_S
 
 # Seconds from the last failed trial to the next one, by the number of failed trials; the last
@@ -31,6 +32,9 @@
 # ended for another reason, and a few seconds are bearable for a sound request. Each trial of the
 # cause costs an endpoint.
 TRIAL_PAUSES_S = (10.0, 300.0, 1800.0)
+# Share of the crashes of the suspect that was in the most, which another one of the same failed
+# trial has to have been in. What runs on an endpoint by chance is in some of the crashes.
+LEAST_SHARE = 0.5
 # Maximum number of records of parts. Some hundred bytes each, so that they stay under 2 MB. An
 # endpoint that crashes adds some for each of its requests whose parts nobody answered lately.
 MAX_PART_RECORDS = 2048
@@ -63,7 +67,8 @@
     """A crash in a trial of parts.
 
     Attributes:
-      suspects: Keys of all parts under suspicion that were in the crash. One of them caused it.
+      suspects: Keys of the parts under suspicion that were in the crash, but for those that were in
+        far fewer crashes than others. One of them caused it.
       crashes: Number of crashes of the suspect that has the fewest.
     """
 
@@ -158,12 +163,11 @@
 
     def _failed_trial(self, crash: int) -> FailedTrial | None:
         """Return the trial that a crash ended, or None if it is inconclusive."""
-        suspects = [
-            record
-            for record in self.records.involved_in(crash)
-            if len(record.counted) >= SUSPECT_CRASHES
-        ]
-        if not suspects or self._is_explained_by_request(crash, suspects):
+        records = self.records.involved_in(crash)
+        most = max(len(record.counted) for record in records)
+        least = max(SUSPECT_CRASHES, most * LEAST_SHARE)
+        suspects = [record for record in records if len(record.counted) >= least]
+        if most < CAUSE_CRASHES or self._is_explained_by_request(crash, suspects):
             return None
         return FailedTrial(
             frozenset(record.fingerprint for record in suspects),
@@ -172,9 +176,10 @@
         )
 
     def _is_explained_by_request(self, crash: int, suspects: list[CrashRecord]) -> bool:
-        """Return whether one whole request was in all crashes that the suspects share."""
-        shared = frozenset.intersection(*(record.counted for record in suspects))
-        return any(shared <= record.counted for record in self._requests.involved_in(crash))
+        """Return whether one whole request was in all crashes of the suspect that has the most."""
+        most = max(suspects, key=lambda record: len(record.counted))
+        requests = self._requests.involved_in(crash)
+        return any(most.counted <= record.counted for record in requests)
 
 
 def trial_pause_s(failed: int) -> float:
