A request without an attempt left asks for no trial of its parts

Cause: the router asks the gate before it looks whether the route allows another attempt. A request that two endpoints had ended under was granted a trial, given up, and the pause after a trial that told nothing held all others.

Why it works: such a request is given up by the router right after, so that nothing is sent; the rule is the one that the router uses. Whole requests go on to be asked for as before.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/crash_gate.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/crash_gate.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
+from springbridge.routing import retries
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.retries import AttemptOutcome
@@ -50,7 +51,7 @@
         if choice is None and exchange.progress.avoided and self.parts.needs_trial(exchange):
             return await wait_for_trial(exchange)
         decision = await self.requests.check(exchange, choice)
-        if choice is None or not decision.may_send:
+        if choice is None or not decision.may_send or not _may_be_sent(exchange):
             return decision
         part_decision = await self.parts.check(exchange, choice)
         if not part_decision.may_send:
@@ -91,3 +92,13 @@
         """Drop refusals and crash records that have expired."""
         self.requests.forget_old()
         self.parts.forget_old()
+
+
+def _may_be_sent(exchange: Exchange) -> bool:
+    """Return whether the route's limit allows another attempt; else a trial would not take place.
+
+    The router gives up such a request right after.
+    """
+    if not exchange.progress.sends:
+        return True
+    return retries.has_endpoint_left(exchange.route, exchange.attempts())
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_gate_test.py
@@ -108,7 +108,7 @@
         progress=progress,
         demand=SimpleNamespace(service="model", prompt_parts=()),
         admitted=SimpleNamespace(deadline_s=node_clock.now_s() + 5.0),
-        attempts=lambda: SimpleNamespace(may_have_run=progress.may_have_run),
+        attempts=lambda: SimpleNamespace(may_have_run=progress.may_have_run, endpoints_used=0),
     )
 
 
