Operators list what is in quarantine and release it

There was no way to see which requests or parts of prompts a node keeps from endpoints but its log, nor to free one without a loss of all nodes. The metrics address answers /quarantine with both; a POST to /quarantine/release clears a fingerprint or the key of a part at all nodes and removes its row. springbridgectl quarantine list and release call them. The small server takes commands with POST alone. Tests: a part is listed and released at both nodes; a query releases nothing.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -52,6 +52,7 @@
     PeerDiscovery,
 )
 from springbridge_node.gateway.peers.peer_handlers import peer_handlers
+from springbridge_node.gateway.quarantine_page import quarantine_commands, quarantine_queries
 from springbridge_node.gateway.requests.place_gate import PlaceGate
 from springbridge_node.gateway.requests.quarantine_parts import QuarantineParts
 from springbridge_node.gateway.requests.rate_parts import RateParts
@@ -234,7 +235,11 @@
             lambda: self.configuration, self.registry, self.quarantine_parts.suspects
         )
         serve_small(addresses.peers, handlers, self.path_parts.tunnel_server.serve)
-        serve_small(addresses.metrics, {METRICS_PATH: self._metrics})
+        serve_small(
+            addresses.metrics,
+            {METRICS_PATH: self._metrics, **quarantine_queries(self.quarantine_parts)},
+            commands=quarantine_commands(self.quarantine_parts),
+        )
         self.listener.listen(addresses.callers, CallerLimits())
 
     async def _open_datagrams(self) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from urllib.parse import parse_qsl, urlsplit
 
 from tornado.httpserver import HTTPServer
@@ -30,25 +31,33 @@
 
 
 def serve_small(
-    address: str, handlers: Mapping[str, Handler], on_connect: ConnectHandler | None = None
+    address: str,
+    handlers: Mapping[str, Handler],
+    on_connect: ConnectHandler | None = None,
+    commands: Mapping[str, Handler] = MappingProxyType({}),
 ) -> None:
     """Serve a small interface, unless its address is empty in the settings.
 
     Args:
       on_connect: Takes over the requests with method CONNECT; None if there are none.
+      commands: Handlers that change something, for requests with method POST alone.
     """
     if address:
-        SmallServer(handlers, on_connect).listen(address)
+        SmallServer(handlers, on_connect, commands).listen(address)
 
 
 class SmallServer:
     """Answers requests by path; a handler gets the query's parameters."""
 
     def __init__(
-        self, handlers: Mapping[str, Handler], on_connect: ConnectHandler | None = None
+        self,
+        handlers: Mapping[str, Handler],
+        on_connect: ConnectHandler | None = None,
+        commands: Mapping[str, Handler] = MappingProxyType({}),
     ) -> None:
         """Store the handler of each path; listen() starts to serve."""
         self._handlers = handlers
+        self._commands = commands
         self._on_connect = on_connect
         self._server = HTTPServer(self._serve)
 
@@ -63,7 +72,10 @@
             self._on_connect(request)
             return
         url = urlsplit(request.uri)
-        handler = self._handlers.get(url.path)
+        handlers = self._commands if url.path in self._commands else self._handlers
+        if handlers is self._commands and request.method != "POST":
+            handlers = {}
+        handler = handlers.get(url.path)
         reply = handler(dict(parse_qsl(url.query))) if handler else Reply(404)
         headers = HTTPHeaders(
             {"Content-Type": reply.content_type, "Content-Length": str(len(reply.body))}
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from springbridge.crash_records import CrashRecord, CrashRecords, CrashReport
 from springbridge.membership import Membership
@@ -13,6 +14,7 @@
 from springbridge.recent_successes import RecentSuccesses
 from springbridge.routing.endpoint_registry import EndpointRegistry
 
+from springbridge_node import logs
 from springbridge_node.clock import now_s
 from springbridge_node.gateway.config.platform_store import PlatformStore
 from springbridge_node.gateway.config.store_readers import StoreReaders
@@ -31,6 +33,21 @@
 from springbridge_node.gateway.telemetry import Telemetry
 
 
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """A request, or a set of parts of prompts, that is kept from endpoints.
+
+    Attributes:
+      keys: Fingerprint of the request, or keys of the parts, one of which is the cause.
+      crashes: Number of crashes that count against it.
+      trial_due_in_s: Seconds until its next trial may start.
+    """
+
+    keys: tuple[str, ...]
+    crashes: int
+    trial_due_in_s: float
+
+
 class QuarantineParts:
     """The components of the quarantine.
 
@@ -114,6 +131,34 @@
         """Merge a record that a peer has sent to this node as it starts."""
         self._sharing_of(record.fingerprint).merge(record)
 
+    def quarantined(self) -> list[Quarantined]:
+        """Return what is in quarantine, requests first."""
+        now_s = self._records.now_s()
+        names = [each.fingerprint for each in self._records.all()]
+        requests = [
+            Quarantined((name,), found.crashes, found.trial_due_s - now_s)
+            for name in names
+            if (found := self._quarantine.verdict(name)).standing is Standing.QUARANTINED
+        ]
+        sets = {each.suspects for each in self._part_quarantine.quarantined()}
+        verdicts = ((keys, self._part_quarantine.verdict(keys)) for keys in sets)
+        return requests + [
+            Quarantined(tuple(sorted(keys)), found.crashes, found.due_s - now_s)
+            for keys, found in verdicts
+        ]
+
+    def release(self, key: str) -> bool:
+        """Clear a request or a part of all crashes, at all nodes; return whether it had any."""
+        record = self._find(key)
+        if record is None or not record.counted:
+            return False
+        records = self._part_records if is_part_key(key) else self._records
+        records.acquit(key)
+        self._sharing_of(key).share(key, "", was_known=True)
+        self.stored.left(key)
+        logs.event("quarantine.released", key=key, crashes=len(record.counted))
+        return True
+
     def quarantined_count(self) -> int:
         """Return how many requests are in quarantine."""
         verdicts = (self._quarantine.verdict(each.fingerprint) for each in self._records.all())
