The soak has prompts with a part that crashes engines, and checks of both rules

No two of them are alike; sound prompts with their other parts and others go beside them, to random nodes, while nodes are killed, frozen and stopped, paths are cut and the store goes back. Checked: at most 3 arrivals later than 3 s after the fifth crash; from 6 s after it sound prompts with the other parts are served at least half as often as those without.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/crashes.py
@@ -55,20 +55,31 @@
     soak.poison_arrived_s.append(time.monotonic())
     soak.stamp("poison arrived", run=f"{name}/{soak.starts[name]}")
     await asyncio.sleep(RUN_S)
+    if crash_and_restart(soak, name, on_end, len(soak.crashed_s) + 1):
+        soak.crashed_s.append(time.monotonic())
+
+
+def crash_and_restart(soak: Soak, name: str, on_end: Callable[[str], None], drawn_by: int) -> bool:
+    """Crash an engine, and restart it later; return whether it was up.
+
+    Args:
+      on_end: Called with the name of the engine when it crashes.
+      drawn_by: Seed of the time until it is restarted.
+    """
     engine, proxy = soak.engines[name], soak.proxy_of(name)
     if not proxy.is_listening:
-        return
+        return False
     proxy.stop()
     engine.stop()
     on_end(name)
-    soak.crashed_s.append(time.monotonic())
     soak.stamp("poison crashed", run=f"{name}/{soak.starts[name]}")
-    soak.start_background(_restart_later(soak, name))
+    soak.start_background(_restart_later(soak, name, drawn_by))
+    return True
 
 
-async def _restart_later(soak: Soak, name: str) -> None:
+async def _restart_later(soak: Soak, name: str, drawn_by: int) -> None:
     """Restart an engine after a random time."""
-    await asyncio.sleep(random.Random(len(soak.crashed_s)).uniform(*DOWN_S))
+    await asyncio.sleep(random.Random(drawn_by).uniform(*DOWN_S))
     await restart_engine(soak, name)
 
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
-from springbridge_standins.gateway.crashing import POISON_MARK
 from springbridge_standins.http_wire import (
     Connection,
     RawRequest,
@@ -100,14 +99,14 @@
         endpoint_id: str,
         record: Record,
         rng: random.Random,
-        crash: Callable[[str], Awaitable[None]],
+        crash: Callable[[RawRequest, str], Awaitable[bool]],
         statements: StatementSource,
         unframed: "UnframedAnswers",
     ) -> None:
         """Set up the engine with an id and the record that all engines share.
 
         Args:
-          crash: Crashes the engine with a name; awaited for a poison request.
+          crash: Crashes the engine with a name if the request is poison; returns whether it is.
           statements: Source of the engines' statements about themselves.
           unframed: Sends the answers that state no length.
         """
@@ -126,8 +125,7 @@
             await connection.send(answer(request.request_id, b"", 421, signature=""))
             return
         self._statements.on_arrival(self._endpoint_id, request.request_id)
-        if request.body.startswith(POISON_MARK):
-            await self._crash(self._endpoint_id)
+        if await self._crash(request, self._endpoint_id):
             return
         rest_s = self._statements.rest_s(self._endpoint_id, request.request_id)
         if rest_s is not None or fault < FAULT_SHARE / 6:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -22,6 +22,7 @@
 import typer
 
 from springbridge_standins.free_addresses import free_ports, loopback_network
+from springbridge_standins.gateway.crashing import POISON_MARK
 from springbridge_standins.gateway.engine import EngineStandIn
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_duties, check_record, check_served
@@ -38,6 +39,12 @@
 )
 from springbridge_standins.gateway.soak.lateness import measure_delays_forever
 from springbridge_standins.gateway.soak.nodes import NodeProcess, Ports
+from springbridge_standins.gateway.soak.parts import (
+    PartHarm,
+    check_parts,
+    has_poison_part,
+    send_prompts_forever,
+)
 from springbridge_standins.gateway.soak.paths import cut_paths_forever
 from springbridge_standins.gateway.soak.rates import (
     EngineRates,
@@ -62,6 +69,7 @@
 )
 from springbridge_standins.gateway.store import StoreStandIn
 from springbridge_standins.http_standin import running
+from springbridge_standins.http_wire import RawRequest
 from springbridge_standins.proxy import LoopbackProxy
 from springbridge_standins.soak_report import print_report
 
@@ -77,6 +85,7 @@
     callers: int = 8,
     enough: Callable[[], bool] = lambda: True,
     counts: Counter | None = None,
+    parts: bool = False,
 ) -> Soak:
     """Run a soak and return its state with the violations; the nodes log into the folder.
 
@@ -84,6 +93,7 @@
       enough: Returns whether the soak has exercised what it is for; if not, it is extended, up to
         MAX_LENGTH_FACTOR times its length.
       counts: Gets the counts of the soak while it runs.
+      parts: Whether prompts with a part that crashes engines are sent too.
     """
     async with contextlib.AsyncExitStack() as stack:
         soak = Soak(random.Random(seed), StoreStandIn())
@@ -91,13 +101,17 @@
         await stack.enter_async_context(running(soak.store))
         await stack.enter_async_context(running(soak.duties))
         statements = EngineStatements(soak, EngineRates(soak))
-        await _start_engines(soak, statements, stack, seed)
+        part_harm = PartHarm(soak)
+        await _start_engines(soak, statements, part_harm, stack, seed)
         rng = random.Random(f"{seed} versions")
         rollouts = await stack.enter_async_context(running_rollouts(soak, rng))
         await soak.store.put("op", "config", soak_configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
         tasks = _start_tasks(soak, statements, rollouts, seed, callers)
+        if parts:
+            rng = random.Random(f"{seed} parts")
+            tasks.append(asyncio.ensure_future(send_prompts_forever(part_harm, rng)))
         for _ in range(MAX_LENGTH_FACTOR):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -113,6 +127,7 @@
         check_served(soak)
         check_record(soak)
         check_poison(soak)
+        check_parts(part_harm)
         check_duties(soak)
         check_rates(soak, statements.rates)
         check_statements(soak, statements)
@@ -154,16 +169,30 @@
 
 
 async def _start_engines(
-    soak: Soak, statements: EngineStatements, stack: contextlib.AsyncExitStack, seed: int
+    soak: Soak,
+    statements: EngineStatements,
+    part_harm: PartHarm,
+    stack: contextlib.AsyncExitStack,
+    seed: int,
 ) -> None:
     """Start engines, each behind a proxy."""
+
+    async def crash_if_poison(request: RawRequest, name: str) -> bool:
+        if request.body.startswith(POISON_MARK):
+            await crash_engine(soak, name, statements.on_end)
+            return True
+        if has_poison_part(request):
+            await part_harm.crash(name, statements.on_end)
+            return True
+        return False
+
     names = ["i-desk-1", "i-desk-2", "i-desk-3", "i-model-1", "i-model-2", "i-model-3"]
     for name in names:
         script = SoakScript(
             name,
             soak.record,
             soak.rng,
-            lambda one: crash_engine(soak, one, statements.on_end),
+            crash_if_poison,
             statements,
             UnframedAnswers(
                 random.Random(f"{seed} {name} unframed"),
@@ -200,13 +229,15 @@
     await asyncio.gather(*(node.wait_started(NODE_START_S) for node in soak.nodes))
 
 
-def main(seed: int = 1, minutes: float = 1.0, seeds: int = 1, nodes: int = 4) -> None:
+def main(
+    seed: int = 1, minutes: float = 1.0, seeds: int = 1, nodes: int = 4, parts: bool = True
+) -> None:
     """Run soaks with consecutive seeds; exit with 1 if one finds a violation."""
     failed = False
     for number in range(seed, seed + seeds):
         began_s = time.monotonic()
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes))
+        soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes, parts=parts))
         failed = failed or bool(soak.violations)
         took_s = time.monotonic() - began_s
         summary = f"seed {number}, {len(soak.sent)} requests, {took_s:.0f} s"
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -55,6 +55,21 @@
     assert_that(soak_counts["versions: taken up"], GreaterThan(12))
 
 
+# Guards against a part of prompts that ends one engine after another, in requests no two of which
+# are alike, and against the loss of those that share all other parts, while nodes are killed.
+def test_a_short_soak_keeps_a_part_that_crashes_engines_from_them(tmp_path):
+    def tried():
+        served, refused = soak_counts["parts: twin 200"], soak_counts["parts: poison 503"]
+        return min(served, refused) > 15 and soak_counts["harm kill_node"] > 0
+
+    soak_counts = Counter()
+    soak = asyncio.run(
+        run_soak(81, 15.0, tmp_path, nodes=5, counts=soak_counts, enough=tried, parts=True)
+    )
+    assert_that(soak.violations, Equals([]))
+    assert_that(soak_counts["parts: engines crashed"], GreaterThan(1))
+
+
 # Guards against reporting a usage window twice: the store was restored from a copy without the
 # decision, and a lease holder that did not know of it decided again.
 def test_a_window_is_reported_once_though_the_store_loses_the_decision(tmp_path):
