--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 from springbridge.problems import Problem
-from springbridge.prompt_parts import shared_part_ids
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.records import Arrival
 from springbridge.routing.resumption import takes_up_stream
@@ -174,8 +173,8 @@
 
 def shared_parts(exchange: Exchange) -> list[str]:
     """Return the ids of the parts of the prompt that other requests may share, as logged."""
-    ids = shared_part_ids(exchange.demand.prompt_parts)
-    return [name[:MAX_LOGGED_CHARACTERS] for name in ids[:MAX_LOGGED_PARTS]]
+    parts = exchange.demand.prompt_parts[:-1]
+    return [part.part_id[:MAX_LOGGED_CHARACTERS] for part in parts[:MAX_LOGGED_PARTS]]
 
 
 def _bounded(value: str | None) -> str | None:
