--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -208,7 +208,7 @@
     Mutant(
         "crashes reported by other nodes count",
         f"{NODE}/gateway/peers/crash_sharing.py",
-        "        datagrams.handle(Kind.CRASHES, self._receive)",
+        "        datagrams.handle(self._kind, self._receive)",
         "        datagrams.handle(Kind.CRASHES, lambda rows, sender: None)",
         f"{NEWS}::test_all_nodes_know_a_suspect_within_a_second",
     ),
--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -17,6 +17,7 @@
 from springbridge_standins.mutants.duty_mutants import DUTY_MUTANTS
 from springbridge_standins.mutants.gateway_mutants import GATEWAY_MUTANTS
 from springbridge_standins.mutants.mutant import LIBRARY, NODE, Mutant
+from springbridge_standins.mutants.part_mutants import PART_MUTANTS
 from springbridge_standins.mutants.rate_mutants import RATE_MUTANTS
 from springbridge_standins.mutants.statement_mutants import STATEMENT_MUTANTS
 from springbridge_standins.mutants.version_mutants import VERSION_MUTANTS
@@ -223,6 +224,7 @@
     *DUTY_MUTANTS,
     *RATE_MUTANTS,
     *STATEMENT_MUTANTS,
+    *PART_MUTANTS,
     *VERSION_MUTANTS,
 )
 
--- a/packages/springbridge/springbridge/part_quarantine_test.py
+++ b/packages/springbridge/springbridge/part_quarantine_test.py
@@ -158,3 +158,18 @@
     records.acquit(FIRST)
     after = [each.suspects for each in quarantine.quarantined()]
     assert_that((before, after), Equals(([{FIRST, BAD}], [{BAD}])))
+
+
+# Guards against a caller that names a part of others in requests which crash endpoints.
+def test_a_part_that_a_liar_names_is_free_if_others_use_it_and_with_one_answer_else(
+    records, quarantine, answered_s, clock
+):
+    answered_s[FIRST] = clock.now_s
+    for number in (1, 2, 3):
+        crash(records, number, FIRST, OTHER, on_trial=number == 3)
+    assert_that(standing(quarantine, FIRST), Equals(Standing.FREE))
+    assert_that(standing(quarantine, OTHER), Equals(Standing.QUARANTINED))
+    clock.now_s += TRIAL_PAUSES_S[0] + 0.01
+    assert_that(quarantine.verdict([OTHER]).due_s < clock.now_s, Equals(True))
+    records.acquit(OTHER)
+    assert_that(standing(quarantine, OTHER), Equals(Standing.FREE))
