The news of suspected parts stays within four records a heartbeat

Cause: a crash has several parts for each of its requests, all of which were resent to three peers with six heartbeats by each node that heard of them.

Change: half a second, and four records a heartbeat, those with the most crashes first: a cause is in the most. The push to 64 peers at once stays. What a node has not heard, its coordinator tells it when it asks for a trial.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/crash_sharing.py
@@ -35,6 +35,10 @@
 # Seconds for which a node resends a record that was new to it. Six heartbeat intervals, within
 # which the record reaches a fleet of hundreds even if some datagrams are lost.
 RESEND_S = 1.5
+# The same for a record of a part of prompts, and how many of them go out with one heartbeat, those
+# with the most crashes first. An endpoint that ends has several parts for each of its requests; a
+# cause is in the most crashes.
+PART_RESEND_S, MAX_RESENT_PARTS = 0.5, 4
 Later = Callable[[float, Callable[[], None]], object]
 
 
@@ -54,6 +58,8 @@
         later: Later = _call_later,
         kind: Kind = Kind.CRASHES,
         succeeded_s: Callable[[str], float] = lambda name: NEVER_S,
+        resend_s: float = RESEND_S,
+        max_resent: int | None = None,
     ) -> None:
         """Start without peers; nothing is sent until connect() is called.
 
@@ -62,8 +68,12 @@
           kind: Type of the datagrams that carry these records.
           succeeded_s: Returns when this node last had a success of a record's name, on the clock of
             the records; NEVER_S if not lately.
+          resend_s: Seconds for which a record is resent that was new to this node.
+          max_resent: Maximum number of records that are resent with one heartbeat; None for all.
         """
         self._later = later
+        self._resend_s = resend_s
+        self._max_resent = max_resent
         self._kind = kind
         self._succeeded_s = succeeded_s
         self._records = records
@@ -119,9 +129,21 @@
             name: until_s for name, until_s in self._resend_until_s.items() if until_s > now_s
         }
         if self._resend_until_s:
-            self._send(self._resend_until_s, self._membership.gossip_targets())
+            self._send(self._to_resend(), self._membership.gossip_targets())
         self._send_to_new_peers()
 
+    def _to_resend(self) -> list[str]:
+        """Return the names of the records that go out with this heartbeat."""
+        names = list(self._resend_until_s)
+        if self._max_resent is None or len(names) <= self._max_resent:
+            return names
+        return sorted(names, key=self._crash_count, reverse=True)[: self._max_resent]
+
+    def _crash_count(self, name: str) -> int:
+        """Return how many crashes of a record are known, whether they still count or not."""
+        record = self._records.find(name)
+        return len(record.crashes) if record else 0
+
     def merge(self, record: CrashReport) -> None:
         """Merge a record that a peer has sent within another message."""
         if self._records.merge(record) and _is_suspect(self._records.find(record.fingerprint)):
@@ -197,8 +219,8 @@
             self._records.merge(CrashReport(record.fingerprint, acquitted_ago_s=ago_s))
 
     def _mark_recent(self, fingerprint: str) -> None:
-        """Resend a record with the next heartbeats, for RESEND_S."""
-        self._resend_until_s[fingerprint] = self._records.now_s() + RESEND_S
+        """Resend a record with the next heartbeats."""
+        self._resend_until_s[fingerprint] = self._records.now_s() + self._resend_s
 
 
 def _is_suspect(record: CrashRecord | None) -> bool:
--- a/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/quarantine_parts.py
@@ -20,7 +20,11 @@
 from springbridge_node.gateway.config.store_readers import StoreReaders
 from springbridge_node.gateway.config.stored_quarantine import StoredQuarantine
 from springbridge_node.gateway.endpoints.crash_confirmation import CrashConfirmation
-from springbridge_node.gateway.peers.crash_sharing import CrashSharing
+from springbridge_node.gateway.peers.crash_sharing import (
+    MAX_RESENT_PARTS,
+    PART_RESEND_S,
+    CrashSharing,
+)
 from springbridge_node.gateway.peers.datagrams import Kind, PeerDatagrams
 from springbridge_node.gateway.peers.part_permits import PartPermits
 from springbridge_node.gateway.peers.trial_coordination import TrialCoordinators
@@ -81,6 +85,8 @@
             coordinators,
             kind=Kind.PART_CRASHES,
             succeeded_s=successes.last_s,
+            resend_s=PART_RESEND_S,
+            max_resent=MAX_RESENT_PARTS,
         )
 
         def endpoint_count(service: str) -> int:
