--- a/packages/springbridge-ctl/springbridge_ctl/main.py
+++ b/packages/springbridge-ctl/springbridge_ctl/main.py
@@ -20,7 +20,7 @@
 from springbridge.codes import Code
 from springbridge.problems import Problem
 
-from springbridge_ctl import quarantine
+from springbridge_ctl import quarantine_commands
 from springbridge_ctl.client import Operator
 
 app = typer.Typer(
@@ -28,7 +28,7 @@
 )
 table = typer.Typer(help="The table of weights and limits.", no_args_is_help=True)
 app.add_typer(table, name="table")
-app.add_typer(quarantine.app, name="quarantine")
+app.add_typer(quarantine_commands.app, name="quarantine")
 
 NodeOption = Annotated[
     str, typer.Option("--node", envvar="SPRINGBRIDGECTL_NODE", help="IP number:port of a node.")
--- a/packages/springbridge-standins/springbridge_standins/part_simulation_test.py
+++ b/packages/springbridge-standins/springbridge_standins/part_simulation_test.py
@@ -7,7 +7,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from springbridge_standins.part_simulation import History, PartSimulation
+from springbridge_standins.part_histories import History
+from springbridge_standins.part_simulation import PartSimulation
 
 SEEDS = range(40)
 # Aims: arrivals after the part should be known; crashes for a part, and share of the sound requests
