A trial of parts keeps others waiting for a second at the most

Its node had been killed, so that its end was never told, and the coordinator counted it until the deadline of its request, 3 s later.

Change: a trial keeps others of its suspects waiting for 1 s (MAX_EXCLUSIVE_S). A crash comes some tenths of a second after the send as a rule; where an endpoint takes longer, one more may be risked.

--- a/packages/springbridge/springbridge/part_trials.py
+++ b/packages/springbridge/springbridge/part_trials.py
@@ -1,8 +1,9 @@
 """Trials of prompts with parts that are suspected of crashing endpoints (part_quarantine.py).
 
 One node decides for all, the first trial coordinator of PARTS_ROLE, since a part may come with any
-service. It grants one trial at a time for each suspect: requests without a common suspect may be
-on trial at the same time, preferably not on the same endpoint, so that a crash tells them apart.
+service. It grants one trial at a time for each suspect, for as long as a crash may take; requests
+without a common suspect may be on trial at the same time, preferably not on the same endpoint, so
+that a crash tells them apart.
 
 Relies on a monotonic clock in seconds. Nothing here waits or does input or output.
 """
@@ -11,7 +12,7 @@
 
 from springbridge.part_quarantine import PartQuarantine
 from springbridge.quarantine import Standing
-from springbridge.trials import GRANTED, MAX_TRIAL_RUN_S, WAIT, Answer, Permission
+from springbridge.trials import GRANTED, WAIT, Answer, Permission
 
 # Stands for a service where the trial coordinators of parts are determined. All nodes of a fleet
 # have to select the same ones, so it must not change.
@@ -19,6 +20,9 @@
 # Shortest time in seconds between two trials of the same suspects. The first may have told nothing,
 # as when the endpoint was full; sound prompts wait meanwhile.
 MIN_TRIAL_PAUSE_S = 0.25
+# Seconds for which a trial keeps others of its suspects waiting. Longer than a crash takes as a
+# rule; the node that holds the trial may have ended, and sound prompts wait meanwhile.
+MAX_EXCLUSIVE_S = 1.0
 # Maximum number of grants that are remembered for their pauses; each is a few suspects.
 MAX_GRANTS = 256
 
@@ -29,7 +33,7 @@
 
     Attributes:
       endpoint_id: Endpoint on which it runs.
-      until_s: When it no longer counts as running.
+      until_s: When it no longer keeps others waiting.
     """
 
     suspects: frozenset[str]
@@ -75,7 +79,7 @@
         if endpoint_id in avoided:
             return Permission(Answer.ANOTHER_ENDPOINT, avoided=tuple(sorted(avoided)))
         self._running[holder] = PartTrial(
-            found.suspects, endpoint_id, now_s + min(left_s, MAX_TRIAL_RUN_S)
+            found.suspects, endpoint_id, now_s + min(left_s, MAX_EXCLUSIVE_S)
         )
         self._record_grant(found.suspects, now_s)
         return GRANTED
--- a/packages/springbridge/springbridge/part_trials_test.py
+++ b/packages/springbridge/springbridge/part_trials_test.py
@@ -6,7 +6,7 @@
 
 from springbridge.crash_records import CrashRecords
 from springbridge.part_quarantine import TRIAL_PAUSES_S, PartQuarantine
-from springbridge.part_trials import MIN_TRIAL_PAUSE_S, PartTrials
+from springbridge.part_trials import MAX_EXCLUSIVE_S, MIN_TRIAL_PAUSE_S, PartTrials
 from springbridge.trials import Answer
 
 ENDPOINTS = 4
@@ -75,6 +75,13 @@
     assert_that(found, Equals([Answer.GRANTED, Answer.ANOTHER_ENDPOINT, Answer.GRANTED]))
 
 
+# Guards against sound prompts that wait for a trial whose node has ended.
+def test_a_trial_that_does_not_end_keeps_others_waiting_for_a_moment_only(fleet):
+    fleet.ask("n/1", "first")
+    fleet.now_s += MAX_EXCLUSIVE_S + 0.01
+    assert_that(fleet.ask("n/2", "first"), Equals(Answer.GRANTED))
+
+
 # Guards against a prompt that is sent again and again because full endpoints turn its trials away.
 def test_a_trial_that_told_nothing_is_followed_by_a_pause(fleet):
     fleet.ask("n/1", "first", "bad")
