A connection attempt is waited for where there is no peer to ask

What callers saw: at an instance without a live peer, each request that needed a connection to an endpoint that neither accepts nor refuses ended after 0.15 s with a closed connection and without an answer, also where a sound endpoint had answered with a failure that was held back.

Cause: EndpointConnector.connect waits HEDGE_DELAY_S for the direct connection. With peers it then waits until one of both attempts is up or both have failed. Without peers it went on at once and asked a task that was not done for its exception: InvalidStateError, connector.py:108, which nobody expects. So the request ended in the listener's last resort, which closes the connection; and the endpoint was never marked as unreachable, so that the next request chose it again.

The stand-in for peers in connector_test.py always had some.

Change: both ways wait in _wait_for_either, with one attempt or with two. The attempt ends by its own timeout at the latest, with ConnectFailedError, which the router records and answers.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
@@ -62,7 +62,7 @@
             await asyncio.wait({direct}, timeout=HEDGE_DELAY_S)
             if not _is_up(direct) and self._tunnels.has_peers():
                 through = asyncio.ensure_future(self._tunnels.open(entry))
-                await _wait_for_either(direct, through)
+            await _wait_for_either(direct, through)
             used = self._first_up(entry, direct, through)
             return used
         finally:
@@ -100,7 +100,10 @@
         direct: asyncio.Task[HttpConnection],
         through: asyncio.Task[HttpConnection] | None,
     ) -> HttpConnection:
-        """Return the connection that came up, the direct one if both did; see connect()."""
+        """Return the connection that came up, the direct one if both did; see connect().
+
+        Both attempts have ended unless one of them is up; see _wait_for_either.
+        """
         if _is_up(direct):
             self._record_up(entry)
             return direct.result()
@@ -146,9 +149,9 @@
             logs.event("path.back", engine=entry.endpoint_id, lost_paths=len(self._paths.lost()))
 
 
-async def _wait_for_either(direct: asyncio.Task, through: asyncio.Task) -> None:
-    """Wait until one connection is up or both attempts have failed."""
-    pending = {direct, through}
+async def _wait_for_either(direct: asyncio.Task, through: asyncio.Task | None) -> None:
+    """Wait until one connection is up or all attempts have failed; peers may not be asked."""
+    pending = {direct} if through is None else {direct, through}
     while pending and not (_is_up(direct) or _is_up(through)):
         _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
 
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector_test.py
@@ -1,4 +1,4 @@
-"""Tests of connector.py: when a refused connection counts as the end of an endpoint."""
+"""Tests of connector.py: how a connection attempt ends, and what that tells of an endpoint."""
 
 import asyncio
 
@@ -6,6 +6,7 @@
 from springbridge.routing.paths import PathTable
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation
 from springbridge_standins.free_addresses import free_ports
+from springbridge_standins.gateway.cuts import CutKind, cuttable_paths
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -21,30 +22,41 @@
 class Peers:
     """Stands in for the tunnels of peers, none of which connects."""
 
-    def __init__(self, *results):
+    def __init__(self, *results, counts=(2,)):
+        """Keep the results, and how many peers there are at each look; the last count stays."""
         self.results = results
+        self.counts = list(counts)
 
     def has_peers(self):
-        """Return that there are peers."""
-        return True
+        """Return whether there are peers at this look."""
+        return (self.counts.pop(0) if len(self.counts) > 1 else self.counts[0]) > 0
 
     async def open(self, entry):
         """Fail with the results."""
         raise TunnelFailedError(self.results)
 
 
-def refusal(results, lost=()):
-    """Return the error of a connection to a port where nobody listens."""
-    entry = EndpointEntry("i-1", "model", f"127.0.0.1:{free_ports(1)[0]}", "a", 4, False)
+def entry_nobody_serves():
+    """Return an endpoint at a port where nobody listens."""
+    return EndpointEntry("i-1", "model", f"127.0.0.1:{free_ports(1)[0]}", "a", 4, False)
+
+
+def failure(entry, peers, lost=()):
+    """Return the error of a connection to an endpoint that does not come up."""
     paths = PathTable(now_s)
     for each in lost:
         paths.record_lost(each)
-    connector = EndpointConnector(paths, Peers(*results), lambda incarnation: None)
+    connector = EndpointConnector(paths, peers, lambda incarnation: None)
     with pytest.raises(ConnectFailedError) as caught:
         asyncio.run(connector.connect(entry))
     return caught.value
 
 
+def refusal(results, lost=()):
+    """Return the error of a connection to a port where nobody listens."""
+    return failure(entry_nobody_serves(), Peers(*results), lost)
+
+
 # Guards against crashes that nobody counts, so that a request goes on ending endpoints: peers may
 # know nothing of an endpoint that rests or leaves there.
 @pytest.mark.parametrize(
@@ -61,3 +73,23 @@
 )
 def test_a_refusal_stands_unless_a_peer_or_a_lost_path_speaks_against_it(results, lost, expected):
     assert_that(refusal(results, lost).refused, Equals(expected))
+
+
+# Guards against requests whose callers' connections are closed without an answer: an instance
+# without a peer asked for the result of a direct connection that was still being opened.
+@pytest.mark.parametrize("counts", [(0,), (0, 2)])
+def test_a_silent_endpoint_fails_a_connection_of_an_instance_without_peers(counts):
+    entry = entry_nobody_serves()
+    with cuttable_paths() as cuts:
+        cuts.cut("", [entry.address], CutKind.HANG)
+        caught = failure(entry, Peers(TunnelResult.SILENT, counts=counts))
+    assert_that((caught.refused, caught.agreed), Equals((False, False)))
+
+
+# Guards against the same where the peers go while the instance tries to connect.
+def test_a_silent_endpoint_fails_a_connection_of_an_instance_whose_peers_have_just_gone():
+    entry = entry_nobody_serves()
+    with cuttable_paths() as cuts:
+        cuts.cut("", [entry.address], CutKind.HANG)
+        caught = failure(entry, Peers(counts=(2, 0)), lost=(entry.incarnation,))
+    assert_that((caught.refused, caught.agreed), Equals((False, False)))
