Soak: unforeseen exceptions are violations, and instances are left alone before silent endpoints

Cause that the fault in the connector went unseen: the soaks check answers, and read no node's log for springbridge.fault; and none had a fleet of one, one that shrinks to one, or peers that are all silent, while an endpoint neither accepts nor refuses connections.

Change: check_faults reads the logs of all nodes and reports each kind of fault line, and each error that a library logs, as a violation. A harm of its own kills or freezes all nodes but one and hangs the paths of that one to some or all endpoints, after a drawn lead, again and again, beside the other harms. Cuts of paths are shared with paths.py.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -4,7 +4,7 @@
 import contextlib
 import signal
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 from springbridge_standins.gateway.duties import DutyFault
 from springbridge_standins.gateway.soak.nodes import NodeProcess
@@ -214,7 +214,13 @@
     if len(free) < 3:
         yield None
         return
-    node = soak.rng.choice(free)
+    with reserved(soak, soak.rng.choice(free)) as node:
+        yield node
+
+
+@contextlib.contextmanager
+def reserved(soak: Soak, node: NodeProcess) -> Iterator[NodeProcess]:
+    """Reserve a node during the block, so that no other fault affects it."""
     node.busy = True
     soak.stamp("node harmed", node=node.name)
     try:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/paths.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/paths.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Mapping
 
 from springbridge_standins.gateway.cuts import CutKind
 from springbridge_standins.gateway.soak.nodes import NodeProcess
@@ -28,7 +29,7 @@
     """Cut paths of some nodes, again and again, until cancelled."""
     while True:
         await asyncio.sleep(rng.random() * MAX_PAUSE_S)
-        nodes, addresses = _some_nodes(soak, rng), _some_addresses(soak, rng)
+        nodes, addresses = _some_nodes(soak, rng), some_addresses(soak, rng)
         soak.counts["harm cut_paths"] += 1
         if rng.random() < REPEATED_SHARE:
             for _ in range(REPEATS):
@@ -42,19 +43,26 @@
     soak: Soak, rng: random.Random, nodes: list[NodeProcess], addresses: list[str], for_s: float
 ) -> None:
     """Cut the paths from some nodes to some addresses for a while, each node in its own way."""
-    kinds = {node.name: rng.choice(list(CutKind)) for node in nodes}
-    soak.stamp("paths cut", kinds={name: kind.name for name, kind in kinds.items()})
+    kinds = {node: rng.choice(list(CutKind)) for node in nodes}
+    await cut_paths(soak, kinds, addresses, for_s)
+
+
+async def cut_paths(
+    soak: Soak, kinds: Mapping[NodeProcess, CutKind], addresses: list[str], for_s: float
+) -> None:
+    """Cut the paths from some nodes, each in its way, to some addresses for some seconds."""
+    soak.stamp("paths cut", kinds={node.name: kind.name for node, kind in kinds.items()})
     began_s = time.monotonic()
-    for node in nodes:
-        node.cut_paths(kinds[node.name], addresses)
+    for node, kind in kinds.items():
+        node.cut_paths(kind, addresses)
     # Before the wait: a soak may end within a cut.
     until_s = began_s + for_s + SLACK_S
     engines = frozenset(name for name in soak.engines if soak.proxy_of(name).address in addresses)
-    soak.path_cuts += [PathCut(node.caller_address, began_s, until_s, engines) for node in nodes]
+    soak.path_cuts += [PathCut(node.caller_address, began_s, until_s, engines) for node in kinds]
     await asyncio.sleep(for_s)
-    for node in nodes:
+    for node in kinds:
         node.cut_paths(None, [])
-    soak.stamp("paths mended", nodes=sorted(kinds))
+    soak.stamp("paths mended", nodes=sorted(node.name for node in kinds))
 
 
 def _some_nodes(soak: Soak, rng: random.Random) -> list[NodeProcess]:
@@ -65,7 +73,7 @@
     return rng.sample(soak.nodes, rng.randint(1, max(1, len(soak.nodes) // 2)))
 
 
-def _some_addresses(soak: Soak, rng: random.Random) -> list[str]:
+def some_addresses(soak: Soak, rng: random.Random) -> list[str]:
     """Return the addresses of all engines, or of some."""
     addresses = [proxy.address for proxy in soak.engine_proxies]
     if rng.random() < 0.5:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -3,8 +3,8 @@
 The checks cover what callers and engines see: answers are complete and belong to their request, a
 request that may not be repeated runs at most once, a request reported as not run does not run,
 nothing runs that no caller sent, and the customer is right. An engine gets no more than its rate,
-no requests while it asks for rest, and no new ones once it leaves. All random draws come from the
-seed; the timing of processes does not.
+no requests while it asks for rest, and no new ones once it leaves. No node meets an unforeseen
+exception. All random draws come from the seed; the timing of processes does not.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 from springbridge_standins.free_addresses import free_ports, loopback_network
 from springbridge_standins.gateway.crashing import POISON_MARK
 from springbridge_standins.gateway.engine import EngineStandIn
+from springbridge_standins.gateway.soak.alone import leave_alone_forever
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_duties, check_record, check_served
 from springbridge_standins.gateway.soak.crashes import (
@@ -32,6 +33,7 @@
     send_poison_forever,
 )
 from springbridge_standins.gateway.soak.engine import SoakScript
+from springbridge_standins.gateway.soak.faults import check_faults
 from springbridge_standins.gateway.soak.harms import (
     NODE_START_S,
     copy_forever,
@@ -86,6 +88,7 @@
     enough: Callable[[], bool] = lambda: True,
     counts: Counter | None = None,
     parts: bool = False,
+    alone: bool = False,
 ) -> Soak:
     """Run a soak and return its state with the violations; the nodes log into the folder.
 
@@ -94,6 +97,7 @@
         MAX_LENGTH_FACTOR times its length.
       counts: Gets the counts of the soak while it runs.
       parts: Whether prompts with a part that crashes engines are sent too.
+      alone: Whether one node after another is left alone, by the loss of all others.
     """
     async with contextlib.AsyncExitStack() as stack:
         soak = Soak(random.Random(seed), StoreStandIn())
@@ -112,6 +116,9 @@
         if parts:
             rng = random.Random(f"{seed} parts")
             tasks.append(asyncio.ensure_future(send_prompts_forever(part_harm, rng)))
+        if alone:
+            rng = random.Random(f"{seed} alone")
+            tasks.append(asyncio.ensure_future(leave_alone_forever(soak, rng)))
         for _ in range(MAX_LENGTH_FACTOR):
             done, _ = await asyncio.wait(
                 tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
@@ -132,6 +139,7 @@
         check_rates(soak, statements.rates)
         check_statements(soak, statements)
         check_versions(rollouts)
+        check_faults(soak, folder)
         _write_stamps(soak, folder / "stamps.jsonl")
         return soak
 
@@ -230,14 +238,19 @@
 
 
 def main(
-    seed: int = 1, minutes: float = 1.0, seeds: int = 1, nodes: int = 4, parts: bool = True
+    seed: int = 1,
+    minutes: float = 1.0,
+    seeds: int = 1,
+    nodes: int = 4,
+    parts: bool = True,
+    alone: bool = True,
 ) -> None:
     """Run soaks with consecutive seeds; exit with 1 if one finds a violation."""
     failed = False
     for number in range(seed, seed + seeds):
         began_s = time.monotonic()
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes, parts=parts))
+        soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes, parts=parts, alone=alone))
         failed = failed or bool(soak.violations)
         took_s = time.monotonic() - began_s
         summary = f"seed {number}, {len(soak.sent)} requests, {took_s:.0f} s"
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Equals, GreaterThan
 
 from springbridge_standins.gateway.soak import nodes
+from springbridge_standins.gateway.soak.alone import LEFT_ALONE
 from springbridge_standins.gateway.soak.soak import run_soak
 from springbridge_standins.gateway.soak.unframed import Ending
 
@@ -77,6 +78,29 @@
     assert_that(soak.violations, Equals([]))
 
 
+# Guards against requests that end without an answer at a fleet of one instance, as endpoints that
+# neither accept nor refuse connections were an unforeseen case there.
+def test_a_short_soak_of_a_fleet_of_one_breaks_no_promise(tmp_path):
+    soak = asyncio.run(run_soak(87, 12.0, tmp_path, nodes=1))
+    assert_that(soak.violations, Equals([]))
+
+
+# Guards against the same at an instance whose peers are killed or frozen at that moment.
+def test_a_short_soak_with_instances_left_alone_breaks_no_promise(tmp_path):
+    soak_counts = Counter()
+    soak = asyncio.run(
+        run_soak(
+            87,
+            12.0,
+            tmp_path,
+            counts=soak_counts,
+            enough=lambda: soak_counts[LEFT_ALONE] > 3,
+            alone=True,
+        )
+    )
+    assert_that(soak.violations, Equals([]))
+
+
 # Guards against a soak that finds no violation because its nodes never served.
 def test_a_soak_whose_nodes_never_serve_is_a_violation(tmp_path, monkeypatch):
     monkeypatch.setattr(nodes, "sys", SimpleNamespace(executable="/bin/false"))
