A refusal over a lost path is no end of an endpoint where no peer can tell

A cut that refuses connections, at an instance whose peers have just gone, are left out or are silent, counted as the end of each endpoint that was tried, so that a sound request could be recorded as one that ends endpoints, and be quarantined.

Cause: with peers, a refusal that no peer can judge counts only if no path is lost here. Two ways past that rule: a path that is known as lost, whose peers cannot help, is tried directly, and its refusal was passed on as it was; and without any peer the direct error was passed on as it was.

Change: both ways ask the same question, in _unconfirmed. The endpoint still counts as unreachable, and is probed.

The new test failed in its three cases on (refused was True), and passes.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
@@ -90,7 +90,10 @@
             if exc.shows_unreachable:
                 detail = f"through peers: {exc}"
                 raise ConnectFailedError(detail, exc.shows_refusal, agreed=True) from exc
-        conn = await connect(entry.address, HEDGE_DELAY_S)
+        try:
+            conn = await connect(entry.address, HEDGE_DELAY_S)
+        except ConnectFailedError as exc:
+            raise self._unconfirmed(exc) from exc
         self._record_up(entry)
         return conn
 
@@ -108,7 +111,7 @@
             self._record_up(entry)
             return direct.result()
         if through is None:
-            raise direct.exception()
+            raise self._unconfirmed(direct.exception())
         if _is_up(through):
             self._record_lost(entry, direct)
             return through.result()
@@ -123,6 +126,16 @@
             agreed=refused.shows_unreachable,
         )
 
+    def _unconfirmed(self, failed: BaseException) -> BaseException:
+        """Return the error of a direct connection where no peer can tell whether it is the path.
+
+        A refusal then shows the end of an endpoint only if no path is lost here: a cut may refuse
+        connections as well.
+        """
+        if not isinstance(failed, ConnectFailedError) or not self._paths.lost():
+            return failed
+        return ConnectFailedError(f"{failed}; paths are lost", refused=False)
+
     def _is_refused_by_all(self, through: TunnelFailedError) -> bool:
         """Return whether peers confirm a refusal, or none can tell and no path is lost here."""
         if through.shows_unreachable:
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector_test.py
@@ -93,3 +93,19 @@
         cuts.cut("", [entry.address], CutKind.HANG)
         caught = failure(entry, Peers(counts=(2, 0)), lost=(entry.incarnation,))
     assert_that((caught.refused, caught.agreed), Equals((False, False)))
+
+
+# Guards against sound requests in quarantine: a cut that refuses connections was taken for crashes
+# of endpoints when the peers, which could have told, had just gone or could not help.
+@pytest.mark.parametrize(
+    "peers",
+    [
+        Peers(counts=(2, 0)),
+        Peers(TunnelResult.EXCLUDED, TunnelResult.SILENT),
+        Peers(counts=(0,)),
+    ],
+)
+def test_a_refusal_over_a_lost_path_is_no_end_of_an_endpoint(peers):
+    entry = entry_nobody_serves()
+    caught = failure(entry, peers, lost=(entry.incarnation,))
+    assert_that(caught.refused, Equals(False))
