Router: sending to one endpoint stands in a module of its own

router.py had 376 lines and two jobs: which endpoint next, or give up; and one send with all that is acquired for it. The second is endpoint_sender.py now, the parts of both are router_parts.py. Methods are moved as they were, send() was _send(). Mutants and pages follow. No change of behaviour.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -58,7 +58,8 @@
 from springbridge_node.gateway.requests.rate_parts import RateParts
 from springbridge_node.gateway.requests.request_log import RequestLog
 from springbridge_node.gateway.requests.rest_refusals import RestRefusals
-from springbridge_node.gateway.requests.router import RequestRouter, RouterParts
+from springbridge_node.gateway.requests.router import RequestRouter
+from springbridge_node.gateway.requests.router_parts import RouterParts
 from springbridge_node.gateway.requests.selection_parts import SelectionParts
 from springbridge_node.gateway.requests.stream_versions import StreamVersions
 from springbridge_node.gateway.requests.usage_meter import NullUsageMeter
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -62,7 +62,7 @@
     ),
     Mutant(
         "retries draw on the retry budget",
-        f"{NODE}/gateway/requests/router.py",
+        f"{NODE}/gateway/requests/endpoint_sender.py",
         "return self._parts.budget.try_retry(exchange.demand.service)",
         "return True",
         f"{REQUESTS}::test_second_tries_stay_within_the_budget",
--- a/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/rate_mutants.py
@@ -12,7 +12,7 @@
 RATE_MUTANTS = (
     Mutant(
         "a rate: requests need a permit",
-        f"{NODE}/gateway/requests/router.py",
+        f"{NODE}/gateway/requests/endpoint_sender.py",
         "if not await self._parts.rates.gate.acquire_permit(exchange, entry):",
         "if False:",
         f"{NAMED_RATE}::test_an_endpoint_gets_no_more_than_the_rate_that_it_names",
--- a/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/statement_mutants.py
@@ -80,14 +80,14 @@
     ),
     Mutant(
         "rest: a single request is sent at its end",
-        f"{NODE}/gateway/requests/router.py",
+        f"{NODE}/gateway/requests/endpoint_sender.py",
         "        self._parts.registry.record_send(choice.state)\n",
         "",
         f"{REST}::test_at_the_end_of_a_rest_one_request_goes_first",
     ),
     Mutant(
         "rest: a request that waited is checked again before it is sent",
-        f"{NODE}/gateway/requests/router.py",
+        f"{NODE}/gateway/requests/endpoint_sender.py",
         "        return self._parts.registry.may_get_request(state, progress.last_resort)\n",
         "        return True\n",
         f"{PLATFORM}/change_while_waiting_test.py",
@@ -110,7 +110,7 @@
     ),
     Mutant(
         "a retry that is not sent is refunded to the budget",
-        f"{NODE}/gateway/requests/router.py",
+        f"{NODE}/gateway/requests/endpoint_sender.py",
         "                self._parts.budget.refund(exchange.demand.service)\n",
         "                pass\n",
         f"{REST}::test_a_retry_that_is_not_sent_goes_back_to_the_budget",
