An unforeseen exception costs a request its answer no more, nor its caller the connection

What callers saw: whatever exception nobody foresaw, at any step of a request, closed the kept connection without an answer. A sound endpoint's own failure that was held back was lost with it, and so was an answer where only a record of it failed.

Cause: the one place that caught such exceptions was the listener, which knows nothing of how far the request got, so it closed the connection. Its log line had neither request nor endpoint. And a connection that was acquired was not given back if the exception came before the attempt began.

Nothing sent: NODE_FAULT, 503, not run, with the time to come back; met while connecting: another endpoint. Sent and nothing known: OUTCOME_UNKNOWN, which promises nothing. A held-back failure is passed on. An answer that has begun is cut off. What only records (load, statements, streams, log) takes no answer from anybody. A confirmation of a crash that fails tells nothing, in place of ending all requests that wait for it. The listener's last resort answers 504. The connection is owned by a block from the moment it is acquired. Fault lines have request_id, stage (where) and engine, and the metrics page counts them as springbridge_faults.

Why it works: serving an admitted request ends in one place for all exceptions, which knows the attempts; permits, places, budget, load and connection are held by blocks that any way out leaves.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -57,12 +57,13 @@
         Raises:
           CallerGoneError: The caller has closed its connection.
         """
-        self.started = True
         if self._lacks_end(status, headers):
             self._end_with_connection(headers)
         line = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
         sent = None if self._answers_head else piece or None
-        await _await_write(self._connection.write_headers(line, headers, sent))
+        written = self._connection.write_headers(line, headers, sent)
+        self.started = True
+        await _await_write(written)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body and wait until it is written to the socket.
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from springbridge.codes import Code
+from springbridge.problems import Problem
 from springbridge.routing.records import CallerLimits
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -24,6 +26,8 @@
 # Connections that may wait to be accepted. Above tornado's 128, so that callers that all connect at
 # once, as after the loss of an instance, are not refused by the kernel.
 LISTEN_BACKLOG = 512
+# For a request of which nobody knows how far it got.
+FAULT_MET = Problem(Code.OUTCOME_UNKNOWN, "fault")
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,19 +117,34 @@
         connection.set_close_callback(lambda: _cancel_unanswered(answer, task))
 
     async def _serve_guarded(self, request: IncomingRequest, answer: CallerAnswer) -> None:
-        """Serve a request; abort its answer if serving fails to end it."""
+        """Serve a request; close its connection if its answer cannot be ended otherwise."""
         try:
-            await self._serve(request, answer)
+            await self._serve_to_end(request, answer)
             await answer.wait_sent()
         except CallerGoneError:
             # The router has logged the end of the request; there is no caller left to answer.
             pass
         except Exception as exc:
-            logs.fault(exc, "serve")
+            logs.fault(exc, "answer")
         finally:
             if not answer.ended:
                 answer.abort()
 
+    async def _serve_to_end(self, request: IncomingRequest, answer: CallerAnswer) -> None:
+        """Serve a request; where that meets an unforeseen exception, promise nothing of its run.
+
+        Raises:
+          CallerGoneError: The caller has closed its connection.
+        """
+        try:
+            await self._serve(request, answer)
+        except CallerGoneError:
+            raise
+        except Exception as exc:
+            logs.fault(exc, "serve")
+            if not answer.started:
+                await answer.refuse(FAULT_MET)
+
 
 def _cancel_unanswered(answer: CallerAnswer, task: asyncio.Task) -> None:
     """Cancel the task of a request whose caller closed the connection before its answer ended."""
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
@@ -3,13 +3,14 @@
 import asyncio
 import socket
 
+import pytest
 from springbridge.routing.records import CallerLimits
 from springbridge_standins.free_addresses import free_ports
-from springbridge_standins.gateway.caller import request_bytes
+from springbridge_standins.gateway.caller import CallerConnection, request_bytes
 from springbridge_standins.gateway.fleet import until
 from springbridge_standins.http_wire import CRLF, read_answer
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 from tornado.httputil import HTTPHeaders
 
 from springbridge_node.gateway.callers.ingress import CallerListener
@@ -56,3 +57,29 @@
         writer.close()
 
     asyncio.run(body())
+
+
+# Guards against a kept connection that is closed without an answer, as serving one request ended
+# with an exception that nobody foresaw; and against an answer in part that looks whole then.
+@pytest.mark.parametrize("has_begun", [False, True])
+def test_a_request_whose_serving_fails_is_answered(has_begun):
+    async def serve(request, answer):
+        if has_begun:
+            await answer.start(200, "OK", HTTPHeaders(), b"part")
+        raise KeyError
+
+    async def body():
+        listener = CallerListener(serve)
+        (port,) = free_ports(1)
+        listener.listen(f"127.0.0.1:{port}", CallerLimits())
+        conn = await CallerConnection.open(f"127.0.0.1:{port}")
+        got = await conn.ask("/safe/x")
+        assert_that(
+            (got.status, got.is_complete), Equals((200, False) if has_begun else (504, True))
+        )
+        assert_that(conn.may_be_kept, Equals(not has_begun))
+        conn.close()
+        await until(lambda: not listener.in_progress)
+        assert_that(listener.in_progress, HasLength(0))
+
+    asyncio.run(body())
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/crash_confirmation.py
@@ -17,6 +17,7 @@
 from springbridge.routing.records import EndpointIncarnation
 from springbridge.statements import leaving
 
+from springbridge_node import logs
 from springbridge_node.clock import now_s
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.http_connection import ConnectFailedError
@@ -148,8 +149,9 @@
             await self._pool.warm(state.entry)
         except ConnectFailedError as exc:
             return ProcessState.ENDED if exc.refused else ProcessState.SILENT
-        except OSError:
-            # No file descriptor is left, so nothing is known. The failed attempt is logged anyway.
+        except Exception as exc:
+            # Nothing is known of the endpoint then; the requests that wait must hear that.
+            logs.fault(exc, "confirm crash", engine=state.entry.endpoint_id)
             return ProcessState.SILENT
         return ProcessState.RUNS
 
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from springbridge_node import logs
 from springbridge_node.gateway import bounded_log
 
 METRICS_PATH = "/metrics"
@@ -37,6 +38,8 @@
     telemetry.evacuated_domains.set(len(gateway.evacuations.domains))
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
     telemetry.config_version.set(gateway.configuration.version)
+    for where, count in logs.FAULTS.items():
+        telemetry.faults.labels(where).set(count)
     telemetry.store_up.set(int(gateway.endpoints.dependency.up))
     telemetry.suspensions.set(gateway.heartbeats.suspensions)
     telemetry.store_steps.set(gateway.store_steps)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_sender.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_sender.py
@@ -18,11 +18,14 @@
 
 from springbridge_node import clock
 from springbridge_node.gateway.endpoints.pool import EndpointBusyError
+from springbridge_node.gateway.http.answer_end import AnswerEnd
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
 from springbridge_node.gateway.requests.attempt import AttemptHooks, make_attempt
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange
 from springbridge_node.gateway.requests.place_gate import REJECTIONS
+from springbridge_node.gateway.requests.request_faults import log_fault, recorder, recording
 from springbridge_node.gateway.requests.router_parts import RouterParts
+from springbridge_node.gateway.requests.stage import Stage
 
 
 class EndpointSender:
@@ -44,10 +47,12 @@
         """
         if choice is None:
             return self._no_endpoint_problem(exchange)
-        entry = choice.state.entry
+        entry, progress = choice.state.entry, exchange.progress
+        progress.stage = Stage.PERMIT
         if not await self._parts.rates.gate.acquire_permit(exchange, entry):
             return None
         with self._parts.rates.gate.hold_permit(exchange, entry):
+            progress.stage = Stage.PLACE
             place = await self._parts.places.acquire(exchange, entry)
             if place is None:
                 return None
@@ -81,21 +86,40 @@
         with self._budgeted_send(exchange) as may_send:
             if not may_send:
                 return giving_up.without_endpoint(exchange.route, exchange.attempts())
+            exchange.progress.stage = Stage.CONNECT
             connection = await self._connect(exchange, choice.state)
             if connection is None:
                 return None
-            if not self._may_still_get(exchange, choice.state):
-                self._parts.pool.release(choice.state.entry.incarnation, connection)
-                return None
-            end = await self._attempt(exchange, choice, connection)
-        if await self._parts.gate.record_end(exchange, choice.state, end):
-            # No process listens there any more, so other requests need not try it.
-            self._parts.loads.unreached(choice.state.entry)
+            exchange.progress.stage = Stage.SEND
+            with self._discarding_on_error(choice.state, connection):
+                if not self._may_still_get(exchange, choice.state):
+                    self._parts.pool.release(choice.state.entry.incarnation, connection)
+                    return None
+                end = await self._attempt(exchange, choice, connection)
+        with recording(exchange):
+            if await self._parts.gate.record_end(exchange, choice.state, end):
+                # No process listens there any more, so other requests need not try it.
+                self._parts.loads.unreached(choice.state.entry)
         if self._was_path_lost(choice.state, connection, end):
             end = AttemptOutcome.PATH_LOST
-        self._record(exchange, choice.state, end)
+            exchange.progress.paths_lost += 1
+            # The endpoint itself is up, and may have the request again through a peer.
+            exchange.progress.tried.discard(choice.state.entry.endpoint_id)
+        with recording(exchange):
+            self._record(exchange, choice.state, end)
         return end
 
+    @contextlib.contextmanager
+    def _discarding_on_error(
+        self, state: EndpointState, connection: HttpConnection
+    ) -> Iterator[None]:
+        """Close a connection if the block, which returns it to the pool, ends with an error."""
+        try:
+            yield
+        except BaseException:
+            self._parts.pool.discard(state.entry.incarnation, connection)
+            raise
+
     def _may_still_get(self, exchange: Exchange, state: EndpointState) -> bool:
         """Return whether a selected endpoint may get the request now.
 
@@ -151,6 +175,9 @@
         except EndpointBusyError:
             # Not logged: this is common under load, and the end of the request is logged.
             exchange.progress.busy += 1
+        except Exception as exc:
+            # Nothing was sent, so another endpoint may get the request.
+            log_fault(exchange, exc)
         exchange.progress.unreached += 1
         exchange.progress.tried.add(endpoint_id)
         return None
@@ -174,32 +201,45 @@
         chosen = ChosenEndpoint.from_choice(choice, exchange.demand, through, clock.now_s())
         exchange.progress.chosen.append(chosen)
         self._parts.registry.record_send(choice.state)
-        try:
-            count_run = partial(self._parts.usage.count_run, exchange.admitted)
-            with self._parts.loads.attempt(choice, exchange.demand, count_run) as load:
-                exchange.progress.load = load
-                hooks = AttemptHooks(
-                    on_answer_head=partial(
-                        self._parts.rates.watch.record, choice.state.entry, exchange.request_id
-                    ),
-                    on_first_event=partial(self._parts.streams.first_event, exchange),
-                    verify_end=partial(
-                        self._parts.ends.verify, choice.state, connection, chosen.sent_s
-                    ),
-                )
-                codec = self._parts.codec
-                repeatable = retries.is_repeatable(exchange.route)
-                with self._parts.stalls.watching(choice.state.entry, connection, repeatable):
-                    end = await make_attempt(exchange, choice, connection, codec, hooks)
-        except BaseException:
-            self._parts.pool.discard(incarnation, connection)
-            raise
+        count_run = partial(self._parts.usage.count_run, exchange.admitted)
+        with self._parts.loads.attempt(choice, exchange.demand, count_run) as load:
+            exchange.progress.load = load
+            hooks = self._hooks(exchange, choice, connection, chosen.sent_s)
+            repeatable = retries.is_repeatable(exchange.route)
+            with self._parts.stalls.watching(choice.state.entry, connection, repeatable):
+                end = await make_attempt(exchange, choice, connection, self._parts.codec, hooks)
         if end in (AttemptOutcome.BROKEN, AttemptOutcome.SILENT):
             self._parts.pool.discard(incarnation, connection)
         else:
             self._parts.pool.release(incarnation, connection)
         return end
 
+    def _hooks(
+        self, exchange: Exchange, choice: Choice, connection: HttpConnection, sent_s: float
+    ) -> AttemptHooks:
+        """Return what an attempt calls while its answer arrives.
+
+        Args:
+          sent_s: When the request was sent, on the clock of `clock.now_s`.
+        """
+        entry = choice.state.entry
+
+        async def verify_end() -> AnswerEnd:
+            try:
+                return await self._parts.ends.verify(choice.state, connection, sent_s)
+            except Exception as exc:
+                # Nothing is known of the end then, as if no connection had told.
+                log_fault(exchange, exc, Stage.VERIFY_END)
+                return AnswerEnd.SILENT
+
+        return AttemptHooks(
+            on_answer_head=recorder(
+                exchange, self._parts.rates.watch.record, entry, exchange.request_id
+            ),
+            on_first_event=recorder(exchange, self._parts.streams.first_event, exchange),
+            verify_end=verify_end,
+        )
+
     def _record(self, exchange: Exchange, state: EndpointState, end: AttemptOutcome) -> None:
         """Record the outcome of an attempt for its endpoint, and log it unless it delivered."""
         self._parts.request_log.answer_ended(exchange)
@@ -208,10 +248,6 @@
             return
         if end is AttemptOutcome.OTHER_ENDPOINT:
             self._parts.loads.gone(state.entry)
-        elif end is AttemptOutcome.PATH_LOST:
-            # The endpoint itself is up, and may have the request again through a peer.
-            exchange.progress.paths_lost += 1
-            exchange.progress.tried.discard(state.entry.endpoint_id)
         elif end in ENDPOINT_FAILURES and self._parts.registry.record_failure(state):
             self._parts.request_log.endpoint_ejected(state, end)
         self._parts.request_log.attempt_failed(exchange, state.entry.endpoint_id, end)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -16,6 +16,7 @@
 from springbridge_node.gateway.http.answer_end import AnswerEnd
 from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.peers.load_sharing import SharedAttempt
+from springbridge_node.gateway.requests.stage import Stage
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +79,8 @@
     """The progress of a request so far.
 
     Attributes:
+      stage: What is being done for it.
+      endpoint_id: Endpoint that was selected last, "" before the first.
       tried: Endpoints that no further attempt goes to.
       event_sent: Whether the caller has received an event of a stream.
       chosen: The endpoints that it was sent to, in order.
@@ -113,6 +116,8 @@
         needed, see request_fingerprint.py.
     """
 
+    stage: Stage = Stage.ADMIT
+    endpoint_id: str = ""
     tried: set[str] = field(default_factory=set)
     chosen: list[ChosenEndpoint] = field(default_factory=list)
     sends: int = 0
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -14,20 +14,22 @@
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.giving_up import FinalAnswer
 from springbridge.routing.records import Demand
-from springbridge.routing.retries import AttemptOutcome
+from springbridge.routing.retries import AttemptOutcome, Attempts
 
-from springbridge_node import clock
-from springbridge_node.gateway.callers.answer import CallerAnswer
+from springbridge_node import clock, logs
+from springbridge_node.gateway.callers.answer import CallerAnswer, CallerGoneError
 from springbridge_node.gateway.callers.ingress import IncomingRequest
 from springbridge_node.gateway.requests.endpoint_sender import EndpointSender
 from springbridge_node.gateway.requests.exchange import Exchange, Progress
 from springbridge_node.gateway.requests.relay import relay_failure
+from springbridge_node.gateway.requests.request_faults import log_fault, recording
 from springbridge_node.gateway.requests.request_log import (
     CALLER_LEFT,
     SERVED,
     RequestOutcome,
 )
 from springbridge_node.gateway.requests.router_parts import RouterParts
+from springbridge_node.gateway.requests.stage import Stage
 
 
 class RequestRouter:
@@ -44,6 +46,17 @@
         Raises:
           CallerGoneError: The caller has closed its connection.
         """
+        try:
+            await self._serve(request, answer)
+        except CallerGoneError:
+            raise
+        except Exception as exc:
+            # Nothing was sent: what happens to an admitted request is caught where that is known.
+            logs.fault(exc, Stage.ADMIT.value)
+            await _end_answer(answer, giving_up.when_fault_met(Attempts()))
+
+    async def _serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
+        """Serve one request; see serve()."""
         arrival = self._parts.codec.read_arrival(request)
         match admit(self._parts.index(), arrival, self._parts.configuration_retry_after_s()):
             case Failure(problem):
@@ -68,18 +81,29 @@
 
     async def _serve_admitted(self, exchange: Exchange) -> None:
         """Serve an admitted request, and log its outcome even if it fails or is cancelled."""
-        self._parts.budget.record_request(exchange.demand.service)
-        self._parts.usage.count_admitted(exchange.admitted)
         outcome = CALLER_LEFT
         try:
-            problem = await self._attempt_until_deadline(exchange)
+            problem = await self._attempt_or_fault(exchange)
             outcome = (
                 SERVED if problem is None else RequestOutcome(problem.code.name, problem.detail)
             )
             if problem is not None:
-                await self._give_up(exchange, problem)
+                await self._give_up_guarded(exchange, problem)
         finally:
-            self._parts.request_log.ended(exchange, outcome, self._parts.registry.age_s())
+            with recording(exchange):
+                self._parts.request_log.ended(exchange, outcome, self._parts.registry.age_s())
+
+    async def _attempt_or_fault(self, exchange: Exchange) -> Problem | None:
+        """Serve an admitted request; see _attempt_until_deadline for what is returned."""
+        try:
+            self._parts.budget.record_request(exchange.demand.service)
+            self._parts.usage.count_admitted(exchange.admitted)
+            return await self._attempt_until_deadline(exchange)
+        except CallerGoneError:
+            raise
+        except Exception as exc:
+            log_fault(exchange, exc)
+            return None if exchange.answer.ended else giving_up.when_fault_met(exchange.attempts())
 
     async def _attempt_until_deadline(self, exchange: Exchange) -> Problem | None:
         """Make attempts until the answer is complete, no attempt is left or the deadline passes.
@@ -96,10 +120,12 @@
     async def _make_attempts(self, exchange: Exchange) -> Problem | None:
         """Try one endpoint after another; see _attempt_until_deadline for what is returned."""
         route, progress = exchange.route, exchange.progress
+        progress.stage = Stage.SELECT
         problem = await self._parts.streams.take_up(exchange)
         if problem is not None:
             return problem
         while True:
+            progress.stage = Stage.SELECT
             left_out = progress.tried | progress.avoided | progress.without_place
             held_back = self._parts.rates.gate.held_back(exchange)
             selection = await self._parts.selector.select(
@@ -108,6 +134,10 @@
             if selection.overload is not None:
                 return giving_up.when_overloaded(selection.overload)
             progress.last_resort = _may_be_leaving(selection.choice)
+            progress.endpoint_id = (
+                selection.choice.state.entry.endpoint_id if selection.choice else ""
+            )
+            progress.stage = Stage.GATE
             decision = await self._parts.gate.check(exchange, selection.choice)
             if decision.problem is not None:
                 return decision.problem
@@ -122,6 +152,17 @@
             if outcome is not None and not retries.may_try_another(route, exchange.attempts()):
                 return giving_up.after_failed_attempt(route, exchange.attempts(), outcome)
 
+    async def _give_up_guarded(self, exchange: Exchange, problem: Problem) -> None:
+        """End the answer of a request that is not retried, whatever its final answer meets."""
+        exchange.progress.stage = Stage.GIVE_UP
+        try:
+            await self._give_up(exchange, problem)
+        except CallerGoneError:
+            raise
+        except Exception as exc:
+            log_fault(exchange, exc)
+            await _end_answer(exchange.answer, giving_up.when_fault_met(exchange.attempts()))
+
     async def _give_up(self, exchange: Exchange, problem: Problem) -> None:
         """End the answer of a request that is not retried any more."""
         answer, failure = exchange.answer, exchange.progress.failure
@@ -134,6 +175,20 @@
                 await answer.refuse(problem)
 
 
+async def _end_answer(answer: CallerAnswer, problem: Problem) -> None:
+    """End an answer with the refusal for a problem; one that has begun can only be cut off.
+
+    Raises:
+      CallerGoneError: The caller has closed its connection.
+    """
+    if answer.ended:
+        return
+    if answer.started:
+        answer.abort()
+    else:
+        await answer.refuse(problem)
+
+
 def _may_be_leaving(choice: Choice | None) -> bool:
     """Return whether an endpoint was chosen although it has stated, or may have, that it leaves."""
     return choice is not None and choice.state.statements.leaving.first_heard_s is not None
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -116,6 +116,12 @@
             "Times that the store came back from an older copy",
             registry=self.registry,
         )
+        self.faults = Gauge(
+            "springbridge_faults",
+            "Unexpected exceptions since the start, by the part that met them",
+            ["where"],
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "springbridge_dropped_log_lines", "Log lines not written", registry=self.registry
         )
--- a/packages/springbridge/springbridge/codes.py
+++ b/packages/springbridge/springbridge/codes.py
@@ -48,6 +48,7 @@
     QUARANTINED = 210
     STREAM_ORIGIN_UNKNOWN = 211
     NO_ENGINE_OF_VERSION = 212
+    NODE_FAULT = 213
     ENGINE_FAILED = 301
     ANSWER_INCOMPLETE = 302
     ANSWER_NOT_KEPT = 303
@@ -135,6 +136,9 @@
         Fate.NOT_RUN,
         "No engine of the version that began it takes this stream; wait Retry-After or begin anew.",
     ),
+    Code.NODE_FAULT: Info(
+        503, Fate.NOT_RUN, "A fault of this node, before it sent the request; wait Retry-After."
+    ),
     Code.ENGINE_FAILED: Info(
         502, Fate.FAILED, "The request started and failed; check its effect before asking again."
     ),
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -19,6 +19,7 @@
 from springbridge.routing.records import Route
 from springbridge.routing.retries import AttemptOutcome, Attempts, is_repeatable
 from springbridge.routing.retry_after import (
+    after_node_fault,
     when_endpoint_full,
     while_endpoints_restart,
     while_on_trial,
@@ -215,6 +216,13 @@
     return _refused_not_run(route, "deadline")
 
 
+def when_fault_met(attempts: Attempts) -> Problem:
+    """Return the problem of a request whose serving met an unforeseen exception."""
+    if attempts.may_have_run:
+        return Problem(Code.OUTCOME_UNKNOWN, "fault")
+    return Problem(Code.NODE_FAULT, "fault", retry_after_s=after_node_fault())
+
+
 def _refused_not_run(route: Route, detail: str) -> Problem:
     """Return the refusal of a request that no endpoint has run although there are endpoints."""
     return Problem(Code.NO_ENGINE, detail, retry_after_s=when_endpoint_full(route.target_s))
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -19,6 +19,7 @@
 | a similar request is on trial                   | `while_on_trial`          | 1                |
 | similar requests crashed endpoints              | `quarantine`              | until its trial  |
 | the instance is at the end of its planned stop  | `while_leaving`           | 0.05             |
+| serving it met an unforeseen exception          | `after_node_fault`        | 0.5              |
 
 The excess wait is the backlog beyond the longest one behind which the request would be sent.
 `giving_up`, `overload` and the gateway use these times.
@@ -50,6 +51,9 @@
 # at once.
 ORIGIN_UNKNOWN_S = 0.5
 
+# Time in which what met the fault has probably changed here. Another instance may serve at once.
+NODE_FAULT_S = 0.5
+
 # Time that most requests take; keeps callers from retrying before the trial has ended.
 ON_TRIAL_S = 1.0
 
@@ -104,3 +108,8 @@
 def while_leaving() -> float:
     """Return Retry-After in seconds for a retry at another instance while this one stops."""
     return LEAVING_S
+
+
+def after_node_fault() -> float:
+    """Return Retry-After in seconds after an unforeseen exception, before anything was sent."""
+    return NODE_FAULT_S
--- a/packages/springbridge/springbridge/routing/retry_after_test.py
+++ b/packages/springbridge/springbridge/routing/retry_after_test.py
@@ -19,6 +19,7 @@
         (retry_after.after_overload(backlog_s=0.4, longest_wait_s=0.6), 2.0),
         (retry_after.after_overload(backlog_s=5.5, longest_wait_s=0.5), 7.0),
         (retry_after.while_leaving(), 0.05),
+        (retry_after.after_node_fault(), 0.5),
     ],
 )
 def test_each_refusal_has_its_time_to_come_back(seconds, expected_s):
