A tunnel that is given up before it is open is no fault of the peer

No caller saw it: the asking instance had closed its connection.

Cause: while the peer connects to the endpoint, the asker may close, as it does when its own direct connection comes up. The peer then set options on the socket of a closed stream, which is None.

Change: a stream that was closed meanwhile ends the tunnel as one that is closed later does.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -139,6 +139,9 @@
             await peer.write(reply_head(result))
             return
         try:
+            if peer.closed():
+                # It was given up while this instance was connecting.
+                raise StreamClosedError
             enable_dead_host_detection(peer.socket)
             reset_on_close(peer.socket)
             await peer.write(reply_head(TunnelResult.OPEN))
