One unforeseen exception ends no background task, and closes no connection of a peer or an operator

The task that follows the configuration ended for good at an exception outside its feed, and the one that reads the settings at any that was not foreseen, with the node still ready. A probe that failed so ended the round of all others, which were not marked as reached. An exception in a reply of a peer failed the connection to an endpoint that another peer reaches, and could keep a node from its start. A handler of a small interface closed the connection. A step of the usage at the end of a planned stop could end the process with an error.

Change: the follower is a step that every() guards, as all other tasks; settings before stay in force; probes are awaited each to its end; a peer whose reply cannot be handled counts as silent, one that was asked for data as having none; small interfaces answer 500; datagrams that meet a fault are dropped. Each logs and counts a fault, and steps are named with their class. The fuzz test of datagrams fails on a logged fault, as it did on an exception that came out.

--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -35,7 +35,7 @@
 )
 from springbridge_node.gateway.config.source import Source
 from springbridge_node.gateway.config.store_readers import StoreReaders
-from springbridge_node.periodic import next_tick, pause
+from springbridge_node.periodic import every, next_tick, pause
 
 OnInstalled = Callable[[RouteIndex, Source], None]
 FetchFromPeers = Callable[[int], Awaitable[ConfigurationDocument | None]]
@@ -135,17 +135,20 @@
 
     async def run(self) -> None:
         """Keep the configuration up to date until cancelled."""
-        while True:
-            if not self._has_to_read():
-                await next_tick(CHECK_INTERVAL_S)
-                continue
-            self._missed_changes.clear()
-            self._watch = asyncio.ensure_future(self._follow())
-            await asyncio.wait([self._watch])
-            self._feed_is_up = False
-            if not self._watch.cancelled() and self._watch.exception():
-                logs.fault(self._watch.exception(), "configuration feed")
-            await pause(self._pause_s(), self._missed_changes)
+        await every(0.0, self.step)
+
+    async def step(self) -> None:
+        """Read the store if this node has to, and follow its feed until a call fails."""
+        if not self._has_to_read():
+            await next_tick(CHECK_INTERVAL_S)
+            return
+        self._missed_changes.clear()
+        self._watch = asyncio.ensure_future(self._follow())
+        await asyncio.wait([self._watch])
+        self._feed_is_up = False
+        if not self._watch.cancelled() and self._watch.exception():
+            logs.fault(self._watch.exception(), "configuration feed")
+        await pause(self._pause_s(), self._missed_changes)
 
     def _pause_s(self) -> float:
         """Return how long to wait before the next read, in seconds."""
--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower_test.py
@@ -265,3 +265,21 @@
     store.await_configuration = lost
     run(store, Readers(reads_for_all=True), clock)
     assert_that(lines, Contains(("configuration.history_gone", {"version": VERSION})))
+
+
+# Guards against a node that is ready and follows its configuration no more, as one round met an
+# exception that nobody foresaw.
+def test_a_fault_in_one_round_does_not_end_the_following(clock):
+    store, readers = Store(), Readers(reads_for_all=True)
+    rounds = []
+
+    def round_s():
+        rounds.append(clock.now_s)
+        if len(rounds) == 1:
+            raise KeyError
+        return 0.0
+
+    readers.round_s = round_s
+    follower = run(store, readers, clock, [ConfigurationFollower.refresh] * 2)
+    assert_that((len(rounds) > 1, store.reads > 1), Equals((True, True)))
+    assert_that(follower.version, Equals(VERSION))
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/stall_check.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/stall_check.py
@@ -13,7 +13,7 @@
 from springbridge.routing.paths import PathTable
 from springbridge.routing.records import EndpointEntry, EndpointIncarnation
 
-from springbridge_node import clock
+from springbridge_node import clock, logs
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
 from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
 
@@ -92,6 +92,8 @@
         """Open a connection, which records the path as lost if only a peer can, and keep it."""
         try:
             await self._pool.warm(entry)
-        except (ConnectFailedError, OSError):
+        except ConnectFailedError:
             # The request on the connection that was checked finds that the endpoint is gone.
             return
+        except Exception as exc:
+            logs.fault(exc, "check path", engine=entry.endpoint_id)
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -64,7 +64,7 @@
 from springbridge_node.gateway.requests.stream_versions import StreamVersions
 from springbridge_node.gateway.requests.usage_meter import NullUsageMeter
 from springbridge_node.gateway.telemetry import Telemetry
-from springbridge_node.periodic import every, every_tick
+from springbridge_node.periodic import every, every_tick, guarded_step
 
 # Seconds between two clean-ups of the state of endpoints and peers that are gone. They bound memory
 # and idle connections; no decision depends on them.
@@ -310,7 +310,7 @@
         self.membership.end()
         self.heartbeats.push_now()
         if self.duties is not None:
-            await self.duties.sharing.step()
+            await guarded_step(self.duties.sharing.step)
         for task in self._tasks:
             task.cancel()
         # Periodic steps log their own faults; only the cancellations are left here.
--- a/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
@@ -12,6 +12,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine, responses
 
+from springbridge_node import logs
+
 # Content types. TEXT is the one that Prometheus expects for its text format.
 JSON = "application/json"
 TEXT = "text/plain; version=0.0.4"
@@ -67,19 +69,31 @@
         self._server.listen(int(port), host)
 
     def _serve(self, request: HTTPServerRequest) -> None:
-        """Answer one request, with 404 if its path has no handler."""
+        """Answer one request."""
         if self._on_connect is not None and request.method == "CONNECT":
             self._on_connect(request)
             return
-        url = urlsplit(request.uri)
-        handlers = self._commands if url.path in self._commands else self._handlers
-        if handlers is self._commands and request.method != "POST":
-            handlers = {}
-        handler = handlers.get(url.path)
-        reply = handler(dict(parse_qsl(url.query))) if handler else Reply(404)
+        reply = self._guarded_reply(request)
         headers = HTTPHeaders(
             {"Content-Type": reply.content_type, "Content-Length": str(len(reply.body))}
         )
         line = ResponseStartLine("HTTP/1.1", reply.status, responses[reply.status])
         request.connection.write_headers(line, headers, reply.body or None)
         request.connection.finish()
+
+    def _guarded_reply(self, request: HTTPServerRequest) -> Reply:
+        """Return the reply to a request; 500 if an unforeseen exception is met, which is logged."""
+        try:
+            return self._reply(request)
+        except Exception as exc:
+            logs.fault(exc, "small interface")
+            return Reply(500)
+
+    def _reply(self, request: HTTPServerRequest) -> Reply:
+        """Return the reply of the handler of a path, 404 if there is none."""
+        url = urlsplit(request.uri)
+        handlers = self._commands if url.path in self._commands else self._handlers
+        if handlers is self._commands and request.method != "POST":
+            handlers = {}
+        handler = handlers.get(url.path)
+        return handler(dict(parse_qsl(url.query))) if handler else Reply(404)
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
@@ -124,6 +124,9 @@
             gateway.reload(load())
         except SETTINGS_ERRORS as exc:
             logs.event("settings.refused", kind=type(exc).__name__, detail=str(exc))
+        except Exception as exc:
+            # The settings before stay in force, and the next change is read.
+            logs.fault(exc, "settings")
 
 
 def _file_version(path: str) -> tuple[int, int]:
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
@@ -81,7 +81,10 @@
         self.steps.append(settings)
 
 
-@pytest.mark.parametrize("error", [TypeError, IndexError, AttributeError, ValueError, KeyError])
+@pytest.mark.parametrize(
+    "error",
+    [TypeError, IndexError, AttributeError, ValueError, KeyError, RuntimeError],
+)
 def test_settings_of_the_wrong_shape_are_refused_and_later_ones_taken(tmp_path, error):
     # Guards against settings of a wrong type that end the reload task for the rest of the process's
     # life.
--- a/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/datagrams.py
@@ -94,12 +94,18 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Dispatch a datagram to its handler; drop and log a malformed one."""
+        """Dispatch a datagram to its handler; drop and log one that is malformed or meets a fault.
+
+        A handler decodes its rows itself, so a malformed row and a fault of the handler cannot be
+        told apart if they raise the same types.
+        """
         try:
             kind, rows = orjson.loads(data)
             self._handlers[kind](rows, f"{addr[0]}:{addr[1]}")
         except (ValueError, TypeError, KeyError, IndexError) as exc:
             self._log_dropped(addr[0], exc)
+        except Exception as exc:
+            logs.fault(exc, "datagram")
 
     def _log_dropped(self, sender_ip: str, exc: Exception) -> None:
         """Log a dropped datagram, at most once in DROPPED_LOG_INTERVAL_S."""
--- a/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/foreign_datagrams_test.py
@@ -119,9 +119,15 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(PeerDatagrams, "_log_dropped", lambda self, sender, exc: None)
         patch.setattr(logs, "event", lambda name, **fields: None)
+        patch.setattr(logs, "fault", raise_fault)
         yield
 
 
+def raise_fault(exc, where):
+    """Fail the test: a datagram may be malformed, but no handler meets an unforeseen exception."""
+    raise exc
+
+
 @settings(max_examples=DRAWN, deadline=None, derandomize=True, database=None)
 @given(datagrams)
 def test_a_node_goes_on_after_any_datagram(datagram):
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_client.py
@@ -96,6 +96,7 @@
             each.cancel()
         if late:
             logs.event("peers.crash_records_late", asked=len(fetches), late=len(late))
+        # Those that are done have a result: a fetch catches what it meets, and none is cancelled.
         return [record for fetch in done for record in fetch.result() or ()]
 
 
@@ -118,5 +119,9 @@
     except (CallFailedError, zlib.error, *DECODE_ERRORS) as exc:
         logs.event("peers.fetch_failed", address=address, path=path, detail=str(exc))
         return None
+    except Exception as exc:
+        # No peer's reply may keep a node from its start, or from another peer's.
+        logs.fault(exc, "fetch from peer")
+        return None
     finally:
         client.close()
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
@@ -13,7 +13,7 @@
 from springbridge.membership import Membership
 from springbridge.routing.records import EndpointEntry
 
-from springbridge_node import clock
+from springbridge_node import clock, logs
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
@@ -135,6 +135,7 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for attempt in done:
+                # It is done and was not cancelled, and _open_through catches what it meets.
                 found = attempt.result()
                 if isinstance(found, HttpConnection):
                     attempts.discard(attempt)
@@ -146,34 +147,47 @@
         self, peer: Member, entry: EndpointEntry
     ) -> HttpConnection | TunnelResult:
         """Return a connection through one peer, or why there is none."""
+        try:
+            result, conn = await self._connect_and_ask(peer, entry)
+        except Exception as exc:
+            # As if the peer were silent: another one, or the direct connection, may do.
+            logs.fault(exc, "ask for tunnel", engine=entry.endpoint_id)
+            result, conn = TunnelResult.SILENT, None
+        if conn is not None:
+            return conn
+        self._leave_out(peer, entry, result)
+        return result
+
+    async def _connect_and_ask(
+        self, peer: Member, entry: EndpointEntry
+    ) -> tuple[TunnelResult, HttpConnection | None]:
+        """Return the result of asking one peer, with the connection if it is open."""
         try:
             conn = await connect(peer.peer_address, TIMEOUT_S, self._source_ip)
         except ConnectFailedError:
-            result = TunnelResult.SILENT
-        else:
-            result, end_is_marked = await self._ask(conn, entry)
-            if result is TunnelResult.OPEN:
-                conn.lead_through(peer.incarnation, end_is_marked)
-                return conn
+            return TunnelResult.SILENT, None
+        result, end_is_marked = await self._ask(conn, entry)
+        if result is not TunnelResult.OPEN:
             conn.abort()
-        self._leave_out(peer, entry, result)
-        return result
+            return result, None
+        conn.lead_through(peer.incarnation, end_is_marked)
+        return result, conn
 
     async def _ask(self, conn: HttpConnection, entry: EndpointEntry) -> tuple[TunnelResult, bool]:
-        """Ask for a tunnel on a new connection to a peer; it is closed if this is cancelled.
+        """Ask for a tunnel on a new connection to a peer; it is closed if this does not end well.
 
         Returns:
           The result, and whether the peer marks the end of a tunnel; see `marks_end`.
         """
-        conn.send(request_head(entry, self._membership.me.incarnation), b"")
         try:
+            conn.send(request_head(entry, self._membership.me.incarnation), b"")
             head = await conn.read_head()
+            return read_result(head.headers), marks_end(head.headers)
         except AnswerBrokenError:
             return TunnelResult.SILENT, False
-        except asyncio.CancelledError:
+        except BaseException:
             conn.abort()
             raise
-        return read_result(head.headers), marks_end(head.headers)
 
     def _leave_out(self, peer: Member, entry: EndpointEntry, result: TunnelResult) -> None:
         """Leave a peer out for a while unless its result concerns the endpoint."""
--- a/packages/springbridge-node/springbridge_node/periodic.py
+++ b/packages/springbridge-node/springbridge_node/periodic.py
@@ -46,10 +46,7 @@
     """Run a step at each tick of an interval, and log its exceptions."""
     while True:
         await next_tick(interval_s)
-        try:
-            await step()
-        except Exception as exc:
-            logs.fault(exc, getattr(step, "__name__", ""))
+        await guarded_step(step)
 
 
 async def every(
@@ -64,10 +61,7 @@
     """
     await asyncio.sleep(first_after_s)
     while True:
-        try:
-            await step()
-        except Exception as exc:
-            logs.fault(exc, getattr(step, "__name__", ""))
+        if not await guarded_step(step):
             # A step that fails before its first await must not starve other tasks.
             await asyncio.sleep(0)
         if interval_s:
@@ -82,6 +76,16 @@
             await woken.wait()
 
 
+async def guarded_step(step: Callable[[], Awaitable[None]]) -> bool:
+    """Run one step of a task, and return whether it ended without an exception, which is logged."""
+    try:
+        await step()
+    except Exception as exc:
+        logs.fault(exc, getattr(step, "__qualname__", ""))
+        return False
+    return True
+
+
 def guarded(step: Callable[[], None]) -> None:
     """Run one step and log its exception, so that the steps after it run as well."""
     try:
