An instance without descriptors refuses what it cannot send, and tells nothing of endpoints

An asked peer in that state closed the tunnel without a reply.

Cause: the socket was made outside the block that turns failures into ConnectFailedError.

Change: NoDescriptorError, which each place that knows failed connections tells apart. The request is refused as when all connections are in use, with a short time to come back; no endpoint is marked as unreachable and no path as lost; a peer answers full, which tells nothing of the endpoint; a line node.no_descriptor has request and endpoint.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/connector.py
@@ -16,6 +16,7 @@
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
     HttpConnection,
+    NoDescriptorError,
     connect,
 )
 from springbridge_node.gateway.peers.tunnel_client import TunnelClient, TunnelFailedError
@@ -52,6 +53,7 @@
 
         Raises:
           ConnectFailedError: None came up, here or at the peers that were asked.
+          NoDescriptorError: This instance cannot open any.
         """
         if self._paths.is_lost(entry.incarnation) and self._tunnels.has_peers():
             return await self._connect_through_peer(entry)
@@ -76,6 +78,8 @@
         """
         try:
             conn = await connect(entry.address, CONNECT_TIMEOUT_S)
+        except NoDescriptorError:
+            raise
         except ConnectFailedError:
             self._paths.record_lost(entry.incarnation)
             raise
@@ -116,6 +120,8 @@
             self._record_lost(entry, direct)
             return through.result()
         failed, refused = direct.exception(), through.exception()
+        if not isinstance(failed, ConnectFailedError) or isinstance(failed, NoDescriptorError):
+            raise failed
         if not isinstance(refused, TunnelFailedError):
             raise refused
         if refused.nobody_has_tunnels:
@@ -132,7 +138,8 @@
         A refusal then shows the end of an endpoint only if no path is lost here: a cut may refuse
         connections as well.
         """
-        if not isinstance(failed, ConnectFailedError) or not self._paths.lost():
+        is_refused = isinstance(failed, ConnectFailedError) and failed.refused
+        if not is_refused or not self._paths.lost():
             return failed
         return ConnectFailedError(f"{failed}; paths are lost", refused=False)
 
--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
@@ -10,7 +10,7 @@
 from springbridge_node import logs
 from springbridge_node.gateway.endpoints.connector import EndpointConnector
 from springbridge_node.gateway.endpoints.pool import ConnectionPool
-from springbridge_node.gateway.http.http_connection import ConnectFailedError
+from springbridge_node.gateway.http.http_connection import ConnectFailedError, NoDescriptorError
 
 # Seconds between two rounds of probes, each one connection attempt for an endpoint. Short compared
 # with the seconds that an endpoint takes to come back.
@@ -62,6 +62,9 @@
         """Verify a peer's report that an endpoint is unreachable."""
         try:
             await self._pool.warm(state.entry)
+        except NoDescriptorError:
+            # Nothing is known; the next round verifies the report again.
+            return
         except ConnectFailedError:
             # Not logged: the report was.
             self._registry.mark_unreachable(state)
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -65,6 +65,10 @@
         self.agreed = agreed
 
 
+class NoDescriptorError(ConnectFailedError):
+    """This instance has no descriptor left for a connection: nothing is known of the other side."""
+
+
 async def connect(address: str, timeout_s: float, source_ip: str = "") -> "HttpConnection":
     """Open a connection; see open_stream."""
     return HttpConnection(await open_stream(address, timeout_s, source_ip))
@@ -79,9 +83,13 @@
 
     Raises:
       ConnectFailedError: It was refused, or not established in time.
+      NoDescriptorError: It was not attempted.
     """
     host, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as exc:
+        raise NoDescriptorError(type(exc).__name__) from exc
     sock.setblocking(False)
     enable_dead_host_detection(sock)
     stream = IOStream(sock)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -21,6 +21,7 @@
 from springbridge_node.gateway.http.closing import end_in_order, reset_on_close
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
+    NoDescriptorError,
     enable_dead_host_detection,
     open_stream,
 )
@@ -134,7 +135,7 @@
         try:
             endpoint = await open_stream(wanted.address, CONNECT_TIMEOUT_S)
         except ConnectFailedError as exc:
-            result = TunnelResult.REFUSED if exc.refused else TunnelResult.UNREACHED
+            result = _result_of(exc)
             self._log(wanted, remote_ip, result)
             await peer.write(reply_head(result))
             return
@@ -161,6 +162,13 @@
         )
 
 
+def _result_of(exc: ConnectFailedError) -> TunnelResult:
+    """Return what a failed connection to an endpoint tells a peer."""
+    if isinstance(exc, NoDescriptorError):
+        return TunnelResult.FULL
+    return TunnelResult.REFUSED if exc.refused else TunnelResult.UNREACHED
+
+
 def _is_member(membership: Membership, incarnation: str, remote_ip: str) -> bool:
     """Return whether a request comes from a member's incarnation, and from its own address."""
     member = membership.find(incarnation)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_sender.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_sender.py
@@ -19,7 +19,11 @@
 from springbridge_node import clock
 from springbridge_node.gateway.endpoints.pool import EndpointBusyError
 from springbridge_node.gateway.http.answer_end import AnswerEnd
-from springbridge_node.gateway.http.http_connection import ConnectFailedError, HttpConnection
+from springbridge_node.gateway.http.http_connection import (
+    ConnectFailedError,
+    HttpConnection,
+    NoDescriptorError,
+)
 from springbridge_node.gateway.requests.attempt import AttemptHooks, make_attempt
 from springbridge_node.gateway.requests.exchange import ChosenEndpoint, Exchange
 from springbridge_node.gateway.requests.place_gate import REJECTIONS
@@ -168,6 +172,9 @@
             return await self._parts.pool.acquire(
                 state.entry, exchange.admitted.service, repeatable
             )
+        except NoDescriptorError as exc:
+            exchange.progress.busy += 1
+            self._parts.request_log.no_descriptor(exchange, endpoint_id, str(exc))
         except ConnectFailedError as exc:
             self._record_unreachable(state, exc)
             idle = self._parts.pool.idle_count(state.entry.incarnation)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -112,6 +112,16 @@
             after_ms=_age_ms(exchange),
         )
 
+    def no_descriptor(self, exchange: Exchange, endpoint_id: str, reason: str) -> None:
+        """Log that this instance had no descriptor left for a connection to an endpoint."""
+        self._telemetry.attempts.labels("no descriptor").inc()
+        logs.event(
+            "node.no_descriptor",
+            request_id=exchange.request_id,
+            engine=endpoint_id,
+            reason=reason,
+        )
+
     def ended(self, exchange: Exchange, outcome: RequestOutcome, list_age_s: float) -> None:
         """Log the end of a request, with its result and the endpoints it was sent to.
 
