Soak: two checks follow what a node that did not run cannot know

The nodes that knew of the crashes had been killed or frozen, all but one at a time. The users' rules bounded in time apply to machines in touch; here none was. The count begins anew when a node is left alone and when the others are back. Soaks without that harm are checked as before.

checks_test.py passes.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/callers.py
@@ -89,6 +89,7 @@
         soak.counts[f"{path} no answer"] += 1
         check_no_answer(soak, path, request_id, node.kills > kills_before, exc)
         return
+    soak.answered_s[request_id] = time.monotonic()
     soak.counts[f"{path} {response.status}"] += 1
     if "server-leaving" in response.headers:
         leaving_run = (connection.address, response.headers["instance-id"])
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -57,6 +57,7 @@
     """State of one soak.
 
     Attributes:
+      answered_s: When the answer to each request that got one ended, on the monotonic clock.
       reported_not_run: Ids of the requests that were reported to their caller as not run.
       violations: One line for each violation.
       counts: Answers by path and status, and faults by name.
@@ -79,6 +80,7 @@
     engine_proxies: list[LoopbackProxy] = field(default_factory=list)
     store_proxies: list[LoopbackProxy] = field(default_factory=list)
     sent: dict[str, SentRequest] = field(default_factory=dict)
+    answered_s: dict[str, float] = field(default_factory=dict)
     reported_not_run: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
     counts: Counter = field(default_factory=Counter)
@@ -120,6 +122,11 @@
         now = {"timestamp": time.time(), "at_s": time.monotonic()}
         self.stamps.append(now | {"event": event} | fields)
 
+    def forget_crashes(self) -> None:
+        """Begin the check of poison anew, since nodes that knew of crashes are gone or apart."""
+        self.crashed_s.clear()
+        self.poison_arrived_s.clear()
+
     def start_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background until it or the soak ends."""
         task = asyncio.ensure_future(work)
