springbridge serve: the reading of a resumed stream ends with its request

Found by going through every result() in the product: a resumed stream is read in a task of its own, which was cancelled for a stall only. If the request was cancelled while it waited (its caller left, or it gave way), the task read on to the end of the stream, and held the connection.

Change: the task is cancelled on each way out. Where the reading is done that has no effect.

The new test failed before for the cancelled request, and passes for both.

--- a/packages/springbridge-node/springbridge_node/class_router/requests/resumption.py
+++ b/packages/springbridge-node/springbridge_node/class_router/requests/resumption.py
@@ -81,11 +81,12 @@
       TimeoutError: No chunk arrived for stall_s, and the reading was cancelled.
     """
     task = asyncio.ensure_future(reading)
-    while True:
-        done, _ = await asyncio.wait([task], timeout=STALL_CHECK_INTERVAL_S)
-        if done:
-            task.result()
-            return
-        if progress.silence_s(clock()) > stall_s:
-            task.cancel()
-            raise TimeoutError
+    try:
+        while not task.done():
+            await asyncio.wait([task], timeout=STALL_CHECK_INTERVAL_S)
+            if not task.done() and progress.silence_s(clock()) > stall_s:
+                raise TimeoutError
+        task.result()
+    finally:
+        # Also if the request that waits here was cancelled; one that is done stays as it is.
+        task.cancel()
