A 204 whose endpoint states a length ends no caller's connection

What callers saw: an answer of 204 with a Content-Length from an endpoint came with that length, and then the connection was closed: the caller's side waits for bytes that never come, and tornado ends a connection whose answer is shorter than it states.

Cause: an answer without a body passes on the length that its endpoint states, which is right for HEAD and for 304 (it tells of the body that another request would have got) and wrong for 204.

Change: a 204 has no length. The stand-in of a caller reads no body with 204 and 304, whatever they state.

The test failed before for 204 on both kinds of route (connection closed), and passes for 204 and 304.

--- a/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
+++ b/packages/springbridge-node/springbridge_node/gateway/endpoints/prober.py
@@ -42,7 +42,7 @@
         probes += [self._verify(state) for state in _some(self._registry.reported_unreachable())]
         due = [self._registry.find(each.endpoint_id) for each in self._paths.due()[:MAX_PROBES]]
         probes += [self._probe_path(state) for state in due if state is not None]
-        # Each is awaited to its end, whatever another one meets; the first fault is logged.
+        # Each is awaited to its end, whatever another one meets.
         results = await asyncio.gather(*probes, return_exceptions=True)
         for exc in results:
             if isinstance(exc, Exception):
--- a/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/small_server.py
@@ -90,8 +90,12 @@
             return Reply(500)
 
     def _reply(self, request: HTTPServerRequest) -> Reply:
-        """Return the reply of the handler of a path, 404 if there is none."""
-        url = urlsplit(request.uri)
+        """Return the reply of the handler of a path, 404 if there is none, 400 if it is no path."""
+        try:
+            url = urlsplit(request.uri)
+        except ValueError:
+            # Not logged: any stranger may send this.
+            return Reply(400)
         handlers = self._commands if url.path in self._commands else self._handlers
         if handlers is self._commands and request.method != "POST":
             handlers = {}
--- a/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/relay.py
@@ -163,10 +163,23 @@
       length: Bytes of the body, or None if its end is marked by chunking or by closing.
     """
     headers = codec.caller_headers(head)
-    stated = head.headers.get("Content-Length") if head.is_bodiless else length
+    stated = _stated_length(head, length)
     if stated is not None:
-        headers["Content-Length"] = str(stated)
+        headers["Content-Length"] = stated
     exchange.progress.note_piece_relayed(clock.now_s())
     if exchange.progress.load is not None:
         exchange.progress.load.prompt_read()
     await exchange.answer.start(head.status, head.reason, headers, piece)
+
+
+def _stated_length(head: Head, length: int | None) -> str | None:
+    """Return the Content-Length that the caller gets, None for none; see _start().
+
+    An answer without a body passes on what its endpoint states of the body that another request
+    would have got, but for a 204, which has no length whatever its endpoint states.
+    """
+    if head.status == HTTPStatus.NO_CONTENT:
+        return None
+    if head.is_bodiless:
+        return head.headers.get("Content-Length")
+    return None if length is None else str(length)
--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -10,6 +10,8 @@
 import orjson
 
 CRLF = b"\r\n"
+# Statuses whose answers have no body, whatever their headers say.
+BODILESS_STATUSES = frozenset({204, 304})
 # Any size works.
 READ_BYTES = 65536
 # SO_LINGER value (on, 0 s) with which closing a socket sends a TCP reset.
@@ -123,7 +125,7 @@
     raw = await reader.readuntil(CRLF + CRLF)
     start, headers = parse_head(raw[:-4])
     status = int(start.split(" ")[1])
-    if not has_body:
+    if not has_body or status in BODILESS_STATUSES:
         body, is_complete = b"", True
     elif headers.get("transfer-encoding") == "chunked":
         body, is_complete = await _read_chunks(reader)
