--- a/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/mutants.py
@@ -15,6 +15,7 @@
 import typer
 
 from springbridge_standins.mutants.duty_mutants import DUTY_MUTANTS
+from springbridge_standins.mutants.fault_mutants import FAULT_MUTANTS
 from springbridge_standins.mutants.gateway_mutants import GATEWAY_MUTANTS
 from springbridge_standins.mutants.mutant import LIBRARY, NODE, Mutant
 from springbridge_standins.mutants.part_mutants import PART_MUTANTS
@@ -226,6 +227,7 @@
     *STATEMENT_MUTANTS,
     *PART_MUTANTS,
     *VERSION_MUTANTS,
+    *FAULT_MUTANTS,
 )
 
 
