A later answer follows a stream only where it is the rest of it

Cause: nothing decided what may follow the part of an answer that a caller has. relay() looked at the status of the answer at hand alone, so that any answer other than a held-back failure was written behind the events: failures below 500, redirects, 204, other content types, an empty 200, events with a gap or without ids.

Now continuation.py decides by the head that the caller has and by the place of each event; what does not fit ends the attempt (`no continuation`, with status and misfit in the log), and another endpoint gets the request or the answer is cut off. On the way: an id of 5,000 digits met int()'s ValueError; a body of another type on a route of streams counted as events, so that its empty lines passed for a stream that had not begun. Events of more than 256 KB come in parts, which the rule has to know; the splitter searches each byte once.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -19,8 +19,9 @@
     read_head_within,
     read_whole_body,
 )
+from springbridge_node.gateway.requests.event_relay import NoContinuationError
 from springbridge_node.gateway.requests.exchange import Exchange, HeldFailure
-from springbridge_node.gateway.requests.relay import relay
+from springbridge_node.gateway.requests.relay import head_misfit, relay
 from springbridge_node.gateway.requests.request_codec import AnswerMetadata, RequestCodec
 
 
@@ -72,6 +73,9 @@
         return AttemptOutcome.BROKEN
     except AnswerTimeoutError:
         return AttemptOutcome.SILENT
+    except NoContinuationError as exc:
+        exchange.progress.misfit = exc.misfit
+        return AttemptOutcome.NO_CONTINUATION
 
 
 def _send(
@@ -91,12 +95,13 @@
         raise TimeoutError
     source = choice.source.entry if choice.source else None
     head = codec.endpoint_request(
-        exchange.request, exchange.admitted, entry, source, left_s, progress.last_event
+        exchange.request, exchange.admitted, entry, source, left_s, progress.position.resume_after
     )
     progress.sends += 1
     progress.answer_end = None
     progress.answer_began_s = None
     progress.answer_status = 0
+    progress.misfit = None
     progress.may_have_run = True
     progress.tried.add(entry.endpoint_id)
     connection.send(head, exchange.request.body)
@@ -125,7 +130,11 @@
     codec: RequestCodec,
     on_first_event: Callable[[], None],
 ) -> AttemptOutcome:
-    """Relay an answer, or hold back a failure so that another endpoint can be tried."""
+    """Relay an answer, or hold back a failure so that another endpoint can be tried.
+
+    Raises:
+      NoContinuationError: The answer does not go on with what the caller has.
+    """
     if not exchange.route.streaming and exchange.progress.load is not None:
         exchange.progress.load.prompt_read()
     if giving_up.holds_failure(exchange.route, answer.head.status):
@@ -136,5 +145,8 @@
             if metadata.statements.rest_s is None
             else AttemptOutcome.ASKED_REST
         )
+    misfit = head_misfit(exchange, answer.head)
+    if misfit is not None:
+        raise NoContinuationError(misfit)
     await relay(exchange, answer, codec, on_first_event)
     return AttemptOutcome.DELIVERED
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from springbridge.routing.continuation import START, Misfit, Position
 from springbridge.routing.endpoint_choice import Choice
 from springbridge.routing.records import Admitted, Demand, Route
 from springbridge.routing.resumption import VersionSource
@@ -84,8 +85,11 @@
       tried: Endpoints that no further attempt goes to.
       event_sent: Whether the caller has received an event of a stream.
       chosen: The endpoints that it was sent to, in order.
-      sends, misdirected, paths_lost, unreached, busy, may_have_run, only_blank, last_event: See
-        `Attempts`.
+      sends, misdirected, paths_lost, unreached, busy, may_have_run, only_blank: See `Attempts`.
+      position: How much of a stream the caller has.
+      relayed_head: Head of the answer that the caller got, None before.
+      misfit: Why the answer to the latest send does not go on with the caller's stream; None if it
+        does, or has not begun.
       version: Version at which the stream has to go on: that of the endpoint which wrote its first
         event. None before that event, or if that endpoint's version is unknown.
       version_source: From where the version is known.
@@ -128,7 +132,9 @@
     may_have_run: bool = False
     event_sent: bool = False
     only_blank: bool = False
-    last_event: str | None = None
+    position: Position = START
+    relayed_head: Head | None = None
+    misfit: Misfit | None = None
     version: str | None = None
     version_source: VersionSource = VersionSource.NONE
     first_piece_s: float | None = None
@@ -193,6 +199,6 @@
             may_have_run=progress.may_have_run,
             answer_started=self.answer.started,
             only_blank=progress.only_blank,
-            last_event=progress.last_event,
+            last_event=progress.position.resume_after,
             version=progress.version,
         )
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -80,7 +80,9 @@
             answer_end=_answer_end(exchange),
             sends=exchange.progress.sends,
             fingerprint=fingerprint_of(exchange),
-            last_event=exchange.progress.last_event,
+            status=exchange.progress.answer_status,
+            misfit=_misfit(exchange),
+            last_event=_bounded(exchange.progress.position.last_id),
             after_ms=_age_ms(exchange),
         )
 
@@ -198,6 +200,12 @@
     return "" if end is None else end.value
 
 
+def _misfit(exchange: Exchange) -> str:
+    """Return why the latest answer does not go on with the caller's stream, "" if it does."""
+    misfit = exchange.progress.misfit
+    return "" if misfit is None else misfit.value
+
+
 def _age_ms(exchange: Exchange) -> int:
     """Return how long ago a request arrived, in milliseconds."""
     return round((clock.now_s() - exchange.admitted.arrival.arrived_s) * 1000)
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -48,11 +48,25 @@
     ),
     Mutant(
         "events that the caller already has are dropped",
-        f"{NODE}/gateway/requests/relay.py",
-        "return int(event_id) > int(progress.last_event)",
-        "return True",
+        f"{LIBRARY}/routing/continuation.py",
+        "    if number <= last:\n",
+        "    if number < 0:\n",
         f"{PLATFORM}/streams_test.py::test_events_that_come_twice_are_passed_on_once",
     ),
+    Mutant(
+        "the head of an answer that goes on with a stream says what the first one said",
+        f"{NODE}/gateway/requests/attempt.py",
+        "    if misfit is not None:\n",
+        "    if misfit is None and False:\n",
+        f"{PLATFORM}/continuations_test.py::test_what_is_not_the_rest_of_a_stream_cuts_it_off",
+    ),
+    Mutant(
+        "the end of an answer without the next event is not the end of a stream",
+        f"{LIBRARY}/routing/continuation.py",
+        "        return Misfit.SHORT\n",
+        "        return None\n",
+        f"{PLATFORM}/continuations_test.py::test_what_is_not_the_rest_of_a_stream_cuts_it_off",
+    ),
     Mutant(
         "an engine that is gone does not count as an attempt",
         f"{NODE}/gateway/requests/attempt.py",
--- a/packages/springbridge/springbridge/routing/event_stream.py
+++ b/packages/springbridge/springbridge/routing/event_stream.py
@@ -1,8 +1,9 @@
 """Server-sent events: splits a stream into complete events and reads their ids.
 
 A stream can break within an event. Only complete events are passed on, so that another endpoint can
-resume after the last of them. An event ends with an empty line; lines end with LF, CRLF or CR. The
-table in docs/design/answer-ends.md says what the last bytes of a stream mean.
+resume after the last of them; one of more than MAX_EVENT_BYTES comes in parts, so that no endpoint
+decides how much memory an event takes. An event ends with an empty line; lines end with LF, CRLF or
+CR. The table in docs/design/answer-ends.md says what the last bytes of a stream mean.
 """
 
 import re
@@ -12,6 +13,10 @@
 # Two line ends. A CR behind a line end of another kind may be half of a CRLF, so the byte after it
 # decides.
 END_OF_EVENT = re.compile(rb"\r\r|(?>\r\n|\n|\r)(?:\r\n|\n|\r(?=[^\n]))")
+# Most bytes of an end of an event that can have arrived without deciding that it is one.
+UNDECIDED_BYTES = 3
+# Bytes of one event that are kept until it is complete.
+MAX_EVENT_BYTES = 256 << 10
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 ID_FIELD = b"id:"
 # Beginnings of lines that take effect without an event: comments, and the time before a reconnect.
@@ -20,16 +25,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One complete event, or other block of lines, as the endpoint sent it.
+    """One complete event, a part of a large one, or another block of lines, as it was sent.
 
     Attributes:
-      event_id: Its id, None if it has none.
+      event_id: Its id, None if it has none. Each part of an event has the id that stands in the
+        first part.
       is_blank: Whether it is no event: it has only lines that take effect without one.
+      begins: Whether this is the beginning of the event.
+      ends: Whether this is the end of the event.
     """
 
     raw: bytes
     event_id: str | None
     is_blank: bool = False
+    begins: bool = True
+    ends: bool = True
 
 
 class EventSplitter:
@@ -37,55 +47,89 @@
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._rest = b""
+        self._rest = bytearray()
         self._has_events = False
+        self._has_returns = False
+        self._unfinished: Event | None = None
 
     @property
     def rest(self) -> bytes:
         """Return the buffered bytes that do not form a complete event yet."""
-        return self._rest
+        return bytes(self._rest)
 
     def is_inside_event(self) -> bool:
         """Return whether the buffered bytes are part of an event or line that has not ended."""
-        rest = self._rest if self._has_events else self._rest.removeprefix(BYTE_ORDER_MARK)
+        if self._unfinished is not None:
+            return True
+        rest = self.rest if self._has_events else self.rest.removeprefix(BYTE_ORDER_MARK)
         *lines, torn = LINE_END.split(rest)
         return bool(torn) or any(
             line and not line.startswith(LINES_WITHOUT_EVENT) for line in lines
         )
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add bytes and return the events that they complete."""
-        waiting = self._rest + data
-        if b"\r" in waiting:
-            raws, self._rest = _split_at_any_line_end(waiting)
-        else:
-            # The usual case, which this path handles in two thirds of the time.
-            *whole, self._rest = waiting.split(b"\n\n")
-            raws = [raw + b"\n\n" for raw in whole]
-        if raws and not self._has_events:
-            self._has_events = True
-            first, *others = raws
-            return [_event(first, first.removeprefix(BYTE_ORDER_MARK)), *map(_event, others)]
-        return [_event(raw) for raw in raws]
-
-
-def _split_at_any_line_end(waiting: bytes) -> tuple[list[bytes], bytes]:
-    """Return the complete events in some bytes, and the rest."""
-    start, raws = 0, []
-    for end in END_OF_EVENT.finditer(waiting):
-        raws.append(waiting[start : end.end()])
-        start = end.end()
-    return raws, waiting[start:]
-
-
-def _event(raw: bytes, text: bytes | None = None) -> Event:
+        """Add bytes and return the events that they complete, and parts of a large one."""
+        search_from = max(0, len(self._rest) - UNDECIDED_BYTES)
+        self._rest += data
+        self._has_returns = self._has_returns or b"\r" in data
+        events, start = [], 0
+        while (end := self._end_of_event(search_from)) > 0:
+            events.append(self._complete(bytes(self._rest[start:end])))
+            search_from = start = end
+        del self._rest[:start]
+        if len(self._rest) > MAX_EVENT_BYTES or (self._unfinished and self._rest):
+            events += self._part()
+        return events
+
+    def last_lines(self) -> Event | None:
+        """Return the buffered bytes as the end of a whole stream, None if there are none."""
+        raw = self.rest
+        self._rest.clear()
+        return self._complete(raw) if raw else None
+
+    def _end_of_event(self, start: int) -> int:
+        """Return where the first event ends that ends behind some position, -1 if none does."""
+        if self._has_returns:
+            found = END_OF_EVENT.search(self._rest, start)
+            return found.end() if found else -1
+        # The usual case, which is several times as fast.
+        found = self._rest.find(b"\n\n", start)
+        return found + 2 if found >= 0 else -1
+
+    def _complete(self, raw: bytes) -> Event:
+        """Return the event, or the last part of one, that some bytes complete."""
+        unfinished, self._unfinished = self._unfinished, None
+        if unfinished is not None:
+            return Event(raw, unfinished.event_id, unfinished.is_blank, begins=False)
+        return self._first_part(raw)
+
+    def _part(self) -> list[Event]:
+        """Return what is buffered of a large event, but for bytes that may begin its end."""
+        end = len(self._rest) - UNDECIDED_BYTES
+        if end <= 0:
+            return []
+        raw = bytes(self._rest[:end])
+        del self._rest[:end]
+        if self._unfinished is None:
+            event = self._first_part(raw)
+            self._unfinished = Event(raw, event.event_id, ends=False)
+            return [self._unfinished]
+        return [Event(raw, self._unfinished.event_id, begins=False, ends=False)]
+
+    def _first_part(self, raw: bytes) -> Event:
+        """Return the event whose beginning some bytes are, with its id."""
+        text = raw if self._has_events else raw.removeprefix(BYTE_ORDER_MARK)
+        self._has_events = True
+        return _event(raw, text)
+
+
+def _event(raw: bytes, text: bytes) -> Event:
     """Return an event with its id; if there are several id fields, the last one counts.
 
     Args:
-      text: Its lines if they are not those of raw.
+      text: Its lines.
     """
     event_id = None
-    text = raw if text is None else text
     lines = LINE_END.split(text) if b"\r" in text else text.split(b"\n")
     for line in lines:
         if line.startswith(ID_FIELD):
--- a/packages/springbridge/springbridge/routing/event_stream_test.py
+++ b/packages/springbridge/springbridge/routing/event_stream_test.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from springbridge.routing.event_stream import EventSplitter
+from springbridge.routing.event_stream import MAX_EVENT_BYTES, EventSplitter
 
 STREAM = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda"
 
@@ -143,3 +143,48 @@
 def test_lines_that_take_effect_without_an_event_are_told_apart(raw, is_blank):
     (found,) = EventSplitter().feed(raw)
     assert_that(found.is_blank, Equals(is_blank))
+
+
+# Guards against an event that is kept in memory whole, however large it is, and against one that is
+# changed on the way.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("piece_bytes", [1 << 10, 1 << 16, 1 << 20])
+def test_a_large_event_comes_in_parts_that_have_its_id(line_end, piece_bytes):
+    large = b"id: 2" + line_end + b"data: " + b"x" * (3 << 20) + line_end * 2
+    stream = b"id: 1" + line_end * 2 + large + b"id: 3" + line_end * 2
+    splitter, events, kept = EventSplitter(), [], 0
+    for start in range(0, len(stream), piece_bytes):
+        events += splitter.feed(stream[start : start + piece_bytes])
+        kept = max(kept, len(splitter.rest))
+    assert_that(b"".join(each.raw for each in events), Equals(stream))
+    assert_that(kept <= MAX_EVENT_BYTES, Equals(True))
+    parts = [each for each in events if each.event_id == "2"]
+    assert_that([each.begins for each in parts], Equals([True] + [False] * (len(parts) - 1)))
+    assert_that([each.ends for each in parts], Equals([False] * (len(parts) - 1) + [True]))
+    assert_that([each.event_id for each in (events[0], events[-1])], Equals(["1", "3"]))
+
+
+# Guards against a large event that ends inside it and passes for whole.
+def test_a_stream_that_ends_between_parts_of_an_event_ends_inside_it():
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: " + b"x" * MAX_EVENT_BYTES + b"\n\n"[:1])
+    assert_that(splitter.is_inside_event(), Equals(True))
+
+
+# Guards against work that grows with the square of an event's length.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_bytes_of_an_event_are_searched_once(line_end, monkeypatch):
+    searched = 0
+    search = EventSplitter._end_of_event
+
+    def count(self, start):
+        nonlocal searched
+        searched += len(self._rest) - start
+        return search(self, start)
+
+    monkeypatch.setattr(EventSplitter, "_end_of_event", count)
+    splitter, pieces = EventSplitter(), 400
+    splitter.feed(b"id: 1" + line_end)
+    for _ in range(pieces):
+        splitter.feed(b"x" * 100)
+    assert_that(searched < 2 * 100 * pieces, Equals(True))
--- a/packages/springbridge/springbridge/routing/retries.py
+++ b/packages/springbridge/springbridge/routing/retries.py
@@ -38,17 +38,20 @@
     BROKEN = "broken"
     SILENT = "silent"
     PATH_LOST = "path lost"
+    NO_CONTINUATION = "no continuation"
 
 
 # Outcomes that count as failures of the endpoint. An endpoint that turns every request away never
 # has load, so it would otherwise look the cheapest for the next request. An endpoint that asks for
-# rest is given it and has not failed.
+# rest is given it and has not failed. An answer that does not go on with a stream is a failure
+# whatever its status: the request is one that another endpoint has accepted.
 ENDPOINT_FAILURES = frozenset(
     {
         AttemptOutcome.ENDPOINT_ERROR,
         AttemptOutcome.BROKEN,
         AttemptOutcome.SILENT,
         AttemptOutcome.TURNED_AWAY,
+        AttemptOutcome.NO_CONTINUATION,
     }
 )
 
@@ -67,7 +70,8 @@
       answer_started: Whether the caller has received the beginning of an answer.
       only_blank: Whether all that the caller has received is the head of a stream and lines that
         take effect without an event.
-      last_event: Id of the last event that the caller has received, or None.
+      last_event: Id of the event behind which a stream can go on, as it names all that the caller
+        has received of it; None if there is none.
       version: Version of the endpoints that began the stream, None if unknown or not begun.
     """
 
