No endpoint decides how much an instance keeps, or how long its loop turns

What callers saw: nothing, for callers of all services, while one endpoint sent bytes without end; requests were stuck past their deadlines. The body of a failure or a refusal took up to a gigabyte of memory.

Cause, one class: the sender decided. Awaiting bytes that are there already lets no other task run, so loops over heads, interim answers, chunks, bodies, events and tunnels held the event loop as long as bytes came as fast; and failures, refusals, foreign answers, trailers, interim answers and answers of peers and the store had no bound.

Chunks are decoded by a module of its own. Two kinds of fault, turns and bounds, stand in one commit, as both are in the same loops.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -31,6 +31,7 @@
     Attributes:
       started: Whether its head was sent, after which its status can't change.
       ended: Whether it was finished or aborted.
+      body_bytes: Bytes of its body that were written.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self._ends_with_connection = False
         self.started = False
         self.ended = False
+        self.body_bytes = 0
 
     async def start(self, status: int, reason: str, headers: HTTPHeaders, piece: bytes) -> None:
         """Send the head and the first piece of the body.
@@ -63,6 +65,7 @@
         sent = None if self._answers_head else piece or None
         written = self._connection.write_headers(line, headers, sent)
         self.started = True
+        self.body_bytes += len(sent or b"")
         await _await_write(written)
 
     async def write(self, piece: bytes) -> None:
@@ -72,6 +75,7 @@
           CallerGoneError: The caller has closed its connection.
         """
         if piece and not self._answers_head:
+            self.body_bytes += len(piece)
             await _await_write(self._connection.write(piece))
 
     def finish(self) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_end.py
@@ -19,7 +19,8 @@
     UNMARKED: It was closed by a peer whose build also ends so when its own process does. EARLY: The
     connection was closed in order before the stated end, or before a head. RESET: The connection
     was reset, or the other host stopped responding. ABORTED: This instance closed the connection.
-    INVALID: What arrived is not a valid answer.
+    INVALID: What arrived is not a valid answer. OVERSIZED: More arrived than an instance takes of
+    it. UNREAD: This instance needed no more of it, and has closed the connection.
     """
 
     LENGTH = "length"
@@ -35,6 +36,8 @@
     RESET = "reset"
     ABORTED = "aborted"
     INVALID = "invalid"
+    OVERSIZED = "oversized"
+    UNREAD = "unread"
 
 
 class AnswerBrokenError(Exception):
--- a/packages/springbridge-node/springbridge_node/gateway/http/calls.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/calls.py
@@ -22,6 +22,9 @@
 # Seconds for which an idle connection is reused if the other side sends no keep-alive time. A call
 # on a connection that was closed meanwhile fails.
 MAX_IDLE_S = 5.0
+# Bytes of an answer beyond which a call fails, unless its maker expects more. Above the largest one
+# of a peer, the list of a fleet of a thousand endpoints.
+MAX_ANSWER_BYTES = 16 << 20
 # Share of the keep-alive time sent by the other side for which an idle connection is reused. The
 # rest lets the next request arrive before the other side closes the connection.
 KEEP_ALIVE_SHARE = 0.7
@@ -43,13 +46,15 @@
 class HttpClient:
     """Makes calls to one address; concurrent calls use separate connections."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
         """Start without connections.
 
         Args:
           address: IP number and port.
+          max_answer_bytes: Bytes of an answer beyond which a call fails.
         """
         self._address = address
+        self._max_answer_bytes = max_answer_bytes
         self._idle: list[HttpConnection] = []
 
     async def call(
@@ -90,7 +95,7 @@
         try:
             connection.send(self._head(method, target, body, headers), body)
             head = await connection.read_head()
-            answer = b"".join([piece async for piece in connection.read_body(head)])
+            answer = await connection.read_whole_body(head, self._max_answer_bytes)
         except BaseException:
             connection.abort()
             raise
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -4,6 +4,8 @@
 this is built on its IOStream. It adds three things: the head is returned first, so that the answer
 can be matched to its request before the body is read; unexpected bytes after an answer are
 detected; and an answer without a length is complete only if the connection ended without a reset.
+A sender that never stops takes neither the memory nor the event loop of an instance: all that is
+kept is bounded, and other tasks run between two reads whose bytes are there at once.
 """
 
 import asyncio
@@ -17,20 +19,21 @@
 
 from springbridge_node import clock
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
+from springbridge_node.gateway.http.chunks import ChunkDecoder
 from springbridge_node.gateway.http.http_head import (
     Head,
-    chunk_length,
     keep_alive_s,
     parse_head,
 )
 
-# Maximum bytes taken from the socket in one read.
-READ_BYTES = 1 << 18
+# Maximum bytes taken from the socket in one read, after which other tasks have a turn.
+READ_BYTES = 1 << 16
 # Maximum size of the head of an answer. Bounds the memory that a faulty endpoint can take. Four
 # times the default limit for callers' headers.
 MAX_HEAD_BYTES = 64 << 10
-# Maximum length of the line that holds the length of a chunk, extensions included.
-MAX_CHUNK_LINE_BYTES = 256
+# Interim answers that are skipped before an answer. Endpoints send a few, or one now and then while
+# they work.
+MAX_INTERIM_ANSWERS = 64
 # Idle seconds before the kernel sends TCP keep-alive probes. They detect a host that lost power,
 # which sends no reset, while a request waits for its answer.
 KEEPALIVE_IDLE_S = 1
@@ -142,6 +145,7 @@
         self._may_be_kept = True
         self._aborted = False
         self._asked_head = False
+        self._came_at_once = False
         self.answer_end: AnswerEnd | None = None
         self.opened_s = clock.now_s()
         self.idle_since_s = self.opened_s
@@ -180,11 +184,12 @@
           AnswerBrokenError: The connection ended, or what arrived is not an HTTP answer.
         """
         self.answer_end = None
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             raw = await self._read_until(b"\r\n\r\n", MAX_HEAD_BYTES)
             head = parse_head(raw, self._asked_head)
             if head.status >= 200:
                 return head
+        raise AnswerBrokenError(AnswerEnd.OVERSIZED, "interim answers")
 
     async def read_body(self, head: Head) -> AsyncIterator[bytes]:
         """Yield the body in pieces as they arrive, without its framing.
@@ -206,6 +211,19 @@
             self.answer_end = AnswerEnd.CLOSED
         self._end_answer(head)
 
+    async def read_whole_body(self, head: Head, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Raises:
+          AnswerBrokenError: It ended early, its framing is wrong, or it is larger than max_bytes.
+        """
+        body = bytearray()
+        async for piece in self.read_body(head):
+            body += piece
+            if len(body) > max_bytes:
+                raise AnswerBrokenError(AnswerEnd.OVERSIZED, f"more than {max_bytes} bytes")
+        return bytes(body)
+
     def can_reuse(self, max_idle_s: float, keep_alive_share: float) -> bool:
         """Return whether an idle connection may carry another request.
 
@@ -274,8 +292,13 @@
         Raises:
           AnswerBrokenError: The connection ended.
         """
+        if self._came_at_once:
+            # Awaiting bytes that are there already does not let other tasks run.
+            await asyncio.sleep(0)
         try:
-            self._unread += await self._stream.read_bytes(READ_BYTES, partial=True)
+            received = self._stream.read_bytes(READ_BYTES, partial=True)
+            self._came_at_once = received.done()
+            self._unread += await received
         except StreamClosedError as exc:
             raise self._broken_by(exc) from exc
         self.received_s = clock.now_s()
@@ -315,22 +338,16 @@
             yield piece
 
     async def _read_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the chunks of a chunked body."""
-        while True:
-            line = await self._read_until(b"\r\n", MAX_CHUNK_LINE_BYTES)
-            length = chunk_length(line)
-            if length == 0:
-                await self._read_trailers()
-                return
-            async for piece in self._read_length(length):
-                yield piece
-            if await self._read_until(b"\r\n", MAX_CHUNK_LINE_BYTES):
-                raise AnswerBrokenError(AnswerEnd.INVALID, "chunk longer than stated")
-
-    async def _read_trailers(self) -> None:
-        """Skip the trailers after the last chunk."""
-        while await self._read_until(b"\r\n", MAX_HEAD_BYTES):
-            pass
+        """Yield the data of a chunked body, of as many chunks as have arrived at once."""
+        decoder = ChunkDecoder()
+        while not decoder.has_ended:
+            data = decoder.decode(self._unread)
+            if data:
+                yield data
+            elif decoder.needs_bytes:
+                await self._receive()
+            if not decoder.needs_bytes:
+                await asyncio.sleep(0)
 
     async def _read_to_end(self) -> AsyncIterator[bytes]:
         """Yield bytes until the other side closes the connection in order.
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -11,6 +11,8 @@
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
 
+# Lines of a head, beyond which it is no head: each takes time to parse.
+MAX_HEAD_LINES = 512
 # Statuses whose answers never have a body, whatever their headers say.
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -48,6 +50,8 @@
     Raises:
       AnswerBrokenError: It cannot be parsed.
     """
+    if raw.count(b"\n") > MAX_HEAD_LINES:
+        raise AnswerBrokenError(AnswerEnd.INVALID, f"more than {MAX_HEAD_LINES} lines")
     start, _, fields = raw.decode("latin-1").partition("\r\n")
     try:
         line: ResponseStartLine = parse_response_start_line(start)
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -201,7 +201,7 @@
 
 
 async def _copy(source: IOStream, sink: IOStream) -> bool:
-    """Copy bytes until either connection ends.
+    """Copy bytes until either connection ends; other tasks run after each READ_BYTES.
 
     Returns:
       Whether the source ended in order, after all that it sent was written to the sink.
@@ -215,3 +215,5 @@
             await sink.write(data)
         except StreamClosedError:
             return False
+        # Neither await above lets others run while both ends are as fast as this instance.
+        await asyncio.sleep(0)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -16,6 +16,7 @@
 from springbridge_node.gateway.requests.endpoint_answer import (
     AnswerTimeoutError,
     EndpointAnswer,
+    discard_body,
     read_head_within,
     read_whole_body,
 )
@@ -112,7 +113,7 @@
     exchange: Exchange, answer: EndpointAnswer, metadata: AnswerMetadata
 ) -> AttemptOutcome:
     """Read the answer of an endpoint that guarantees that it has not run the request."""
-    _, exchange.progress.answer_end = await read_whole_body(answer)
+    exchange.progress.answer_end = await discard_body(answer)
     if metadata.other_endpoint:
         exchange.progress.misdirected += 1
         return AttemptOutcome.OTHER_ENDPOINT
@@ -138,8 +139,7 @@
     if not exchange.route.streaming and exchange.progress.load is not None:
         exchange.progress.load.prompt_read()
     if giving_up.holds_failure(exchange.route, answer.head.status):
-        body, exchange.progress.answer_end = await read_whole_body(answer)
-        exchange.progress.failure = HeldFailure(answer.head, body)
+        await _hold_back(exchange, answer)
         return (
             AttemptOutcome.ENDPOINT_ERROR
             if metadata.statements.rest_s is None
@@ -150,3 +150,20 @@
         raise NoContinuationError(misfit)
     await relay(exchange, answer, codec, on_first_event)
     return AttemptOutcome.DELIVERED
+
+
+async def _hold_back(exchange: Exchange, answer: EndpointAnswer) -> None:
+    """Keep a failure, unless its body is so large that only its status can be told.
+
+    Raises:
+      AnswerBrokenError: It was broken off.
+    """
+    progress = exchange.progress
+    try:
+        body, progress.answer_end = await read_whole_body(answer)
+    except AnswerBrokenError as exc:
+        if exc.end is not AnswerEnd.OVERSIZED:
+            raise
+        progress.answer_end = exc.end
+        return
+    progress.failure = HeldFailure(answer.head, body)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -16,6 +16,13 @@
 # Answers that are read from a connection in search of the right one before it counts as broken.
 # Bounds the reading from an endpoint that mixes up its answers.
 MAX_ANSWERS_READ = 3
+# Bytes of a failure that are kept until another endpoint has been tried. What is beyond says no
+# more to its caller than its status does.
+MAX_HELD_BYTES = 256 << 10
+# Bytes of a body that nobody needs, and seconds to wait for them, after which its connection is
+# closed instead of used again. A new connection takes about as long.
+MAX_DISCARDED_BYTES = 64 << 10
+DISCARD_TIMEOUT_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +78,7 @@
             return head
         if head.unframed:
             break
-        async for _ in connection.read_body(head):
-            pass
+        await connection.read_whole_body(head, MAX_DISCARDED_BYTES)
     raise AnswerBrokenError(AnswerEnd.INVALID, "only answers of other requests")
 
 
@@ -80,12 +86,36 @@
     """Return the whole body of an answer, and how it ended.
 
     Raises:
-      AnswerBrokenError: It was broken off.
+      AnswerBrokenError: It was broken off, or is larger than MAX_HELD_BYTES.
     """
-    body = b"".join([piece async for piece in answer.pieces()])
+    body = await answer.connection.read_whole_body(answer.head, MAX_HELD_BYTES)
     return body, await check_end(answer)
 
 
+async def discard_body(answer: EndpointAnswer) -> AnswerEnd:
+    """Read a body that nobody needs, if it is short, so that its connection can be used again.
+
+    Returns:
+      How it ended; UNREAD if the rest of it was left, whose connection has to be closed.
+
+    Raises:
+      AnswerBrokenError: It was broken off.
+    """
+    limit = asyncio.timeout(DISCARD_TIMEOUT_S)
+    try:
+        async with limit:
+            await answer.connection.read_whole_body(answer.head, MAX_DISCARDED_BYTES)
+    except TimeoutError:
+        if limit.expired():
+            return AnswerEnd.UNREAD
+        raise
+    except AnswerBrokenError as exc:
+        if exc.end is AnswerEnd.OVERSIZED:
+            return AnswerEnd.UNREAD
+        raise
+    return await check_end(answer)
+
+
 async def check_end(answer: EndpointAnswer, is_inside_event: bool = False) -> AnswerEnd:
     """Return how an answer ended whose pieces were all read.
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/event_relay.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/event_relay.py
@@ -5,6 +5,7 @@
 caller gets, and whether that answer goes on with the stream at all.
 """
 
+import asyncio
 from collections.abc import Callable, Sequence
 
 from springbridge.routing import continuation
@@ -69,14 +70,14 @@
         """
         progress = self._exchange.progress
         async for piece in self._answer.pieces():
-            events = self._splitter.feed(piece)
-            if events:
-                _note_answer_began(progress)
-                await self._relay(events)
+            await self._relay(self._splitter.feed(piece))
+            while self._splitter.has_more:
+                # No other await lets other tasks run while both ends are fast.
+                await asyncio.sleep(0)
+                await self._relay(self._splitter.feed(b""))
         progress.answer_end = await check_end(self._answer, self._splitter.is_inside_event())
         last_lines = self._splitter.last_lines()
-        if last_lines is not None:
-            await self._relay([last_lines])
+        await self._relay([] if last_lines is None else [last_lines])
         if self._goes_on:
             _raise_misfit(continuation.end_misfit(progress.position, self._reading))
         if not self._exchange.answer.started:
@@ -89,6 +90,8 @@
           NoContinuationError: One of them does not go on with what the caller has; the events
             before it were sent.
         """
+        if events:
+            _note_answer_began(self._exchange.progress)
         raws, misfit = [], None
         for event in events:
             placed = self._place(event)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -161,6 +161,7 @@
             reason=outcome.reason,
             answer_end=_answer_end(exchange),
             obstacles=progress.obstacles,
+            body_bytes=exchange.answer.body_bytes,
             first_ms=first_ms,
             pause_ms=round(progress.longest_pause_s * 1000),
             total_ms=_age_ms(exchange),
--- a/packages/springbridge-standins/springbridge_standins/http_wire.py
+++ b/packages/springbridge-standins/springbridge_standins/http_wire.py
@@ -142,27 +142,27 @@
 
 async def _read_to_end(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     """Return a body that ends with its connection, and whether that ended in order."""
-    body = b""
+    body = bytearray()
     try:
         while piece := await reader.read(READ_BYTES):
             body += piece
     except ConnectionError:
-        return body, False
-    return body, True
+        return bytes(body), False
+    return bytes(body), True
 
 
 async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     """Return a chunked body, and whether its last chunk was received."""
-    body = b""
+    body = bytearray()
     try:
         while True:
             length = int((await reader.readuntil(CRLF)).strip(), 16)
             piece = await reader.readexactly(length + 2)
             if length == 0:
-                return body, True
+                return bytes(body), True
             body += piece[:-2]
     except (asyncio.IncompleteReadError, ConnectionError):
-        return body, False
+        return bytes(body), False
 
 
 def message(start: str, body: bytes, **headers: str) -> bytes:
--- a/packages/springbridge/springbridge/routing/event_stream.py
+++ b/packages/springbridge/springbridge/routing/event_stream.py
@@ -15,6 +15,8 @@
 END_OF_EVENT = re.compile(rb"\r\r|(?>\r\n|\n|\r)(?:\r\n|\n|\r(?=[^\n]))")
 # Most bytes of an end of an event that can have arrived without deciding that it is one.
 UNDECIDED_BYTES = 3
+# Events that one call returns, as tens of thousands fit what a socket takes at once.
+MAX_EVENTS_AT_ONCE = 256
 # Bytes of one event that are kept until it is complete.
 MAX_EVENT_BYTES = 256 << 10
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
@@ -43,11 +45,17 @@
 
 
 class EventSplitter:
-    """Splits the bytes of one stream into complete events, buffering incomplete ones."""
+    """Splits the bytes of one stream into complete events, buffering incomplete ones.
+
+    Attributes:
+      has_more: Whether another call of feed() may return more events without more bytes.
+    """
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
+        self.has_more = False
         self._rest = bytearray()
+        self._searched = 0
         self._has_events = False
         self._has_returns = False
         self._unfinished: Event | None = None
@@ -68,17 +76,25 @@
         )
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add bytes and return the events that they complete, and parts of a large one."""
-        search_from = max(0, len(self._rest) - UNDECIDED_BYTES)
+        """Add bytes and return events, and parts of a large one; see has_more."""
         self._rest += data
         self._has_returns = self._has_returns or b"\r" in data
         events, start = [], 0
-        while (end := self._end_of_event(search_from)) > 0:
+        search_from = max(0, self._searched - UNDECIDED_BYTES)
+        while len(events) < MAX_EVENTS_AT_ONCE:
+            end = self._end_of_event(search_from)
+            if end < 0:
+                break
             events.append(self._complete(bytes(self._rest[start:end])))
             search_from = start = end
         del self._rest[:start]
+        self.has_more = len(events) == MAX_EVENTS_AT_ONCE
+        if self.has_more:
+            self._searched = 0
+            return events
         if len(self._rest) > MAX_EVENT_BYTES or (self._unfinished and self._rest):
             events += self._part()
+        self._searched = len(self._rest)
         return events
 
     def last_lines(self) -> Event | None:
--- a/packages/springbridge/springbridge/routing/event_stream_test.py
+++ b/packages/springbridge/springbridge/routing/event_stream_test.py
@@ -6,7 +6,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from springbridge.routing.event_stream import MAX_EVENT_BYTES, EventSplitter
+from springbridge.routing.event_stream import (
+    MAX_EVENT_BYTES,
+    MAX_EVENTS_AT_ONCE,
+    EventSplitter,
+)
 
 STREAM = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda"
 
@@ -188,3 +192,14 @@
     for _ in range(pieces):
         splitter.feed(b"x" * 100)
     assert_that(searched < 2 * 100 * pieces, Equals(True))
+
+
+# Guards against thousands of events that are handled in one go, while nothing else runs.
+@pytest.mark.parametrize("raw", [b"\n\n", b"\r\r", b"\r\n\r\n", b"id: 1\n\n"])
+def test_many_events_come_in_turns(raw):
+    splitter, data = EventSplitter(), raw * 10_000
+    events = [splitter.feed(data)]
+    while splitter.has_more:
+        events.append(splitter.feed(b""))
+    assert_that(max(map(len, events)), Equals(MAX_EVENTS_AT_ONCE))
+    assert_that(b"".join(each.raw for turn in events for each in turn), Equals(data))
