Soak and drawn streams: answers that are no rest, and answers without end

The check of a truncated answer's beginning leaves out requests to which an engine has sent such bytes itself; that of whole answers does not.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
@@ -27,6 +27,7 @@
     if (
         response.status == 200
         and not response.is_complete
+        and request_id not in soak.endless
         and not expected.startswith(response.body)
     ):
         soak.violated(
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -17,6 +17,7 @@
 )
 
 if TYPE_CHECKING:
+    from springbridge_standins.gateway.soak.odd_answers import OddAnswers
     from springbridge_standins.gateway.soak.unframed import UnframedAnswers
 
 # Share of requests that meet a fault, a sixth of it for each kind: most requests succeed, and each
@@ -29,6 +30,8 @@
 EVENT_PAUSE_S = 0.02
 # Longest time before a plain answer.
 MAX_PLAIN_S = 0.03
+# Kind of an endless answer whose head promises that the request was not run.
+REFUSAL_KIND = "a body of a refusal"
 
 
 @dataclass
@@ -102,6 +105,7 @@
         crash: Callable[[RawRequest, str], Awaitable[bool]],
         statements: StatementSource,
         unframed: "UnframedAnswers",
+        odd: "OddAnswers | None" = None,
     ) -> None:
         """Set up the engine with an id and the record that all engines share.
 
@@ -109,7 +113,9 @@
           crash: Crashes the engine with a name if the request is poison; returns whether it is.
           statements: Source of the engines' statements about themselves.
           unframed: Sends the answers that state no length.
+          odd: Sends answers that are none; None for no such answers.
         """
+        self._odd = odd
         self._unframed = unframed
         self._crash = crash
         self._statements = statements
@@ -135,6 +141,12 @@
             refusal = answer(request.request_id, b"", 503, signature="", **refused)
             await connection.send(refusal)
             return
+        kind = self._odd.draw_endless() if self._odd else None
+        if kind is not None:
+            if kind != REFUSAL_KIND:
+                self._record_start(request)
+            await self._odd.send_endless(kind, request, connection)
+            return
         self._record_start(request)
         if fault < 2 * FAULT_SHARE / 6:
             connection.reset()
@@ -174,6 +186,11 @@
     async def _stream(self, request: RawRequest, connection: Connection, breaks: bool) -> None:
         """Stream the events after Last-Event-Id; with breaks, reset midway in a random event."""
         request_id = request.request_id
+        unfit = self._odd.draw_unfit(request) if self._odd else None
+        if unfit is not None:
+            await connection.send(unfit)
+            connection.close()
+            return
         first = int(request.headers.get("last-event-id", 0)) + 1
         last = event_count(request_id)
         stop = self._rng.randint(first, last) if breaks else None
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -9,6 +9,7 @@
 
 from springbridge_standins.gateway.soak import nodes
 from springbridge_standins.gateway.soak.alone import LEFT_ALONE
+from springbridge_standins.gateway.soak.odd_answers import ENDLESS_COUNT, UNFIT_COUNT
 from springbridge_standins.gateway.soak.soak import run_soak
 from springbridge_standins.gateway.soak.unframed import Ending
 
@@ -101,6 +102,18 @@
     assert_that(soak.violations, Equals([]))
 
 
+# Guards against a failure that becomes a part of a stream, and against an endpoint whose bytes do
+# not end and take the instance from all others, during kills, freezes and cuts.
+def test_a_short_soak_with_answers_that_are_none_breaks_no_promise(tmp_path):
+    def tried():
+        return soak_counts[UNFIT_COUNT] > 3 and soak_counts[ENDLESS_COUNT] > 5
+
+    soak_counts = Counter()
+    soak = asyncio.run(run_soak(90, 12.0, tmp_path, counts=soak_counts, enough=tried, odd=True))
+    assert_that(soak.violations, Equals([]))
+    assert_that(tried(), Equals(True))
+
+
 # Guards against a soak that finds no violation because its nodes never served.
 def test_a_soak_whose_nodes_never_serve_is_a_violation(tmp_path, monkeypatch):
     monkeypatch.setattr(nodes, "sys", SimpleNamespace(executable="/bin/false"))
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/state.py
@@ -68,6 +68,7 @@
       poison_arrived_s: When the poison request arrived at engines, on the same clock.
       path_cuts: The cuts of paths between nodes and engines.
       drains_until_s: Until when nodes may take an engine for draining, on the monotonic clock.
+      endless: Ids of the requests to which an engine has sent bytes without end.
       stamps: What the soak did and saw, in order, to be read beside the logs of the nodes.
     """
 
@@ -91,6 +92,7 @@
     leaving_relayed_s: dict[tuple[str, str], float] = field(default_factory=dict)
     path_cuts: list[PathCut] = field(default_factory=list)
     drains_until_s: dict[str, float] = field(default_factory=dict)
+    endless: set[str] = field(default_factory=set)
     stamps: list[dict[str, Any]] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
