Soak: an answer without end breaks off at the limit of its stand-in

Traced: its engine sent 157 MB without a length in 0.7 s, which is the limit of the stand-in, and closed in order; the node passed all of it on (`closed, others open`, body_bytes). So the answer was whole. The stand-in resets the connection at its limit now; the check stays as it is.

--- a/packages/springbridge-standins/springbridge_standins/gateway/endless.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/endless.py
@@ -21,7 +21,8 @@
     unframed_head,
 )
 
-# Bytes that a script sends at the most, in case nothing closes its connection.
+# Bytes that a script sends at the most, in case nothing closes its connection. It resets it then: a
+# body without a length would be whole if its connection were closed in order.
 LIMIT_BYTES = 150 << 20
 # Size of what is sent at once.
 SEND_BYTES = 1 << 16
@@ -39,7 +40,7 @@
         await connection.send(first.replace(b"ID", request.request_id.encode()))
         for _ in range(LIMIT_BYTES // len(block)):
             await connection.send(block)
-        connection.close()
+        connection.reset()
 
     return script
 
