Soak: streams that break off have endpoints of their own that answer with something else

Cause: only streams of the callers that all harms share were continued. So the harm hardly came, and the check that it did was right. It stays as it is.

Now such streams have a service, endpoints and callers of their own, and draws of their own. The check of a body stands in one function for both kinds of callers; it checks the same.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/checks.py
@@ -22,6 +22,21 @@
     """Check an answer that a caller got."""
     streams = path in ("/stream/x", "/single/x")
     expected = full_stream(request_id) if streams else plain_answer(request_id, body)
+    check_body(soak, path, request_id, expected, response)
+    if response.status == 503 and b'"QUARANTINED"' in response.body:
+        soak.violated("other requests are not quarantined", f"{request_id} {path}")
+    if response.status in (401, 403, 404):
+        soak.violated("allowed requests are not denied", f"{request_id} {path} {response.status}")
+    if response.status in NOT_RUN and path in NOT_REPEATABLE:
+        soak.reported_not_run.add(request_id)
+        if response.status == 503 and "retry-after" not in response.headers:
+            soak.violated("a refusal names a retry time", f"{request_id} {path}")
+
+
+def check_body(
+    soak: Soak, path: str, request_id: str, expected: bytes, response: RawAnswer
+) -> None:
+    """Check that a success has the expected body, or a part from its beginning if it is cut off."""
     if response.status == 200 and response.is_complete and response.body != expected:
         soak.violated("complete answer", f"{request_id} {path} got {response.body[:80]!r}")
     if (
@@ -34,14 +49,6 @@
             "a truncated answer is a prefix of its own",
             f"{request_id} {path} got {response.body[:80]!r}",
         )
-    if response.status == 503 and b'"QUARANTINED"' in response.body:
-        soak.violated("other requests are not quarantined", f"{request_id} {path}")
-    if response.status in (401, 403, 404):
-        soak.violated("allowed requests are not denied", f"{request_id} {path} {response.status}")
-    if response.status in NOT_RUN and path in NOT_REPEATABLE:
-        soak.reported_not_run.add(request_id)
-        if response.status == 503 and "retry-after" not in response.headers:
-            soak.violated("a refusal names a retry time", f"{request_id} {path}")
 
 
 def check_no_answer(
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/harms.py
@@ -7,9 +7,9 @@
 from collections.abc import AsyncIterator, Iterator
 
 from springbridge_standins.gateway.duties import DutyFault
+from springbridge_standins.gateway.soak.configuration import soak_configuration
 from springbridge_standins.gateway.soak.nodes import NodeProcess
 from springbridge_standins.gateway.soak.state import Soak
-from springbridge_standins.gateway.soak.versions import soak_configuration
 from springbridge_standins.gateway.store import StoreFault
 from springbridge_standins.proxy import ConnectionFault, LoopbackProxy
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -27,6 +27,13 @@
 from springbridge_standins.gateway.soak.alone import leave_alone_forever
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_duties, check_record, check_served
+from springbridge_standins.gateway.soak.configuration import soak_configuration
+from springbridge_standins.gateway.soak.continuations import CALLERS as STREAM_CALLERS
+from springbridge_standins.gateway.soak.continuations import (
+    ContinuedStreams,
+    ask_forever,
+    running_continued_streams,
+)
 from springbridge_standins.gateway.soak.crashes import (
     check_poison,
     crash_engine,
@@ -67,7 +74,6 @@
     check_versions,
     roll_out_forever,
     running_rollouts,
-    soak_configuration,
     stream_forever,
 )
 from springbridge_standins.gateway.store import StoreStandIn
@@ -114,6 +120,10 @@
         await _start_engines(soak, statements, part_harm, stack, seed, odd_answers)
         rng = random.Random(f"{seed} versions")
         rollouts = await stack.enter_async_context(running_rollouts(soak, rng))
+        rng = random.Random(f"{seed} continued streams")
+        streams = ContinuedStreams(soak, rng, OddAnswers(soak, rng, soak.counts))
+        if odd:
+            await stack.enter_async_context(running_continued_streams(streams))
         await soak.store.put("op", "config", soak_configuration(soak.version))
         net = stack.enter_context(loopback_network(seed))
         await _start_nodes(soak, stack, folder, [f"{net}.{number + 1}" for number in range(nodes)])
@@ -121,6 +131,9 @@
         if parts:
             rng = random.Random(f"{seed} parts")
             tasks.append(asyncio.ensure_future(send_prompts_forever(part_harm, rng)))
+        if odd:
+            work = (ask_forever(streams, number) for number in range(STREAM_CALLERS))
+            tasks += map(asyncio.ensure_future, work)
         if alone:
             rng = random.Random(f"{seed} alone")
             tasks.append(asyncio.ensure_future(leave_alone_forever(soak, rng)))
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/versions.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/versions.py
@@ -14,7 +14,7 @@
 
 from springbridge_standins.gateway.caller import CallerConnection
 from springbridge_standins.gateway.engine import EngineStandIn, other_endpoint
-from springbridge_standins.gateway.fleet import configuration, list_engine, route
+from springbridge_standins.gateway.fleet import list_engine
 from springbridge_standins.gateway.soak.state import Soak
 from springbridge_standins.gateway.versioned import LAST_EVENT, VersionedStream, versioned_stream
 from springbridge_standins.http_wire import Connection, RawRequest
@@ -38,14 +38,6 @@
 MIN_STREAMS, MIN_SHARE = 12, 0.5
 
 
-def soak_configuration(version: int) -> dict:
-    """Return the configuration of a soak, which has a route to engines of several versions."""
-    plain = configuration(version)
-    plain["routes"].append(route("read", "streaming", SERVICE, resumable=True))
-    plain["services"].append({"name": SERVICE, "healthPath": "/healthz", "maxConnections": 100})
-    return plain
-
-
 @dataclass
 class VersionedEngine:
     """An engine of a version."""
