--- a/packages/springbridge-standins/springbridge_standins/gateway/measured_floods.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/measured_floods.py
@@ -1,9 +1,9 @@
-"""Measures what an endpoint whose answers do not end takes from an instance, and from its callers.
+"""Measures what endpoints whose answers do not end take from an instance, and from its callers.
 
 One instance, callers of a sound service, and callers of another service of whose three endpoints
-one sends without end. Instance and endpoints are processes of their own. For each kind of answer
-the memory of the instance, the latency of the sound service and the time that requests of the other
-one took past their deadline are printed.
+one, two or all send without end. Instance and endpoints are processes of their own. For each kind
+of answer the memory of the instance, the latency of the sound service and the time that requests
+of the other one took past their deadline are printed.
 """
 
 import asyncio
@@ -33,6 +33,8 @@
 
 SOUND_CALLERS, OTHER_CALLERS = 20, 12
 OTHER_PATHS = ("/stream/x", "/single/x", "/other-safe/x", "/other-once/x")
+# Endpoints of the other service, in the order in which they begin to send without end.
+FLOODING = ("model-1", "model-2", "model-3")
 DEADLINE_MS = 2000
 # Pause of a caller of the sound service between two requests, in seconds.
 PAUSE_S = 0.1
@@ -199,14 +201,18 @@
     return seen
 
 
-def measure(kind: str, seconds: float, callers: int) -> str:
-    """Measure a kind of answers, and return a line of the report."""
+def measure(kind: str, seconds: float, callers: int, flooding: int) -> str:
+    """Measure a kind of answers, and return a line of the report.
+
+    Args:
+      flooding: How many endpoints of the other service give answers of that kind.
+    """
     ports = free_ports(6)
-    names = ("desk-1", "desk-2", "desk-3", "model-1", "model-2", "model-3")
+    names = ("desk-1", "desk-2", "desk-3", *FLOODING)
     addresses = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
     with contextlib.ExitStack() as stack:
         for name, address in addresses.items():
-            which = kind if name == "model-1" else "nothing"
+            which = kind if name in FLOODING[:flooding] else "nothing"
             stack.enter_context(program("engine", address, which))
         time.sleep(1.5)
         node = stack.enter_context(program("node", json.dumps(addresses)))
@@ -245,11 +251,13 @@
 
 
 @app.command("measure")
-def _measure(seconds: float = 8.0, callers: int = OTHER_CALLERS, only: str = "") -> None:
+def _measure(
+    seconds: float = 8.0, callers: int = OTHER_CALLERS, only: str = "", flooding: int = 1
+) -> None:
     """Print a line for each kind of answers, or for those whose names hold a word."""
     for kind in SCRIPTS:
         if only in kind:
-            typer.echo(measure(kind, seconds, callers))
+            typer.echo(measure(kind, seconds, callers, flooding))
 
 
 if __name__ == "__main__":
