--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -10,7 +10,7 @@
 from springbridge_standins.gateway.soak import nodes
 from springbridge_standins.gateway.soak.alone import LEFT_ALONE
 from springbridge_standins.gateway.soak.odd_answers import ENDLESS_COUNT, UNFIT_COUNT
-from springbridge_standins.gateway.soak.soak import run_soak
+from springbridge_standins.gateway.soak.soak import Harms, run_soak
 from springbridge_standins.gateway.soak.unframed import Ending
 
 
@@ -66,7 +66,9 @@
 
     soak_counts = Counter()
     soak = asyncio.run(
-        run_soak(81, 15.0, tmp_path, nodes=5, counts=soak_counts, enough=tried, parts=True)
+        run_soak(
+            81, 15.0, tmp_path, nodes=5, counts=soak_counts, enough=tried, harms=Harms(parts=True)
+        )
     )
     assert_that(soak.violations, Equals([]))
     assert_that(soak_counts["parts: engines crashed"], GreaterThan(1))
@@ -96,7 +98,7 @@
             tmp_path,
             counts=soak_counts,
             enough=lambda: soak_counts[LEFT_ALONE] > 3,
-            alone=True,
+            harms=Harms(alone=True),
         )
     )
     assert_that(soak.violations, Equals([]))
@@ -109,7 +111,9 @@
         return soak_counts[UNFIT_COUNT] > 3 and soak_counts[ENDLESS_COUNT] > 5
 
     soak_counts = Counter()
-    soak = asyncio.run(run_soak(90, 12.0, tmp_path, counts=soak_counts, enough=tried, odd=True))
+    soak = asyncio.run(
+        run_soak(90, 12.0, tmp_path, counts=soak_counts, enough=tried, harms=Harms(odd=True))
+    )
     assert_that(soak.violations, Equals([]))
     assert_that(tried(), Equals(True))
 
