--- a/packages/springbridge-node/springbridge_node/gateway/http/endless_answers_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/endless_answers_test.py
@@ -1,4 +1,4 @@
-"""Tests of http_connection.py and chunks.py: bytes that come without end, in a head or a body.
+"""Tests of http_connection.py, chunks.py and calls.py: bytes that do not end, in a head or a body.
 
 Guards against an endpoint that takes the memory or the event loop of a whole instance.
 """
@@ -10,7 +10,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from springbridge_node.gateway.http import calls
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
+from springbridge_node.gateway.http.calls import CallFailedError, HttpClient
 from springbridge_node.gateway.http.chunks import MAX_TRAILER_BYTES, ChunkDecoder
 from springbridge_node.gateway.http.http_connection import (
     MAX_HEAD_BYTES,
@@ -58,10 +60,16 @@
         fut.set_result(data)
         return fut
 
+    async def write(self, data):
+        """Take bytes that nobody reads."""
+
     def closed(self):
         """Return that it is open."""
         return False
 
+    def close(self):
+        """Do nothing."""
+
 
 def reading(stream, read):
     """Read from an endless stream while another task counts its turns; return what read returns."""
@@ -160,6 +168,27 @@
     assert_that(stream.read <= (1 << 20) + 2 * READ_BYTES, Equals(True))
 
 
+# Guards against an answer of the store or of a peer that takes memory until its call times out.
+@pytest.mark.parametrize("first", [UNFRAMED, CHUNKED + b"fffffffffff\r\n"])
+def test_a_call_whose_answer_does_not_end_fails_at_its_bound(monkeypatch, first):
+    stream = EndlessStream(first, b"x")
+
+    async def connected(address, timeout_s):
+        return HttpConnection(stream)
+
+    async def call(connection):
+        try:
+            await HttpClient("127.0.0.1:1", 1 << 20).call("GET", "/rows", timeout_s=60.0)
+        except CallFailedError as exc:
+            return str(exc)
+        return None
+
+    monkeypatch.setattr(calls, "connect", connected)
+    assert_that(reading(stream, call), Equals("AnswerBrokenError"))
+    assert_that(stream.read <= (1 << 20) + 2 * READ_BYTES, Equals(True))
+    assert_that(stream.turns, Equals(sorted({*stream.turns})))
+
+
 # Guards against data of chunks that is lost since the bytes behind it are no chunk.
 def test_data_before_an_invalid_chunk_is_returned_first():
     decoder, received = ChunkDecoder(), bytearray(b"3\r\nabc\r\nzz\r\n")
