--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -140,6 +140,10 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    def has_ended(self) -> bool:
+        """Return whether the process was started and runs no longer."""
+        return self._process is not None and self._process.returncode is not None
+
     async def wait_exit(self) -> int:
         """Wait until the process has exited and return its status."""
         return await self._process.wait()
