--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -36,6 +36,7 @@
     telemetry.leaving_endpoints.set(len(known.intersection(statements.leaving())))
     telemetry.resting_endpoints.set(sum(1 for _ in statements.resting()))
     telemetry.evacuated_domains.set(len(gateway.evacuations.domains))
+    telemetry.list_age.set(gateway.registry.age_s())
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
     telemetry.config_version.set(gateway.configuration.version)
     for where, count in logs.FAULTS.items():
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -87,6 +87,11 @@
             "Connections to engines that this node keeps up for peers",
             registry=self.registry,
         )
+        self.list_age = Gauge(
+            "springbridge_list_age_seconds",
+            "Age of the engine list in use; infinite before the first",
+            registry=self.registry,
+        )
         self.unreadable_endpoints = Gauge(
             "springbridge_unreadable_engines",
             "Entries of the engine list, as this node last read it, that name no engine",
--- a/packages/springbridge-standins/springbridge_standins/gateway/odd_rows/contents.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/odd_rows/contents.py
@@ -73,7 +73,9 @@
 
 
 def _instance_address(around: Surroundings) -> list[OddRow]:
-    return [OddRow("servers", "i-odd", orjson.dumps(entry(around, address=around.instance_address)))]
+    return [
+        OddRow("servers", "i-odd", orjson.dumps(entry(around, address=around.instance_address)))
+    ]
 
 
 def _vast_slots(around: Surroundings) -> list[OddRow]:
