A row that cannot be read affects no other row of its table

Cause: is_address converted the digits of a port in a condition outside any try. The ValueError left the reader of one entry, and the adapter took it for a store that cannot be read, so that every instance went on with its old list as in an outage. Class: a fault of one item becomes the fault of the whole; what cannot be read is taken for a store that does not answer. The same cause stood elsewhere: announced instances (outside any parser: look-ups of peers failed for good), stored quarantine (crash ids of any size, that peers cannot be sent), a row without a key or none at all, the configuration's fields of another type (AttributeError left the follower), a page that does not go on. Now all rows are read through read_each of item_reader.py: whatever one row does to its reader, it alone is unreadable, with its key and reason; adapters have no other way to a record. Rows of other tables are counted (springbridge_unreadable_rows) and logged once.

--- a/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/configuration_follower.py
@@ -13,6 +13,7 @@
 
 from returns.result import Failure, Success
 from springbridge.codes import Code
+from springbridge.item_reader import reason_of
 from springbridge.routing.admission import RouteIndex
 from springbridge.routing.evacuations import EvacuationUpdate
 from springbridge.routing.records import Service
@@ -124,8 +125,10 @@
             return
         try:
             index = RouteIndex.from_config(self._parse(document.raw))
-        except (ValueError, KeyError, TypeError) as exc:
-            logs.event("configuration.unreadable", version=document.version, kind=str(exc))
+        except Exception as exc:
+            # Whatever a document does to its reader, the version in force stays.
+            reason = reason_of(exc)
+            logs.event("configuration.unreadable", version=document.version, kind=reason)
             return
         before = self.version
         self.document = document
--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
+from springbridge.item_reader import UnreadableItem
 from springbridge.membership import Membership, SnapshotStatus
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.listed_entries import with_cold_only_for
@@ -32,7 +33,7 @@
 from springbridge_node.gateway.config.platform_store import PlatformStore
 from springbridge_node.gateway.config.source import Source
 from springbridge_node.gateway.config.store_readers import StoreReaders
-from springbridge_node.gateway.config.unreadable_entries import UnreadableEntryLog
+from springbridge_node.gateway.config.unreadable_items import UnreadableItemLog
 from springbridge_node.periodic import next_tick
 
 
@@ -92,6 +93,11 @@
     cold_services: Callable[[], Collection[str]] = tuple
 
 
+def _log_unreadable(item: UnreadableItem) -> None:
+    """Log an entry of the list that names no endpoint."""
+    logs.event("engines.unreadable", key=item.key, reason=item.reason)
+
+
 class EndpointFollower:
     """Installs the newest endpoint list in the registry.
 
@@ -127,7 +133,7 @@
         self._same_content: _SameContent | None = None
         self._same_until_s = float("-inf")
         self.dependency = Dependency("store")
-        self.unreadable = UnreadableEntryLog()
+        self.unreadable = UnreadableItemLog(_log_unreadable)
 
     def snapshot_status(self) -> SnapshotStatus:
         """Return fingerprint and age of the list in use, for digests to peers."""
--- a/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
@@ -3,7 +3,7 @@
 The adapter in the platform folder implements them; only it knows the store's names and formats.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -66,6 +66,9 @@
     Cursors and revisions are stamps; see springbridge/store_stamp.py.
     """
 
+    def unreadable_rows(self) -> Mapping[str, int]:
+        """Return how many rows could not be read at the last read, by table."""
+
     def on_store_rollback(self, on_rollback: Callable[[int], None]) -> None:
         """Set the callback that gets the new era after the store was restored from an older copy.
 
@@ -111,5 +114,5 @@
         """Return the parsed configuration.
 
         Raises:
-          ValueError, KeyError, TypeError: The document is invalid.
+          Exception: The document is invalid.
         """
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from dataclasses import replace
 
 from springbridge.codes import Code
@@ -345,6 +345,10 @@
         set_gauges(self)
         return Reply(200, self.telemetry.text(), TEXT)
 
+    def unreadable_rows(self) -> Mapping[str, int]:
+        """Return how many rows of the store could not be read at the last read, by table."""
+        return self._ports.store.unreadable_rows()
+
     def live_node_count(self) -> int:
         """Return the number of nodes that share the retry budget and the endpoints' connections."""
         return max(1, self.membership.live_count())
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -38,6 +38,8 @@
     telemetry.evacuated_domains.set(len(gateway.evacuations.domains))
     telemetry.list_age.set(gateway.registry.age_s())
     telemetry.unreadable_endpoints.set(gateway.endpoints.unreadable.count)
+    for table, count in gateway.unreadable_rows().items():
+        telemetry.unreadable_rows.labels(table).set(count)
     telemetry.config_version.set(gateway.configuration.version)
     for where, count in logs.FAULTS.items():
         telemetry.faults.labels(where).set(count)
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -97,6 +97,12 @@
             "Entries of the engine list, as this node last read it, that name no engine",
             registry=self.registry,
         )
+        self.unreadable_rows = Gauge(
+            "springbridge_unreadable_rows",
+            "Rows of a table, as this node last read it, that cannot be read",
+            ["table"],
+            registry=self.registry,
+        )
         self.nodes = Gauge("springbridge_live_nodes", "Nodes alive", registry=self.registry)
         self.store_up = Gauge(
             "springbridge_store_up", "1 while the store answers", registry=self.registry
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from springbridge.duties.scaling import ScalingLimits
+from springbridge.item_reader import UnreadableItem
 
 # Priority of a route that has none: the middle of the usual ones. For load shedding it is among the
 # least urgent (overload.py).
@@ -179,21 +180,6 @@
         return EndpointIncarnation(self.endpoint_id, self.born_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class UnreadableEntry:
-    """An entry of the list that cannot be parsed.
-
-    Attributes:
-      key: The key of the entry on the list.
-      reason: What is wrong with the entry, without its content.
-      content_hash: Hash of its content, to detect changes of the entry.
-    """
-
-    key: str
-    reason: str
-    content_hash: int
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointSnapshot:
     """The platform's list of endpoints at one revision; revisions only increase.
@@ -204,7 +190,7 @@
 
     revision: int
     entries: tuple[EndpointEntry, ...]
-    unreadable: tuple[UnreadableEntry, ...] = ()
+    unreadable: tuple[UnreadableItem, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
