An entry that names an instance is no endpoint's, and an answer without its request's id none

Cause: any answer without Request-Id counted as the request's own. An entry at an address where live instances serve callers or peers counts as unreadable, so that no request goes round.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -14,7 +14,7 @@
 from springbridge.item_reader import UnreadableItem
 from springbridge.membership import Membership, SnapshotStatus
 from springbridge.routing.endpoint_registry import EndpointRegistry
-from springbridge.routing.listed_entries import with_cold_only_for
+from springbridge.routing.listed_entries import with_cold_only_for, without_addresses
 from springbridge.routing.records import EndpointSnapshot
 from springbridge.routing.store_freshness import (
     ASK_PEERS_AFTER_S,
@@ -221,6 +221,7 @@
         began_s = self._clock()
         match await self._store.read_endpoints():
             case Success(snapshot):
+                snapshot = without_addresses(snapshot, self._instance_addresses())
                 self.unreadable.note(snapshot.unreadable)
                 took_s = self._clock() - began_s
                 if self._install(AgedSnapshot(snapshot, 0.0), Source.STORE, took_s):
@@ -246,7 +247,8 @@
         Args:
           took_s: Seconds that the call took which read it from the store.
         """
-        snapshot = with_cold_only_for(aged.snapshot, self._hooks.cold_services())
+        snapshot = without_addresses(aged.snapshot, self._instance_addresses())
+        snapshot = with_cold_only_for(snapshot, self._hooks.cold_services())
         changed = self._registry.install(snapshot, self._hooks.capacities(), aged.age_s, took_s)
         if changed:
             logs.event(
@@ -254,9 +256,12 @@
                 revision=aged.snapshot.revision,
                 age_ms=round(aged.age_s * 1000),
                 source=source,
-                listed=len(aged.snapshot.entries),
-                draining=sorted(
-                    entry.endpoint_id for entry in aged.snapshot.entries if entry.draining
-                ),
+                listed=len(snapshot.entries),
+                draining=sorted(entry.endpoint_id for entry in snapshot.entries if entry.draining),
             )
         return changed
+
+    def _instance_addresses(self) -> set[str]:
+        """Return the addresses at which instances serve callers and peers, who are no endpoints."""
+        members = self._membership.live()
+        return {each.caller_address for each in members} | {each.peer_address for each in members}
--- a/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/endpoint_answer.py
@@ -70,12 +70,18 @@
 
 
 async def _read_own_head(connection: HttpConnection, codec: RequestCodec, request_id: str) -> Head:
-    """Return the head of the answer that belongs to a request, skipping stale answers."""
+    """Return the head of the answer that belongs to a request, skipping stale answers.
+
+    Endpoints repeat the id of a request in their answer. One without is of another program, such
+    as an instance, which has the endpoint's address or is named by an odd entry.
+    """
     for _ in range(MAX_ANSWERS_READ):
         head = await connection.read_head()
         answered = codec.answer_metadata(head).request_id
-        if answered in ("", request_id):
+        if answered == request_id:
             return head
+        if not answered:
+            raise AnswerBrokenError(AnswerEnd.INVALID, "not an endpoint's answer")
         if head.unframed:
             break
         await connection.read_whole_body(head, MAX_DISCARDED_BYTES)
--- a/packages/springbridge/springbridge/routing/listed_entries.py
+++ b/packages/springbridge/springbridge/routing/listed_entries.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from springbridge.item_reader import UnreadableItem
 from springbridge.routing.records import EndpointEntry, EndpointSnapshot
 
 # Bits dropped from the 64-bit hash of a list. Heartbeats carry the rest, which instances of all
@@ -59,6 +60,22 @@
     return replace(snapshot, entries=entries)
 
 
+def without_addresses(snapshot: EndpointSnapshot, addresses: Collection[str]) -> EndpointSnapshot:
+    """Return a list without the entries that have one of some addresses, which are no endpoints'.
+
+    They count as unreadable instead.
+    """
+    if not any(entry.address in addresses for entry in snapshot.entries):
+        return snapshot
+    sound = tuple(entry for entry in snapshot.entries if entry.address not in addresses)
+    odd = tuple(
+        UnreadableItem(entry.endpoint_id, "address: of an instance", hash(entry.address))
+        for entry in snapshot.entries
+        if entry.address in addresses
+    )
+    return replace(snapshot, entries=sound, unreadable=snapshot.unreadable + odd)
+
+
 def fingerprint_of(snapshot: EndpointSnapshot) -> int:
     """Return a hash of a list's content, independent of its revision and order."""
     rows = sorted(_fingerprint_row(entry) for entry in snapshot.entries)
