An endpoint counts with at most one and a half times the slots of the middle one of its service

What callers saw: an entry of a living endpoint stated 2^63 - 1 slots, and it got .48 of all requests, .69 after a restart, where .25 is fair; it would never have counted as full. Cause: nothing but the entry says how many requests an endpoint runs, and requests go where the fewest run per slot. Now the middle of the service's endpoints is believed; the platform's services have the same slots at all of their endpoints, so nothing changes there. Weighed: no bound but a log line (does not help callers), a bound from what an endpoint has run at once (grows with its queue, which also takes more than its slots). A service whose endpoints differ by more uses its largest ones less. Tests: stated_slots_test; a drawn share per number of endpoints is at most 1.5 times the fair one.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -16,6 +16,7 @@
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.listed_entries import with_cold_only_for, without_addresses
 from springbridge.routing.records import EndpointSnapshot
+from springbridge.routing.stated_slots import BoundedSlots, with_bounded_slots
 from springbridge.routing.store_freshness import (
     ASK_PEERS_AFTER_S,
     CHECK_INTERVAL_S,
@@ -132,6 +133,7 @@
         self._next_turn_s = float("-inf")
         self._same_content: _SameContent | None = None
         self._same_until_s = float("-inf")
+        self._bounded: tuple[BoundedSlots, ...] = ()
         self.dependency = Dependency("store")
         self.unreadable = UnreadableItemLog(_log_unreadable)
 
@@ -249,6 +251,8 @@
         """
         snapshot = without_addresses(aged.snapshot, self._instance_addresses())
         snapshot = with_cold_only_for(snapshot, self._hooks.cold_services())
+        snapshot, bounded = with_bounded_slots(snapshot)
+        self._log_bounded(bounded)
         changed = self._registry.install(snapshot, self._hooks.capacities(), aged.age_s, took_s)
         if changed:
             logs.event(
@@ -261,6 +265,18 @@
             )
         return changed
 
+    def _log_bounded(self, bounded: tuple[BoundedSlots, ...]) -> None:
+        """Log the endpoints whose stated slots are not used, once for each number."""
+        for each in bounded:
+            if each not in self._bounded:
+                logs.event(
+                    "engine.slots_bounded",
+                    engine=each.endpoint_id,
+                    stated=each.stated,
+                    used=each.used,
+                )
+        self._bounded = bounded
+
     def _instance_addresses(self) -> set[str]:
         """Return the addresses at which instances serve callers and peers, who are no endpoints."""
         members = self._membership.live()
