A record of versions in the store lets streams go on after the loss of all instances

What callers saw: after all instances were killed at once, no stream was taken up again for twice the route's time limit, also where one version was listed throughout: 503, STREAM_ORIGIN_UNKNOWN ('versions watched for 0.5 s'). Cause: what began a stream, and which versions there were, is known to instances alone. A version that has just left stands in no list, so the list proves nothing. Now the store has one row with each version of each service, written before an instance that reads the list uses one, and since when it is complete. It takes the place of having watched; anything that could make it false (another era, a younger record, two versions, an odd row, a build that records nothing, by its heartbeat) makes it decide nothing. Only a version that could not be recorded waits, and only where its service has another; departures never do. Weighed: origins of streams in the store (a call or bytes for each stream), conclusions from born (an endpoint that left is in no list). Two versions: refused as before, since nobody knows. One further read of the store at the start of an instance, one write for each new version.

--- a/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/endpoint_follower.py
@@ -74,6 +74,11 @@
 FetchSnapshot = Callable[[str | None], Awaitable[AgedSnapshot | None]]
 
 
+async def _admit_all(snapshot: EndpointSnapshot) -> EndpointSnapshot:
+    """Return a list as it is."""
+    return snapshot
+
+
 @dataclass(frozen=True, slots=True)
 class FollowerHooks:
     """The functions of the node that the follower calls.
@@ -85,6 +90,7 @@
       on_changed: Called when this node has read a changed list from the store.
       on_regained: Called when the store answers again after a failure.
       cold_services: Returns the services whose cold endpoints have a limited request rate.
+      admit: Returns a list of the store without the endpoints that must not be used yet.
     """
 
     capacities: Callable[[], dict[str, int]]
@@ -92,6 +98,7 @@
     on_changed: Callable[[], None]
     on_regained: Callable[[], None]
     cold_services: Callable[[], Collection[str]] = tuple
+    admit: Callable[[EndpointSnapshot], Awaitable[EndpointSnapshot]] = _admit_all
 
 
 def _log_unreadable(item: UnreadableItem) -> None:
@@ -226,7 +233,9 @@
                 snapshot = without_addresses(snapshot, self._instance_addresses())
                 self.unreadable.note(snapshot.unreadable)
                 took_s = self._clock() - began_s
-                if self._install(AgedSnapshot(snapshot, 0.0), Source.STORE, took_s):
+                snapshot = await self._hooks.admit(snapshot)
+                age_s = self._clock() - began_s - took_s
+                if self._install(AgedSnapshot(snapshot, age_s), Source.STORE, took_s):
                     self._hooks.on_changed()
                 if self.dependency.answered():
                     self._hooks.on_regained()
--- a/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/platform_store.py
@@ -11,6 +11,7 @@
 from springbridge.problems import Problem
 from springbridge.routing.evacuations import EvacuationUpdate
 from springbridge.routing.records import Configuration, EndpointSnapshot
+from springbridge.routing.version_record import RecordReading, VersionRecord
 
 from springbridge_node.gateway.duties.duty_platform import LeaseStore
 
@@ -91,6 +92,16 @@
     async def read_endpoints(self) -> Result[EndpointSnapshot, Problem]:
         """Return the current endpoint list."""
 
+    async def read_versions(self) -> Result[RecordReading, Problem]:
+        """Return the record of versions."""
+
+    async def write_versions(self, record: VersionRecord, before: int) -> Result[None, Problem]:
+        """Write the record if its row still has the stamp `before` (compare and set).
+
+        Returns:
+          VERSION_CONFLICT if it has another one.
+        """
+
     async def read_nodes(self) -> Result[list[str], Problem]:
         """Return the peer addresses that nodes have announced."""
 
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -32,6 +32,7 @@
 from springbridge_node.gateway.config.stored_quarantine import (
     CHECK_INTERVAL_S as QUARANTINE_CHECK_INTERVAL_S,
 )
+from springbridge_node.gateway.config.version_register import VersionRegister
 from springbridge_node.gateway.duties.duty_parts import duty_parts
 from springbridge_node.gateway.endpoints.path_parts import PathParts
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S
@@ -45,6 +46,7 @@
 from springbridge_node.gateway.peers.heartbeats import HEARTBEAT_INTERVAL_S, Heartbeats
 from springbridge_node.gateway.peers.origin_sharing import OriginSharing
 from springbridge_node.gateway.peers.own_member import PACE, member_of
+from springbridge_node.gateway.peers.peer_builds import records_versions
 from springbridge_node.gateway.peers.peer_client import PeerClient
 from springbridge_node.gateway.peers.peer_discovery import (
     DISCOVERY_DELAY_S,
@@ -82,6 +84,7 @@
       membership: The nodes of the fleet, this one included.
       registry: The endpoints and the state of each.
       configuration: Follows and holds the configuration in force.
+      versions: Records the versions of endpoints in the store before they are used.
       endpoints: Keeps the endpoint list in the registry up to date.
       path_parts: Connect to endpoints, directly or through peers, and serve peers likewise.
       rates: Enforces the request rates that endpoints announce.
@@ -143,6 +146,9 @@
             ports,
             self.configuration.services,
         )
+        self.versions = VersionRegister(
+            ports.store, self._all_record_versions, settings.first_start
+        )
         self.endpoints = self._endpoint_follower()
         self.router = RequestRouter(self._router_parts())
         self.listener = CallerListener(self._serve)
@@ -171,6 +177,7 @@
         self.configuration.refresh()
         self.discovery.announce_again()
         self.quarantine_parts.stored.rewrite_rows()
+        self.versions.store_went_back()
 
     def _configuration_follower(self) -> ConfigurationFollower:
         """Create the part that keeps the configuration up to date."""
@@ -195,6 +202,7 @@
                 on_changed=lambda: self.heartbeats.push(),
                 on_regained=self.configuration.refresh,
                 cold_services=self.configuration.cold_services,
+                admit=self.versions.admit,
             ),
             snapshot_interval_s(self.settings.drain_s),
         )
@@ -220,7 +228,7 @@
             rates=self.rates,
             places=self.places,
             rest_refusals=RestRefusals(self.registry, self.telemetry),
-            streams=StreamVersions(self.registry, self.origins),
+            streams=StreamVersions(self.registry, self.origins, self.versions),
         )
 
     async def start(self) -> None:
@@ -349,6 +357,10 @@
         """Return how many rows of the store could not be read at the last read, by table."""
         return self._ports.store.unreadable_rows()
 
+    def _all_record_versions(self) -> bool:
+        """Return whether all instances record the versions of the endpoints that they use."""
+        return all(records_versions(each.heartbeat) for each in self.membership.reachable())
+
     def live_node_count(self) -> int:
         """Return the number of nodes that share the retry budget and the endpoints' connections."""
         return max(1, self.membership.live_count())
--- a/packages/springbridge-node/springbridge_node/gateway/peers/peer_builds.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/peer_builds.py
@@ -16,8 +16,10 @@
 FIRST_HEARTBEAT_WITH_PERMITS = 3_000_000_000
 # First heartbeat of builds that answer these, but keep no origins of streams.
 FIRST_HEARTBEAT_WITH_PLACES = 4_000_000_000
+# First heartbeat of builds that keep origins, but do not record versions before they use them.
+FIRST_HEARTBEAT_WITH_ORIGINS = 5_000_000_000
 # First heartbeat of this build.
-FIRST_HEARTBEAT = 5_000_000_000
+FIRST_HEARTBEAT = 6_000_000_000
 
 
 class Build(Enum):
@@ -47,4 +49,9 @@
 
 def keeps_origins(heartbeat: int) -> bool:
     """Return whether a member with this heartbeat keeps the origins of streams for others."""
+    return heartbeat >= FIRST_HEARTBEAT_WITH_ORIGINS
+
+
+def records_versions(heartbeat: int) -> bool:
+    """Return whether a member with this heartbeat records versions before it uses them."""
     return heartbeat >= FIRST_HEARTBEAT
--- a/packages/springbridge-node/springbridge_node/gateway/requests/stream_versions.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/stream_versions.py
@@ -13,6 +13,7 @@
 from springbridge.routing.stream_origins import StreamOrigin, stream_key
 
 from springbridge_node import clock
+from springbridge_node.gateway.config.version_register import VersionRegister
 from springbridge_node.gateway.peers.origin_sharing import FoundOrigin, OriginSharing
 from springbridge_node.gateway.requests.exchange import Exchange
 
@@ -26,8 +27,11 @@
 class StreamVersions:
     """Fixes the version of the streams that this node serves."""
 
-    def __init__(self, registry: EndpointRegistry, origins: OriginSharing) -> None:
+    def __init__(
+        self, registry: EndpointRegistry, origins: OriginSharing, register: VersionRegister
+    ) -> None:
         """Keep the parts."""
+        self._register = register
         self._registry = registry
         self._origins = origins
 
@@ -77,7 +81,11 @@
             await asyncio.sleep(LIST_CHECK_S)
         reports = (*found.reports, self._registry.seen.report(service, max_age_s))
         is_current = self._registry.is_as_new_as(arrived_s)
-        return resumption.without_origin(reports, is_current, max_age_s)
+        decision = resumption.without_origin(reports, is_current, max_age_s)
+        if decision.version is not None or not is_current or not resumption.is_sole(reports):
+            return decision
+        recorded = await self._register.report(service)
+        return resumption.without_origin((*reports, recorded), is_current, max_age_s)
 
     def _key(self, exchange: Exchange, request_id: str) -> str:
         """Return the key of the stream that a request of the same customer began."""
--- a/packages/springbridge-standins/springbridge_standins/gateway/store.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/store.py
@@ -66,6 +66,7 @@
       calls: Number of calls by path.
       reads: Number of reads of a whole table, by table.
       version: Version of the latest write; every write increases it.
+      ahead_s: Seconds by which its clock is ahead of the machine's; tests let time pass with it.
       era: Number of restores from an older copy; sent in each answer if not 0.
     """
 
@@ -78,6 +79,7 @@
         self.calls: Counter[str] = Counter()
         self.reads: Counter[str] = Counter()
         self.version = 0
+        self.ahead_s = 0.0
         self.era = 0
         self._copies: list[_Copy] = []
         self._rows: dict[tuple[str, str], Row] = {}
@@ -202,7 +204,7 @@
 
     def _now_ms(self) -> int:
         """Return the store's monotonic clock in milliseconds."""
-        return int(time.monotonic() * 1000)
+        return int((time.monotonic() + self.ahead_s) * 1000)
 
 
 def _row_fields(row: Row) -> dict:
--- a/packages/springbridge/springbridge/routing/resumption.py
+++ b/packages/springbridge/springbridge/routing/resumption.py
@@ -13,7 +13,8 @@
 | known, but its endpoint's id is listed with another version   | none            |
 | known to be ambiguous                                         | none            |
 | not known; one version seen all along, by a current list      | that version    |
-| not known; one version seen, but not watched for long enough  | none            |
+| not known; one version seen, but neither watched nor recorded |                 |
+| for long enough                                               | none            |
 | not known; one version seen, and the list may be out of date  | none            |
 | not known; several versions seen, or an endpoint without one  | none            |
 """
@@ -88,12 +89,12 @@
     """Return the decision on a stream whose origin nobody knows.
 
     Args:
-      reports: What this instance and others have seen of the service.
+      reports: What this instance and others have seen of the service, and what is recorded of it.
       is_current: Whether this instance's list is as new as the request.
       max_age_s: How long ago the stream can have begun, in seconds.
     """
-    versions = frozenset().union(*(report.versions for report in reports))
-    if len(versions) != 1 or None in versions:
+    versions = _versions(reports)
+    if not is_sole(reports):
         return Resumption(None, f"origin unknown, {len(versions)} versions seen")
     if not is_current:
         return Resumption(None, "origin unknown, list may be out of date")
@@ -101,3 +102,14 @@
     if watched_s < max_age_s:
         return Resumption(None, f"origin unknown, versions watched for {watched_s:.1f} s")
     return Resumption(next(iter(versions)))
+
+
+def is_sole(reports: Sequence[SeenReport]) -> bool:
+    """Return whether a service has had a single known version."""
+    versions = _versions(reports)
+    return len(versions) == 1 and None not in versions
+
+
+def _versions(reports: Sequence[SeenReport]) -> frozenset[str | None]:
+    """Return all versions in some reports."""
+    return frozenset().union(*(report.versions for report in reports))
