--- a/packages/springbridge-standins/springbridge_standins/gateway/departures/__main__.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/departures/__main__.py
@@ -86,8 +86,12 @@
         outcomes = asyncio.run(play(harm, seed, seconds, framing, Path(folder)))
         ends = answer_ends(Path(folder))
     counts = dict(sorted(outcomes.counts.items()))
+    gone_on = outcomes.gone_on / max(1, outcomes.come_backs)
     share = outcomes.counts["whole"] / max(1, sum(outcomes.counts.values()))
-    typer.echo(f"{'+'.join(harm)} seed {seed} {framing}: {counts}, whole {share:.3f}")
+    typer.echo(
+        f"{'+'.join(harm)} seed {seed} {framing}: {counts}, whole {share:.3f}, "
+        f"{gone_on:.2f} of {outcomes.come_backs} come-backs went on"
+    )
     by_end = Counter(ends.get(request_id, "no line") for request_id in outcomes.false_whole)
     for end, count in by_end.items():
         typer.echo(f"  {count} false whole: {end}")
--- a/packages/springbridge-standins/springbridge_standins/gateway/departures/harms.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/departures/harms.py
@@ -17,6 +17,9 @@
 # Time for which a node is frozen, and from its beginning to the engine's end, in seconds.
 FROZEN_S, END_AFTER_S = 1.4, 0.3
 
+# Time for which all nodes run between two restarts, in seconds.
+FLEET_LIFE_S = 3.0
+
 Harm = Callable[[Rig], Awaitable[None]]
 
 
@@ -96,6 +99,16 @@
     await crash(rig)
 
 
+async def fleet_restart(rig: Rig) -> None:
+    """All nodes are killed at once and started again; the engines run on."""
+    await asyncio.sleep(FLEET_LIFE_S)
+    for node in rig.nodes:
+        node.signal(signal.SIGKILL)
+    await asyncio.gather(*(node.wait_exit() for node in rig.nodes))
+    await asyncio.gather(*(node.start() for node in rig.nodes))
+    await asyncio.gather(*(node.wait_started(NODE_START_S) for node in rig.nodes))
+
+
 HARMS: dict[str, Harm] = {
     each.__name__: each
     for each in (
@@ -107,5 +120,6 @@
         restart,
         restart_under_frozen_node,
         node_restart,
+        fleet_restart,
     )
 }
--- a/packages/springbridge-standins/springbridge_standins/gateway/departures/rig.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/departures/rig.py
@@ -147,9 +147,12 @@
         ports = Ports(*free_ports(5))
         seeds = [f"{ip}:{ports.peers}" for ip in ips]
         for number, ip in enumerate(ips):
-            node = NodeProcess(number, ip, ports, store.address, duties.address, folder, seeds)
+            addresses = (store.address, duties.address)
+            node = NodeProcess(number, ip, ports, *addresses, folder, seeds, first_start=True)
             await node.start()
             stack.push_async_callback(node.end)
             rig.nodes.append(node)
         await asyncio.gather(*(node.wait_started(NODE_START_S) for node in rig.nodes))
+        for node in rig.nodes:
+            node.end_first_start()
         yield rig
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -45,6 +45,9 @@
 duties = ["usage", "scaling"]
 """
 
+# Line of the settings while the whole system starts for the first time.
+FIRST_START = "bootstrap = true\n"
+
 ZONES = ("perth-a", "perth-b", "perth-c")
 
 
@@ -78,8 +81,14 @@
         duties: str,
         folder: Path,
         seeds: list[str],
+        first_start: bool = False,
     ):
-        """Write the settings file without starting the process."""
+        """Write the settings file without starting the process.
+
+        Args:
+          first_start: Whether the settings say that the whole system starts for the first time,
+            until end_first_start().
+        """
         self.ip = ip
         self.name = f"node-{number}"
         self.ports = ports
@@ -93,7 +102,8 @@
         self._process: asyncio.subprocess.Process | None = None
         quoted = ", ".join(f'"{seed}"' for seed in seeds)
         self._settings.write_text(
-            SETTINGS.format(
+            (FIRST_START if first_start else "")
+            + SETTINGS.format(
                 name=self.name,
                 ip=self.ip,
                 zone=self.zone,
@@ -170,10 +180,18 @@
         lines = self._log.read_text(errors="replace").splitlines()[-LAST_EVENTS:]
         return [_time_and_name(line) for line in lines]
 
+    def end_first_start(self) -> None:
+        """Take out of the settings that the whole system starts for the first time."""
+        self._replace_settings(self._settings.read_text().removeprefix(FIRST_START))
+
     def touch_settings(self) -> None:
         """Rewrite the settings file atomically, as a node may be reading it."""
+        self._replace_settings(self._settings.read_text())
+
+    def _replace_settings(self, text: str) -> None:
+        """Write the settings file atomically."""
         written = self._settings.with_suffix(".new")
-        written.write_text(self._settings.read_text())
+        written.write_text(text)
         written.replace(self._settings)
 
     async def end(self) -> None:
--- a/packages/springbridge/springbridge/routing/version_record.py
+++ b/packages/springbridge/springbridge/routing/version_record.py
@@ -107,7 +107,8 @@
     """Return from when on the next record has each version."""
     known = reading.record
     if known is None:
-        return 0.0 if first_start and not reading.stamp else reading.now_s
+        was_there_none = first_start and not reading.stamp and not reading.era
+        return 0.0 if was_there_none else reading.now_s
     is_unbroken = known.era == reading.era and known.since_s != NEVER_S
     return known.since_s if is_unbroken else reading.now_s
 
