--- a/packages/springbridge-node/springbridge_node/gateway/config/unreadable_items.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/unreadable_items.py
@@ -41,7 +41,7 @@
         self.count = len(found)
         left = MAX_LOGGED_AT_ONCE
         for item in found:
-            name = hash(item)
+            name = hash((item.key, item.content_hash))
             if name in self._logged:
                 self._logged.move_to_end(name)
             elif left:
