--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter.py
@@ -10,6 +10,7 @@
 from springbridge.duties.lease import LeaseReading, Takeover
 from springbridge.duties.usage import window_at
 from springbridge.duties.usage_reports import Report, ReportLedger
+from springbridge.item_reader import reason_of
 
 from springbridge_node import logs
 from springbridge_node.clock import now_s
@@ -126,8 +127,9 @@
             return LeaseContent()
         try:
             return lease_content.from_bytes(before.row.content, before.row.era)
-        except (ValueError, TypeError, KeyError) as exc:
-            logs.event("lease.unreadable", holder=before.row.holder, detail=type(exc).__name__)
+        except Exception as exc:
+            # Another writer may have left anything; it must not keep a node from the duties.
+            logs.event("lease.unreadable", holder=before.row.holder, detail=reason_of(exc))
             return LeaseContent()
 
     def decide_content(self, era: int) -> bytes:
--- a/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/duties/usage_reporter_test.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import orjson
 import pytest
 from springbridge.duties.lease import LeaseReading, LeaseRow, Takeover
 from springbridge.duties.usage import ReportedUsage
@@ -76,6 +77,18 @@
     assert_that(next_window(reporter), Equals(102))
 
 
+# Guards against duties that nobody can take over because of what another writer left in the row.
+@pytest.mark.parametrize(
+    "changes",
+    [{"totals": []}, {"totals": {"1" * 5000: {}}}, {"reports": 5}, {"kept_s": None}, {"era": "x"}],
+)
+def test_odd_content_counts_as_none(reporter, changes):
+    odd = orjson.dumps(orjson.loads(kept(100, era=1)) | changes)
+    for content in (odd, b"[]", b"7", b"\xff"):
+        reporter.continue_from(takeover(content, row_era=1, store_era=1, seen_s=13.0))
+        assert_that(next_window(reporter), Equals(102))
+
+
 def test_the_first_holder_of_all_decides_from_the_first_counts_on(reporter):
     reporter.continue_from(Takeover(LeaseReading(0, None, 20.0), 16.0, 20.0))
     assert_that(next_window(reporter), Equals(100))
