--- a/packages/springbridge-standins/springbridge_standins/gateway/odd_rows/contents.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/odd_rows/contents.py
@@ -1,6 +1,5 @@
 """Odd rows that another writer may leave in the tables that nodes read, by name."""
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,6 +10,10 @@
 # Levels of a JSON array that is nested too deeply for any parser, and of one that is not.
 TOO_DEEP, DEEP = 100_000, 1000
 MEGABYTE = 1_000_000
+# Characters of a key that is too long, and rows of a table with very many.
+LONG_KEY, MANY = 200_000, 5000
+# Address at which nothing listens.
+UNUSED_ADDRESS = "127.0.0.1:9"
 
 
 @dataclass(frozen=True)
@@ -38,13 +41,14 @@
 
 
 Make = Callable[[Surroundings], list[OddRow]]
+MakeContent = Callable[[Surroundings], bytes]
 
 
 def entry(around: Surroundings, **changes: object) -> dict[str, object]:
     """Return the fields of a sound entry of an endpoint, with changes."""
     plain = {
         "service": "desk",
-        "address": around.address,
+        "address": UNUSED_ADDRESS,
         "zone": "perth-a",
         "version": "v1",
         "slots": 4,
@@ -55,39 +59,59 @@
     return plain | changes
 
 
-def _entry_with(**changes: object) -> Make:
-    """Return a maker of one row of another endpoint whose entry has changes."""
-    return lambda around: [
-        OddRow("servers", "i-odd", orjson.dumps(entry(around, address="127.0.0.1:9") | changes))
-    ]
+def _entry_with(**changes: object) -> MakeContent:
+    """Return a maker of an entry with changes."""
+    return lambda around: orjson.dumps(entry(around, **changes))
 
 
-def _raw_field(name: str, text: str) -> Make:
-    """Return a maker of one row whose entry has a field of raw JSON text."""
+def _raw_field(name: str, text: str) -> MakeContent:
+    """Return a maker of an entry that has a field of raw JSON text."""
 
-    def make(around: Surroundings) -> list[OddRow]:
-        whole = orjson.dumps(entry(around, address="127.0.0.1:9") | {name: "RAW"})
-        return [OddRow("servers", "i-odd", whole.replace(b'"RAW"', text.encode()))]
+    def make(around: Surroundings) -> bytes:
+        whole = orjson.dumps(entry(around, **{name: "RAW"}))
+        return whole.replace(b'"RAW"', text.encode())
 
     return make
 
 
-def _instance_address(around: Surroundings) -> list[OddRow]:
-    return [
-        OddRow("servers", "i-odd", orjson.dumps(entry(around, address=around.instance_address)))
-    ]
+def _no_json(around: Surroundings) -> bytes:
+    return b"\xff" * 100
+
+
+def _deep(around: Surroundings) -> bytes:
+    return b"[" * TOO_DEEP
+
+
+def _instance_address(around: Surroundings) -> bytes:
+    return orjson.dumps(entry(around, address=around.instance_address))
+
+
+# Contents of an entry under an id of its own.
+ODD_ENTRIES: dict[str, MakeContent] = {
+    "long_port": _entry_with(address="127.0.0.1:" + "9" * LONG_DIGITS),
+    "port_0": _entry_with(address="127.0.0.1:0"),
+    "port_70000": _entry_with(address="127.0.0.1:70000"),
+    "long_slots": _raw_field("slots", "9" * LONG_DIGITS),
+    "deep": _deep,
+    "deep_field": _raw_field("models", "[" * DEEP + "]" * DEEP),
+    "vast_version": _entry_with(version="v" * MEGABYTE),
+    "instance_address": _instance_address,
+    "no_json": _no_json,
+}
+
+
+def _one_entry(make: MakeContent) -> Make:
+    """Return a maker of one row of the list."""
+    return lambda around: [OddRow("servers", "i-odd", make(around))]
 
 
 def _vast_slots(around: Surroundings) -> list[OddRow]:
-    content = orjson.dumps(entry(around, slots=2**63 - 1))
+    content = orjson.dumps(entry(around, address=around.address, slots=2**63 - 1))
     return [OddRow("servers", around.endpoint_id, content)]
 
 
 def _many(around: Surroundings) -> list[OddRow]:
-    rng = random.Random(1)
-    return [
-        OddRow("servers", f"x-{number:04}", rng.randbytes(100) + b"\xff") for number in range(5000)
-    ]
+    return [OddRow("servers", f"x-{number:04}", _no_json(around)) for number in range(MANY)]
 
 
 def _configuration(content: bytes) -> Make:
@@ -96,17 +120,10 @@
 
 ODD_ROWS: dict[str, Make] = {
     "none": lambda around: [],
-    "long_port": _entry_with(address="127.0.0.1:" + "9" * LONG_DIGITS),
-    "port_0": _entry_with(address="127.0.0.1:0"),
-    "port_70000": _entry_with(address="127.0.0.1:70000"),
-    "long_slots": _raw_field("slots", "9" * LONG_DIGITS),
-    "deep": lambda around: [OddRow("servers", "i-odd", b"[" * TOO_DEEP)],
-    "deep_field": _raw_field("models", "[" * DEEP + "]" * DEEP),
-    "vast_version": _entry_with(version="v" * MEGABYTE),
-    "instance_address": _instance_address,
+    **{name: _one_entry(make) for name, make in ODD_ENTRIES.items()},
     "vast_slots": _vast_slots,
     "many": _many,
     "long_configuration": _configuration(b'{"version":' + b"9" * LONG_DIGITS + b"}"),
     "deep_configuration": _configuration(b"[" * TOO_DEEP),
-    "odd_key": lambda around: [OddRow("servers", "k" * 200_000, b"{}")],
+    "odd_key": lambda around: [OddRow("servers", "k" * LONG_KEY, b"{}")],
 }
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/configuration.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/configuration.py
@@ -1,7 +1,7 @@
 """The operators' configuration of a soak: the usual routes, and those of harms' own services."""
 
 from springbridge_standins.gateway.fleet import configuration, route
-from springbridge_standins.gateway.soak import continuations, departures, versions
+from springbridge_standins.gateway.soak import continuations, departures, odd_rows, versions
 
 
 def soak_configuration(version: int) -> dict:
@@ -15,4 +15,6 @@
         more = {"resumable": True, "maxAttempts": attempts}
         plain["routes"].append(route(name, "streaming", service, **more))
         plain["services"].append({"name": service, "healthPath": "/healthz", "maxConnections": 100})
+    plain["routes"].append(route("rows", "safe", odd_rows.SERVICE))
+    plain["services"].append({"name": odd_rows.SERVICE, "healthPath": "/healthz"})
     return plain
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -23,7 +23,7 @@
 import typer
 
 from springbridge_standins.free_addresses import loopback_network
-from springbridge_standins.gateway.soak import continuations, departures, versions
+from springbridge_standins.gateway.soak import continuations, departures, odd_rows, versions
 from springbridge_standins.gateway.soak.alone import leave_alone_forever
 from springbridge_standins.gateway.soak.callers import call_forever
 from springbridge_standins.gateway.soak.checks import check_duties, check_record, check_served
@@ -42,6 +42,7 @@
 from springbridge_standins.gateway.soak.harms import copy_forever, inject_faults_forever
 from springbridge_standins.gateway.soak.lateness import measure_delays_forever
 from springbridge_standins.gateway.soak.odd_answers import OddAnswers
+from springbridge_standins.gateway.soak.odd_rows import OddRows, check_odd_rows, running_odd_rows
 from springbridge_standins.gateway.soak.parts import PartHarm, check_parts, send_prompts_forever
 from springbridge_standins.gateway.soak.paths import cut_paths_forever
 from springbridge_standins.gateway.soak.rates import EngineRates, check_rates, name_rates_forever
@@ -75,12 +76,14 @@
       alone: One node after another is left alone, by the loss of all others.
       odd: Engines send bytes without end, and what is no rest of a stream.
       departures: Engines leave or crash within streams that state no length.
+      odd_rows: Another writer leaves odd rows in the store.
     """
 
     parts: bool = False
     alone: bool = False
     odd: bool = False
     departures: bool = False
+    odd_rows: bool = False
 
 
 NO_MORE_HARMS = Harms()
@@ -96,6 +99,7 @@
     rollouts: Rollouts
     streams: ContinuedStreams
     departures: Departures | None
+    odd_rows: OddRows | None
 
 
 async def run_soak(
@@ -148,8 +152,11 @@
         leavers = await stack.enter_async_context(
             running_departures(soak, _rng(seed, "departures"))
         )
+    rows = None
+    if harms.odd_rows:
+        rows = await stack.enter_async_context(running_odd_rows(soak, _rng(seed, "odd rows")))
     await soak.store.put("op", "config", soak_configuration(soak.version))
-    return Setup(soak, statements, part_harm, rollouts, streams, leavers)
+    return Setup(soak, statements, part_harm, rollouts, streams, leavers, rows)
 
 
 def _rng(seed: int, purpose: str) -> random.Random:
@@ -185,6 +192,11 @@
         yield depart_forever(setup.departures)
         for number in range(departures.CALLERS):
             yield departures.ask_forever(setup.departures, number)
+    if setup.odd_rows is not None:
+        yield odd_rows.leave_odd_rows_forever(setup.odd_rows)
+        yield odd_rows.exchange_engines_forever(setup.odd_rows)
+        for _ in range(odd_rows.CALLERS):
+            yield odd_rows.ask_forever(setup.odd_rows)
     if harms.alone:
         yield leave_alone_forever(setup.soak, _rng(seed, "alone"))
 
@@ -220,6 +232,8 @@
     check_rates(soak, setup.statements.rates)
     check_statements(soak, setup.statements)
     check_versions(setup.rollouts)
+    if setup.odd_rows is not None:
+        check_odd_rows(setup.odd_rows)
     check_faults(soak, folder)
 
 
@@ -242,13 +256,14 @@
     alone: bool = True,
     odd: bool = True,
     departing: bool = True,
+    rows: bool = True,
 ) -> None:
     """Run soaks with consecutive seeds; exit with 1 if one finds a violation."""
     failed = False
     for number in range(seed, seed + seeds):
         began_s = time.monotonic()
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        harms = Harms(parts, alone, odd, departing)
+        harms = Harms(parts, alone, odd, departing, rows)
         soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes, harms=harms))
         failed = failed or bool(soak.violations)
         took_s = time.monotonic() - began_s
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -11,6 +11,7 @@
 from springbridge_standins.gateway.soak.alone import LEFT_ALONE
 from springbridge_standins.gateway.soak.departures import CUT, WHOLE
 from springbridge_standins.gateway.soak.odd_answers import ENDLESS_COUNT, UNFIT_COUNT
+from springbridge_standins.gateway.soak.odd_rows import LEFT_LONG_AGO, ODD, PATH
 from springbridge_standins.gateway.soak.soak import Harms, run_soak
 from springbridge_standins.gateway.soak.unframed import Ending
 
@@ -133,6 +134,20 @@
     assert_that(tried(), Equals(True))
 
 
+# Guards against an odd row by another writer of which nodes lose the list: an engine that left long
+# ago gets requests, and one that joined none.
+def test_a_short_soak_with_odd_rows_breaks_no_promise(tmp_path):
+    def tried():
+        return soak_counts[ODD] > 30 and soak_counts[f"{PATH} 200"] > 200
+
+    soak_counts = Counter()
+    soak = asyncio.run(
+        run_soak(96, 26.0, tmp_path, counts=soak_counts, enough=tried, harms=Harms(odd_rows=True))
+    )
+    assert_that(soak.violations, Equals([]))
+    assert_that(soak_counts[LEFT_LONG_AGO], GreaterThan(0))
+
+
 # Guards against a soak that finds no violation because its nodes never served.
 def test_a_soak_whose_nodes_never_serve_is_a_violation(tmp_path, monkeypatch):
     monkeypatch.setattr(nodes, "sys", SimpleNamespace(executable="/bin/false"))
