A version that comes back is looked up in the record again; departures do not hide it

Cause, by reading: an instance took a version for recorded that another one had taken off the record 300 s after its last endpoint left, so that it could be used unrecorded once it came back. And a service whose other endpoints all leave lost its unrecorded ones too while the store takes no writes. Now what an instance takes for recorded are the versions listed since it looked. Tests fail before.

--- a/packages/springbridge-node/springbridge_node/gateway/config/version_register.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/version_register.py
@@ -1,6 +1,7 @@
 """Records the versions of endpoints in the store before they are used, and asks for them.
 
-Owns what this instance knows of the record. routing/version_record.py says what it holds. Instances
+Owns what this instance knows of the record: all of it as of the last call, and which versions on
+the list are confirmed to be in it. routing/version_record.py says what it holds. Instances
 that read the list from the store record its versions. A version that the store does not take at
 once waits for a later list; all else on the list does not. While an instance of a build
 that records nothing is in the fleet, the record says nothing.
@@ -67,7 +68,9 @@
         self._all_record = all_record
         self._first_start = first_start
         self._clock = clock
-        self._recorded: frozenset[ServiceVersion] | None = None
+        self._has_list = False
+        self._recorded: frozenset[ServiceVersion] = frozenset()
+        self._confirmed: frozenset[ServiceVersion] = frozenset()
         self._absent_since_s: dict[ServiceVersion, float] = {}
         self._not_before_s = float("-inf")
         self._writing: asyncio.Task | None = None
@@ -77,22 +80,22 @@
 
     def store_went_back(self) -> None:
         """Record all versions again: the store may have lost them."""
-        self._recorded = frozenset()
+        self._confirmed = frozenset()
 
     async def admit(self, snapshot: EndpointSnapshot) -> EndpointSnapshot:
         """Return a list that was read from the store without the versions that have to wait."""
         used = versions_in(snapshot.entries)
-        if self._recorded is None or self._has_to_write(used):
+        # A version that comes back may have been taken off the record by another instance.
+        self._confirmed &= used
+        if self._has_to_write(used):
             self._begin_write(used)
-            wait_s = FIRST_WAIT_S if self._recorded is None else WAIT_S
-            await asyncio.wait([self._writing], timeout=wait_s)
-        if self._recorded is None:
-            self._recorded = frozenset()
-        return without_unrecorded(snapshot, self._recorded)
+            await asyncio.wait([self._writing], timeout=WAIT_S if self._has_list else FIRST_WAIT_S)
+        self._has_list = True
+        return without_unrecorded(snapshot, self._confirmed)
 
     def _has_to_write(self, used: frozenset[ServiceVersion]) -> bool:
-        """Return whether the record has to be changed."""
-        return bool(self._gone(used)) or not self._all_record() or not used <= self._recorded
+        """Return whether the record has to be read, and perhaps to be changed."""
+        return not used <= self._confirmed or bool(self._gone(used)) or not self._all_record()
 
     async def report(self, service: str) -> SeenReport:
         """Return what the record tells of a service; nothing if the store does not answer."""
@@ -109,7 +112,7 @@
 
     def _gone(self, used: frozenset[ServiceVersion]) -> frozenset[ServiceVersion]:
         """Return the recorded versions that left the list long ago."""
-        absent = (self._recorded or frozenset()) - used
+        absent = self._recorded - used
         now_s = self._clock()
         self._absent_since_s = {each: self._absent_since_s.get(each, now_s) for each in absent}
         return frozenset(
@@ -169,6 +172,7 @@
         if record.versions != self._recorded:
             logs.event("versions.recorded", versions=sorted(map(list, record.versions)))
         self._recorded = record.versions
+        self._confirmed = record.versions & used
         if used <= record.versions:
             self._not_before_s = float("-inf")
 
--- a/packages/springbridge-node/springbridge_node/gateway/config/version_register_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/config/version_register_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from returns.result import Failure, Success
@@ -120,6 +121,30 @@
     assert_that(admitted(register, list_of("v1")), Equals(["v1"]))
 
 
+def test_unrecorded_endpoints_are_used_where_all_others_leave(store):
+    register = register_of(store)
+    admitted(register, list_of("v1"))
+    store.takes_writes = False
+    found = list_of("v1", "v2")
+    leaver = replace(found.entries[0], draining=True)
+    leaving = replace(found, entries=(leaver, found.entries[1]))
+    assert_that(admitted(register, leaving), Equals(["v1", "v2"]))
+
+
+# Guards against a version that another instance has taken off the record meanwhile.
+def test_a_version_that_comes_back_is_recorded_again(store, clock):
+    first, second = register_of(store), register_of(store)
+    admitted(first, list_of("v1", "v2"))
+    admitted(first, list_of("v2"))
+    clock.now_s += REMEMBERED_S / 2
+    admitted(second, list_of("v2"))
+    clock.now_s += REMEMBERED_S / 2
+    admitted(first, list_of("v2"))
+    assert_that(recorded(store), Equals(["v2"]))
+    admitted(second, list_of("v1", "v2"))
+    assert_that(recorded(store), Equals(["v1", "v2"]))
+
+
 def test_two_instances_that_record_at_once_lose_no_version(store):
     first, second = register_of(store), register_of(store)
 
--- a/packages/springbridge/springbridge/routing/version_record.py
+++ b/packages/springbridge/springbridge/routing/version_record.py
@@ -124,9 +124,13 @@
 ) -> EndpointSnapshot:
     """Return a list without the endpoints of versions that are not recorded yet.
 
-    A service none of whose versions are recorded keeps its endpoints.
+    A service keeps them that has no others which stay: its callers need them.
     """
-    services = {service for service, _ in recorded}
+    services = {
+        entry.service
+        for entry in snapshot.entries
+        if not entry.draining and (entry.service, entry.version) in recorded
+    }
     entries = tuple(
         entry
         for entry in snapshot.entries
