--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -42,10 +42,31 @@
     Mutant(
         "answers are matched by id",
         f"{NODE}/gateway/requests/endpoint_answer.py",
-        'if answered in ("", request_id):',
+        "if answered == request_id:",
         "if True:",
         f"{PLATFORM}/answers_test.py::test_a_stale_answer_is_passed_over",
     ),
+    Mutant(
+        "an answer without the id of its request is no endpoint's",
+        f"{NODE}/gateway/requests/endpoint_answer.py",
+        "if answered == request_id:",
+        'if answered in ("", request_id):',
+        f"{PLATFORM}/foreign_answers_test.py",
+    ),
+    Mutant(
+        "a row that cannot be read affects no other row",
+        f"{LIBRARY}/item_reader.py",
+        "        except Exception as exc:\n            unreadable",
+        "        except UnreadableItemError as exc:\n            unreadable",
+        f"{PLATFORM}/drawn_rows_test.py",
+    ),
+    Mutant(
+        "an endpoint draws no more than its share by the slots that it states",
+        f"{LIBRARY}/routing/stated_slots.py",
+        "MAX_SLOTS_FACTOR = 1.5",
+        "MAX_SLOTS_FACTOR = 1e9",
+        f"{LIBRARY}/routing/stated_slots_test.py",
+    ),
     Mutant(
         "events that the caller already has are dropped",
         f"{LIBRARY}/routing/continuation.py",
--- a/packages/springbridge-standins/springbridge_standins/mutants/version_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/version_mutants.py
@@ -44,10 +44,24 @@
     Mutant(
         "a stream of unknown origin does not go on while several versions serve",
         f"{LIBRARY}/routing/resumption.py",
-        "    if len(versions) != 1 or None in versions:",
-        "    if not versions:",
+        "    return len(versions) == 1 and None not in versions",
+        "    return bool(versions)",
         f"{VERSIONS}::test_a_stream_of_unknown_origin_is_refused_while_two_versions_serve",
     ),
+    Mutant(
+        "a version is recorded before it is used",
+        f"{NODE}/gateway/config/version_register.py",
+        "        return without_unrecorded(snapshot, self._confirmed)",
+        "        return snapshot",
+        f"{NODE}/gateway/config/version_register_test.py",
+    ),
+    Mutant(
+        "a record of an earlier era tells nothing",
+        f"{LIBRARY}/routing/version_record.py",
+        "        return self.record is not None and self.record.era == self.era",
+        "        return self.record is not None",
+        f"{PLATFORM}/recorded_versions_test.py",
+    ),
     Mutant(
         "a change of the version alone is a change of the list",
         f"{LIBRARY}/routing/listed_entries.py",
