--- a/packages/springbridge-standins/springbridge_standins/mutants/version_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/version_mutants.py
@@ -60,7 +60,7 @@
         f"{LIBRARY}/routing/version_record.py",
         "        return self.record is not None and self.record.era == self.era",
         "        return self.record is not None",
-        f"{PLATFORM}/recorded_versions_test.py",
+        f"{NODE}/gateway/config/version_register_test.py",
     ),
     Mutant(
         "a change of the version alone is a change of the list",
