--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/odd_rows.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/odd_rows.py
@@ -12,10 +12,11 @@
 from dataclasses import dataclass, field
 
 from springbridge_standins.gateway.caller import ask
-from springbridge_standins.gateway.engine import EngineStandIn, plain_answer
+from springbridge_standins.gateway.engine import EngineStandIn, other_endpoint, plain_answer
 from springbridge_standins.gateway.fleet import list_engine
 from springbridge_standins.gateway.odd_rows.contents import ODD_ENTRIES, Surroundings
 from springbridge_standins.gateway.soak.state import MAX_LIST_AGE_S, Soak
+from springbridge_standins.http_wire import Connection, RawRequest
 
 SERVICE, PATH = "rows", "/rows/x"
 ENGINES, CALLERS = 3, 4
@@ -122,7 +123,11 @@
     name = f"i-{SERVICE}-{len(rows.engines) + 1}"
     engine = _Engine(name, EngineStandIn(name), time.monotonic())
 
-    async def answer(request, connection) -> None:
+    async def answer(request: RawRequest, connection: Connection) -> None:
+        if request.headers.get("expected-instance") != engine.name:
+            # For a run that had this address before.
+            await other_endpoint(request, connection)
+            return
         _check_arrival(rows, engine)
         await plain_answer(request, connection)
 
