--- a/packages/springbridge/springbridge/routing/stated_slots_test.py
+++ b/packages/springbridge/springbridge/routing/stated_slots_test.py
@@ -63,6 +63,7 @@
     assert_that((slots_of(found), bounded), Equals(([4, 4, 4, 64, 64, 64], ())))
 
 
+# Guards against an entry with vast slots that gets half of the requests of its service.
 @pytest.mark.parametrize("count", [3, 4, 10, 45])
 def test_vast_slots_draw_a_bounded_share_of_the_requests(count):
     rng = random.Random(count)
