--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/gateway/crowd/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of clients that misbehave, against one node that runs as a process."""
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/nodes.py
@@ -140,6 +140,16 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process, which was started."""
+        return self._process.pid
+
+    def add_limits(self, memory_mb: int, max_fds: int) -> None:
+        """Add the limits of a machine to the settings: memory in MB, and descriptors."""
+        limits = f"[limits]\nmemoryMb = {memory_mb}\nmaxFds = {max_fds}\n"
+        self._replace_settings(self._settings.read_text() + limits)
+
     def cut_paths(self, kind: CutKind | None, addresses: list[str]) -> None:
         """Cut this node's paths to some engines; no kind mends all."""
         write_cut(self._cut_file, kind, addresses)
--- a/packages/springbridge-standins/springbridge_standins/known_red_test.py
+++ b/packages/springbridge-standins/springbridge_standins/known_red_test.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from springbridge_standins.known_red import MAX_ENTRIES, find, read_known_red
+from springbridge_standins.known_red import MAX_ENTRIES, UNCOUNTED, find, read_known_red
 
 LINE = "some_test.py::test_it | a cause | issue 1"
 
@@ -59,3 +59,8 @@
     root = write(*lines)
     with pytest.raises(ValueError):
         read_known_red(root)
+
+
+def test_uncounted_lines_leave_the_others_their_number(write):
+    lines = [LINE] * MAX_ENTRIES + [LINE + UNCOUNTED] * 2
+    assert_that(len(read_known_red(write(*lines))), Equals(MAX_ENTRIES + 2))
