Callers' bodies are decided on by their heads and kept in one budget of bytes

Callers saw: a process that ran out of memory, as crowds of clients sent bodies of 4 MiB and left off just short of their end, or sent requests one behind the other; requests of callers that had gone reached endpoints.

Cause: tornado's server keeps a body before anything is decided about its request, and each of its bounds is for one connection; nobody adds up what all of them hold. While a request is served it reads one piece ahead and then stops, so it sees the end of a connection only when an answer fails, and serves what had been sent ahead from its buffer.

Change: gateway/inbound reads callers' connections on tornado's IOStream. What the head refuses (401, 404, 413, 431, 503) is refused before the body is kept, with code and id, and the connection is drained or closed without a reset that eats the answer. All that connections hold is in one ByteBudget that follows from memoryMb; large bodies that stand still give way, then the largest. One read is outstanding also while a request is served, so its caller's end is seen at once; 64 KB sent ahead are kept. Large bodies lie in mappings of their own, which go back to the system whole, and are not copied for sending. Sizes of chunks are strict hexadecimal. New codes 114, 115 and 214; refusals carry the id of their request.

Why it works: a refusal that is certain costs no memory, what is kept has one sum, and whoever makes it too large gives way, by a 503 that is true, since nothing of it was sent on.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -5,20 +5,20 @@
 with its connection, which is reset unless the answer is complete.
 """
 
-import contextlib
-from http import HTTPMethod
+import asyncio
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import orjson
 from springbridge.problems import Problem
-from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine, responses
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
 from springbridge_node.gateway.http.closing import end_in_order, reset_on_close
 from springbridge_node.gateway.http.http_head import BODILESS_STATUSES
-
-# The version whose callers take chunks.
-CHUNKING_VERSION = "HTTP/1.1"
+from springbridge_node.gateway.inbound.answer_writer import AnswerWriter
+from springbridge_node.gateway.inbound.connection import InboundConnection
+from springbridge_node.gateway.inbound.request_head import RequestHead
 
 
 class CallerGoneError(Exception):
@@ -35,19 +35,21 @@
     """
 
     def __init__(
-        self, connection: HTTP1Connection, asked: RequestStartLine, asked_headers: HTTPHeaders
+        self,
+        connection: InboundConnection,
+        asked: RequestHead | None,
+        refusal_headers: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         """Start without an answer.
 
         Args:
           connection: The connection on which the request arrived.
-          asked: Start line of the request.
-          asked_headers: Headers of the request, as the connection has them.
+          asked: Head of the request; None if it could not be read.
+          refusal_headers: Headers of an answer that is not an endpoint's, which name the request.
         """
         self._connection = connection
-        self._asked = asked
-        self._asked_headers = asked_headers
-        self._answers_head = asked.method == HTTPMethod.HEAD
+        self._writer = AnswerWriter(connection, asked)
+        self._refusal_headers = refusal_headers
         self._ends_with_connection = False
         self.started = False
         self.ended = False
@@ -60,13 +62,14 @@
           CallerGoneError: The caller has closed its connection.
         """
         if self._lacks_end(status, headers):
-            self._end_with_connection(headers)
-        line = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
-        sent = None if self._answers_head else piece or None
-        written = self._connection.write_headers(line, headers, sent)
+            self._end_with_connection()
+        sent = piece if self._writer.has_body else b""
         self.started = True
-        self.body_bytes += len(sent or b"")
-        await _await_write(written)
+        self.body_bytes += len(sent)
+        try:
+            await self._sent(self._writer.start(status, reason, headers, sent), len(sent))
+        except StreamClosedError as exc:
+            raise CallerGoneError from exc
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body and wait until it is written to the socket.
@@ -74,26 +77,35 @@
         Raises:
           CallerGoneError: The caller has closed its connection.
         """
-        if piece and not self._answers_head:
-            self.body_bytes += len(piece)
-            await _await_write(self._connection.write(piece))
+        if not piece or not self._writer.has_body:
+            return
+        self.body_bytes += len(piece)
+        try:
+            await self._sent(self._writer.write(piece), len(piece))
+        except StreamClosedError as exc:
+            raise CallerGoneError from exc
 
     def finish(self) -> None:
         """End a complete answer."""
         self.ended = True
         if self._ends_with_connection and not self._connection.stream.closed():
             end_in_order(self._connection.stream.socket)
-        self._connection.finish()
-        if self._ends_with_connection:
-            self._connection.close()
+        self._writer.end()
 
-    async def wait_sent(self) -> None:
+    async def wait_sent(self, longest_s: float) -> None:
         """Wait until the end of the answer is in the socket, or the connection is closed.
 
-        finish() does not wait for the last bytes, and a process that ends would drop them.
+        finish() does not wait for the last bytes, and a process that ends would drop them. A caller
+        that does not read them for longest_s seconds has its connection closed.
         """
-        with contextlib.suppress(StreamClosedError):
-            await self._connection.stream.write(b"")
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._connection.stream.write(b"")
+        except StreamClosedError:
+            # There is nobody to wait for.
+            return
+        except TimeoutError:
+            self._connection.close()
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees that the answer is incomplete."""
@@ -108,32 +120,41 @@
         """
         body = orjson.dumps({"error": problem.code.name, "code": int(problem.code)})
         headers = HTTPHeaders(
-            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+                **self._refusal_headers,
+            }
         )
         if problem.retry_after_s is not None:
             headers["Retry-After"] = f"{problem.retry_after_s:.2f}"
         await self.start(problem.info.http_status, "", headers, body)
         self.finish()
 
+    async def _sent(self, written: asyncio.Future[None], size: int) -> None:
+        """Wait for a write; its bytes count as held while the caller does not read them.
+
+        Raises:
+          StreamClosedError: The connection has ended.
+        """
+        if written.done():
+            await written
+            return
+        self._connection.add_unsent(size)
+        try:
+            await written
+        finally:
+            self._connection.add_unsent(-size)
+
     def _lacks_end(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether neither a length nor chunks will mark the end of the answer's body."""
-        if self._asked.version == CHUNKING_VERSION or "Content-Length" in headers:
+        if self._writer.takes_chunks or "Content-Length" in headers:
             return False
-        return status not in BODILESS_STATUSES and not self._answers_head
+        return status not in BODILESS_STATUSES and self._writer.has_body
 
-    def _end_with_connection(self, headers: HTTPHeaders) -> None:
+    def _end_with_connection(self) -> None:
         """Let the connection end with the answer, in order only if the answer is complete."""
         self._ends_with_connection = True
-        headers["Connection"] = "close"
-        # tornado would promise a caller who asked for it that the connection is kept.
-        self._asked_headers["Connection"] = "close"
+        self._connection.must_close = True
         if not self._connection.stream.closed():
             reset_on_close(self._connection.stream.socket)
-
-
-async def _await_write(write) -> None:
-    """Wait for a write; raise CallerGoneError if the connection is closed."""
-    try:
-        await write
-    except StreamClosedError as exc:
-        raise CallerGoneError from exc
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -1,31 +1,28 @@
-"""The listener for callers: reads each request completely and serves it in its own task.
+"""The listener for callers: each request is served by the task of its connection.
 
-Owns the callers' connections and the tasks. A task is cancelled when its caller closes the
-connection, so that no endpoint goes on working for a caller that has disconnected.
+That task is cancelled when its caller closes the connection, so that no endpoint goes on working
+for a caller that has disconnected.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, replace
+from types import MappingProxyType
 
 from springbridge.codes import Code
+from springbridge.instance_limits import ListenerKind
 from springbridge.problems import Problem
 from springbridge.routing.records import CallerLimits
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    RequestStartLine,
-)
-
-from springbridge_node import clock, logs
+from tornado.httputil import HTTPHeaders
+
+from springbridge_node import logs
 from springbridge_node.gateway.callers.answer import CallerAnswer, CallerGoneError
+from springbridge_node.gateway.inbound.connection import InboundConnection
+from springbridge_node.gateway.inbound.intake import Intake
+from springbridge_node.gateway.inbound.listener import Listener
+from springbridge_node.gateway.inbound.refusals import RefusalKind
+from springbridge_node.gateway.inbound.request_head import RequestHead
 
-# Connections that may wait to be accepted. Above tornado's 128, so that callers that all connect at
-# once, as after the loss of an instance, are not refused by the kernel.
-LISTEN_BACKLOG = 512
 # For a request of which nobody knows how far it got.
 FAULT_MET = Problem(Code.OUTCOME_UNKNOWN, "fault")
 
@@ -36,91 +33,138 @@
 
     Attributes:
       target: Path and query.
+      body: Empty while only the head has arrived.
       arrived_s: When its head was read, on the monotonic clock.
     """
 
     method: str
     target: str
     headers: HTTPHeaders
-    body: bytes
+    body: bytes | memoryview
     arrived_s: float
 
+    @classmethod
+    def from_head(cls, head: RequestHead) -> "IncomingRequest":
+        """Return a request of which only the head has arrived."""
+        return cls(head.method, head.target, head.headers, b"", head.arrived_s)
+
 
 Serve = Callable[[IncomingRequest, CallerAnswer], Awaitable[None]]
+Refuse = Callable[[IncomingRequest, CallerAnswer, Problem], Awaitable[None]]
+Decide = Callable[[IncomingRequest], Problem | float]
+NameRequest = Callable[[IncomingRequest], Mapping[str, str]]
+
+
+async def _refuse(request: IncomingRequest, answer: CallerAnswer, problem: Problem) -> None:
+    """Refuse a request without a log line."""
+    await answer.refuse(problem)
 
 
-class CallerListener(HTTPServerConnectionDelegate):
-    """Accepts callers' connections and starts a task for each request.
+def _no_names(request: IncomingRequest) -> Mapping[str, str]:
+    """Return no headers."""
+    return MappingProxyType({})
+
+
+@dataclass(frozen=True)
+class CallerHandlers:
+    """What is done with callers' requests.
 
     Attributes:
-      in_progress: Tasks of the requests that are not answered yet.
+      serve: Serves one request and ends its answer.
+      refuse: Refuses one and ends its answer.
+      decide: Returns why a request is refused by its head, or until when its body may arrive, on
+        the monotonic clock.
+      name: Returns the headers by which an answer names its request.
     """
 
-    def __init__(self, serve: Serve) -> None:
-        """Start without a socket.
+    serve: Serve
+    refuse: Refuse = _refuse
+    decide: Decide = lambda request: float("inf")
+    name: NameRequest = _no_names
 
-        Args:
-          serve: Serves one request and ends its answer.
-        """
-        self._serve = serve
-        self._server: HTTPServer | None = None
+
+class CallerListener:
+    """Serves the requests of callers.
+
+    Attributes:
+      in_progress: Tasks of the requests that are not answered yet.
+      limits: What a caller may send, from the next request of each connection on.
+    """
+
+    def __init__(self, handlers: CallerHandlers, intake: Intake) -> None:
+        """Start without a socket."""
+        self.limits = CallerLimits()
         self.in_progress: set[asyncio.Task] = set()
+        self._handlers = handlers
+        self._intake = intake
+        self._listener = Listener(ListenerKind.CALLERS, self, intake)
 
     def listen(self, address: str, limits: CallerLimits) -> None:
         """Accept connections at an address, an IP number and port."""
-        host, _, port = address.rpartition(":")
-        self._server = HTTPServer(
-            self,
-            max_header_size=limits.header_bytes,
-            max_body_size=limits.body_bytes,
-            idle_connection_timeout=limits.idle_timeout_s,
-        )
-        self._server.listen(int(port), host, backlog=LISTEN_BACKLOG)
+        self.limits = limits
+        self._listener.listen(address)
 
     def apply(self, limits: CallerLimits) -> None:
         """Apply new limits from the next request of each connection on."""
-        if self._server is None:
-            return
-        params = self._server.conn_params
-        params.max_header_size = limits.header_bytes
-        params.max_body_size = limits.body_bytes
-        params.header_timeout = limits.idle_timeout_s
+        self.limits = limits
 
     def close_after_answers(self) -> None:
         """Close each connection with its next answer."""
-        if self._server is not None:
-            self._server.conn_params.no_keep_alive = True
+        self._listener.close_after_answers()
 
     def stop_accepting(self) -> None:
         """Accept no further connections; open ones stay open."""
-        if self._server is not None:
-            self._server.stop()
+        self._listener.stop_accepting()
 
-    def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
-    ) -> HTTPMessageDelegate:
-        """Return the reader of the next request on a connection; called by tornado."""
-        return _RequestReader(self, request_conn)
+    def decide(self, head: RequestHead) -> Problem | float:
+        """Return why a request is refused by its head, or until when its body may arrive."""
+        return self._handlers.decide(IncomingRequest.from_head(head))
 
-    def start_task(
-        self, request: IncomingRequest, line: RequestStartLine, connection: HTTP1Connection
+    async def serve(
+        self, conn: InboundConnection, head: RequestHead, body: bytes | memoryview
     ) -> None:
-        """Serve a request that was read completely, in its own task.
-
-        Args:
-          line: Its start line.
-        """
-        answer = CallerAnswer(connection, line, request.headers)
-        task = asyncio.ensure_future(self._serve_guarded(request, answer))
+        """Serve a request that was read completely; see connection_loop.RequestService."""
+        request = replace(IncomingRequest.from_head(head), body=body)
+        answer = CallerAnswer(conn, head, self._handlers.name(request))
+        task = asyncio.current_task()
         self.in_progress.add(task)
-        task.add_done_callback(self.in_progress.discard)
-        connection.set_close_callback(lambda: _cancel_unanswered(answer, task))
+        conn.on_gone = lambda: _cancel_unanswered(answer, task)
+        conn.watch()
+        try:
+            await self._serve_guarded(request, answer)
+        finally:
+            conn.on_gone = None
+            self.in_progress.discard(task)
+
+    async def refuse(
+        self, conn: InboundConnection, head: RequestHead | None, problem: Problem
+    ) -> None:
+        """Answer a request that was not read completely; see connection_loop.RequestService."""
+        try:
+            if head is None:
+                answer = CallerAnswer(conn, None)
+                await answer.refuse(problem)
+            else:
+                request = IncomingRequest.from_head(head)
+                answer = CallerAnswer(conn, head, self._handlers.name(request))
+                await self._handlers.refuse(request, answer, problem)
+            await answer.wait_sent(self.limits.idle_timeout_s)
+        except CallerGoneError:
+            # There is no caller left to answer, and nothing was sent on.
+            pass
+
+    def report(self, conn: InboundConnection, head: RequestHead | None, kind: RefusalKind) -> None:
+        """Count and log that a request was not read to its end."""
+        names = self._handlers.name(IncomingRequest.from_head(head)) if head is not None else {}
+        self._intake.report(
+            ListenerKind.CALLERS, kind, conn.remote_ip, "".join(list(names.values())[:1])
+        )
 
     async def _serve_guarded(self, request: IncomingRequest, answer: CallerAnswer) -> None:
         """Serve a request; close its connection if its answer cannot be ended otherwise."""
         try:
             await self._serve_to_end(request, answer)
-            await answer.wait_sent()
+            await answer.wait_sent(self.limits.idle_timeout_s)
         except CallerGoneError:
             # The router has logged the end of the request; there is no caller left to answer.
             pass
@@ -137,7 +181,7 @@
           CallerGoneError: The caller has closed its connection.
         """
         try:
-            await self._serve(request, answer)
+            await self._handlers.serve(request, answer)
         except CallerGoneError:
             raise
         except Exception as exc:
@@ -150,40 +194,3 @@
     """Cancel the task of a request whose caller closed the connection before its answer ended."""
     if not answer.ended:
         task.cancel()
-
-
-class _RequestReader(HTTPMessageDelegate):
-    """Collects the parts of one request until it is complete."""
-
-    def __init__(self, listener: CallerListener, connection: HTTP1Connection) -> None:
-        self._listener = listener
-        self._connection = connection
-        self._pieces: list[bytes] = []
-        self._line: RequestStartLine | None = None
-        self._headers = HTTPHeaders()
-        self._arrived_s = 0.0
-
-    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
-        """Keep the head and the time of its arrival."""
-        self._arrived_s = clock.now_s()
-        self._line = start_line
-        self._headers = headers
-
-    def data_received(self, chunk: bytes) -> None:
-        """Keep a piece of the body."""
-        self._pieces.append(chunk)
-
-    def finish(self) -> None:
-        """Start to serve the request, which is complete."""
-        request = IncomingRequest(
-            self._line.method,
-            self._line.path,
-            self._headers,
-            b"".join(self._pieces),
-            self._arrived_s,
-        )
-        self._listener.start_task(request, self._line, self._connection)
-
-    def on_connection_close(self) -> None:
-        """Drop a request whose caller closed the connection before it was complete."""
-        self._pieces.clear()
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+from springbridge.instance_limits import InstanceLimits
 from springbridge.routing.records import CallerLimits
 from springbridge_standins.free_addresses import free_ports
 from springbridge_standins.gateway.caller import CallerConnection, request_bytes
@@ -13,7 +14,9 @@
 from testtools.matchers import Equals, HasLength
 from tornado.httputil import HTTPHeaders
 
-from springbridge_node.gateway.callers.ingress import CallerListener
+from springbridge_node.gateway.callers.ingress import CallerHandlers, CallerListener
+from springbridge_node.gateway.inbound.intake import Intake
+from springbridge_node.gateway.telemetry import Telemetry
 
 
 def fill(sock):
@@ -39,7 +42,7 @@
         answer.finish()
 
     async def body():
-        listener = CallerListener(serve)
+        listener = CallerListener(CallerHandlers(serve), Intake(InstanceLimits(), Telemetry()))
         (port,) = free_ports(1)
         listener.listen(f"127.0.0.1:{port}", CallerLimits())
         sock = socket.socket()
@@ -69,7 +72,7 @@
         raise KeyError
 
     async def body():
-        listener = CallerListener(serve)
+        listener = CallerListener(CallerHandlers(serve), Intake(InstanceLimits(), Telemetry()))
         (port,) = free_ports(1)
         listener.listen(f"127.0.0.1:{port}", CallerLimits())
         conn = await CallerConnection.open(f"127.0.0.1:{port}")
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -24,7 +24,11 @@
 from springbridge_node import clock, logs
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.directory import AddressBook
-from springbridge_node.gateway.callers.ingress import CallerListener, IncomingRequest
+from springbridge_node.gateway.callers.ingress import (
+    CallerHandlers,
+    CallerListener,
+    IncomingRequest,
+)
 from springbridge_node.gateway.config.configuration_follower import ConfigurationFollower
 from springbridge_node.gateway.config.endpoint_follower import EndpointFollower, FollowerHooks
 from springbridge_node.gateway.config.source import Source
@@ -38,6 +42,7 @@
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S
 from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.gateway.http.small_server import TEXT, Reply, serve_small
+from springbridge_node.gateway.inbound.intake import Intake
 from springbridge_node.gateway.metrics_page import METRICS_PATH, set_gauges
 from springbridge_node.gateway.outside import PlatformPorts
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
@@ -93,6 +98,7 @@
       evacuations: The failure domains that operators evacuate; their endpoints get no requests.
       budget: This node's share of the fleet's retry budget.
       router: Serves the requests.
+      intake: What the clients of all listeners take.
       listener: Accepts the callers' connections.
       duties: Duties that one node performs for the whole fleet; None if there are none.
       store_steps: Number of times the store was found restored from an older copy.
@@ -151,7 +157,9 @@
         )
         self.endpoints = self._endpoint_follower()
         self.router = RequestRouter(self._router_parts())
-        self.listener = CallerListener(self._serve)
+        self.intake = Intake(settings.limits, self.telemetry)
+        handlers = CallerHandlers(self._serve, self.router.refuse, self._decide, ports.codec.name)
+        self.listener = CallerListener(handlers, self.intake)
         self.catch_up = ConfigurationCatchUp(self.membership, self.configuration, self.peer_client)
         self.heartbeats = Heartbeats(
             self.membership,
@@ -348,6 +356,10 @@
         else:
             await self.router.serve(request, answer)
 
+    def _decide(self, request: IncomingRequest) -> Problem | float:
+        """Return why a request is refused by its head, or until when its body may arrive."""
+        return LEAVING if self._refusing else self.router.decide(request)
+
     def _metrics(self, query: dict[str, str]) -> Reply:
         """Return the metrics as text, after an update of the gauges."""
         set_gauges(self)
--- a/packages/springbridge-node/springbridge_node/gateway/gateway_settings.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from springbridge.instance_limits import InstanceLimits
 from springbridge.routing.shared_retry_budget import RetryBudgetLimits
 
 
@@ -59,6 +60,7 @@
       drain_s: Time within which a leaving endpoint must stop receiving requests, in seconds.
       first_start: Whether the whole fleet is starting for the first time.
       duties: Duties that one node performs for the whole fleet.
+      limits: Memory and descriptors of the machine.
     """
 
     name: str
@@ -73,6 +75,7 @@
     drain_s: float = 2.0
     first_start: bool = False
     duties: DutySettings = DutySettings()
+    limits: InstanceLimits = InstanceLimits()
 
     def __post_init__(self) -> None:
         """Validate the values.
@@ -87,6 +90,9 @@
         for name in ("grace_s", "longest_ttl_s", "drain_s"):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name}: must be above 0")
+        for name in ("memory_mb", "max_descriptors"):
+            if getattr(self.limits, name) <= 0:
+                raise ValueError(f"limits.{name}: must be above 0")
         for name in ("window_s", "no_return_s"):
             if getattr(self.duties, name) <= 0:
                 raise ValueError(f"duties.{name}: must be above 0")
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -28,6 +28,8 @@
 
 # Maximum bytes taken from the socket in one read, after which other tasks have a turn.
 READ_BYTES = 1 << 16
+# Maximum size of a body that is copied behind its head, to be sent at once with it.
+JOINED_BYTES = 16 << 10
 # Maximum size of the head of an answer. Bounds the memory that a faulty endpoint can take. Four
 # times the default limit for callers' headers.
 MAX_HEAD_BYTES = 64 << 10
@@ -166,13 +168,19 @@
         self.idle_since_s = clock.now_s()
         self._may_be_kept = True
 
-    def send(self, head: bytes, body: bytes) -> None:
+    def send(self, head: bytes, body: bytes | memoryview) -> None:
         """Send a request without waiting; read_head() reports a failure."""
         self._asked_head = head.startswith(HEAD_REQUEST)
         self._may_be_kept = False
         if self._stream.closed():
             return
-        self._sent = asyncio.ensure_future(self._stream.write(head + body))
+        if len(body) > JOINED_BYTES:
+            # No copy of a large body is made.
+            self._stream.write(head)
+            sent = self._stream.write(body)
+        else:
+            sent = self._stream.write(head + body)
+        self._sent = asyncio.ensure_future(sent)
         self._sent.add_done_callback(_retrieve_exception)
 
     async def read_head(self) -> Head:
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from tornado.http1connection import parse_hex_int
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -89,12 +90,9 @@
       AnswerBrokenError: It does not hold a valid length.
     """
     try:
-        length = int(line.partition(b";")[0], 16)
+        return parse_hex_int(line.partition(b";")[0].strip(b" \t").decode("latin-1"))
     except ValueError as exc:
         raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length") from exc
-    if length < 0:
-        raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length")
-    return length
 
 
 def keep_alive_s(headers: HTTPHeaders) -> float | None:
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
@@ -0,0 +1,71 @@
+"""What the clients of all listeners of a node have in common: bytes, and reports on refusals."""
+
+from collections import Counter
+from typing import Protocol
+
+from springbridge.byte_budget import ByteBudget
+from springbridge.instance_limits import InstanceLimits, ListenerKind
+
+from springbridge_node import clock, logs
+from springbridge_node.gateway.inbound.refusals import RefusalKind
+from springbridge_node.gateway.telemetry import Telemetry
+
+# Seconds between two log lines of one kind at one listener.
+LINE_INTERVAL_S = 1.0
+BYTES_PER_MB = 1 << 20
+
+
+class Sweepable(Protocol):
+    """A listener, as its intake sees it."""
+
+    kind: ListenerKind
+
+    def connection_count(self) -> int:
+        """Return how many connections are open."""
+
+
+class Intake:
+    """Joins the listeners of a node.
+
+    Attributes:
+      limits: What all clients may take.
+      budget: The bytes that they make the process hold.
+      listeners: The listeners, in the order in which they were opened.
+    """
+
+    def __init__(self, limits: InstanceLimits, telemetry: Telemetry) -> None:
+        """Start without listeners."""
+        self.limits = limits
+        self.budget = ByteBudget(limits.request_bytes())
+        self.listeners: list[Sweepable] = []
+        self._telemetry = telemetry
+        self._logged_s: dict[tuple[ListenerKind, RefusalKind], float] = {}
+        self._unlogged: Counter[tuple[ListenerKind, RefusalKind]] = Counter()
+
+    def report(
+        self, listener: ListenerKind, kind: RefusalKind, remote_ip: str, request_id: str = ""
+    ) -> None:
+        """Count a refusal or a closed connection, and log it unless one was logged just now."""
+        self._telemetry.inbound_refusals.labels(listener.value, kind.value).inc()
+        key, now_s = (listener, kind), clock.now_s()
+        self._unlogged[key] += 1
+        if now_s - self._logged_s.get(key, float("-inf")) < LINE_INTERVAL_S:
+            return
+        self._logged_s[key] = now_s
+        logs.event(
+            "inbound.refused",
+            listener=listener.value,
+            kind=kind.value,
+            caller=remote_ip,
+            request_id=request_id,
+            count=self._unlogged.pop(key),
+            held_mb=round(self.budget.held_bytes / BYTES_PER_MB, 1),
+            limit_mb=round(self.budget.limit_bytes / BYTES_PER_MB, 1),
+        )
+
+    def set_gauges(self) -> None:
+        """Set the gauges of what clients take."""
+        self._telemetry.inbound_bytes.set(self.budget.held_bytes)
+        for listener in self.listeners:
+            gauge = self._telemetry.inbound_connections.labels(listener.kind.value)
+            gauge.set(listener.connection_count())
--- /dev/null
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
@@ -0,0 +1,102 @@
+"""Accepts connections at one address, and serves each."""
+
+import asyncio
+import socket
+
+from springbridge.instance_limits import ListenerKind
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
+
+from springbridge_node.gateway.inbound.connection import READ_BYTES, InboundConnection
+from springbridge_node.gateway.inbound.connection_loop import ConnectionLoop, RequestService
+from springbridge_node.gateway.inbound.intake import Intake
+
+# Connections that may wait to be accepted. Above tornado's 128, so that callers that all connect at
+# once, as after the loss of an instance, are not refused by the kernel.
+LISTEN_BACKLOG = 512
+# Connections that are accepted before other tasks have a turn.
+ACCEPTS_AT_ONCE = 64
+# Bytes that the kernel keeps of a connection whose client sends faster than it is read.
+RECEIVE_BUFFER_BYTES = 64 << 10
+
+
+class Listener:
+    """One listening address, with its connections.
+
+    Attributes:
+      kind: What it is for.
+    """
+
+    def __init__(self, kind: ListenerKind, service: RequestService, intake: Intake) -> None:
+        """Start without a socket."""
+        self.kind = kind
+        self._is_closing = False
+        self._service = service
+        self._intake = intake
+        self._connections: set[InboundConnection] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._sockets: list[socket.socket] = []
+        intake.listeners.append(self)
+
+    def listen(self, address: str) -> None:
+        """Accept connections at an address, an IP number and port."""
+        host, _, port = address.rpartition(":")
+        self._sockets = bind_sockets(int(port), host, backlog=LISTEN_BACKLOG)
+        for sock in self._sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._resume()
+
+    def stop_accepting(self) -> None:
+        """Accept no further connections; open ones stay open."""
+        self._pause()
+        while self._sockets:
+            self._sockets.pop().close()
+
+    def close_after_answers(self) -> None:
+        """Close each connection with its next answer."""
+        self._is_closing = True
+        for conn in self._connections:
+            conn.closes_with_answer = True
+
+    def connection_count(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
+    def _resume(self) -> None:
+        """Accept connections."""
+        for sock in self._sockets:
+            IOLoop.current().add_handler(sock, self._accept, IOLoop.READ)
+
+    def _pause(self) -> None:
+        """Let connections wait in the kernel."""
+        for sock in self._sockets:
+            IOLoop.current().remove_handler(sock)
+
+    def _accept(self, listening: socket.socket, events: int) -> None:
+        """Accept the connections that wait, some at once."""
+        for _ in range(ACCEPTS_AT_ONCE):
+            try:
+                sock, address = listening.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                # None waits any more, or its client has closed it.
+                return
+            self._open(sock, address[0])
+
+    def _open(self, sock: socket.socket, remote_ip: str) -> None:
+        """Serve a connection that was accepted."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(sock, read_chunk_size=READ_BYTES)
+        conn = InboundConnection(stream, remote_ip, self._intake.budget)
+        conn.on_evicted = lambda kind: self._intake.report(self.kind, kind, remote_ip)
+        conn.closes_with_answer = self._is_closing
+        self._connections.add(conn)
+        task = asyncio.ensure_future(ConnectionLoop(conn, self._service).run())
+        self._tasks.add(task)
+        task.add_done_callback(lambda _: self._ended(task, conn))
+
+    def _ended(self, task: asyncio.Task, conn: InboundConnection) -> None:
+        """Forget a connection whose task has ended."""
+        self._tasks.discard(task)
+        self._connections.discard(conn)
--- a/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
+++ b/packages/springbridge-node/springbridge_node/gateway/metrics_page.py
@@ -1,11 +1,14 @@
 """Updates the gauges of a node's metrics at each scrape."""
 
+import os
 from typing import TYPE_CHECKING
 
 from springbridge_node import logs
 from springbridge_node.gateway import bounded_log
 
 METRICS_PATH = "/metrics"
+# Lists the open descriptors of this process.
+DESCRIPTORS_FOLDER = "/proc/self/fd"
 
 if TYPE_CHECKING:
     from springbridge_node.gateway.gateway import Gateway
@@ -45,7 +48,18 @@
         telemetry.faults.labels(where).set(count)
     telemetry.store_up.set(int(gateway.endpoints.dependency.up))
     telemetry.suspensions.set(gateway.heartbeats.suspensions)
+    gateway.intake.set_gauges()
+    telemetry.open_descriptors.set(_open_descriptors())
     telemetry.store_steps.set(gateway.store_steps)
     telemetry.dropped_lines.set(bounded_log.dropped())
     if gateway.duties is not None:
         gateway.duties.set_gauges(telemetry)
+
+
+def _open_descriptors() -> int:
+    """Return how many descriptors the process has open, 0 where the system does not tell."""
+    try:
+        return len(os.listdir(DESCRIPTORS_FOLDER))
+    except OSError:
+        # Some systems do not list them; the connections by listener are known all the same.
+        return 0
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -74,6 +74,15 @@
         self._parts.request_log.refused(arrival, problem, self._version())
         await answer.refuse(problem)
 
+    def decide(self, request: IncomingRequest) -> Problem | float:
+        """Return why a request is refused by its head, or its deadline on the monotonic clock."""
+        arrival = self._parts.codec.read_arrival(request)
+        match admit(self._parts.index(), arrival, self._parts.configuration_retry_after_s()):
+            case Failure(problem):
+                return problem
+            case Success(admitted):
+                return admitted.deadline_s
+
     def _version(self) -> int:
         """Return the version of the configuration in force, 0 before the first."""
         index = self._parts.index()
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -52,6 +52,12 @@
             ["standing"],
             registry=self.registry,
         )
+        self.inbound_refusals = Counter(
+            "springbridge_inbound_refusals",
+            "Requests that were not read to their end, and connections closed for others",
+            ["listener", "kind"],
+            registry=self.registry,
+        )
         self.part_refusals = Counter(
             "springbridge_part_refusals",
             "Requests refused because parts of their prompts end engines",
@@ -70,6 +76,20 @@
         self.config_version = Gauge(
             "springbridge_config_version", "Version in force", registry=self.registry
         )
+        self.inbound_bytes = Gauge(
+            "springbridge_inbound_bytes",
+            "Bytes that clients make the node hold",
+            registry=self.registry,
+        )
+        self.inbound_connections = Gauge(
+            "springbridge_inbound_connections",
+            "Connections that clients have opened",
+            ["listener"],
+            registry=self.registry,
+        )
+        self.open_descriptors = Gauge(
+            "springbridge_open_descriptors", "Open descriptors", registry=self.registry
+        )
         self.endpoints = Gauge("springbridge_engines", "Engines listed", registry=self.registry)
         self.unreachable_endpoints = Gauge(
             "springbridge_unreachable_engines",
--- a/packages/springbridge-standins/springbridge_standins/pages.py
+++ b/packages/springbridge-standins/springbridge_standins/pages.py
@@ -23,7 +23,7 @@
     r"((?:node|request|engine|engines|domain|member|members|peers|dependency|configuration|settings"
     r"|scheduler"
     r"|table|order|invariant|quarantine|lease|usage|scaling|store"
-    r"|parts|path|tunnel|versions)\.[a-z_]+|fault|library)\Z"
+    r"|parts|path|tunnel|versions|inbound)\.[a-z_]+|fault|library)\Z"
 )
 LOG_ROW = re.compile(r"^\| ((?:`[a-z_.]+`(?:, )?)+) \| ([^|]+) \|", re.MULTILINE)
 
--- a/packages/springbridge/springbridge/codes.py
+++ b/packages/springbridge/springbridge/codes.py
@@ -36,6 +36,8 @@
     REQUEST_ID_REUSED = 111
     HEADER_MALFORMED = 112
     UNKNOWN_PATH = 113
+    HEAD_TOO_LARGE = 114
+    REQUEST_MALFORMED = 115
     OVERLOADED = 201
     RATE_LIMITED = 202
     CONCURRENCY_LIMITED = 203
@@ -49,6 +51,7 @@
     STREAM_ORIGIN_UNKNOWN = 211
     NO_ENGINE_OF_VERSION = 212
     NODE_FAULT = 213
+    NODE_FULL = 214
     ENGINE_FAILED = 301
     ANSWER_INCOMPLETE = 302
     ANSWER_NOT_KEPT = 303
@@ -102,6 +105,10 @@
     ),
     Code.HEADER_MALFORMED: Info(400, Fate.NOT_RUN, "Correct the header that the message names."),
     Code.UNKNOWN_PATH: Info(404, Fate.NOT_RUN, "Use a path that the README lists."),
+    Code.HEAD_TOO_LARGE: Info(431, Fate.NOT_RUN, "Send fewer or shorter headers."),
+    Code.REQUEST_MALFORMED: Info(
+        400, Fate.NOT_RUN, "Send a request of HTTP/1.1 whose body is as its head states."
+    ),
     Code.OVERLOADED: Info(429, Fate.NOT_RUN, "Ask again under a new id after Retry-After."),
     Code.RATE_LIMITED: Info(429, Fate.NOT_RUN, "The customer's rate is used up; wait Retry-After."),
     Code.CONCURRENCY_LIMITED: Info(
@@ -139,6 +146,11 @@
     Code.NODE_FAULT: Info(
         503, Fate.NOT_RUN, "A fault of this node, before it sent the request; wait Retry-After."
     ),
+    Code.NODE_FULL: Info(
+        503,
+        Fate.NOT_RUN,
+        "This node holds as much of callers' requests as it can; wait Retry-After, or use another.",
+    ),
     Code.ENGINE_FAILED: Info(
         502, Fate.FAILED, "The request started and failed; check its effect before asking again."
     ),
--- a/packages/springbridge/springbridge/routing/retry_after.py
+++ b/packages/springbridge/springbridge/routing/retry_after.py
@@ -20,6 +20,7 @@
 | similar requests crashed endpoints              | `quarantine`              | until its trial  |
 | the instance is at the end of its planned stop  | `while_leaving`           | 0.05             |
 | serving it met an unforeseen exception          | `after_node_fault`        | 0.5              |
+| the instance has no room for its body           | `without_room`            | 0.5              |
 
 The excess wait is the backlog beyond the longest one behind which the request would be sent.
 `giving_up`, `overload` and the gateway use these times.
@@ -54,6 +55,10 @@
 # Time in which what met the fault has probably changed here. Another instance may serve at once.
 NODE_FAULT_S = 0.5
 
+# Time in which some of the requests that had the room have been served. Another instance may have
+# room at once.
+WITHOUT_ROOM_S = 0.5
+
 # Time that most requests take; keeps callers from retrying before the trial has ended.
 ON_TRIAL_S = 1.0
 
@@ -110,6 +115,11 @@
     return LEAVING_S
 
 
+def without_room() -> float:
+    """Return Retry-After of an instance that has no room for a request, in seconds."""
+    return WITHOUT_ROOM_S
+
+
 def after_node_fault() -> float:
     """Return Retry-After in seconds after an unforeseen exception, before anything was sent."""
     return NODE_FAULT_S
