Directory, readiness, peers and metrics read requests within the same bounds as callers

Callers saw: a process that ran out of memory by four bodies of 90 MB at its directory, which any client may ask, or at another small interface.

Cause: each small interface had a server of tornado with its defaults, 100 MB a body, and kept the body though none of them has a use for one.

CONNECT gets a ConnectRequest with the connection in place of tornado's request.

Why it works: no listener has limits of its own to forget.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 
 from springbridge.codes import Code
+from springbridge.instance_limits import ListenerKind
 from springbridge.membership import Membership
 from springbridge.problems import Problem
 from springbridge.routing.admission import RouteIndex
@@ -41,7 +42,7 @@
 from springbridge_node.gateway.endpoints.path_parts import PathParts
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S
 from springbridge_node.gateway.gateway_settings import GatewaySettings
-from springbridge_node.gateway.http.small_server import TEXT, Reply, serve_small
+from springbridge_node.gateway.http.small_server import TEXT, Reply, SmallInterface, serve_small
 from springbridge_node.gateway.inbound.intake import Intake
 from springbridge_node.gateway.metrics_page import METRICS_PATH, set_gauges
 from springbridge_node.gateway.outside import PlatformPorts
@@ -254,17 +255,20 @@
         """Accept connections on all addresses of this node."""
         addresses = self.settings.addresses
         book = AddressBook(self.membership, address_ttl_s(self.settings.longest_ttl_s))
-        serve_small(addresses.ready, self._ports.ready_handlers(self.is_ready))
-        serve_small(addresses.directory, self._ports.directory_handlers(book))
-        handlers = peer_handlers(
+        for_peers = peer_handlers(
             lambda: self.configuration, self.registry, self.quarantine_parts.suspects
         )
-        serve_small(addresses.peers, handlers, self.path_parts.tunnel_server.serve)
-        serve_small(
-            addresses.metrics,
+        ready = SmallInterface(self._ports.ready_handlers(self.is_ready))
+        serve_small(addresses.ready, ListenerKind.READY, ready, self.intake)
+        directory = SmallInterface(self._ports.directory_handlers(book))
+        serve_small(addresses.directory, ListenerKind.DIRECTORY, directory, self.intake)
+        peers = SmallInterface(for_peers, self.path_parts.tunnel_server.serve)
+        serve_small(addresses.peers, ListenerKind.PEERS, peers, self.intake)
+        metrics = SmallInterface(
             {METRICS_PATH: self._metrics, **quarantine_queries(self.quarantine_parts)},
             commands=quarantine_commands(self.quarantine_parts),
         )
+        serve_small(addresses.metrics, ListenerKind.METRICS, metrics, self.intake)
         self.listener.listen(addresses.callers, CallerLimits())
 
     async def _open_datagrams(self) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/http/small_server_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/small_server_test.py
@@ -3,12 +3,15 @@
 import asyncio
 
 import pytest
+from springbridge.instance_limits import InstanceLimits, ListenerKind
 from springbridge_standins.free_addresses import free_ports
 from springbridge_standins.gateway.caller import CallerConnection
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from springbridge_node.gateway.http.small_server import Reply, SmallServer
+from springbridge_node.gateway.http.small_server import Reply, SmallInterface, SmallServer
+from springbridge_node.gateway.inbound.intake import Intake
+from springbridge_node.gateway.telemetry import Telemetry
 
 
 def fail(query):
@@ -23,9 +26,9 @@
 def test_each_request_is_answered_and_its_connection_kept(path, status):
     async def body():
         (port,) = free_ports(1)
-        SmallServer({"/whole": lambda query: Reply(200), "/fails": fail}).listen(
-            f"127.0.0.1:{port}"
-        )
+        interface = SmallInterface({"/whole": lambda query: Reply(200), "/fails": fail})
+        intake = Intake(InstanceLimits(), Telemetry())
+        SmallServer(ListenerKind.READY, interface, intake).listen(f"127.0.0.1:{port}")
         conn = await CallerConnection.open(f"127.0.0.1:{port}")
         assert_that((await conn.ask(path)).status, Equals(status))
         assert_that((await conn.ask("/whole")).status, Equals(200))
--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_server.py
@@ -14,7 +14,6 @@
 from springbridge.routing.endpoint_registry import EndpointRegistry
 from springbridge.routing.endpoint_state import EndpointState
 from springbridge.routing.paths import PathTable
-from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream, StreamClosedError
 
 from springbridge_node import logs
@@ -25,6 +24,7 @@
     enable_dead_host_detection,
     open_stream,
 )
+from springbridge_node.gateway.http.small_server import ConnectRequest
 from springbridge_node.gateway.peers.tunnel_messages import (
     Purpose,
     TunnelRequest,
@@ -81,11 +81,11 @@
         """Return the number of tunnels that are open or being opened."""
         return len(self._tasks)
 
-    def serve(self, request: HTTPServerRequest) -> None:
+    def serve(self, request: ConnectRequest) -> None:
         """Serve a CONNECT in a task of its own."""
-        wanted = read_request(request.uri, request.headers)
+        wanted = read_request(request.target, request.headers)
         result = self._refusal(wanted, request.remote_ip)
-        stream = request.connection.detach()
+        stream = request.stream
         if result is not None:
             self._log(wanted, request.remote_ip, result)
             _reply_and_close(stream, result)
