Each listener accepts as many connections as the machine bears; one that waits gives way

Callers saw: no answer, or 503, while 600 clients stood open at any listener of a process with 300 descriptors: strangers had all of them, so it could neither accept callers nor connect to endpoints, and used a core for accepts that fail.

Cause: nothing bounded the connections of a listener, and the accept handler of tornado goes on at once after EMFILE.

Where all are open, the connection that waits longest without ever having had an answer is closed for the new one. Without a descriptor a connection that waits is closed and accepting pauses for 0.1 s.

Why it works: who stands open loses against who sends a request, and what the process needs for itself is never given away.

--- a/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
@@ -1,4 +1,6 @@
-"""What the clients of all listeners of a node have in common: bytes, and reports on refusals."""
+"""What the clients of all listeners of a node have in common: bytes, descriptors, and reports on
+refusals.
+"""
 
 from collections import Counter
 from typing import Protocol
@@ -23,6 +25,9 @@
     def connection_count(self) -> int:
         """Return how many connections are open."""
 
+    def close_waiting(self) -> bool:
+        """Close the connection that can be spared best; return whether there was one."""
+
 
 class Intake:
     """Joins the listeners of a node.
@@ -42,6 +47,12 @@
         self._logged_s: dict[tuple[ListenerKind, RefusalKind], float] = {}
         self._unlogged: Counter[tuple[ListenerKind, RefusalKind]] = Counter()
 
+    def free_descriptor(self) -> None:
+        """Close a connection that waits, at the listener that has most connections."""
+        for listener in sorted(self.listeners, key=lambda each: -each.connection_count()):
+            if listener.close_waiting():
+                return
+
     def report(
         self, listener: ListenerKind, kind: RefusalKind, remote_ip: str, request_id: str = ""
     ) -> None:
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
@@ -1,6 +1,12 @@
-"""Accepts connections at one address, and serves each."""
+"""Accepts connections at one address, as many as the instance can bear, and serves each.
+
+Where all connections that a listener may have are open, the one that waits longest for a request,
+or to finish one, gives way to a new one: a client that sends its request at once is served beside
+a crowd of others that stand open.
+"""
 
 import asyncio
+import errno
 import socket
 
 from springbridge.instance_limits import ListenerKind
@@ -8,9 +14,10 @@
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
-from springbridge_node.gateway.inbound.connection import READ_BYTES, InboundConnection
+from springbridge_node.gateway.inbound.connection import READ_BYTES, InboundConnection, Phase
 from springbridge_node.gateway.inbound.connection_loop import ConnectionLoop, RequestService
 from springbridge_node.gateway.inbound.intake import Intake
+from springbridge_node.gateway.inbound.refusals import RefusalKind
 
 # Connections that may wait to be accepted. Above tornado's 128, so that callers that all connect at
 # once, as after the loss of an instance, are not refused by the kernel.
@@ -19,6 +26,12 @@
 ACCEPTS_AT_ONCE = 64
 # Bytes that the kernel keeps of a connection whose client sends faster than it is read.
 RECEIVE_BUFFER_BYTES = 64 << 10
+# Seconds without accepting after the process had no descriptor left.
+PAUSE_S = 0.1
+# Errors of an accept that say that the process or the system has no descriptor or memory left.
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Phases in which a connection can be closed without harm to a request that is being served.
+WAITING = frozenset({Phase.IDLE, Phase.HEAD, Phase.BODY, Phase.CLOSING})
 
 
 class Listener:
@@ -34,6 +47,7 @@
         self._is_closing = False
         self._service = service
         self._intake = intake
+        self._most = intake.limits.connections(kind)
         self._connections: set[InboundConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._sockets: list[socket.socket] = []
@@ -63,6 +77,17 @@
         """Return how many connections are open."""
         return len(self._connections)
 
+    def close_waiting(self) -> bool:
+        """Close the connection that can be spared best; return whether there was one."""
+        waiting = (conn for conn in self._connections if conn.phase in WAITING)
+        victim = min(waiting, key=_worth, default=None)
+        if victim is None:
+            return False
+        self._intake.report(self.kind, RefusalKind.NO_CONNECTION, victim.remote_ip)
+        self._connections.discard(victim)
+        victim.close()
+        return True
+
     def _resume(self) -> None:
         """Accept connections."""
         for sock in self._sockets:
@@ -81,10 +106,26 @@
             except (BlockingIOError, ConnectionAbortedError):
                 # None waits any more, or its client has closed it.
                 return
+            except OSError as exc:
+                if exc.errno not in EXHAUSTED:
+                    raise
+                self._wait_for_descriptor()
+                return
             self._open(sock, address[0])
 
+    def _wait_for_descriptor(self) -> None:
+        """Free a descriptor, and accept again a little later: a loop would find none either."""
+        self._intake.report(self.kind, RefusalKind.NO_DESCRIPTOR, "")
+        self._intake.free_descriptor()
+        self._pause()
+        asyncio.get_running_loop().call_later(PAUSE_S, self._resume)
+
     def _open(self, sock: socket.socket, remote_ip: str) -> None:
-        """Serve a connection that was accepted."""
+        """Serve a connection that was accepted, if there is room for it."""
+        if len(self._connections) >= self._most and not self.close_waiting():
+            self._intake.report(self.kind, RefusalKind.NO_CONNECTION, remote_ip)
+            sock.close()
+            return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(sock, read_chunk_size=READ_BYTES)
@@ -100,3 +141,8 @@
         """Forget a connection whose task has ended."""
         self._tasks.discard(task)
         self._connections.discard(conn)
+
+
+def _worth(conn: InboundConnection) -> tuple[bool, bool, float]:
+    """Return the rank of a connection that waits; the lowest one is closed first."""
+    return conn.phase is Phase.BODY, conn.answered > 0, conn.began_s
