Heads, bodies and idle connections have their times, at every listener

Callers saw: connections that stood open for good with a part of a request, at any listener, so that one client could hold bytes and descriptors of a process for as long as it liked.

Cause: headerTimeoutMs was read by nobody, a body had no time at all, and the small interfaces waited an hour.

Change: every 0.5 s the intake looks at each connection. Late heads and bodies get 408, which is true: nothing of them was sent on. Time in which the process was suspended counts as one second at the most.

Why it works: each phase of a connection but the serving of a request, which has its deadline, now ends by itself.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -43,7 +43,7 @@
 from springbridge_node.gateway.endpoints.prober import PROBE_INTERVAL_S
 from springbridge_node.gateway.gateway_settings import GatewaySettings
 from springbridge_node.gateway.http.small_server import TEXT, Reply, SmallInterface, serve_small
-from springbridge_node.gateway.inbound.intake import Intake
+from springbridge_node.gateway.inbound.intake import SWEEP_INTERVAL_S, Intake
 from springbridge_node.gateway.metrics_page import METRICS_PATH, set_gauges
 from springbridge_node.gateway.outside import PlatformPorts
 from springbridge_node.gateway.peers.config_catch_up import ConfigurationCatchUp
@@ -302,6 +302,7 @@
             every(DISCOVERY_INTERVAL_S, self.discovery.step, DISCOVERY_DELAY_S),
             every(0.0, self.catch_up.step),
             every_tick(SWEEP_S, self._sweep),
+            every_tick(SWEEP_INTERVAL_S, self.intake.sweep),
             *(self.duties.periodic_work() if self.duties is not None else ()),
         )
 
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
@@ -1,5 +1,6 @@
-"""What the clients of all listeners of a node have in common: bytes, descriptors, and reports on
-refusals.
+"""What the clients of all listeners of a node have in common: bytes, time, and reports on refusals.
+
+Time in which the process itself was suspended does not count against clients.
 """
 
 from collections import Counter
@@ -12,6 +13,10 @@
 from springbridge_node.gateway.inbound.refusals import RefusalKind
 from springbridge_node.gateway.telemetry import Telemetry
 
+# Seconds between two looks for connections that take too long.
+SWEEP_INTERVAL_S = 0.5
+# Seconds that count at most between two looks; in a longer time the process was suspended.
+MAX_COUNTED_S = 2 * SWEEP_INTERVAL_S
 # Seconds between two log lines of one kind at one listener.
 LINE_INTERVAL_S = 1.0
 BYTES_PER_MB = 1 << 20
@@ -25,6 +30,9 @@
     def connection_count(self) -> int:
         """Return how many connections are open."""
 
+    def close_slow(self) -> None:
+        """Close or refuse what takes too long."""
+
     def close_waiting(self) -> bool:
         """Close the connection that can be spared best; return whether there was one."""
 
@@ -44,9 +52,18 @@
         self.budget = ByteBudget(limits.request_bytes())
         self.listeners: list[Sweepable] = []
         self._telemetry = telemetry
+        self._swept_s = clock.now_s()
         self._logged_s: dict[tuple[ListenerKind, RefusalKind], float] = {}
         self._unlogged: Counter[tuple[ListenerKind, RefusalKind]] = Counter()
 
+    async def sweep(self) -> None:
+        """Close what takes too long, at all listeners; called every SWEEP_INTERVAL_S."""
+        now_s = clock.now_s()
+        self.budget.now_s += min(now_s - self._swept_s, MAX_COUNTED_S)
+        self._swept_s = now_s
+        for listener in self.listeners:
+            listener.close_slow()
+
     def free_descriptor(self) -> None:
         """Close a connection that waits, at the listener that has most connections."""
         for listener in sorted(self.listeners, key=lambda each: -each.connection_count()):
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
@@ -14,9 +14,10 @@
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
+from springbridge_node import clock
 from springbridge_node.gateway.inbound.connection import READ_BYTES, InboundConnection, Phase
 from springbridge_node.gateway.inbound.connection_loop import ConnectionLoop, RequestService
-from springbridge_node.gateway.inbound.intake import Intake
+from springbridge_node.gateway.inbound.intake import SWEEP_INTERVAL_S, Intake
 from springbridge_node.gateway.inbound.refusals import RefusalKind
 
 # Connections that may wait to be accepted. Above tornado's 128, so that callers that all connect at
@@ -30,6 +31,8 @@
 PAUSE_S = 0.1
 # Errors of an accept that say that the process or the system has no descriptor or memory left.
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Seconds without a byte, and in all, for which what arrives behind a last answer is discarded.
+LINGER_GAP_S, LINGER_S = 2.0, 10.0
 # Phases in which a connection can be closed without harm to a request that is being served.
 WAITING = frozenset({Phase.IDLE, Phase.HEAD, Phase.BODY, Phase.CLOSING})
 
@@ -77,6 +80,12 @@
         """Return how many connections are open."""
         return len(self._connections)
 
+    def close_slow(self) -> None:
+        """Close or refuse what takes too long."""
+        for conn in list(self._connections):
+            if self._is_overdue(conn):
+                self._end_slow(conn)
+
     def close_waiting(self) -> bool:
         """Close the connection that can be spared best; return whether there was one."""
         waiting = (conn for conn in self._connections if conn.phase in WAITING)
@@ -142,6 +151,32 @@
         self._tasks.discard(task)
         self._connections.discard(conn)
 
+    def _is_overdue(self, conn: InboundConnection) -> bool:
+        """Return whether a connection takes longer than its phase may take."""
+        limits, now_s = self._service.limits, self._intake.budget.now_s
+        # Both times are as of a sweep, which may be one interval earlier.
+        took_s = now_s - conn.began_s - SWEEP_INTERVAL_S
+        gap_s = now_s - conn.progress_s - SWEEP_INTERVAL_S
+        match conn.phase:
+            case Phase.IDLE:
+                return took_s > limits.idle_timeout_s
+            case Phase.HEAD:
+                return took_s > limits.header_timeout_s
+            case Phase.BODY:
+                is_late = conn.deadline_s is not None and clock.now_s() > conn.deadline_s
+                return is_late or gap_s > limits.idle_timeout_s
+            case Phase.CLOSING:
+                return gap_s > LINGER_GAP_S or took_s > LINGER_S
+            case _:
+                return False
+
+    def _end_slow(self, conn: InboundConnection) -> None:
+        """Refuse a request that arrives too slowly, or close a connection without one."""
+        if conn.phase in (Phase.HEAD, Phase.BODY):
+            conn.fail(RefusalKind.TOO_SLOW)
+        else:
+            conn.close()
+
 
 def _worth(conn: InboundConnection) -> tuple[bool, bool, float]:
     """Return the rank of a connection that waits; the lowest one is closed first."""
--- a/packages/springbridge/springbridge/routing/records.py
+++ b/packages/springbridge/springbridge/routing/records.py
@@ -109,7 +109,8 @@
     """Limits on the size of requests and on the idle time of callers' connections.
 
     Attributes:
-      header_timeout_s: Longest time for a head to arrive; nothing reads it, idle_timeout_s is used.
+      header_timeout_s: Longest time for a head to arrive, from its first byte.
+      idle_timeout_s: Longest time between two requests, or without a byte of a body.
     """
 
     header_bytes: int = DEFAULT_HEADER_BYTES
