Answers that are not read are counted and given up; memory goes back after a crowd

Callers saw: a process that grew with each crowd of callers which read nothing of their answers (71 MB, then 87 MB with 1,000 of them that send 400 requests ahead each for 2 MB; the bound is 79), and kept 25 to 36 MB when they had gone.

Cause: what waits for such a caller, in its connection and in the endpoint's, was counted nowhere, and its request held both until its deadline; requests that end with an error are freed by the collector alone, and the C library keeps free blocks between used ones.

Change: while a write waits for its caller, the piece and what the endpoint's connection holds behind it count in the budget, and the connection may be given up; one whose caller reads nothing for idleTimeoutMs is closed. Once a crowd that held half of the budget has gone, the collector runs and free memory goes back to the system. 56 MB instead of 52 are left for the node itself. Of connections that wait, the first one accepted gives way, not any of the last half second.

Ordinary callers beside callers that read nothing had no answer in 10 s: these hold all connections to the one endpoint of the rig. That is open.

Why it works: what nobody reads has an owner, a sum and an end.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -6,20 +6,28 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Mapping
 from types import MappingProxyType
 
 import orjson
 from springbridge.problems import Problem
+from springbridge.routing.records import DEFAULT_IDLE_TIMEOUT_S
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
 from springbridge_node.gateway.http.closing import end_in_order, reset_on_close
+from springbridge_node.gateway.http.http_connection import READ_BYTES
 from springbridge_node.gateway.http.http_head import BODILESS_STATUSES
 from springbridge_node.gateway.inbound.answer_writer import AnswerWriter
 from springbridge_node.gateway.inbound.connection import InboundConnection
+from springbridge_node.gateway.inbound.refusals import RefusalKind
 from springbridge_node.gateway.inbound.request_head import RequestHead
 
+# Bytes of an answer that wait at the endpoint's connection while its caller reads nothing: what was
+# read and not passed on, and what the stream has read ahead.
+BEHIND_BYTES = 2 * READ_BYTES
+
 
 class CallerGoneError(Exception):
     """The caller has closed its connection."""
@@ -39,6 +47,7 @@
         connection: InboundConnection,
         asked: RequestHead | None,
         refusal_headers: Mapping[str, str] = MappingProxyType({}),
+        longest_s: float = DEFAULT_IDLE_TIMEOUT_S,
     ) -> None:
         """Start without an answer.
 
@@ -46,10 +55,12 @@
           connection: The connection on which the request arrived.
           asked: Head of the request; None if it could not be read.
           refusal_headers: Headers of an answer that is not an endpoint's, which name the request.
+          longest_s: Seconds for which the caller may read nothing of it.
         """
         self._connection = connection
         self._writer = AnswerWriter(connection, asked)
         self._refusal_headers = refusal_headers
+        self._longest_s = longest_s
         self._ends_with_connection = False
         self.started = False
         self.ended = False
@@ -92,20 +103,14 @@
             end_in_order(self._connection.stream.socket)
         self._writer.end()
 
-    async def wait_sent(self, longest_s: float) -> None:
+    async def wait_sent(self) -> None:
         """Wait until the end of the answer is in the socket, or the connection is closed.
 
-        finish() does not wait for the last bytes, and a process that ends would drop them. A caller
-        that does not read them for longest_s seconds has its connection closed.
+        finish() does not wait for the last bytes, and a process that ends would drop them.
         """
-        try:
-            async with asyncio.timeout(longest_s):
-                await self._connection.stream.write(b"")
-        except StreamClosedError:
-            # There is nobody to wait for.
-            return
-        except TimeoutError:
-            self._connection.close()
+        # A connection that has ended has nobody to wait for.
+        with contextlib.suppress(StreamClosedError):
+            await self._sent(self._connection.stream.write(b""), 0)
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees that the answer is incomplete."""
@@ -132,19 +137,24 @@
         self.finish()
 
     async def _sent(self, written: asyncio.Future[None], size: int) -> None:
-        """Wait for a write; its bytes count as held while the caller does not read them.
+        """Wait for a write; what waits for the caller to read counts as held.
 
         Raises:
-          StreamClosedError: The connection has ended.
+          StreamClosedError: The connection has ended, or the caller reads nothing for longer than
+            a connection may be idle.
         """
         if written.done():
             await written
             return
-        self._connection.add_unsent(size)
+        self._connection.add_unsent(size + BEHIND_BYTES)
         try:
-            await written
+            async with asyncio.timeout(self._longest_s):
+                await written
+        except TimeoutError as exc:
+            self._connection.give_up(RefusalKind.UNREAD_ANSWER)
+            raise StreamClosedError from exc
         finally:
-            self._connection.add_unsent(-size)
+            self._connection.add_unsent(-size - BEHIND_BYTES)
 
     def _lacks_end(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether neither a length nor chunks will mark the end of the answer's body."""
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -125,7 +125,7 @@
     ) -> None:
         """Serve a request that was read completely; see connection_loop.RequestService."""
         request = replace(IncomingRequest.from_head(head), body=body)
-        answer = CallerAnswer(conn, head, self._handlers.name(request))
+        answer = self._answer(conn, head, request)
         task = asyncio.current_task()
         self.in_progress.add(task)
         conn.on_gone = lambda: _cancel_unanswered(answer, task)
@@ -146,13 +146,19 @@
                 await answer.refuse(problem)
             else:
                 request = IncomingRequest.from_head(head)
-                answer = CallerAnswer(conn, head, self._handlers.name(request))
+                answer = self._answer(conn, head, request)
                 await self._handlers.refuse(request, answer, problem)
-            await answer.wait_sent(self.limits.idle_timeout_s)
+            await answer.wait_sent()
         except CallerGoneError:
             # There is no caller left to answer, and nothing was sent on.
             pass
 
+    def _answer(
+        self, conn: InboundConnection, head: RequestHead, request: IncomingRequest
+    ) -> CallerAnswer:
+        """Return the answer to a request, before its beginning."""
+        return CallerAnswer(conn, head, self._handlers.name(request), self.limits.idle_timeout_s)
+
     def report(self, conn: InboundConnection, head: RequestHead | None, kind: RefusalKind) -> None:
         """Count and log that a request was not read to its end."""
         names = self._handlers.name(IncomingRequest.from_head(head)) if head is not None else {}
@@ -164,7 +170,7 @@
         """Serve a request; close its connection if its answer cannot be ended otherwise."""
         try:
             await self._serve_to_end(request, answer)
-            await answer.wait_sent(self.limits.idle_timeout_s)
+            await answer.wait_sent()
         except CallerGoneError:
             # The router has logged the end of the request; there is no caller left to answer.
             pass
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import socket
 from collections.abc import Callable
 from enum import Enum, auto
@@ -26,6 +27,8 @@
 # Bytes that may wait behind a request that is being served. Requests without a body are below 1 KB.
 MAX_AHEAD_BYTES = 64 << 10
 
+_numbers = itertools.count()
+
 
 class Phase(Enum):
     """What a connection is used for.
@@ -48,6 +51,7 @@
     Attributes:
       stream: The connection.
       remote_ip: IP number of the client.
+      number: Its place in the order in which connections were accepted.
       phase: What it is used for.
       unread: What has arrived and was not read, in order.
       body: The body that arrives or is being served, if there is one.
@@ -66,6 +70,7 @@
         """Take over a connection that was accepted."""
         self.stream = stream
         self.remote_ip = remote_ip
+        self.number = next(_numbers)
         self.phase = Phase.IDLE
         self.unread = bytearray()
         self.body: BodyBuffer | None = None
@@ -189,14 +194,17 @@
         if self.phase in (Phase.HEAD, Phase.BODY):
             self.fail(RefusalKind.NO_ROOM)
         elif self.phase is not Phase.SERVING:
-            self._log_eviction(RefusalKind.NO_ROOM)
-            self.close()
+            self.give_up(RefusalKind.NO_ROOM)
         elif self._unsent_bytes:
-            self._log_eviction(RefusalKind.UNREAD_ANSWER)
-            self.close()
+            self.give_up(RefusalKind.UNREAD_ANSWER)
         else:
             self._discard_ahead()
 
+    def give_up(self, kind: RefusalKind) -> None:
+        """Report why the connection is closed without a further answer, and close it."""
+        self._log_eviction(kind)
+        self.close()
+
     def end_sending(self) -> None:
         """End this side of the connection, so that the client sees the end of its last answer."""
         if not self.stream.closed():
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/intake.py
@@ -10,6 +10,7 @@
 from springbridge.instance_limits import InstanceLimits, ListenerKind
 
 from springbridge_node import clock, logs
+from springbridge_node.gateway.inbound.free_memory import release_free_memory
 from springbridge_node.gateway.inbound.refusals import RefusalKind
 from springbridge_node.gateway.telemetry import Telemetry
 
@@ -17,6 +18,8 @@
 SWEEP_INTERVAL_S = 0.5
 # Seconds that count at most between two looks; in a longer time the process was suspended.
 MAX_COUNTED_S = 2 * SWEEP_INTERVAL_S
+# Shares of the budget above which clients are a crowd, and below which it has gone.
+CROWDED_SHARE, CALM_SHARE = 0.5, 0.2
 # Seconds between two log lines of one kind at one listener.
 LINE_INTERVAL_S = 1.0
 BYTES_PER_MB = 1 << 20
@@ -53,6 +56,7 @@
         self.listeners: list[Sweepable] = []
         self._telemetry = telemetry
         self._swept_s = clock.now_s()
+        self._was_crowded = False
         self._logged_s: dict[tuple[ListenerKind, RefusalKind], float] = {}
         self._unlogged: Counter[tuple[ListenerKind, RefusalKind]] = Counter()
 
@@ -61,9 +65,19 @@
         now_s = clock.now_s()
         self.budget.now_s += min(now_s - self._swept_s, MAX_COUNTED_S)
         self._swept_s = now_s
+        self._release_memory()
         for listener in self.listeners:
             listener.close_slow()
 
+    def _release_memory(self) -> None:
+        """Give memory back to the system once clients that held much have gone."""
+        held, limit = self.budget.held_bytes, self.budget.limit_bytes
+        if held > CROWDED_SHARE * limit:
+            self._was_crowded = True
+        elif self._was_crowded and held < CALM_SHARE * limit:
+            self._was_crowded = False
+            release_free_memory()
+
     def free_descriptor(self) -> None:
         """Close a connection that waits, at the listener that has most connections."""
         for listener in sorted(self.listeners, key=lambda each: -each.connection_count()):
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/listener.py
@@ -178,6 +178,6 @@
             conn.close()
 
 
-def _worth(conn: InboundConnection) -> tuple[bool, bool, float]:
+def _worth(conn: InboundConnection) -> tuple[bool, bool, float, int]:
     """Return the rank of a connection that waits; the lowest one is closed first."""
-    return conn.phase is Phase.BODY, conn.answered > 0, conn.began_s
+    return conn.phase is Phase.BODY, conn.answered > 0, conn.began_s, conn.number
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -23,6 +23,7 @@
 import typer
 
 from springbridge_standins.free_addresses import loopback_network
+from springbridge_standins.gateway.crowd.target import NodeLimits
 from springbridge_standins.gateway.soak import continuations, departures, odd_rows, versions
 from springbridge_standins.gateway.soak.alone import leave_alone_forever
 from springbridge_standins.gateway.soak.callers import call_forever
@@ -33,6 +34,7 @@
     running_continued_streams,
 )
 from springbridge_standins.gateway.soak.crashes import check_poison, send_poison_forever
+from springbridge_standins.gateway.soak.crowds import MAX_FDS, MEMORY_MB, crowd_forever
 from springbridge_standins.gateway.soak.departures import (
     Departures,
     depart_forever,
@@ -77,6 +79,7 @@
       odd: Engines send bytes without end, and what is no rest of a stream.
       departures: Engines leave or crash within streams that state no length.
       odd_rows: Another writer leaves odd rows in the store.
+      crowds: Crowds of clients that misbehave stand at the nodes, which have small machines.
     """
 
     parts: bool = False
@@ -84,6 +87,7 @@
     odd: bool = False
     departures: bool = False
     odd_rows: bool = False
+    crowds: bool = False
 
 
 NO_MORE_HARMS = Harms()
@@ -125,7 +129,8 @@
         setup = await _start(stack, soak, seed, harms)
         network = stack.enter_context(loopback_network(seed))
         ips = [f"{network}.{number + 1}" for number in range(nodes)]
-        await start_nodes(soak, stack, folder, ips)
+        limits = NodeLimits(MEMORY_MB, MAX_FDS) if harms.crowds else None
+        await start_nodes(soak, stack, folder, ips, limits)
         work = [*_usual_work(setup, seed, callers), *_harmful_work(setup, seed, harms)]
         await _run_until_enough(work, seconds, enough)
         soak.stop_background()
@@ -197,6 +202,8 @@
         yield odd_rows.exchange_engines_forever(setup.odd_rows)
         for _ in range(odd_rows.CALLERS):
             yield odd_rows.ask_forever(setup.odd_rows)
+    if harms.crowds:
+        yield crowd_forever(setup.soak, _rng(seed, "crowds"))
     if harms.alone:
         yield leave_alone_forever(setup.soak, _rng(seed, "alone"))
 
@@ -257,13 +264,14 @@
     odd: bool = True,
     departing: bool = True,
     rows: bool = True,
+    crowds: bool = True,
 ) -> None:
     """Run soaks with consecutive seeds; exit with 1 if one finds a violation."""
     failed = False
     for number in range(seed, seed + seeds):
         began_s = time.monotonic()
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        harms = Harms(parts, alone, odd, departing, rows)
+        harms = Harms(parts, alone, odd, departing, rows, crowds)
         soak = asyncio.run(run_soak(number, minutes * 60, folder, nodes, harms=harms))
         failed = failed or bool(soak.violations)
         took_s = time.monotonic() - began_s
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -7,6 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
 
+from springbridge_standins.gateway.crowd.drawn import LISTENERS
 from springbridge_standins.gateway.soak import nodes
 from springbridge_standins.gateway.soak.alone import LEFT_ALONE
 from springbridge_standins.gateway.soak.departures import CUT, WHOLE
@@ -148,6 +149,13 @@
     assert_that(soak_counts[LEFT_LONG_AGO], GreaterThan(0))
 
 
+# Guards against nodes that run out of memory by crowds of clients, while other harms go on.
+def test_a_short_soak_with_crowds_breaks_no_promise(tmp_path):
+    soak = asyncio.run(run_soak(99, 15.0, tmp_path, harms=Harms(crowds=True)))
+    assert_that(soak.violations, Equals([]))
+    assert_that(sum(soak.counts[f"crowd at {name}"] for name in LISTENERS), GreaterThan(2))
+
+
 # Guards against a soak that finds no violation because its nodes never served.
 def test_a_soak_whose_nodes_never_serve_is_a_violation(tmp_path, monkeypatch):
     monkeypatch.setattr(nodes, "sys", SimpleNamespace(executable="/bin/false"))
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/start.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/start.py
@@ -8,6 +8,7 @@
 
 from springbridge_standins.free_addresses import free_ports
 from springbridge_standins.gateway.crashing import POISON_MARK
+from springbridge_standins.gateway.crowd.target import NodeLimits
 from springbridge_standins.gateway.engine import EngineStandIn
 from springbridge_standins.gateway.soak.crashes import crash_engine
 from springbridge_standins.gateway.soak.engine import SoakScript
@@ -75,9 +76,17 @@
 
 
 async def start_nodes(
-    soak: Soak, stack: contextlib.AsyncExitStack, folder: Path, ips: list[str]
+    soak: Soak,
+    stack: contextlib.AsyncExitStack,
+    folder: Path,
+    ips: list[str],
+    limits: NodeLimits | None = None,
 ) -> None:
-    """Start nodes, each with its own proxy to the store."""
+    """Start nodes, each with its own proxy to the store.
+
+    Args:
+      limits: Limits of their machines; None for the defaults.
+    """
     ports = Ports(*free_ports(5))
     seeds = [f"{ip}:{ports.peers}" for ip in ips[:3]]
     for number, ip in enumerate(ips):
@@ -86,6 +95,8 @@
         stack.callback(proxy.stop)
         soak.store_proxies.append(proxy)
         node = NodeProcess(number, ip, ports, proxy.address, soak.duties.address, folder, seeds)
+        if limits is not None:
+            node.add_limits(limits.memory_mb, limits.max_fds)
         await node.start()
         stack.push_async_callback(node.end)
         soak.nodes.append(node)
--- a/packages/springbridge/springbridge/instance_limits.py
+++ b/packages/springbridge/springbridge/instance_limits.py
@@ -18,7 +18,7 @@
 # Share of the memory that is used at most.
 USED_MEMORY_SHARE = 0.9
 # Memory of an instance without clients: the program, and what it knows of its fleet.
-REST_MB = 52
+REST_MB = 56
 # Least bytes for clients, in which one large body has room however small the instance is.
 MIN_REQUEST_MB = 8
 # Descriptors for files, at most and as a share of all.
