--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Mapping
-from types import MappingProxyType
 
 import orjson
 from springbridge.problems import Problem
@@ -46,7 +44,7 @@
         self,
         connection: InboundConnection,
         asked: RequestHead | None,
-        refusal_headers: Mapping[str, str] = MappingProxyType({}),
+        request_id: str = "",
         longest_s: float = DEFAULT_IDLE_TIMEOUT_S,
     ) -> None:
         """Start without an answer.
@@ -54,12 +52,13 @@
         Args:
           connection: The connection on which the request arrived.
           asked: Head of the request; None if it could not be read.
-          refusal_headers: Headers of an answer that is not an endpoint's, which name the request.
+          request_id: Id of the request, "" if it has none. Refusals name it in their bodies, never
+            in a header: an instance that takes another one for an endpoint knows it by that.
           longest_s: Seconds for which the caller may read nothing of it.
         """
         self._connection = connection
         self._writer = AnswerWriter(connection, asked)
-        self._refusal_headers = refusal_headers
+        self._request_id = request_id
         self._longest_s = longest_s
         self._ends_with_connection = False
         self.started = False
@@ -123,13 +122,12 @@
         Raises:
           CallerGoneError: The caller has closed its connection.
         """
-        body = orjson.dumps({"error": problem.code.name, "code": int(problem.code)})
+        content = {"error": problem.code.name, "code": int(problem.code)}
+        if self._request_id:
+            content["request_id"] = self._request_id
+        body = orjson.dumps(content)
         headers = HTTPHeaders(
-            {
-                "Content-Type": "application/json",
-                "Content-Length": str(len(body)),
-                **self._refusal_headers,
-            }
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
         if problem.retry_after_s is not None:
             headers["Retry-After"] = f"{problem.retry_after_s:.2f}"
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress.py
@@ -5,9 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from types import MappingProxyType
 
 from springbridge.codes import Code
 from springbridge.instance_limits import ListenerKind
@@ -52,7 +51,7 @@
 Serve = Callable[[IncomingRequest, CallerAnswer], Awaitable[None]]
 Refuse = Callable[[IncomingRequest, CallerAnswer, Problem], Awaitable[None]]
 Decide = Callable[[IncomingRequest], Problem | float]
-NameRequest = Callable[[IncomingRequest], Mapping[str, str]]
+ReadId = Callable[[IncomingRequest], str]
 
 
 async def _refuse(request: IncomingRequest, answer: CallerAnswer, problem: Problem) -> None:
@@ -60,11 +59,6 @@
     await answer.refuse(problem)
 
 
-def _no_names(request: IncomingRequest) -> Mapping[str, str]:
-    """Return no headers."""
-    return MappingProxyType({})
-
-
 @dataclass(frozen=True)
 class CallerHandlers:
     """What is done with callers' requests.
@@ -74,13 +68,13 @@
       refuse: Refuses one and ends its answer.
       decide: Returns why a request is refused by its head, or until when its body may arrive, on
         the monotonic clock.
-      name: Returns the headers by which an answer names its request.
+      read_id: Returns the id of a request, "" if it has none.
     """
 
     serve: Serve
     refuse: Refuse = _refuse
     decide: Decide = lambda request: float("inf")
-    name: NameRequest = _no_names
+    read_id: ReadId = lambda request: ""
 
 
 class CallerListener:
@@ -157,14 +151,14 @@
         self, conn: InboundConnection, head: RequestHead, request: IncomingRequest
     ) -> CallerAnswer:
         """Return the answer to a request, before its beginning."""
-        return CallerAnswer(conn, head, self._handlers.name(request), self.limits.idle_timeout_s)
+        return CallerAnswer(conn, head, self._handlers.read_id(request), self.limits.idle_timeout_s)
 
     def report(self, conn: InboundConnection, head: RequestHead | None, kind: RefusalKind) -> None:
         """Count and log that a request was not read to its end."""
-        names = self._handlers.name(IncomingRequest.from_head(head)) if head is not None else {}
-        self._intake.report(
-            ListenerKind.CALLERS, kind, conn.remote_ip, "".join(list(names.values())[:1])
-        )
+        request_id = ""
+        if head is not None:
+            request_id = self._handlers.read_id(IncomingRequest.from_head(head))
+        self._intake.report(ListenerKind.CALLERS, kind, conn.remote_ip, request_id)
 
     async def _serve_guarded(self, request: IncomingRequest, answer: CallerAnswer) -> None:
         """Serve a request; close its connection if its answer cannot be ended otherwise."""
--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -159,7 +159,9 @@
         self.endpoints = self._endpoint_follower()
         self.router = RequestRouter(self._router_parts())
         self.intake = Intake(settings.limits, self.telemetry)
-        handlers = CallerHandlers(self._serve, self.router.refuse, self._decide, ports.codec.name)
+        handlers = CallerHandlers(
+            self._serve, self.router.refuse, self._decide, ports.codec.request_id
+        )
         self.listener = CallerListener(handlers, self.intake)
         self.catch_up = ConfigurationCatchUp(self.membership, self.configuration, self.peer_client)
         self.heartbeats = Heartbeats(
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_codec.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_codec.py
@@ -4,7 +4,6 @@
 meaning belong to the implementation, one for each platform.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -39,8 +38,8 @@
     def read_arrival(self, request: IncomingRequest) -> Arrival:
         """Return the fields of a request that routing needs, never its content."""
 
-    def name(self, request: IncomingRequest) -> Mapping[str, str]:
-        """Return the headers by which an answer that is no endpoint's names its request."""
+    def request_id(self, request: IncomingRequest) -> str:
+        """Return the id of a request, "" if it has none."""
 
     def endpoint_request(
         self,
