Rig: a crowd ends its clients before it closes their sockets

The event loop reported exceptions of its own, as sockets were closed while their clients still waited on them; a descriptor that another socket gets at once could have lost its writer. Crowds and bounds are unchanged; crowd_test.py passes, 22 cases.

--- a/packages/springbridge-standins/springbridge_standins/gateway/crowd/crowd.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/crowd/crowd.py
@@ -45,10 +45,12 @@
         """Wait until all clients have sent what they send or were closed on, at most so long."""
         await asyncio.wait(self._tasks, timeout=longest_s)
 
-    def go(self) -> None:
+    async def go(self) -> None:
         """Reset all connections."""
         for task in self._tasks:
             task.cancel()
+        # Before the sockets are closed, whose descriptors others may get at once.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for sock in self._sockets:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             sock.close()
@@ -63,6 +65,8 @@
             self.ended["refused"] += 1
             return
         reading = asyncio.ensure_future(self._read(sock)) if kind.reads else None
+        if reading is not None:
+            self._tasks.append(reading)
         try:
             for piece in kind.pieces():
                 await loop.sock_sendall(sock, piece)
@@ -93,4 +97,4 @@
     try:
         yield crowd
     finally:
-        crowd.go()
+        await crowd.go()
