A client that resets its connection when refused is no fault of the node

An operator saw: a fault line, OSError in connection, as a client reset its connection just before the node ended its side behind a refusal.

Cause: shutdown of a socket that was reset raises, which nothing caught.

Change: end_sending() says that the connection has ended. Mutants of the budget, the head, the times and the end of callers.

--- a/packages/springbridge-node/springbridge_node/gateway/inbound/connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/connection.py
@@ -206,9 +206,16 @@
         self.close()
 
     def end_sending(self) -> None:
-        """End this side of the connection, so that the client sees the end of its last answer."""
-        if not self.stream.closed():
+        """End this side of the connection, so that the client sees the end of its last answer.
+
+        Raises:
+          ConnectionGoneError: The connection has ended.
+        """
+        try:
             self.stream.socket.shutdown(socket.SHUT_WR)
+        except (OSError, AttributeError) as exc:
+            # The client has reset it, or it was closed here; nothing more can be sent.
+            raise ConnectionGoneError from exc
 
     def _log_eviction(self, kind: RefusalKind) -> None:
         """Report that the connection is closed for others."""
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/configuration.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/configuration.py
@@ -1,7 +1,13 @@
 """The operators' configuration of a soak: the usual routes, and those of harms' own services."""
 
 from springbridge_standins.gateway.fleet import configuration, route
-from springbridge_standins.gateway.soak import continuations, departures, odd_rows, versions
+from springbridge_standins.gateway.soak import (
+    continuations,
+    crowds,
+    departures,
+    odd_rows,
+    versions,
+)
 
 
 def soak_configuration(version: int) -> dict:
@@ -17,4 +23,6 @@
         plain["services"].append({"name": service, "healthPath": "/healthz", "maxConnections": 100})
     plain["routes"].append(route("rows", "safe", odd_rows.SERVICE))
     plain["services"].append({"name": odd_rows.SERVICE, "healthPath": "/healthz"})
+    plain["routes"].append(route(crowds.SERVICE, "safe", crowds.SERVICE))
+    plain["services"].append({"name": crowds.SERVICE, "healthPath": "/healthz"})
     return plain
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak.py
@@ -34,7 +34,12 @@
     running_continued_streams,
 )
 from springbridge_standins.gateway.soak.crashes import check_poison, send_poison_forever
-from springbridge_standins.gateway.soak.crowds import MAX_FDS, MEMORY_MB, crowd_forever
+from springbridge_standins.gateway.soak.crowds import (
+    MAX_FDS,
+    MEMORY_MB,
+    crowd_forever,
+    running_crowd_engine,
+)
 from springbridge_standins.gateway.soak.departures import (
     Departures,
     depart_forever,
@@ -160,6 +165,8 @@
     rows = None
     if harms.odd_rows:
         rows = await stack.enter_async_context(running_odd_rows(soak, _rng(seed, "odd rows")))
+    if harms.crowds:
+        await stack.enter_async_context(running_crowd_engine(soak))
     await soak.store.put("op", "config", soak_configuration(soak.version))
     return Setup(soak, statements, part_harm, rollouts, streams, leavers, rows)
 
--- a/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
+++ b/packages/springbridge-standins/springbridge_standins/mutants/gateway_mutants.py
@@ -9,6 +9,7 @@
 )
 
 REQUESTS = f"{PLATFORM}/requests_test.py"
+REFUSALS = f"{PLATFORM}/refusals_test.py"
 ELIGIBILITY = f"{LIBRARY}/routing/eligibility_test.py"
 SELECTION_SERVER = f"{NODE}/gateway/peers/selection_server_test.py"
 SELECTION_CLIENT = f"{NODE}/gateway/peers/selection_client_test.py"
@@ -35,10 +36,38 @@
     Mutant(
         "an answer is in progress until its end is in the socket",
         f"{NODE}/gateway/callers/ingress.py",
-        "            await answer.wait_sent()\n",
-        "",
+        "await self._serve_to_end(request, answer)\n            await answer.wait_sent()\n",
+        "await self._serve_to_end(request, answer)\n",
         f"{NODE}/gateway/callers/ingress_test.py",
     ),
+    Mutant(
+        "clients that hold too much together give way",
+        f"{LIBRARY}/byte_budget.py",
+        "        while self.held_bytes > limit:\n",
+        "        while False:\n",
+        f"{LIBRARY}/byte_budget_test.py",
+    ),
+    Mutant(
+        "a request is refused by its head",
+        f"{NODE}/gateway/inbound/connection_loop.py",
+        "        decision = self._service.decide(head)\n",
+        "        decision = float('inf')\n",
+        f"{REFUSALS}::test_a_refusal_does_not_wait_for_its_body",
+    ),
+    Mutant(
+        "a part of a request does not stand open for good",
+        f"{NODE}/gateway/inbound/listener.py",
+        "            if self._is_overdue(conn):\n",
+        "            if False:\n",
+        f"{REFUSALS}::test_a_request_that_does_not_go_on_is_answered",
+    ),
+    Mutant(
+        "the work for a caller ends with its connection",
+        f"{NODE}/gateway/inbound/connection.py",
+        "        if is_serving and self.on_gone is not None:\n",
+        "        if False:\n",
+        f"{REQUESTS}::test_an_engine_stops_when_the_caller_leaves_before_the_answer",
+    ),
     Mutant(
         "answers are matched by id",
         f"{NODE}/gateway/requests/endpoint_answer.py",
