Work for a caller that is cancelled waits for its write no longer, and does not cancel it

An operator saw: a line of a library, CancelledError in asyncio, as a caller went while the socket took no more of its answer.

Cause: the answer awaited the stream's own future, so that a cancelled task cancelled it, and the stream's callback raised; tornado's server had a future of its own between the two.

Change: the future is shielded.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -147,7 +147,8 @@
         self._connection.add_unsent(size + BEHIND_BYTES)
         try:
             async with asyncio.timeout(self._longest_s):
-                await written
+                # Shielded: a write of the stream can't be cancelled, only waited for no longer.
+                await asyncio.shield(written)
         except TimeoutError as exc:
             self._connection.give_up(RefusalKind.UNREAD_ANSWER)
             raise StreamClosedError from exc
--- a/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/ingress_test.py
@@ -86,3 +86,32 @@
         assert_that(listener.in_progress, HasLength(0))
 
     asyncio.run(body())
+
+
+# Guards against exceptions that nobody foresaw, as the work for a caller is cancelled while the
+# socket takes no more of its answer.
+def test_a_write_that_waits_is_given_up_without_a_fault():
+    async def serve(request, answer):
+        await answer.start(200, "OK", HTTPHeaders(), b"")
+        while True:
+            await answer.write(b"x" * (1 << 20))
+
+    async def body():
+        found = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: found.append(context))
+        listener = CallerListener(CallerHandlers(serve), Intake(InstanceLimits(), Telemetry()))
+        (port,) = free_ports(1)
+        listener.listen(f"127.0.0.1:{port}", CallerLimits())
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request_bytes("/stream/x"))
+        await until(lambda: listener.in_progress)
+        await asyncio.sleep(0.2)
+        for task in listener.in_progress:
+            task.cancel()
+        await until(lambda: not listener.in_progress)
+        await asyncio.sleep(0)
+        writer.close()
+        assert_that(found, Equals([]))
+
+    asyncio.run(body())
