--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/versions.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/versions.py
@@ -46,6 +46,7 @@
     version: str
     stand_in: EngineStandIn
     drains: bool = False
+    is_being_replaced: bool = False
 
 
 @dataclass
@@ -168,10 +169,12 @@
 async def _replace_engine(rollouts: Rollouts) -> None:
     """Start an engine of a drawn version and end another one, which may drain before."""
     rng = rollouts.rng
-    staying = [each for each in rollouts.engines if not each.drains]
+    staying = [each for each in rollouts.engines if not each.is_being_replaced]
     if len(staying) < ENGINES // 2:
         return
     engine = rng.choice(staying)
+    # At once: while the other one starts, another replacement may draw an engine.
+    engine.is_being_replaced = True
     await _start_engine(rollouts, rng.choice(VERSIONS))
     engine.drains = True
     if rng.random() >= CRASH_SHARE:
