--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,12 +1,11 @@
-"""Nodes are stopped and started in turn while engines fail part of their requests."""
+"""Clients take their streams up again after the loss of all nodes, while two versions serve."""
 
 import asyncio
-import random
+import contextlib
 import signal
 import sys
-import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -14,176 +13,162 @@
 
 from standins_2 import (  # noqa: E402
     BOUNDS,
+    Answer,
     Engine,
-    Node,
     Record,
     Request,
     World,
     ask,
     configuration,
+    entry,
+    message,
     request_headers,
     route,
     run_case,
 )
 
-NODES, ENGINES = 3, 5
+NODES = 3
+# Versions of the engines' software, one engine each.
+VERSIONS = ("v1", "v1", "v2", "v2")
+# Events of a stream, and seconds between two.
+EVENTS, PAUSE_S = 30, 0.2
+# Streams that are taken up, and new ones that begin beside them.
+STREAMS = 24
+TIMEOUT_MS = 12000
 SETTLE_S = 5.0
-REQUESTS_PER_S = 50.0
-# Seconds of traffic before the engines begin to fail, and of failing, three times 4 s.
-BEFORE_S, FAILING_S = 2.0, 12.0
-# Share of the requests that each engine fails, and seconds for which it works.
-FAILED_SHARE, WORK_S = 0.45, 0.045
-# Seconds after the begin of the failures at which the first node is stopped.
-FIRST_STOP_S = 0.5
-# Seconds after which the platform starts a process again that has ended.
-RESTART_AFTER_S = 0.1
-# Seconds from the time when a node is ready again to the stop of the next one.
-GAP_S = 1.0
-POLL_S = 0.05
-# Seconds after which a client that reaches no node tries again.
-CONNECT_AGAIN_S = 0.05
-WINDOW_S = BOUNDS["retryWindowS"]
+# Seconds after the begin of the streams at which all nodes are killed, or their clients leave.
+BREAK_AT_S = 1.5
+# Seconds after which the platform starts a killed process again.
+RESTART_AFTER_S = 0.5
+# Seconds for which the nodes have been running when the streams are taken up: then in touch.
+IN_TOUCH_S = BOUNDS["contactMs"] / 1000 + 0.5
+# Tries to take a stream up, and the longest pause between two, in seconds.
+TRIES, LONGEST_PAUSE_S = 3, 1.0
 
 
 @dataclass
-class Clients:
-    """Clients, each of which sends one request, to a node that accepts its connection."""
-
-    nodes: list[Node]
-    record: Record
-    sent_s: list[float] = field(default_factory=list)
-    got: Counter[str] = field(default_factory=Counter)
-    chance: random.Random = field(default_factory=lambda: random.Random(1))
-
-    async def run(self, seconds: float) -> None:
-        """Send requests for some time, and wait for their answers."""
-        tasks, begin_s = [], time.monotonic()
-        while time.monotonic() < begin_s + seconds:
-            tasks.append(asyncio.ensure_future(self._send(f"r{len(tasks)}")))
-            await asyncio.sleep(max(0, begin_s + len(tasks) / REQUESTS_PER_S - time.monotonic()))
-        await asyncio.gather(*tasks)
-
-    async def _send(self, request_id: str) -> None:
-        """Send one request."""
-        node = await self._connectable()
-        self.sent_s.append(time.monotonic())
-        self.record.write(f"client sends {request_id} to {node.name}")
-        try:
-            headers = request_headers(request_id, 1000)
-            answer = await ask(node.front, "GET", "/book/x", headers, timeout_s=2.0)
-            result = str(answer.status) if answer.is_whole else "cut"
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
-            result = type(exc).__name__
-        self.got[result] += 1
-        self.record.write(f"client got {result} for {request_id}")
-
-    async def _connectable(self) -> Node:
-        """Return a node, chosen by chance, that accepts connections."""
-        while True:
-            for node in self.chance.sample(self.nodes, len(self.nodes)):
-                host, _, port = node.front.rpartition(":")
-                try:
-                    _, writer = await asyncio.open_connection(host, int(port))
-                except OSError:
-                    continue
-                writer.close()
-                return node
-            await asyncio.sleep(CONNECT_AGAIN_S)
-
-
-class Failures:
-    """Lets engines fail a share of their requests, while their health checks are good."""
-
-    def __init__(self, engines: list[Engine]) -> None:
-        """Start without failures."""
-        self.is_on = False
-        self._random = random.Random(2)
-        for engine in engines:
-            engine.work_s = WORK_S
-            engine.answer = self._answers(engine)
-
-    def _answers(self, engine: Engine):
-        """Return what answers the requests of an engine."""
-
-        async def answer(request: Request, writer: asyncio.StreamWriter) -> None:
-            is_failed = self.is_on and self._random.random() < FAILED_SHARE
-            await (engine.fail if is_failed else engine.plain)(request, writer)
-
-        return answer
+class Stream:
+    """A stream as its client has it: the first request's id, and the last event's."""
+
+    first_id: str
+    last_event: int = 0
+
+    def take(self, data: bytes) -> None:
+        """Take whole events, each of which comes in one piece."""
+        for line in data.decode().splitlines():
+            if line.startswith("id: "):
+                self.last_event = int(line.removeprefix("id: "))
+
+
+async def write_stream(engine: Engine, request: Request, writer: asyncio.StreamWriter) -> None:
+    """Send the events that are due, in chunks."""
+    headers = {
+        "Request-Id": request.id,
+        "Response-Signature": f"sig-{engine.name}",
+        "Content-Type": "text/event-stream",
+        "Transfer-Encoding": "chunked",
+    }
+    writer.write(message("HTTP/1.1 200 OK", headers))
+    for number in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
+        await asyncio.sleep(PAUSE_S)
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
+async def send(
+    world: World, number: int, headers: dict[str, object], stream: Stream
+) -> Answer | None:
+    """Send a request of a stream to a node; return None if the connection ended without a head."""
+    front = world.nodes[number % NODES].front
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        return await ask(
+            front, "POST", "/match/x", headers, b"p", TIMEOUT_MS / 1000, on_data=stream.take
+        )
+    return None
+
+
+async def take_up(world: World, number: int, stream: Stream, record: Record) -> bool:
+    """Take a stream up again, as often as a client does; return whether it went on to its end."""
+    for attempt in range(TRIES):
+        request_id = f"{stream.first_id}-again-{attempt}"
+        headers = request_headers(request_id, TIMEOUT_MS)
+        headers |= {"Last-Event-Id": stream.last_event, "Resumes": stream.first_id}
+        record.write(f"client takes {stream.first_id} up behind event {stream.last_event}")
+        answer = await send(world, number + attempt, headers, stream)
+        status = answer.status if answer is not None else "no answer"
+        record.write(f"client got {status} for {request_id}")
+        if answer is not None and answer.status == 200:
+            return answer.is_whole and stream.last_event == EVENTS
+        if answer is not None and "retry-after" in answer.headers:
+            await asyncio.sleep(min(LONGEST_PAUSE_S, float(answer.headers["retry-after"])))
+    return False
+
+
+async def begin(world: World, number: int, record: Record) -> bool:
+    """Begin a new stream; return whether it began."""
+    stream = Stream(f"new-{number}")
+    answer = await send(world, number, request_headers(stream.first_id, TIMEOUT_MS), stream)
+    status = answer.status if answer is not None else "no answer"
+    record.write(f"client got {status} for {stream.first_id}")
+    return answer is not None and answer.status == 200
+
+
+async def break_all(world: World, running: list[asyncio.Task], has_trouble: bool) -> None:
+    """Kill all nodes at once and start them again; without trouble, the clients leave."""
+    if not has_trouble:
+        for task in running:
+            task.cancel()
+        return
+    for node in world.nodes:
+        node.signal(signal.SIGKILL)
+    for node in world.nodes:
+        await node.wait_ended()
+    await asyncio.sleep(RESTART_AFTER_S)
+    for node in world.nodes:
+        node.start()
+    while not all([await node.is_ready() for node in world.nodes]):
+        await asyncio.sleep(0.05)
 
 
 async def case(world: World, record: Record, has_trouble: bool) -> bool:
-    """Return whether a service got more repeats in a window than the budget allows."""
-    await world.add_engines("desk", ENGINES)
-    failures = Failures(world.engines)
-    book = route("book", "safe", "desk", timeoutMs=1000, targetLatencyMs=200)
-    await world.store.put("op", "config", configuration(3, [book], ["desk"]))
+    """Return whether streams went on less than half as often as new ones began."""
+    await world.add_engines("model", len(VERSIONS))
+    for engine, version in zip(world.engines, VERSIONS, strict=True):
+        engine.answer = lambda req, writer, engine=engine: write_stream(engine, req, writer)
+        await world.store.put("servers", engine.name, entry(engine) | {"version": version})
+    match = route("match", "streaming", "model", resumable=True, timeoutMs=TIMEOUT_MS)
+    await world.store.put("op", "config", configuration(3, [match], ["model"]))
     await world.start_nodes(NODES)
     await asyncio.sleep(SETTLE_S)
-    clients = Clients(world.nodes, record)
-    traffic = asyncio.ensure_future(clients.run(BEFORE_S + FAILING_S))
-    await asyncio.sleep(BEFORE_S)
-    failures.is_on = True
-    record.write("engines begin to fail requests")
-    turns = asyncio.ensure_future(stop_in_turn(world.nodes, record)) if has_trouble else None
-    await traffic
-    if turns is not None:
-        turns.cancel()
-        await asyncio.gather(turns, return_exceptions=True)
-    return is_exceeded(world, clients, record)
-
-
-async def stop_in_turn(nodes: list[Node], record: Record) -> None:
-    """Stop one node after the other with SIGTERM, and start each again as the platform does."""
-    await asyncio.sleep(FIRST_STOP_S)
-    for node in nodes:
-        node.signal(signal.SIGTERM)
-        record.write(f"{node.name} gets SIGTERM")
-        await node.wait_ended()
-        record.write(f"{node.name} has ended")
-        await asyncio.sleep(RESTART_AFTER_S)
-        node.start()
-        while not await node.is_ready():
-            await asyncio.sleep(POLL_S)
-        record.write(f"{node.name} is ready again")
-        await asyncio.sleep(GAP_S)
-
-
-def is_exceeded(world: World, clients: Clients, record: Record) -> bool:
-    """Return whether the repeats of some window exceed the budget, as the rule counts them."""
-    seen: set[str] = set()
-    repeats_s = []
+    streams = [Stream(f"r{number}") for number in range(STREAMS)]
+    running = [
+        asyncio.ensure_future(
+            send(world, number, request_headers(stream.first_id, TIMEOUT_MS), stream)
+        )
+        for number, stream in enumerate(streams)
+    ]
+    record.write(f"{STREAMS} streams begin")
+    await asyncio.sleep(BREAK_AT_S)
+    await break_all(world, running, has_trouble)
+    record.write("all nodes run again" if has_trouble else "all clients have left")
+    await asyncio.gather(*running, return_exceptions=True)
+    await asyncio.sleep(IN_TOUCH_S)
+    broken = [each for each in streams if 0 < each.last_event < EVENTS]
+    again = [
+        asyncio.ensure_future(take_up(world, number, stream, record))
+        for number, stream in enumerate(broken)
+    ]
+    new = [asyncio.ensure_future(begin(world, number, record)) for number in range(STREAMS)]
+    gone_on, begun = Counter(await asyncio.gather(*again)), Counter(await asyncio.gather(*new))
     for arrival in world.arrivals:
-        what = "again" if arrival.request_id in seen else "first"
-        record.write(f"{arrival.request_id} arrives at {arrival.engine}, {what}", arrival.at_s)
-        if arrival.request_id in seen:
-            repeats_s.append(arrival.at_s)
-        seen.add(arrival.request_id)
-    worst = max(
-        (_window(begin_s, repeats_s, clients.sent_s) for begin_s in repeats_s), default=None
-    )
-    if worst is None:
-        return False
-    excess, repeats, allowed, requests = worst
-    record.write(f"worst window: {repeats} repeats, {allowed:.1f} allowed for {requests} requests")
-    record.write(f"clients got {dict(clients.got)}")
-    return excess > 0
-
-
-def _window(
-    begin_s: float, repeats_s: list[float], sent_s: list[float]
-) -> tuple[float, int, float, int]:
-    """Return by how much the repeats of a window exceed the budget, both, and its requests."""
-    repeats = _count(repeats_s, begin_s)
-    windows_s = (begin_s, begin_s - WINDOW_S / 2, begin_s - WINDOW_S)
-    requests = max(_count(sent_s, each) for each in windows_s)
-    allowed = BOUNDS["retryBudgetRatio"] * requests + BOUNDS["retrySlack"]
-    return repeats - allowed, repeats, allowed, requests
-
-
-def _count(moments_s: list[float], begin_s: float) -> int:
-    """Return how many moments lie in a window."""
-    return sum(begin_s <= each < begin_s + WINDOW_S for each in moments_s)
+        record.write(f"{arrival.request_id} runs at {arrival.engine}", arrival.at_s)
+    record.write(f"{gone_on[True]} of {len(broken)} went on, {begun[True]} of {STREAMS} began")
+    if len(broken) < 12:
+        raise RuntimeError("too few streams to judge")
+    return gone_on[True] / len(broken) < begun[True] / STREAMS / 2
 
 
 if __name__ == "__main__":
