--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -408,6 +408,7 @@
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
         self.process: subprocess.Popen | None = None
+        self.memory_mb = 300
 
     def write_settings(self, bootstrap: bool, bounds: dict[str, object]) -> None:
         """Write its settings file."""
@@ -429,7 +430,7 @@
             f'control = "{ip}:{ports.control}"',
             f'directory = "{ip}:{ports.directory}"',
             "[limits]",
-            "memoryMb = 300",
+            f"memoryMb = {self.memory_mb}",
             "maxFds = 4100",
             "[bounds]",
             *(f"{name} = {json.dumps(value)}" for name, value in bounds.items()),
@@ -581,6 +582,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     nodes: list[Node] = field(default_factory=list)
     bounds: dict[str, object] = field(default_factory=lambda: dict(BOUNDS))
+    memory_mb: int = 300
 
     async def add_engines(self, service: str, count: int) -> None:
         """Start engines and write them into the list."""
@@ -602,6 +604,7 @@
         seeds = [f"{ip}:{ports.control}" for ip in ips[:3]]
         for number, ip in enumerate(ips):
             node = Node(number, ip, ports, self.store.address, seeds, self.folder)
+            node.memory_mb = self.memory_mb
             node.write_settings(bootstrap=True, bounds=self.bounds)
             node.start()
             self.nodes.append(node)
