--- a/review/5/case.py
+++ b/review/5/case.py
@@ -156,4 +156,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, FOLDER)
+    run_case(case, has_trouble=sys.argv[1] != "0", record_file=Path(sys.argv[2]))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -172,4 +172,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, FOLDER)
+    run_case(case, has_trouble=sys.argv[1] != "0", record_file=Path(sys.argv[2]))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -187,4 +187,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, FOLDER)
+    run_case(case, has_trouble=sys.argv[1] != "0", record_file=Path(sys.argv[2]))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -646,20 +646,21 @@
         self._file.close()
 
 
-def run_case(case: Callable[[World, Record, bool], Awaitable[bool]], folder: Path) -> None:
+def run_case(
+    case: Callable[[World, Record, bool], Awaitable[bool]], has_trouble: bool, record_file: Path
+) -> None:
     """Run a case, and exit with BROKEN if the rule was broken, 0 if it held, 2 if it could not run.
 
     Args:
       case: Gets the world, the record, and whether the disruption takes place.
-      folder: Folder of the case.
+      has_trouble: Whether the disruption takes place.
+      record_file: Gets what was sent, answered and run.
     """
     import tempfile
 
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-
     async def run() -> bool:
         with tempfile.TemporaryDirectory() as temporary:
-            world, record = World(Path(temporary)), Record(folder / "record.txt")
+            world, record = World(Path(temporary)), Record(record_file)
             try:
                 async with asyncio.timeout(110):
                     await world.store.start()
