Answers: a length is digits and nothing else

What callers saw: a 200 that was framed as complete with 10, 5 or 0 bytes of a body of 800, as the endpoint's head said `Content-Length: 1_0`, `+5`, `+0`, `-0`, `0_0`, or a 5 beside a no-break space or a next line (0xA0, 0x85).

Cause: the length was made with int(), which takes signs, underscores and any blank of Unicode for part of a number.

Evidence: broken_heads_test.py plays 17 spoilt lengths from a stand-in, each on a safe and an unsafe route and on two kinds of stream. On seven of them failed with a wrong 200 on all four routes; the other ten (-5, 0x5, 5e0, 5.0, quotes, empty, two numbers, lists, two lines, 4,400 digits) were held already and stay as tests.

Why this works: the library's parse_int, which the callers' side uses already, takes ASCII digits alone. All else is a broken answer: another endpoint serves the request where the route allows it, else the caller gets a 502 of ours at once. All 17 rows pass on all routes.

--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from tornado.http1connection import parse_hex_int
+from tornado.http1connection import parse_hex_int, parse_int
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -74,10 +74,7 @@
     """
     if "Content-Length" not in headers:
         return None
-    length = int(headers["Content-Length"])
-    if length < 0:
-        raise ValueError(length)
-    return length
+    return parse_int(headers["Content-Length"])
 
 
 def chunk_length(line: bytes) -> int:
--- /dev/null
+++ b/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
@@ -0,0 +1,83 @@
+"""Answers of an endpoint in trouble: each has one spoilt line in its head, the rest is sound.
+
+`ID` stands for the id of the request, as in `engine.raw_bytes`. Names tell what is wrong, so that a
+test can be named after them.
+"""
+
+from dataclasses import dataclass
+
+from springbridge_standins.gateway.engine import Script, raw_bytes
+from springbridge_standins.http_wire import RawRequest, answer, event
+
+# Whole events, so that the same body fits plain answers and streams.
+BODY = b"".join(event(number) for number in range(1, 41))
+OWN_FIELDS = (b"Request-Id: ID", b"Response-Signature: broken")
+STATED_LENGTH = b"Content-Length: %d" % len(BODY)
+
+
+@dataclass(frozen=True)
+class BrokenHead:
+    """An answer whose head is broken.
+
+    Attributes:
+      closes: Whether the endpoint closes the connection behind the body.
+    """
+
+    head: bytes
+    body: bytes = BODY
+    closes: bool = False
+
+    def script(self) -> Script:
+        """Return the script that sends it."""
+        return raw_bytes(self.head + self.body, then_close=self.closes)
+
+
+def head(*lines: bytes, start: bytes = b"HTTP/1.1 200 OK") -> bytes:
+    """Return a head with a start line, the fields that each answer has, and some more lines."""
+    return b"\r\n".join([start, *OWN_FIELDS, *lines, b"", b""])
+
+
+def _with_length(value: bytes) -> BrokenHead:
+    return BrokenHead(head(b"Content-Length: " + value))
+
+
+# The length of the body.
+LENGTHS = {
+    "length 1_0": _with_length(b"1_0"),
+    "length +5": _with_length(b"+5"),
+    "length +0": _with_length(b"+0"),
+    "length -0": _with_length(b"-0"),
+    "length 0_0": _with_length(b"0_0"),
+    "length with a no-break space": _with_length(b"5\xa0"),
+    "length with a next line": _with_length(b"\x855"),
+    "length -5": _with_length(b"-5"),
+    "length 0x5": _with_length(b"0x5"),
+    "length 5e0": _with_length(b"5e0"),
+    "length 5.0": _with_length(b"5.0"),
+    "length in quotes": _with_length(b'"5"'),
+    "length empty": _with_length(b""),
+    "length of two numbers": _with_length(b"5 5"),
+    "lengths in a list": _with_length(b"5, 6"),
+    "lengths in two lines": _with_length(b"5\r\nContent-Length: 6"),
+    "length of 4,400 digits": _with_length(b"9" * 4400),
+}
+BROKEN_HEADS = LENGTHS
+
+
+def sound_answer(request: RawRequest) -> bytes:
+    """Return a whole answer with BODY, as a sound endpoint sends it."""
+    return answer(request.request_id, BODY, signature="sound")
+
+
+def first_on_each_path(broken: Script) -> Script:
+    """Return a script that treats the first request of each path differently from the others."""
+    seen: set[str] = set()
+
+    async def script(request, connection) -> None:
+        if request.path in seen:
+            await connection.send(sound_answer(request))
+            return
+        seen.add(request.path)
+        await broken(request, connection)
+
+    return script
