Answers: one strict decision on where a body ends

What callers saw: a 200 framed as complete whose body held the chunk lines, as the head said `Transfer-Encoding: gzip, chunked`, `xchunked`, `identity`, nothing, or the field twice; and a 200 with 5 bytes of a body where gzip stood beside `Content-Length: 5`.

Cause: whatever was not exactly "chunked" counted as no coding at all, so that a length beside it decided, or the end of the connection. What the reader did not understand, it took for absent.

Change: answer_framing.py decides from the version, the status and all headers where the body ends, and gives a typed value; the head keeps that in place of three flags. A coding that is not understood, a coding beside a length, a coding in HTTP/1.0 or with a 204 is a broken answer with its reason (head_faults.py). A length with a 204 or 304 stays allowed: tests hold it, and the body ends without it.

Evidence: broken_heads_test.py, 12 rows on four routes. On all 12 failed: nine with a wrong 200, `chunked` beside a length or in HTTP/1.0 with the right bytes by luck, as RFC 9112 6.1 calls both faulty. A 204 in chunks, whose engine meant a body or none, was passed on as whole. All pass now.

Why this works: there is no way left from an unknown value to "no framing"; only a missing field means that.

--- a/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/callers/answer.py
@@ -14,9 +14,9 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from springbridge_node.gateway.http.answer_framing import BODILESS_STATUSES
 from springbridge_node.gateway.http.closing import end_in_order, reset_on_close
 from springbridge_node.gateway.http.http_connection import READ_BYTES
-from springbridge_node.gateway.http.http_head import BODILESS_STATUSES
 from springbridge_node.gateway.inbound.answer_writer import AnswerWriter
 from springbridge_node.gateway.inbound.connection import InboundConnection
 from springbridge_node.gateway.inbound.refusals import RefusalKind
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -19,6 +19,7 @@
 
 from springbridge_node import clock
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
+from springbridge_node.gateway.http.answer_framing import BodyEnd, Framing
 from springbridge_node.gateway.http.chunks import ChunkDecoder
 from springbridge_node.gateway.http.http_head import (
     Head,
@@ -48,6 +49,13 @@
 # s of the probes, which the kernel does not send while bytes are unacknowledged.
 UNACKNOWLEDGED_MS = 2500
 
+# How an answer ended that was read to the end of its body.
+COMPLETE_ENDS = {
+    BodyEnd.NO_BODY: AnswerEnd.LENGTH,
+    BodyEnd.LENGTH: AnswerEnd.LENGTH,
+    BodyEnd.LAST_CHUNK: AnswerEnd.LAST_CHUNK,
+    BodyEnd.CONNECTION: AnswerEnd.CLOSED,
+}
 # Beginning of a HEAD request, whose answer has no body.
 HEAD_REQUEST = b"HEAD "
 # The C int that an ioctl fills.
@@ -203,18 +211,9 @@
         Raises:
           AnswerBrokenError: The body ended early or its framing is wrong.
         """
-        if head.chunked:
-            async for piece in self._read_chunks():
-                yield piece
-            self.answer_end = AnswerEnd.LAST_CHUNK
-        elif head.length is not None:
-            async for piece in self._read_length(head.length):
-                yield piece
-            self.answer_end = AnswerEnd.LENGTH
-        else:
-            async for piece in self._read_to_end():
-                yield piece
-            self.answer_end = AnswerEnd.CLOSED
+        async for piece in self._pieces(head.framing):
+            yield piece
+        self.answer_end = COMPLETE_ENDS[head.framing.end]
         self._end_answer(head)
 
     async def read_whole_body(self, head: Head, max_bytes: int) -> bytes:
@@ -257,6 +256,16 @@
             return True
         return _queued_bytes(self._stream.socket, termios.TIOCOUTQ) > 0
 
+    def _pieces(self, framing: Framing) -> AsyncIterator[bytes]:
+        """Return the pieces of a body; see read_body()."""
+        match framing.end:
+            case BodyEnd.LAST_CHUNK:
+                return self._read_chunks()
+            case BodyEnd.CONNECTION:
+                return self._read_to_end()
+            case _:
+                return self._read_length(framing.length)
+
     def _received_nothing(self) -> bool:
         """Return whether nothing arrived while the connection was idle: no byte, end or reset."""
         try:
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from tornado.http1connection import parse_hex_int, parse_int
+from tornado.http1connection import parse_hex_int
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -11,11 +11,11 @@
 )
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
+from springbridge_node.gateway.http.answer_framing import BodyEnd, Framing, framing_of
+from springbridge_node.gateway.http.head_faults import BrokenHeadError, HeadFault
 
 # Lines of a head, beyond which it is no head: each takes time to parse.
 MAX_HEAD_LINES = 512
-# Statuses whose answers never have a body, whatever their headers say.
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,22 +23,31 @@
     """Status line and headers of an answer.
 
     Attributes:
-      length: Bytes of the body, or None if it is chunked or ends with the connection.
-      is_bodiless: Whether it has no body whatever its headers state, which then tell of the body
-        that another request would have got.
+      framing: Where its body ends.
     """
 
     status: int
     reason: str
     headers: HTTPHeaders
-    length: int | None
-    chunked: bool
-    is_bodiless: bool = False
+    framing: Framing
+
+    @property
+    def length(self) -> int | None:
+        """Return the bytes of the body, or None if the head does not tell."""
+        return self.framing.length
+
+    @property
+    def is_bodiless(self) -> bool:
+        """Return whether it has no body whatever its headers state of one.
+
+        They then tell of the body that another request would have got.
+        """
+        return self.framing.end is BodyEnd.NO_BODY
 
     @property
     def unframed(self) -> bool:
         """Return whether the body ends only with the connection."""
-        return self.length is None and not self.chunked
+        return self.framing.end is BodyEnd.CONNECTION
 
 
 def parse_head(raw: bytes, answers_head: bool = False) -> Head:
@@ -49,32 +58,39 @@
       answers_head: Whether it answers a HEAD request.
 
     Raises:
-      AnswerBrokenError: It cannot be parsed.
+      BrokenHeadError: It is not the head of an answer.
     """
     if raw.count(b"\n") > MAX_HEAD_LINES:
-        raise AnswerBrokenError(AnswerEnd.INVALID, f"more than {MAX_HEAD_LINES} lines")
+        raise BrokenHeadError(HeadFault.LINES)
     start, _, fields = raw.decode("latin-1").partition("\r\n")
+    line = _parse_start(start)
+    headers = _parse_fields(fields)
+    framing = framing_of(line.version, line.code, headers, answers_head)
+    return Head(line.code, line.reason, headers, framing)
+
+
+def _parse_start(start: str) -> ResponseStartLine:
+    """Return the parts of a status line.
+
+    Raises:
+      BrokenHeadError: It is none.
+    """
     try:
-        line: ResponseStartLine = parse_response_start_line(start)
-        headers = HTTPHeaders.parse(fields)
-        length = _content_length(headers)
+        return parse_response_start_line(start)
     except (HTTPInputError, ValueError) as exc:
-        raise AnswerBrokenError(AnswerEnd.INVALID, "not an HTTP answer") from exc
-    if answers_head or line.code in BODILESS_STATUSES:
-        return Head(line.code, line.reason, headers, 0, chunked=False, is_bodiless=True)
-    chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
-    return Head(line.code, line.reason, headers, None if chunked else length, chunked)
+        raise BrokenHeadError(HeadFault.STATUS_LINE) from exc
 
 
-def _content_length(headers: HTTPHeaders) -> int | None:
-    """Return the length of a body in bytes, or None if the head does not state it.
+def _parse_fields(fields: str) -> HTTPHeaders:
+    """Return the headers in the lines of a head.
 
     Raises:
-      ValueError: The header is not a valid length.
+      BrokenHeadError: A line is no field.
     """
-    if "Content-Length" not in headers:
-        return None
-    return parse_int(headers["Content-Length"])
+    try:
+        return HTTPHeaders.parse(fields)
+    except (HTTPInputError, ValueError) as exc:
+        raise BrokenHeadError(HeadFault.FIELD) from exc
 
 
 def chunk_length(line: bytes) -> int:
--- a/packages/springbridge-node/springbridge_node/gateway/inbound/answer_writer.py
+++ b/packages/springbridge-node/springbridge_node/gateway/inbound/answer_writer.py
@@ -7,7 +7,7 @@
 
 from tornado.httputil import HTTPHeaders, responses
 
-from springbridge_node.gateway.http.http_head import BODILESS_STATUSES
+from springbridge_node.gateway.http.answer_framing import BODILESS_STATUSES
 from springbridge_node.gateway.inbound.connection import InboundConnection
 from springbridge_node.gateway.inbound.request_head import KEEPING_VERSION, RequestHead
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
@@ -7,12 +7,13 @@
 from dataclasses import dataclass
 
 from springbridge_standins.gateway.engine import Script, raw_bytes
-from springbridge_standins.http_wire import RawRequest, answer, event
+from springbridge_standins.http_wire import RawRequest, answer, chunk, event
 
 # Whole events, so that the same body fits plain answers and streams.
 BODY = b"".join(event(number) for number in range(1, 41))
 OWN_FIELDS = (b"Request-Id: ID", b"Response-Signature: broken")
 STATED_LENGTH = b"Content-Length: %d" % len(BODY)
+CHUNKS = chunk(BODY) + chunk(b"")
 
 
 @dataclass(frozen=True)
@@ -41,6 +42,11 @@
     return BrokenHead(head(b"Content-Length: " + value))
 
 
+def _with_coding(value: bytes, *more: bytes, start: bytes = b"HTTP/1.1 200 OK") -> BrokenHead:
+    line = b"Transfer-Encoding: " + value
+    return BrokenHead(head(line, *more, start=start), CHUNKS, closes=True)
+
+
 # The length of the body.
 LENGTHS = {
     "length 1_0": _with_length(b"1_0"),
@@ -61,7 +67,25 @@
     "lengths in two lines": _with_length(b"5\r\nContent-Length: 6"),
     "length of 4,400 digits": _with_length(b"9" * 4400),
 }
-BROKEN_HEADS = LENGTHS
+# The coding of the body.
+CODINGS = {
+    "coding gzip, chunked": _with_coding(b"gzip, chunked"),
+    "coding chunked, gzip": _with_coding(b"chunked, gzip"),
+    "coding in two lines": _with_coding(b"chunked\r\nTransfer-Encoding: chunked"),
+    "coding xchunked": _with_coding(b"xchunked"),
+    "coding chunke": _with_coding(b"chunke"),
+    "coding identity": _with_coding(b"identity"),
+    "coding chunked;q=1": _with_coding(b"chunked;q=1"),
+    "coding empty": _with_coding(b""),
+    "coding of a bodiless answer": _with_coding(b"chunked", start=b"HTTP/1.1 204 No Content"),
+}
+# The length and the coding, which contradict each other or the version.
+CONTRADICTIONS = {
+    "gzip beside a length": _with_coding(b"gzip", b"Content-Length: 5"),
+    "chunked beside a length": _with_coding(b"chunked", b"Content-Length: 5"),
+    "chunked in HTTP/1.0": _with_coding(b"chunked", start=b"HTTP/1.0 200 OK"),
+}
+BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS
 
 
 def sound_answer(request: RawRequest) -> bytes:
