Answers: a head's lines end by CRLF and by nothing else

What callers saw: a 200 framed as complete with 5 bytes of the body, as a field held a bare line feed: `X-A: 1<LF>Content-Length: 5`.

Cause: the head was taken to its empty line by CRLF, but its fields were split by the library's parser, which takes a bare line feed for a line end too. So two rules read one head, and what was part of a value became a field.

Change: a head in which a line feed stands without its carriage return is broken, by its own reason.

Evidence: broken_heads_test.py, 19 rows of lines that are no field, four routes. On two failed, both with a bare line feed in or between fields.

Why this works: one rule is left for line ends, the one by which the end of the head is found.

--- a/packages/springbridge-node/springbridge_node/gateway/http/head_faults.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/head_faults.py
@@ -8,13 +8,15 @@
 class HeadFault(Enum):
     """Why a head is that of no answer; the values are logged and counted.
 
-    STATUS_LINE: Its first line is no status line of HTTP/1. FIELD: A line is no field. LINES: It
-    has more lines than are parsed. LENGTH: The length of the body is no number. CODING: The body is
-    in a coding that is not understood. LENGTH_AND_CODING: It states both, which contradict each
-    other. CODING_MISPLACED: It states a coding where the version or the status has none.
+    STATUS_LINE: Its first line is no status line of HTTP/1. LINE_END: A line ends otherwise than by
+    CRLF. FIELD: A line is no field. LINES: It has more lines than are parsed. LENGTH: The length of
+    the body is no number. CODING: The body is in a coding that is not understood.
+    LENGTH_AND_CODING: It states both, which contradict each other. CODING_MISPLACED: It states a
+    coding where the version or the status has none.
     """
 
     STATUS_LINE = "status line"
+    LINE_END = "bare line feed"
     FIELD = "not a field"
     LINES = "too many lines"
     LENGTH = "length is not a number"
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -16,6 +16,7 @@
 
 # Lines of a head, beyond which it is no head: each takes time to parse.
 MAX_HEAD_LINES = 512
+LINE_END = b"\r\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,9 @@
     """
     if raw.count(b"\n") > MAX_HEAD_LINES:
         raise BrokenHeadError(HeadFault.LINES)
+    if raw.count(b"\n") > raw.count(LINE_END):
+        # The parser of fields would take what is behind it for another line.
+        raise BrokenHeadError(HeadFault.LINE_END)
     start, _, fields = raw.decode("latin-1").partition("\r\n")
     line = _parse_start(start)
     headers = _parse_fields(fields)
--- a/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
@@ -47,6 +47,10 @@
     return BrokenHead(head(line, *more, start=start), CHUNKS, closes=True)
 
 
+def _with_line(line: bytes) -> BrokenHead:
+    return BrokenHead(head(line, STATED_LENGTH))
+
+
 # The length of the body.
 LENGTHS = {
     "length 1_0": _with_length(b"1_0"),
@@ -85,7 +89,33 @@
     "chunked beside a length": _with_coding(b"chunked", b"Content-Length: 5"),
     "chunked in HTTP/1.0": _with_coding(b"chunked", start=b"HTTP/1.0 200 OK"),
 }
-BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS
+# Lines that are no field.
+LINES = {
+    "bare line feed in a field": BrokenHead(head(b"X-A: 1\nContent-Length: 5")),
+    "bare line feeds between fields": BrokenHead(head(b"X-A: 1\n\nContent-Length: 5")),
+    "bare line feed behind the start": BrokenHead(
+        head(STATED_LENGTH).replace(b"OK\r\n", b"OK\n"),
+    ),
+    "bare carriage return": _with_line(b"X-A: 1\rX-B: 2"),
+    "blank in a name": _with_line(b"X A: 1"),
+    "blank behind a name": _with_line(b"X-A : 1"),
+    "tab in a name": _with_line(b"X\tA: 1"),
+    "control byte in a name": _with_line(b"X\x01A: 1"),
+    "NUL in a name": _with_line(b"X\x00A: 1"),
+    "DEL in a name": _with_line(b"X\x7fA: 1"),
+    "parenthesis in a name": _with_line(b"X(A: 1"),
+    "byte over 127 in a name": _with_line(b"X\xe9A: 1"),
+    "blank in the name of the length": BrokenHead(head(b"Content Length: 5"), closes=True),
+    "control byte in the name of the length": BrokenHead(
+        head(b"Content\x02Length: 5"), closes=True
+    ),
+    "line without a colon": _with_line(b"no field"),
+    "line without a name": _with_line(b": 1"),
+    "folded line": _with_line(b" folded"),
+    "NUL in a value": _with_line(b"X-A: 1\x002"),
+    "ESC in a value": _with_line(b"X-A: 1\x1b2"),
+}
+BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS | LINES
 
 
 def sound_answer(request: RawRequest) -> bytes:
