Answers: a status is that of an answer, or the head is broken

What callers saw: an answer with status 600 or 999, passed on; after a status of 000, 099 or 101, or an interim one that stated a body, whatever the body behind it held, if that read like an answer (200, with the bytes and signature of the body's own making); else a 504 after the whole time in place of a retry at once.

Cause: every status below 200 counted as interim, so that its head was skipped and the body behind it read as the next head; every one from 200 on as final.

Change: final are 200 to 599, interim are 100 to 199 but 101, which nobody asks for, and without a length or a coding, as they have no body. All else is broken at once.

Evidence: broken_heads_test.py, 13 rows on four routes. On nine failed. Held already: a status of two or four digits, HTTP/2.0, another protocol. endless answers, 100 and 103 before an answer: as before, by their tests.

Why this works: no head is skipped unless what follows it has to be a head.

--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -201,7 +201,7 @@
         for _ in range(MAX_INTERIM_ANSWERS + 1):
             raw = await self._read_until(b"\r\n\r\n", MAX_HEAD_BYTES)
             head = parse_head(raw, self._asked_head)
-            if head.status >= 200:
+            if not head.is_interim:
                 return head
         raise AnswerBrokenError(AnswerEnd.OVERSIZED, "interim answers")
 
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -1,6 +1,7 @@
 """Parses the heads of HTTP/1.1 answers: status, headers and the framing of the body."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from tornado.http1connection import parse_hex_int
 from tornado.httputil import (
@@ -17,6 +18,10 @@
 # Lines of a head, beyond which it is no head: each takes time to parse.
 MAX_HEAD_LINES = 512
 LINE_END = b"\r\n"
+# Statuses of answers that another one follows. Without 101, which nobody asks for: what follows it
+# is no HTTP.
+INTERIM_STATUSES = frozenset(range(100, 200)) - {HTTPStatus.SWITCHING_PROTOCOLS}
+FINAL_STATUSES = range(200, 600)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +37,11 @@
     headers: HTTPHeaders
     framing: Framing
 
+    @property
+    def is_interim(self) -> bool:
+        """Return whether a final answer to the same request follows."""
+        return self.status in INTERIM_STATUSES
+
     @property
     def length(self) -> int | None:
         """Return the bytes of the body, or None if the head does not tell."""
@@ -69,6 +79,10 @@
     start, _, fields = raw.decode("latin-1").partition("\r\n")
     line = _parse_start(start)
     headers = _parse_fields(fields)
+    if line.code in INTERIM_STATUSES:
+        _check_interim(headers)
+    elif line.code not in FINAL_STATUSES:
+        raise BrokenHeadError(HeadFault.STATUS)
     framing = framing_of(line.version, line.code, headers, answers_head)
     return Head(line.code, line.reason, headers, framing)
 
@@ -85,6 +99,16 @@
         raise BrokenHeadError(HeadFault.STATUS_LINE) from exc
 
 
+def _check_interim(headers: HTTPHeaders) -> None:
+    """Check the headers of an interim answer, which has no body.
+
+    Raises:
+      BrokenHeadError: They state one. It would be read as the head of the next answer.
+    """
+    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        raise BrokenHeadError(HeadFault.INTERIM_BODY)
+
+
 def _parse_fields(fields: str) -> HTTPHeaders:
     """Return the headers in the lines of a head.
 
--- a/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
@@ -51,6 +51,10 @@
     return BrokenHead(head(line, STATED_LENGTH))
 
 
+def _with_start(start: bytes) -> BrokenHead:
+    return BrokenHead(head(STATED_LENGTH, start=start))
+
+
 # The length of the body.
 LENGTHS = {
     "length 1_0": _with_length(b"1_0"),
@@ -115,7 +119,29 @@
     "NUL in a value": _with_line(b"X-A: 1\x002"),
     "ESC in a value": _with_line(b"X-A: 1\x1b2"),
 }
-BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS | LINES
+ANSWER_AS_BODY = head(b"Content-Length: 5") + b"hello"
+# The status line.
+STATUSES = {
+    "status 000": _with_start(b"HTTP/1.1 000 None"),
+    "status 099": _with_start(b"HTTP/1.1 099 None"),
+    "status 101": BrokenHead(head(b"Upgrade: x", start=b"HTTP/1.1 101 Switching Protocols")),
+    "status 600": _with_start(b"HTTP/1.1 600 Odd"),
+    "status 999": _with_start(b"HTTP/1.1 999 Odd"),
+    "status 000 before an answer": BrokenHead(head(start=b"HTTP/1.1 000 None"), ANSWER_AS_BODY),
+    "status 101 before an answer": BrokenHead(head(start=b"HTTP/1.1 101 None"), ANSWER_AS_BODY),
+    "status 100 with a length before an answer": BrokenHead(
+        head(b"Content-Length: %d" % len(ANSWER_AS_BODY), start=b"HTTP/1.1 100 Continue"),
+        ANSWER_AS_BODY,
+    ),
+    "status 103 in chunks before an answer": BrokenHead(
+        head(b"Transfer-Encoding: chunked", start=b"HTTP/1.1 103 Early"), ANSWER_AS_BODY
+    ),
+    "status of two digits": _with_start(b"HTTP/1.1 20 OK"),
+    "status of four digits": _with_start(b"HTTP/1.1 2000 OK"),
+    "version 2.0": _with_start(b"HTTP/2.0 200 OK"),
+    "another protocol": _with_start(b"ICY 200 OK"),
+}
+BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS | LINES | STATUSES
 
 
 def sound_answer(request: RawRequest) -> bytes:
