Answers: logs and metrics say what was wrong with a head

Cause: the line of a failed attempt said "invalid" for a broken head, a broken chunk and an endless line alike, so that nobody could tell an endpoint with spoilt heads from one that floods.

The bytes themselves are not logged.

--- a/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/attempt.py
@@ -12,6 +12,7 @@
 
 from springbridge_node import clock
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
+from springbridge_node.gateway.http.head_faults import BrokenHeadError
 from springbridge_node.gateway.http.http_connection import HttpConnection
 from springbridge_node.gateway.requests.endpoint_answer import (
     AnswerTimeoutError,
@@ -69,6 +70,10 @@
             exchange.progress.may_have_run = ran_before
             return await _read_refusal(exchange, answer, metadata)
         return await _relay_or_hold_back(exchange, answer, metadata, codec, hooks.on_first_event)
+    except BrokenHeadError as exc:
+        exchange.progress.answer_end = exc.end
+        exchange.progress.head_fault = exc.fault
+        return AttemptOutcome.BROKEN
     except AnswerBrokenError as exc:
         exchange.progress.answer_end = exc.end
         return AttemptOutcome.BROKEN
@@ -101,6 +106,7 @@
     )
     progress.sends += 1
     progress.answer_end = None
+    progress.head_fault = None
     progress.answer_began_s = None
     progress.answer_status = 0
     progress.misfit = None
--- a/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/exchange.py
@@ -15,6 +15,7 @@
 from springbridge_node.gateway.callers.answer import CallerAnswer
 from springbridge_node.gateway.callers.ingress import IncomingRequest
 from springbridge_node.gateway.http.answer_end import AnswerEnd
+from springbridge_node.gateway.http.head_faults import HeadFault
 from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.peers.load_sharing import SharedAttempt
 from springbridge_node.gateway.requests.stage import Stage
@@ -103,6 +104,7 @@
         None if it has not, as always with a plain answer.
       answer_status: Status of the answer to the latest send, 0 before its head.
       answer_end: How the answer to the latest send ended; None if it has not, or none began.
+      head_fault: What was wrong with the head of the latest answer; None if nothing was.
       failure: The last failure that an endpoint answered with and that was held back.
       load: The current attempt in the load that instances share.
       avoided: Endpoints that it must not go to now because other suspects are on trial there.
@@ -146,6 +148,7 @@
     answer_began_s: float | None = None
     answer_status: int = 0
     answer_end: AnswerEnd | None = None
+    head_fault: HeadFault | None = None
     failure: HeldFailure | None = None
     load: SharedAttempt | None = None
     avoided: set[str] = field(default_factory=set)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/request_log.py
@@ -96,6 +96,8 @@
     def attempt_failed(self, exchange: Exchange, endpoint_id: str, end: AttemptOutcome) -> None:
         """Log and count an attempt that did not deliver an answer."""
         self._telemetry.attempts.labels(end.value).inc()
+        if exchange.progress.head_fault is not None:
+            self._telemetry.broken_heads.labels(exchange.progress.head_fault.value).inc()
         logs.event(
             "request.attempt_failed",
             request_id=exchange.request_id,
@@ -103,6 +105,7 @@
             version=exchange.progress.chosen[-1].version,
             end=end.value,
             answer_end=_answer_end(exchange),
+            head_fault=_head_fault(exchange),
             sends=exchange.progress.sends,
             fingerprint=fingerprint_of(exchange),
             status=exchange.progress.answer_status,
@@ -226,6 +229,12 @@
     return "" if end is None else end.value
 
 
+def _head_fault(exchange: Exchange) -> str:
+    """Return what was wrong with the head of the latest answer, "" if nothing was."""
+    fault = exchange.progress.head_fault
+    return "" if fault is None else fault.value
+
+
 def _misfit(exchange: Exchange) -> str:
     """Return why the latest answer does not go on with the caller's stream, "" if it does."""
     misfit = exchange.progress.misfit
--- a/packages/springbridge-node/springbridge_node/gateway/telemetry.py
+++ b/packages/springbridge-node/springbridge_node/gateway/telemetry.py
@@ -40,6 +40,12 @@
             ["end"],
             registry=self.registry,
         )
+        self.broken_heads = Counter(
+            "springbridge_broken_heads",
+            "Answers of engines whose heads were broken, by what was wrong",
+            ["fault"],
+            registry=self.registry,
+        )
         self.taken_up = Counter(
             "springbridge_streams_taken_up",
             "Requests that took up a stream again, by where its version was known from",
