Answers: a connection is closed if any option in its head says so

What callers could see: a 502, or a request that may not be repeated lost, on a connection that its engine was about to close. Not seen by users.

Cause: only a Connection header that was "close" and nothing else counted; an answer of HTTP/1.0, whose connection ends unless it says keep-alive, was taken for one of HTTP/1.1.

Change: the options of all Connection headers are read as a list (RFC 9110 7.6.1, RFC 9112 9.3), once, with the head.

The stand-in of a connection moved out of the test of drawn bytes, which is unchanged otherwise, so that both use it.

Why this works: whether a connection is kept is decided where the head is read, from the whole head.

--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
@@ -17,7 +17,7 @@
 # Statuses whose answers never have a body, whatever their headers say.
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 CHUNKED = "chunked"
-# The version whose answers have no transfer coding.
+# The version whose answers have no transfer coding, and end their connections as a rule.
 OLDER_VERSION = "HTTP/1.0"
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/http/fuzzed_answers_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/fuzzed_answers_test.py
@@ -7,9 +7,9 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from springbridge_standins.gateway.pieces import PiecesStream
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
-from tornado.iostream import StreamClosedError
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError
 from springbridge_node.gateway.http.http_connection import HttpConnection
@@ -24,32 +24,9 @@
 )
 
 
-class DrawnStream:
-    """Stands for a connection on which some pieces arrive before it is closed in order."""
-
-    def __init__(self, pieces):
-        """Set the pieces."""
-        self._pieces = [piece for piece in pieces if piece]
-
-    async def _next(self):
-        """Return the next piece."""
-        await asyncio.sleep(0)
-        if not self._pieces:
-            raise StreamClosedError
-        return self._pieces.pop(0)
-
-    def read_bytes(self, count, partial):
-        """Return the next piece, whatever its size."""
-        return asyncio.ensure_future(self._next())
-
-    def closed(self):
-        """Return whether all was read."""
-        return not self._pieces
-
-
 async def read_answer(pieces):
     """Read an answer; return whether it came to an end or broke."""
-    conn = HttpConnection(DrawnStream(pieces))
+    conn = HttpConnection(PiecesStream(pieces))
     try:
         head = await conn.read_head()
         async for _ in conn.read_body(head):
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_connection.py
@@ -283,8 +283,7 @@
         self.idle_since_s = clock.now_s()
         self.keep_alive_s = keep_alive_s(head.headers)
         whole_request_sent = self._sent is None or self._sent.done()
-        closes = head.headers.get("Connection", "").lower() == "close"
-        self._may_be_kept = whole_request_sent and not closes and not head.unframed
+        self._may_be_kept = whole_request_sent and head.keeps_connection and not head.unframed
 
     async def _receive(self) -> None:
         """Wait for more bytes and append them to the unread ones.
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -12,7 +12,12 @@
 )
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
-from springbridge_node.gateway.http.answer_framing import BodyEnd, Framing, framing_of
+from springbridge_node.gateway.http.answer_framing import (
+    OLDER_VERSION,
+    BodyEnd,
+    Framing,
+    framing_of,
+)
 from springbridge_node.gateway.http.head_faults import BrokenHeadError, HeadFault
 
 # Lines of a head, beyond which it is no head: each takes time to parse.
@@ -30,12 +35,14 @@
 
     Attributes:
       framing: Where its body ends.
+      keeps_connection: Whether its sender takes another request on the connection.
     """
 
     status: int
     reason: str
     headers: HTTPHeaders
     framing: Framing
+    keeps_connection: bool = True
 
     @property
     def is_interim(self) -> bool:
@@ -84,7 +91,8 @@
     elif line.code not in FINAL_STATUSES:
         raise BrokenHeadError(HeadFault.STATUS)
     framing = framing_of(line.version, line.code, headers, answers_head)
-    return Head(line.code, line.reason, headers, framing)
+    keeps_connection = _keeps_connection(line.version, headers)
+    return Head(line.code, line.reason, headers, framing, keeps_connection)
 
 
 def _parse_start(start: str) -> ResponseStartLine:
@@ -136,6 +144,21 @@
         raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length") from exc
 
 
+def connection_options(headers: HTTPHeaders) -> frozenset[str]:
+    """Return what a Connection header lists, in lower case: options, and names of other headers."""
+    if "Connection" not in headers:
+        return frozenset()
+    return frozenset(item.strip().lower() for item in headers["Connection"].split(","))
+
+
+def _keeps_connection(version: str, headers: HTTPHeaders) -> bool:
+    """Return whether the sender of a head keeps its connection open (RFC 9112, section 9.3)."""
+    options = connection_options(headers)
+    if "close" in options:
+        return False
+    return version != OLDER_VERSION or "keep-alive" in options
+
+
 def keep_alive_s(headers: HTTPHeaders) -> float | None:
     """Return the keep-alive time that the other side sent, in seconds, or None."""
     for item in headers.get("Keep-Alive", "").split(","):
