Answers: lines before chunks and behind the last one keep to their grammar

What callers could see: an answer framed as complete that lacks its rest. A size that has lost a digit, "0" in place of "10", seems to be the last chunk; the data behind it was skipped as trailers up to the next empty line.

Cause: any line up to an empty one counted as a trailer. And what stands round the size of a chunk was not looked at: blanks before it, control bytes and bare line feeds in an extension.

Change: both kinds of line have to fit RFC 9112 7.1; blanks behind a size stay allowed, as servers write them.

Why this works: a line of data is a trailer only if it reads like a field, and no size is guessed from a line that is not understood.

--- a/packages/springbridge-node/springbridge_node/gateway/http/chunks.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/chunks.py
@@ -10,9 +10,12 @@
 from enum import Enum, auto
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
-from springbridge_node.gateway.http.http_head import chunk_length
 
 LINE_END = b"\r\n"
+# The line before a chunk: its size, and extensions, which are ignored (RFC 9112, section 7.1).
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[\t -~\x80-\xff]*)?")
+# A line behind the last chunk.
+TRAILER = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*")
 # Maximum length of the line that holds the length of a chunk, extensions included.
 MAX_CHUNK_LINE_BYTES = 256
 # Maximum size of all trailers together, as of a head.
@@ -144,13 +147,18 @@
         return b""
 
     def _take_trailer(self, received: bytearray) -> bytes | None:
-        """Skip a trailer, or the empty line that ends the body."""
+        """Skip a trailer, or the empty line that ends the body.
+
+        Any other line is data behind a chunk that only seems to be the last, by a spoilt size.
+        """
         end = _line_end(received, MAX_TRAILER_BYTES)
         if end < 0:
             return None
         self._trailer_bytes += end
         if self._trailer_bytes > MAX_TRAILER_BYTES:
             raise AnswerBrokenError(AnswerEnd.OVERSIZED, "trailers")
+        if end and not TRAILER.fullmatch(received, 0, end):
+            raise AnswerBrokenError(AnswerEnd.INVALID, "no trailer")
         del received[: end + len(LINE_END)]
         if not end:
             self._due = _Due.NOTHING
@@ -172,6 +180,18 @@
     return bytes(data)
 
 
+def chunk_length(line: bytes) -> int:
+    """Return the length of a chunk in bytes, as the line before it states.
+
+    Raises:
+      AnswerBrokenError: It does not state a valid length.
+    """
+    found = SIZE_LINE.fullmatch(line)
+    if found is None:
+        raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length")
+    return int(found[1], 16)
+
+
 def _size_of(line: bytes) -> int:
     """Return the size that the line before a chunk states; 0 if it is the last one or malformed."""
     size = _SIZES.get(line)
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from tornado.http1connection import parse_hex_int
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -11,7 +10,6 @@
     parse_response_start_line,
 )
 
-from springbridge_node.gateway.http.answer_end import AnswerBrokenError, AnswerEnd
 from springbridge_node.gateway.http.answer_framing import (
     OLDER_VERSION,
     BodyEnd,
@@ -129,21 +127,6 @@
         raise BrokenHeadError(HeadFault.FIELD) from exc
 
 
-def chunk_length(line: bytes) -> int:
-    """Return the length of a chunk in bytes.
-
-    Args:
-      line: The line before the chunk; extensions in it are ignored.
-
-    Raises:
-      AnswerBrokenError: It does not hold a valid length.
-    """
-    try:
-        return parse_hex_int(line.partition(b";")[0].strip(b" \t").decode("latin-1"))
-    except ValueError as exc:
-        raise AnswerBrokenError(AnswerEnd.INVALID, "invalid chunk length") from exc
-
-
 def connection_options(headers: HTTPHeaders) -> frozenset[str]:
     """Return what a Connection header lists, in lower case: options, and names of other headers."""
     if "Connection" not in headers:
