Peers: a reply opens a tunnel only with the status of one

What callers could see: a request sent into a connection whose peer had answered 503, as a header said "open" all the same; it then counts as one that may have run, and gets no promise.

Cause: the reply to CONNECT was read by its headers alone. The strict reading of heads applies to it like to any answer.

Why this works: a reply that contradicts itself counts as that of a build without tunnels, so nothing is sent and another way is looked for.

--- a/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
+++ b/packages/springbridge-node/springbridge_node/gateway/peers/tunnel_client.py
@@ -20,8 +20,10 @@
     HttpConnection,
     connect,
 )
+from springbridge_node.gateway.http.http_head import Head
 from springbridge_node.gateway.peers.tunnel_messages import (
     EVIDENCE,
+    STATUSES,
     Purpose,
     TunnelResult,
     marks_end,
@@ -189,7 +191,7 @@
         try:
             conn.send(request_head(entry, self._membership.me.incarnation, purpose), b"")
             head = await conn.read_head()
-            return read_result(head.headers), marks_end(head.headers)
+            return _result_in(head), marks_end(head.headers)
         except AnswerBrokenError:
             return TunnelResult.SILENT, False
         except BaseException:
@@ -229,6 +231,14 @@
         return list({each.incarnation: each for each in chosen}.values())[:MAX_PEERS]
 
 
+def _result_in(head: Head) -> TunnelResult:
+    """Return the result in a reply; one that contradicts its status is no reply to this request."""
+    result = read_result(head.headers)
+    if result is TunnelResult.OPEN and head.status != STATUSES[result]:
+        return TunnelResult.UNSUPPORTED
+    return result
+
+
 def _close_surplus(attempt: asyncio.Task) -> None:
     """Close a connection that came up although another one is used."""
     if not attempt.cancelled() and isinstance(attempt.result(), HttpConnection):
