springbridge serve: a broken head breaks the answer there too

What callers could see: a success with 5 bytes of a service's body, as a field held a bare line feed before `Content-Length: 5`; a success with the bytes that stood in the body behind a status of 101; a wait for the whole time after a status of 000. The list of instances and the table are read by the same client.

Cause: the library splits fields at bare line feeds, takes every status of 1xx for interim and any other for final. It is strict in lengths, codings and names.

Change: the connection of this program's client checks line ends, statuses and the version of a coding before the library parses the head.

Why this works: what the library never sees it cannot read otherwise.

--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
@@ -3,7 +3,8 @@
 An endpoint refuses a job before it starts with status 429 or 503 and the header
 ``Engine-Admitted: no``. Only that answer, or a connection that was never made, proves that the job
 did not start. An answer that states no length ends with its connection: a reset breaks it off, and
-so does the end of the endpoint's process, whose connections are closed in order.
+so does the end of the endpoint's process, whose connections are closed in order. A head that the
+library would read otherwise than it was meant breaks the answer as well.
 """
 
 import asyncio
@@ -12,11 +13,15 @@
 
 from springbridge.classes.entities import Endpoint
 from springbridge.classes.ports import EndpointError, NotAdmittedError
+from tornado.http1connection import HTTP1Connection
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError, parse_response_start_line
+from tornado.iostream import IOStream
 from tornado.netutil import Resolver
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient, _HTTPConnection
 
+from springbridge_node.http_rules import OLDER_VERSION, has_bare_line_feed, is_status
+
 # Timeout for connecting. Its expiry proves that the job did not start, so another endpoint may get
 # the job.
 CONNECT_TIMEOUT_S = 1.0
@@ -39,9 +44,34 @@
         return [(socket.AF_INET, (host, port))]
 
 
+class _StrictConnection(HTTP1Connection):
+    """A connection on which a broken head is an error; the library makes what it can of one."""
+
+    def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
+        """Parse a head; see the library.
+
+        Raises:
+          HTTPInputError: It is broken.
+        """
+        if has_bare_line_feed(data):
+            raise HTTPInputError("bare line feed")
+        start, headers = super()._parse_headers(data)
+        line = parse_response_start_line(start)
+        if not is_status(line.code):
+            raise HTTPInputError("status of no answer")
+        if line.version == OLDER_VERSION and "Transfer-Encoding" in headers:
+            raise HTTPInputError("misplaced transfer coding")
+        return start, headers
+
+
 class _EndpointConnection(_HTTPConnection):
     """A request on which a reset is an error; the library takes one for the end of the body."""
 
+    def _create_connection(self, stream: IOStream) -> HTTP1Connection:
+        """Return the connection on a stream, as the library does, but a strict one."""
+        plain = super()._create_connection(stream)
+        return _StrictConnection(stream, True, plain.params, plain.context)
+
     def finish(self) -> None:
         """End the request, with an error if its connection was reset."""
         error = self.stream.error
--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
@@ -13,12 +13,11 @@
 from tornado.httputil import HTTPHeaders
 
 from springbridge_node.gateway.http.head_faults import BrokenHeadError, HeadFault
+from springbridge_node.http_rules import OLDER_VERSION
 
 # Statuses whose answers never have a body, whatever their headers say.
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 CHUNKED = "chunked"
-# The version whose answers have no transfer coding, and end their connections as a rule.
-OLDER_VERSION = "HTTP/1.0"
 
 
 class BodyEnd(Enum):
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -1,7 +1,6 @@
 """Parses the heads of HTTP/1.1 answers: status, headers and the framing of the body."""
 
 from dataclasses import dataclass
-from http import HTTPStatus
 
 from tornado.httputil import (
     HTTPHeaders,
@@ -10,21 +9,17 @@
     parse_response_start_line,
 )
 
-from springbridge_node.gateway.http.answer_framing import (
+from springbridge_node.gateway.http.answer_framing import BodyEnd, Framing, framing_of
+from springbridge_node.gateway.http.head_faults import BrokenHeadError, HeadFault
+from springbridge_node.http_rules import (
+    INTERIM_STATUSES,
     OLDER_VERSION,
-    BodyEnd,
-    Framing,
-    framing_of,
+    has_bare_line_feed,
+    is_status,
 )
-from springbridge_node.gateway.http.head_faults import BrokenHeadError, HeadFault
 
 # Lines of a head, beyond which it is no head: each takes time to parse.
 MAX_HEAD_LINES = 512
-LINE_END = b"\r\n"
-# Statuses of answers that another one follows. Without 101, which nobody asks for: what follows it
-# is no HTTP.
-INTERIM_STATUSES = frozenset(range(100, 200)) - {HTTPStatus.SWITCHING_PROTOCOLS}
-FINAL_STATUSES = range(200, 600)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,15 +73,14 @@
     """
     if raw.count(b"\n") > MAX_HEAD_LINES:
         raise BrokenHeadError(HeadFault.LINES)
-    if raw.count(b"\n") > raw.count(LINE_END):
-        # The parser of fields would take what is behind it for another line.
+    if has_bare_line_feed(raw):
         raise BrokenHeadError(HeadFault.LINE_END)
     start, _, fields = raw.decode("latin-1").partition("\r\n")
     line = _parse_start(start)
     headers = _parse_fields(fields)
     if line.code in INTERIM_STATUSES:
         _check_interim(headers)
-    elif line.code not in FINAL_STATUSES:
+    elif not is_status(line.code):
         raise BrokenHeadError(HeadFault.STATUS)
     framing = framing_of(line.version, line.code, headers, answers_head)
     keeps_connection = _keeps_connection(line.version, headers)
