Planned stop: what outlasts the grace gets an answer

Cause: at the end of the grace the process ended with what was in progress.

Change: a quarter of a second before the kill each request in progress is given up like one at its deadline: 504 if it may have run, 503 with a time to come back if not, a cut where an answer has begun. At most 0.1 s is taken for that. No request is given up sooner than the process ended before.

`given_up` in node.left counts them.

Why this works: the answers are written while the process still runs, by the same path that ends requests at their deadline.

--- a/packages/springbridge-node/springbridge_node/gateway/gateway.py
+++ b/packages/springbridge-node/springbridge_node/gateway/gateway.py
@@ -331,6 +331,10 @@
         """Return how many requests of callers, and tunnels of peers, are in progress."""
         return len(self.listener.in_progress) + self.path_parts.tunnel_server.count
 
+    def give_up_requests(self) -> None:
+        """Give up the requests in progress; their answers say whether they may have run."""
+        self.router.give_up_all()
+
     async def release_duties(self) -> None:
         """Release the lease of the duties, so that another node takes over."""
         if self.duties is not None:
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle.py
@@ -97,18 +97,28 @@
     releasing = asyncio.ensure_future(gateway.release_duties())
     await asyncio.sleep(planned_stop.serve_on_s(grace_s))
     gateway.refuse_new()
-    while gateway.in_progress() and loop.time() < end_s:
-        await asyncio.sleep(POLL_S)
+    await _wait_for_answers(gateway, end_s)
+    given_up = len(gateway.listener.in_progress)
+    if given_up:
+        gateway.give_up_requests()
+        await _wait_for_answers(gateway, end_s + planned_stop.GIVING_UP_S)
     # If the store has not acknowledged the release by now, the successor waits until the lease has
     # expired.
     releasing.cancel()
     logs.event(
         "node.left",
+        given_up=given_up,
         cut_off=len(gateway.listener.in_progress),
         seconds=round(loop.time() - began_s, 3),
     )
 
 
+async def _wait_for_answers(gateway: Gateway, end_s: float) -> None:
+    """Wait until no request is in progress, or until a time on the clock of the event loop."""
+    while gateway.in_progress() and asyncio.get_running_loop().time() < end_s:
+        await asyncio.sleep(POLL_S)
+
+
 async def _reload(gateway: Gateway, settings_path: str, load: Load, changed: asyncio.Event) -> None:
     """Reload the settings whenever the file has changed or SIGHUP was received."""
     seen = _file_version(settings_path)
--- a/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
+++ b/packages/springbridge-node/springbridge_node/gateway/lifecycle_test.py
@@ -39,6 +39,10 @@
         """Note the step."""
         self.steps.append("refuse")
 
+    def give_up_requests(self):
+        """Note the step."""
+        self.steps.append("give up")
+
 
 @pytest.fixture
 def gateway():
@@ -73,6 +77,12 @@
     assert_that(stopped_after(gateway, 20 * GRACE_S), LessThan(10 * GRACE_S))
 
 
+# Guards against requests that are cut off without an answer, and against any given up too early.
+def test_a_node_gives_up_what_outlasts_its_grace_as_its_last_step(gateway):
+    stopped_after(gateway, 20 * GRACE_S)
+    assert_that(gateway.steps, Equals(["leave", "hand on", "refuse", "give up", "end"]))
+
+
 class Reloaded(Leaving):
     """A stand-in for a gateway that records the reloaded settings."""
 
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 from returns.result import Failure, Success
 from springbridge.problems import Problem
@@ -33,12 +35,14 @@
 
 
 class RequestRouter:
-    """Serves requests; keeps no state between them."""
+    """Serves requests; keeps no state between them but which are in progress."""
 
     def __init__(self, parts: RouterParts) -> None:
         """Keep the parts."""
         self._parts = parts
         self._sender = EndpointSender(parts)
+        self._limits: set[asyncio.Timeout] = set()
+        self._gives_up = False
 
     async def serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
         """Serve one request; on return its answer has ended.
@@ -83,6 +87,14 @@
             case Success(admitted):
                 return admitted.deadline_s
 
+    def give_up_all(self) -> None:
+        """Give up all requests in progress, as the instance stops: each gets its final answer."""
+        self._gives_up = True
+        now_s = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now_s)
+
     def _version(self) -> int:
         """Return the version of the configuration in force, 0 before the first."""
         index = self._parts.index()
@@ -121,11 +133,23 @@
           None once the answer is complete, else why it is not.
         """
         try:
-            async with asyncio.timeout(exchange.admitted.deadline_s - clock.now_s()):
-                return await self._make_attempts(exchange)
+            async with asyncio.timeout(exchange.admitted.deadline_s - clock.now_s()) as limit:
+                with self._in_progress(limit):
+                    return await self._make_attempts(exchange)
         except TimeoutError:
+            if self._gives_up:
+                return giving_up.at_end_of_grace(exchange.attempts())
             return giving_up.at_deadline(exchange.route, exchange.attempts())
 
+    @contextlib.contextmanager
+    def _in_progress(self, limit: asyncio.Timeout) -> Iterator[None]:
+        """Let give_up_all() end the block, which has a time limit."""
+        self._limits.add(limit)
+        try:
+            yield
+        finally:
+            self._limits.discard(limit)
+
     async def _make_attempts(self, exchange: Exchange) -> Problem | None:
         """Try one endpoint after another; see _attempt_until_deadline for what is returned."""
         route, progress = exchange.route, exchange.progress
--- a/packages/springbridge/springbridge/routing/giving_up.py
+++ b/packages/springbridge/springbridge/routing/giving_up.py
@@ -22,10 +22,14 @@
     after_node_fault,
     when_endpoint_full,
     while_endpoints_restart,
+    while_leaving,
     while_on_trial,
     while_origin_unknown,
 )
 
+# Detail of the problem of a request that is given up as its instance stops.
+END_OF_GRACE = "end of grace"
+
 
 @dataclass(frozen=True, slots=True)
 class RatesExhausted:
@@ -216,6 +220,13 @@
     return _refused_not_run(route, "deadline")
 
 
+def at_end_of_grace(attempts: Attempts) -> Problem:
+    """Return the problem of a request that is in progress as its instance's grace ends."""
+    if attempts.may_have_run:
+        return Problem(Code.OUTCOME_UNKNOWN, END_OF_GRACE)
+    return Problem(Code.NODE_LEAVING, END_OF_GRACE, retry_after_s=while_leaving())
+
+
 def when_fault_met(attempts: Attempts) -> Problem:
     """Return the problem of a request whose serving met an unforeseen exception."""
     if attempts.may_have_run:
--- a/packages/springbridge/springbridge/routing/planned_stop.py
+++ b/packages/springbridge/springbridge/routing/planned_stop.py
@@ -6,7 +6,8 @@
 callers may cache an address, both in seconds.
 On the signal the instance becomes not ready, notifies all peers, and closes each connection with
 its next answer. It serves new requests for serve_on_s(), then refuses them as not run. It exits
-after its last answer, or after last_answer_s().
+after its last answer, or after last_answer_s(); requests that are in progress then are given up
+with an answer that says whether they may have run.
 Callers cache the instance's address for a while, and a request that arrives in that time would
 otherwise fail. The rest of the grace period is for answers in progress, none of which may be cut
 off by the kill.
@@ -25,7 +26,12 @@
 # time for the last notice to peers and the exit, so that the process ends before the kill.
 END_MARGIN_S = 0.25
 
+# Seconds for the answers to requests that are given up as the instance stops waiting. Part of
+# END_MARGIN_S: they are written at once, unless their callers read slowly.
+GIVING_UP_S = 0.1
+
 assert SERVE_ON_S > ADDRESS_TTL_S, "callers' addresses must be old before requests are refused"
+assert GIVING_UP_S < END_MARGIN_S, "the process must end before the kill"
 
 
 def address_ttl_s(longest_ttl_s: float) -> float:
