Soak: engines answer with broken heads

Three in a hundred answers of the harm of odd answers have a head of the table, drawn by a generator of its own; the checks of whole answers see the rest.

--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/engine.py
@@ -151,6 +151,10 @@
             await self._odd.send_endless(kind, request, connection)
             return
         self._record_start(request)
+        kind = self._odd.draw_broken() if self._odd else None
+        if kind is not None:
+            await self._odd.send_broken(kind, request, connection)
+            return
         if fault < 2 * FAULT_SHARE / 6:
             connection.reset()
         elif fault < 3 * FAULT_SHARE / 6:
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/odd_answers.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/odd_answers.py
@@ -1,4 +1,4 @@
-"""Answers of the soak's engines that are none: bytes without end, and what is no rest of a stream.
+"""Answers of the soak's engines that are none: without end, with broken heads, no rest of a stream.
 
 They have their own random generator, so that the other faults of a seed stay the same.
 """
@@ -6,6 +6,7 @@
 import random
 from collections import Counter
 
+from springbridge_standins.gateway.broken_heads import BROKEN_HEADS
 from springbridge_standins.gateway.endless import ENDLESS
 from springbridge_standins.gateway.soak.engine import event_count, stream_event
 from springbridge_standins.gateway.soak.state import Soak
@@ -17,12 +18,15 @@
 # Share of requests whose answer does not end, one at a time: all engines are in one process, which
 # also has the callers.
 ENDLESS_SHARE = 0.02
+# Share of requests whose answer has a broken head.
+BROKEN_SHARE = 0.03
 # Kinds that do not end, but for one whose beginning is a whole answer.
 ENDLESS_KINDS = tuple(kind for kind in ENDLESS if kind != "bytes behind an answer")
 # Kinds that are no rest, but for one that adds lines without an event: callers may get these.
 UNFIT_KINDS = tuple(kind for kind in UNFIT if kind != "a comment")
 # Names of the counts.
 UNFIT_COUNT, ENDLESS_COUNT = "answers that are no rest", "answers without end"
+BROKEN_COUNT = "answers with broken heads"
 
 
 class OddAnswers:
@@ -34,6 +38,21 @@
         self._rng = rng
         self._counts = counts
         self._is_sending = False
+        # Of its own, so that what else is drawn stays the same.
+        self._broken_rng = random.Random(repr(rng.getstate()))
+
+    def draw_broken(self) -> str | None:
+        """Return which broken head is due, None for another answer."""
+        if self._broken_rng.random() >= BROKEN_SHARE:
+            return None
+        return self._broken_rng.choice(tuple(BROKEN_HEADS))
+
+    async def send_broken(self, kind: str, request: RawRequest, connection: Connection) -> None:
+        """Send an answer with a broken head, and close the connection."""
+        self._counts[BROKEN_COUNT] += 1
+        self._soak.stamp("broken head", kind=kind, request_id=request.request_id)
+        await BROKEN_HEADS[kind].script()(request, connection)
+        connection.close()
 
     def draw_endless(self) -> str | None:
         """Return the kind of answer without end that is due, None for another answer."""
--- a/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/soak/soak_test.py
@@ -11,7 +11,11 @@
 from springbridge_standins.gateway.soak import nodes
 from springbridge_standins.gateway.soak.alone import LEFT_ALONE
 from springbridge_standins.gateway.soak.departures import CUT, WHOLE
-from springbridge_standins.gateway.soak.odd_answers import ENDLESS_COUNT, UNFIT_COUNT
+from springbridge_standins.gateway.soak.odd_answers import (
+    BROKEN_COUNT,
+    ENDLESS_COUNT,
+    UNFIT_COUNT,
+)
 from springbridge_standins.gateway.soak.odd_rows import LEFT_LONG_AGO, ODD, PATH
 from springbridge_standins.gateway.soak.soak import Harms, run_soak
 from springbridge_standins.gateway.soak.unframed import Ending
@@ -107,11 +111,13 @@
     assert_that(soak.violations, Equals([]))
 
 
-# Guards against a failure that becomes a part of a stream, and against an endpoint whose bytes do
-# not end and take the instance from all others, during kills, freezes and cuts.
+# Guards against a failure that becomes a part of a stream, against an endpoint whose bytes do not
+# end and take the instance from all others, and against answers with broken heads that callers get,
+# during kills, freezes and cuts.
 def test_a_short_soak_with_answers_that_are_none_breaks_no_promise(tmp_path):
     def tried():
-        return soak_counts[UNFIT_COUNT] > 3 and soak_counts[ENDLESS_COUNT] > 5
+        counts = (soak_counts[UNFIT_COUNT], soak_counts[ENDLESS_COUNT], soak_counts[BROKEN_COUNT])
+        return all(count > least for count, least in zip(counts, (3, 5, 10), strict=True))
 
     soak_counts = Counter()
     soak = asyncio.run(
