Tests: broken heads at each other reader, and heads that are cut

Readers: health checks and calls to the store and to peers read by the same code as answers of engines, so the mends hold there too. A failed call now says what was wrong with a broken head in the reason that is logged.

--- a/packages/springbridge-node/springbridge_node/gateway/http/calls.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/calls.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from springbridge_node.gateway.http.answer_end import AnswerBrokenError
+from springbridge_node.gateway.http.head_faults import BrokenHeadError
 from springbridge_node.gateway.http.http_connection import (
     ConnectFailedError,
     HttpConnection,
@@ -80,7 +81,7 @@
             async with asyncio.timeout(timeout_s):
                 return await self._call(method, target, body, headers or {})
         except (AnswerBrokenError, ConnectFailedError, TimeoutError) as exc:
-            raise CallFailedError(type(exc).__name__) from exc
+            raise CallFailedError(_reason(exc)) from exc
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -121,3 +122,9 @@
         if body:
             lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _reason(exc: Exception) -> str:
+    """Return why a call failed, as logged, and what was wrong with a broken head."""
+    name = type(exc).__name__
+    return f"{name}: {exc}" if isinstance(exc, BrokenHeadError) else name
--- a/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
+++ b/packages/springbridge-standins/springbridge_standins/gateway/broken_heads.py
@@ -1,4 +1,4 @@
-"""Answers of an endpoint in trouble: each has one spoilt line in its head, the rest is sound.
+"""Answers of an endpoint in trouble: each has one spoilt line in its head, or ends within it.
 
 `ID` stands for the id of the request, as in `engine.raw_bytes`. Names tell what is wrong, so that a
 test can be named after them.
@@ -141,7 +141,21 @@
     "version 2.0": _with_start(b"HTTP/2.0 200 OK"),
     "another protocol": _with_start(b"ICY 200 OK"),
 }
-BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS | LINES | STATUSES
+WHOLE_HEAD = head(STATED_LENGTH)
+# The connection is closed within the head, which is sound so far.
+CUTS = {
+    f"cut behind {place}": BrokenHead(WHOLE_HEAD[: WHOLE_HEAD.index(mark) + len(mark)], b"", True)
+    for place, mark in {
+        "the version": b"HTTP/1.1",
+        "the start line": b"200 OK\r\n",
+        "the name of a field": b"Content-Length:",
+        "a digit of the length": STATED_LENGTH[:-1],
+        "the length": STATED_LENGTH,
+        "the last line": STATED_LENGTH + b"\r\n",
+        "half of the last line end": STATED_LENGTH + b"\r\n\r",
+    }.items()
+}
+BROKEN_HEADS = LENGTHS | CODINGS | CONTRADICTIONS | LINES | STATUSES | CUTS
 
 
 def sound_answer(request: RawRequest) -> bytes:
