--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
@@ -45,6 +45,11 @@
     length: int | None = None
 
 
+NO_BODY = Framing(BodyEnd.NO_BODY, 0)
+IN_CHUNKS = Framing(BodyEnd.LAST_CHUNK)
+TO_THE_END = Framing(BodyEnd.CONNECTION)
+
+
 def framing_of(version: str, status: int, headers: HTTPHeaders, answers_head: bool) -> Framing:
     """Return where the body of an answer ends.
 
@@ -62,11 +67,11 @@
     if is_chunked and (version == OLDER_VERSION or status == HTTPStatus.NO_CONTENT):
         raise BrokenHeadError(HeadFault.CODING_MISPLACED)
     if answers_head or status in BODILESS_STATUSES:
-        return Framing(BodyEnd.NO_BODY, 0)
+        return NO_BODY
     if is_chunked:
-        return Framing(BodyEnd.LAST_CHUNK)
+        return IN_CHUNKS
     if length is None:
-        return Framing(BodyEnd.CONNECTION)
+        return TO_THE_END
     return Framing(BodyEnd.LENGTH, length)
 
 
