--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
@@ -45,6 +45,7 @@
     length: int | None = None
 
 
+# Framings without a length that the head tells; each is made once.
 NO_BODY = Framing(BodyEnd.NO_BODY, 0)
 IN_CHUNKS = Framing(BodyEnd.LAST_CHUNK)
 TO_THE_END = Framing(BodyEnd.CONNECTION)
