--- a/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
+++ b/packages/springbridge-node/springbridge_node/class_router/endpoints/endpoint_http.py
@@ -20,7 +20,7 @@
 from tornado.netutil import Resolver
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient, _HTTPConnection
 
-from springbridge_node.http_rules import OLDER_VERSION, has_bare_line_feed, is_status
+from springbridge_node.http_rules import OLDER_VERSION, has_bare_line_feed, is_answer_status
 
 # Timeout for connecting. Its expiry proves that the job did not start, so another endpoint may get
 # the job.
@@ -57,7 +57,7 @@
             raise HTTPInputError("bare line feed")
         start, headers = super()._parse_headers(data)
         line = parse_response_start_line(start)
-        if not is_status(line.code):
+        if not is_answer_status(line.code):
             raise HTTPInputError("status of no answer")
         if line.version == OLDER_VERSION and "Transfer-Encoding" in headers:
             raise HTTPInputError("misplaced transfer coding")
--- a/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/answer_framing.py
@@ -48,7 +48,7 @@
 # Framings without a length that the head tells; each is made once.
 NO_BODY = Framing(BodyEnd.NO_BODY, 0)
 IN_CHUNKS = Framing(BodyEnd.LAST_CHUNK)
-TO_THE_END = Framing(BodyEnd.CONNECTION)
+UNTIL_CLOSE = Framing(BodyEnd.CONNECTION)
 
 
 def framing_of(version: str, status: int, headers: HTTPHeaders, answers_head: bool) -> Framing:
@@ -72,7 +72,7 @@
     if is_chunked:
         return IN_CHUNKS
     if length is None:
-        return TO_THE_END
+        return UNTIL_CLOSE
     return Framing(BodyEnd.LENGTH, length)
 
 
--- a/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
+++ b/packages/springbridge-node/springbridge_node/gateway/http/http_head.py
@@ -15,7 +15,7 @@
     INTERIM_STATUSES,
     OLDER_VERSION,
     has_bare_line_feed,
-    is_status,
+    is_answer_status,
 )
 
 # Lines of a head, beyond which it is no head: each takes time to parse.
@@ -80,7 +80,7 @@
     headers = _parse_fields(fields)
     if line.code in INTERIM_STATUSES:
         _check_interim(headers)
-    elif not is_status(line.code):
+    elif not is_answer_status(line.code):
         raise BrokenHeadError(HeadFault.STATUS)
     framing = framing_of(line.version, line.code, headers, answers_head)
     keeps_connection = _keeps_connection(line.version, headers)
--- a/packages/springbridge-node/springbridge_node/gateway/requests/router.py
+++ b/packages/springbridge-node/springbridge_node/gateway/requests/router.py
@@ -42,7 +42,7 @@
         self._parts = parts
         self._sender = EndpointSender(parts)
         self._limits: set[asyncio.Timeout] = set()
-        self._gives_up = False
+        self._is_giving_up = False
 
     async def serve(self, request: IncomingRequest, answer: CallerAnswer) -> None:
         """Serve one request; on return its answer has ended.
@@ -89,7 +89,7 @@
 
     def give_up_all(self) -> None:
         """Give up all requests in progress, as the instance stops: each gets its final answer."""
-        self._gives_up = True
+        self._is_giving_up = True
         now_s = asyncio.get_running_loop().time()
         for limit in self._limits:
             if not limit.expired():
@@ -137,7 +137,7 @@
                 with self._in_progress(limit):
                     return await self._make_attempts(exchange)
         except TimeoutError:
-            if self._gives_up:
+            if self._is_giving_up:
                 return giving_up.at_end_of_grace(exchange.attempts())
             return giving_up.at_deadline(exchange.route, exchange.attempts())
 
--- a/packages/springbridge-node/springbridge_node/http_rules.py
+++ b/packages/springbridge-node/springbridge_node/http_rules.py
@@ -22,6 +22,6 @@
     return raw.count(b"\n") > raw.count(LINE_END)
 
 
-def is_status(status: int) -> bool:
+def is_answer_status(status: int) -> bool:
     """Return whether an answer that was asked for can have a status."""
     return status in FINAL_STATUSES or status in INTERIM_STATUSES
